build: add the build skeleton, support and HTTP libraries, and the design page

Cause: the project starts empty; every later part needs shared identifiers, verdicts, logs, metrics, settings, an HTTP server and client, and the interfaces of policy and permits. Ruled out: the CMake package of Cap'n Proto (Debian's copy looks for libatomic where Debian does not install it; pkg-config is used); Beast's stream timeout for reading requests (it closes the socket, so a slow sender could not be told why; a timer cancels the read instead). Before: nothing. Conclusion: parts can be built side by side on these interfaces.

--- /dev/null
+++ b/cmake/Mulberrywall.cmake
@@ -0,0 +1,58 @@
+# Dependencies, compiler flags and the helper functions that every CMakeLists.txt uses.
+
+find_package(Threads REQUIRED)
+find_package(Boost 1.81 REQUIRED COMPONENTS log json thread)
+find_package(OpenSSL REQUIRED)
+find_package(CLI11 REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(TOMLPLUSPLUS REQUIRED IMPORTED_TARGET tomlplusplus)
+# Debian's CMake package of Cap'n Proto looks for libatomic where Debian does not install it.
+pkg_check_modules(CAPNP_RPC REQUIRED IMPORTED_TARGET capnp-rpc)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+if(BUILD_TESTING)
+    find_package(GTest REQUIRED)
+endif()
+
+add_library(mulberrywallOptions INTERFACE)
+target_compile_options(mulberrywallOptions INTERFACE -Wall -Wextra -Werror -Wno-missing-field-initializers)
+target_include_directories(mulberrywallOptions INTERFACE ${PROJECT_SOURCE_DIR}/include)
+target_compile_definitions(mulberrywallOptions INTERFACE
+    BOOST_ALL_DYN_LINK
+    BOOST_ASIO_SEPARATE_COMPILATION
+    BOOST_BEAST_SEPARATE_COMPILATION
+    MULBERRYWALL_VERSION="${PROJECT_VERSION}")
+target_link_libraries(mulberrywallOptions INTERFACE Threads::Threads)
+
+# mulberrywall_add_library(<name> [PCH <header>...] SOURCES <file>... [DEPENDS <target>...])
+function(mulberrywall_add_library name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;PCH" ${ARGN})
+    add_library(mulberrywall${name} STATIC ${ARG_SOURCES})
+    target_link_libraries(mulberrywall${name} PUBLIC mulberrywallOptions ${ARG_DEPENDS})
+    if(ARG_PCH)
+        target_precompile_headers(mulberrywall${name} PRIVATE ${ARG_PCH})
+    endif()
+endfunction()
+
+# mulberrywall_add_tool(<name> SOURCES <file>... DEPENDS <target>...)
+function(mulberrywall_add_tool name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+    add_executable(${name} ${ARG_SOURCES})
+    target_link_libraries(${name} PRIVATE mulberrywallOptions ${ARG_DEPENDS})
+endfunction()
+
+# mulberrywall_add_test(<name> SOURCES <file>... DEPENDS <target>... [LABELS <label>...] [TIMEOUT <seconds>] [SERIAL])
+#
+# Registers one ctest entry per GoogleTest case. SERIAL is for process tests whose timing needs a quiet machine.
+function(mulberrywall_add_test name)
+    cmake_parse_arguments(ARG "SERIAL" "TIMEOUT" "SOURCES;DEPENDS;LABELS" ${ARGN})
+    add_executable(${name} ${ARG_SOURCES})
+    target_link_libraries(${name} PRIVATE mulberrywallOptions ${ARG_DEPENDS} GTest::gtest_main)
+    if(NOT ARG_TIMEOUT)
+        set(ARG_TIMEOUT 60)
+    endif()
+    set(properties TIMEOUT ${ARG_TIMEOUT} LABELS "${ARG_LABELS}")
+    if(ARG_SERIAL)
+        list(APPEND properties RUN_SERIAL TRUE)
+    endif()
+    gtest_discover_tests(${name} DISCOVERY_TIMEOUT 30 PROPERTIES ${properties})
+endfunction()
--- /dev/null
+++ b/include/mulberrywall/Http/Message.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "mulberrywall/Support/Verdict.h"
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace mulberrywall::http
+{
+
+using Request = boost::beast::http::request<boost::beast::http::string_body>;
+using Response = boost::beast::http::response<boost::beast::http::string_body>;
+using RequestHeader = boost::beast::http::request_header<>;
+using ResponseHeader = boost::beast::http::response_header<>;
+using Status = boost::beast::http::status;
+using Verb = boost::beast::http::verb;
+using Field = boost::beast::http::field;
+
+/// Names of the product's own header fields.
+namespace header
+{
+inline constexpr std::string_view outcome = "Mulberrywall-Outcome";
+inline constexpr std::string_view requestClass = "Mulberrywall-Class";
+inline constexpr std::string_view timeoutMs = "Mulberrywall-Timeout-Ms";
+inline constexpr std::string_view requestId = "X-Request-Id";
+inline constexpr std::string_view priority = "X-Priority";
+inline constexpr std::string_view resumeFrom = "X-Resume-From";
+/// An endpoint sets it to "1" on a refusal to state that the request has not run.
+inline constexpr std::string_view notRun = "X-Not-Run";
+inline constexpr std::string_view idempotencyKey = "Idempotency-Key";
+} // namespace header
+
+/// An error for the caller of a request.
+struct Problem
+{
+    Status status = Status::internal_server_error;
+    std::string title;
+    /// Names the thing that was wrong and the remedy.
+    std::string detail;
+    support::Verdict verdict = support::Verdict::NotRun;
+    std::string requestId;
+};
+
+/// Renders the problem document of RFC 9457 with the additional members "outcome" and "requestId".
+std::string renderProblem(const Problem &problem);
+
+/// Builds the response with the problem document and the outcome header.
+Response makeProblemResponse(const Problem &problem);
+
+/// Builds a response with a JSON body.
+Response makeJsonResponse(Status status, std::string body);
+
+/// Returns the part of the target before '?'.
+std::string_view pathOf(std::string_view target);
+
+/// Returns the value of a query parameter without percent-decoding, or an empty view.
+std::string_view queryParameter(std::string_view target, std::string_view name);
+
+/// Returns the field's value or an empty view.
+template <typename Fields>
+std::string_view fieldValue(const Fields &fields, std::string_view name)
+{
+    const auto found = fields.find(name);
+    if (found == fields.end()) {
+        return {};
+    }
+    return {found->value().data(), found->value().size()};
+}
+
+} // namespace mulberrywall::http
--- /dev/null
+++ b/include/mulberrywall/Policy/Types.h
@@ -0,0 +1,173 @@
+#pragma once
+
+#include "mulberrywall/Support/Ids.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace mulberrywall::policy
+{
+
+using TimePoint = std::chrono::steady_clock::time_point;
+
+/// Names one waiting or running request within a pool; unique in the life of the owner's process.
+using PermitId = std::uint64_t;
+
+/// Hash over organisation and request body; equal for a resent request.
+using Fingerprint = std::uint64_t;
+
+enum class AttemptPurpose : std::uint8_t {
+    First,
+    Retry,
+    /// Second attempt beside a running one; granted at once from spare capacity or refused.
+    Hedge,
+    /// Continuation of a stream whose endpoint failed; goes before new work of its tier.
+    Resume,
+};
+
+/// Asks for a permit to run one request on one endpoint of the pool.
+struct Submission
+{
+    PermitId permit = 0;
+    support::ClassId requestClass;
+    support::OrganisationId organisation;
+    Fingerprint fingerprint = 0;
+    /// Hash of the prompt's leading part, for prefix cache affinity; 0 means none.
+    std::uint64_t prefixHash = 0;
+    std::uint32_t promptTokens = 0;
+    AttemptPurpose purpose = AttemptPurpose::First;
+    /// Endpoints this request must not run on, for example where an earlier attempt failed.
+    std::vector<support::EndpointId> excludedEndpoints;
+    /// The caller gives up at this time.
+    TimePoint deadline = TimePoint::max();
+};
+
+/// Lets the request run on the named endpoint.
+struct Grant
+{
+    PermitId permit = 0;
+    support::EndpointId endpoint;
+    /// Priority for the engine; 0 is the most urgent.
+    std::uint8_t enginePriority = 0;
+};
+
+enum class RefusalReason : std::uint8_t {
+    /// The queue is full and this was the newest request of the lowest waiting tier.
+    Shed,
+    /// The target or the deadline cannot be met.
+    TargetUnreachable,
+    DeadlineExpired,
+    /// Two earlier runs of this request crashed their endpoints.
+    CrashSuspect,
+    UnknownClass,
+    NoEndpoint,
+    /// No spare capacity or budget for a hedged attempt.
+    HedgeDenied,
+};
+
+std::string_view toString(RefusalReason reason);
+
+/// Ends a waiting request, which has not run.
+struct Refusal
+{
+    PermitId permit = 0;
+    RefusalReason reason = RefusalReason::Shed;
+    std::chrono::milliseconds retryAfter {0};
+};
+
+/// What the caller of a command has to carry out, in order.
+struct Decisions
+{
+    std::vector<Grant> grants;
+    std::vector<Refusal> refusals;
+};
+
+/// Progress of a running request, counted from its start.
+struct Progress
+{
+    std::uint64_t outputTokens = 0;
+};
+
+enum class AttemptOutcome : std::uint8_t {
+    Completed,
+    /// The caller left or a hedged attempt lost.
+    Cancelled,
+    /// The endpoint refused; the request has not run.
+    NotRun,
+    /// The endpoint broke the connection or crashed while it ran the request.
+    EndpointFailed,
+    /// The endpoint made no progress in time.
+    Stalled,
+};
+
+struct Completion
+{
+    AttemptOutcome outcome = AttemptOutcome::Completed;
+    std::uint64_t outputTokens = 0;
+};
+
+/// What the policy needs to know of a request class.
+struct ClassSpec
+{
+    support::ClassId id;
+    support::Tier tier = 0;
+    std::chrono::milliseconds firstTokenTarget {2'000};
+    std::chrono::milliseconds betweenTokensTarget {100};
+    double minimumShare = 0.0;
+    std::chrono::milliseconds maximumWait {10'000};
+    unsigned hedgeBudgetPercent = 0;
+};
+
+struct OrganisationSpec
+{
+    support::OrganisationId id;
+    double weight = 1.0;
+};
+
+/// What the policy needs to know of an endpoint.
+struct EndpointSpec
+{
+    support::EndpointId id;
+    unsigned maximumConcurrency = 8;
+    bool prefixCache = false;
+    /// A leaving endpoint gets no new work and disappears when its last request has ended.
+    bool leaving = false;
+};
+
+/// An endpoint's own report of its load; older than the owner's observations.
+struct LoadReport
+{
+    support::EndpointId endpoint;
+    unsigned running = 0;
+    unsigned waiting = 0;
+    TimePoint measuredAt;
+};
+
+/// A request that runs already, told to a new owner of the pool by the request's ingress.
+struct RunningRequest
+{
+    Submission submission;
+    support::EndpointId endpoint;
+    Progress progress;
+};
+
+struct PoolOptions
+{
+    std::size_t queueLimit = 256;
+    std::vector<ClassSpec> classes;
+    std::vector<OrganisationSpec> organisations;
+};
+
+/// Short description of a pool's load for other routers.
+struct PoolSummary
+{
+    std::uint32_t waiting = 0;
+    std::uint32_t running = 0;
+    std::uint32_t freeSlots = 0;
+    std::uint32_t endpoints = 0;
+};
+
+} // namespace mulberrywall::policy
--- /dev/null
+++ b/lib/Http/ClientCall.cpp
@@ -0,0 +1,218 @@
+#include "mulberrywall/Http/ClientCall.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <array>
+#include <cassert>
+#include <utility>
+
+namespace mulberrywall::http
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using boost::system::error_code;
+
+namespace
+{
+
+/// Large enough for several server-sent events, small enough to forward each without delay.
+constexpr std::size_t bodyBufferBytes = 16 * 1024;
+constexpr std::uint32_t maxResponseHeaderBytes = 32 * 1024;
+
+class SocketCall final : public ClientCall, public std::enable_shared_from_this<SocketCall>
+{
+public:
+    SocketCall(const asio::any_io_executor &executor, const ClientCallOptions &options, Request request, ClientCallHandlers handlers)
+        : options_(options),
+          stream_(executor),
+          request_(std::move(request)),
+          handlers_(std::move(handlers))
+    {
+        parser_.header_limit(maxResponseHeaderBytes);
+        parser_.body_limit(options.maxResponseBytes);
+    }
+
+    void connect()
+    {
+        stream_.expires_after(options_.connectTimeout);
+        stream_.async_connect(options_.peer, [self = shared_from_this()](const error_code &error) { self->onConnect(error); });
+    }
+
+    void readMore() override
+    {
+        if (cancelled_) {
+            return;
+        }
+        if (parser_.is_done()) {
+            stage_ = CallStage::ResponseComplete;
+            end({});
+            return;
+        }
+        parser_.get().body().data = bodyBuffer_.data();
+        parser_.get().body().size = bodyBuffer_.size();
+        stream_.expires_after(options_.idleTimeout);
+        beast::http::async_read_some(stream_, buffer_, parser_, [self = shared_from_this()](const error_code &error, std::size_t) { self->onBody(error); });
+    }
+
+    void cancel() override
+    {
+        cancelled_ = true;
+        handlers_ = {};
+        stream_.close();
+    }
+
+    [[nodiscard]] CallStage stage() const override
+    {
+        return stage_;
+    }
+
+private:
+    void onConnect(const error_code &error)
+    {
+        if (cancelled_) {
+            return;
+        }
+        if (error) {
+            end(error);
+            return;
+        }
+        stage_ = CallStage::NothingWritten;
+        error_code ignored;
+        stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+        request_.prepare_payload();
+        stream_.expires_after(options_.headerTimeout);
+        beast::http::async_write(
+            stream_, request_, [self = shared_from_this()](const error_code &writeError, std::size_t size) { self->onWrite(writeError, size); });
+    }
+
+    void onWrite(const error_code &error, std::size_t size)
+    {
+        if (cancelled_) {
+            return;
+        }
+        if (size > 0) {
+            stage_ = CallStage::RequestWritten;
+        }
+        if (error && size == 0) {
+            end(error);
+            return;
+        }
+        // After a partial write the endpoint may have answered already, for example with a refusal of a large body.
+        beast::http::async_read_header(
+            stream_, buffer_, parser_, [self = shared_from_this()](const error_code &readError, std::size_t) { self->onHeader(readError); });
+    }
+
+    void onHeader(const error_code &error)
+    {
+        if (cancelled_) {
+            return;
+        }
+        if (error) {
+            end(error);
+            return;
+        }
+        stage_ = CallStage::HeaderReceived;
+        if (!handlers_.onHeader) {
+            readMore();
+            return;
+        }
+        handlers_.onHeader(parser_.get().base());
+    }
+
+    void onBody(error_code error)
+    {
+        if (cancelled_) {
+            return;
+        }
+        if (error == beast::http::error::need_buffer) {
+            error = {};
+        }
+        const std::size_t size = bodyBuffer_.size() - parser_.get().body().size;
+        if (size > 0) {
+            // An error behind the last piece is found again by the next read.
+            handlers_.onBody(std::string_view(bodyBuffer_.data(), size));
+            return;
+        }
+        if (error) {
+            end(error);
+            return;
+        }
+        readMore();
+    }
+
+    void end(const error_code &error)
+    {
+        assert(!ended_ && "a call ends once");
+        ended_ = true;
+        stream_.close();
+        const ClientCallHandlers handlers = std::exchange(handlers_, {});
+        handlers.onEnd({.error = error, .stage = stage_});
+    }
+
+    ClientCallOptions options_;
+    beast::tcp_stream stream_;
+    Request request_;
+    ClientCallHandlers handlers_;
+    beast::flat_buffer buffer_;
+    beast::http::response_parser<beast::http::buffer_body> parser_;
+    std::array<char, bodyBufferBytes> bodyBuffer_ {};
+    CallStage stage_ = CallStage::Connecting;
+    bool cancelled_ = false;
+    bool ended_ = false;
+};
+
+} // namespace
+
+std::shared_ptr<ClientCall> ClientCall::start(
+    const asio::any_io_executor &executor, const ClientCallOptions &options, Request request, ClientCallHandlers handlers)
+{
+    auto call = std::make_shared<SocketCall>(executor, options, std::move(request), std::move(handlers));
+    call->connect();
+    return call;
+}
+
+std::shared_ptr<ClientCall> fetch(
+    const asio::any_io_executor &executor, const ClientCallOptions &options, Request request, std::function<void(WholeResponse)> handler)
+{
+    struct State
+    {
+        WholeResponse response;
+        std::weak_ptr<ClientCall> call;
+    };
+    auto state = std::make_shared<State>();
+    const auto readMore = [state] {
+        if (const auto call = state->call.lock()) {
+            call->readMore();
+        }
+    };
+    ClientCallHandlers handlers {
+        .onHeader =
+            [state, readMore](const ResponseHeader &responseHeader) {
+                state->response.header = responseHeader;
+                state->response.status = responseHeader.result();
+                readMore();
+            },
+        .onBody =
+            [state, readMore](std::string_view data) {
+                state->response.body += data;
+                readMore();
+            },
+        .onEnd =
+            [state, handler = std::move(handler)](const CallResult &result) {
+                state->response.result = result;
+                handler(std::move(state->response));
+            },
+    };
+    auto call = ClientCall::start(executor, options, std::move(request), std::move(handlers));
+    state->call = call;
+    return call;
+}
+
+} // namespace mulberrywall::http
--- /dev/null
+++ b/lib/Http/Server.cpp
@@ -0,0 +1,430 @@
+#include "mulberrywall/Http/Server.h"
+
+#include "mulberrywall/Support/Log.h"
+
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <array>
+#include <atomic>
+#include <optional>
+#include <utility>
+
+namespace mulberrywall::http
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+/// Limits the work that one pipelined or lingering connection may leave after an error response.
+constexpr std::chrono::milliseconds lingerTimeout {200};
+
+struct ServerShared
+{
+    ServerOptions options;
+    RequestHandler handler;
+    std::atomic<std::size_t> connections {0};
+    std::atomic<bool> stopping {false};
+};
+
+std::optional<Problem> problemForReadError(const error_code &error, const ServerOptions &options)
+{
+    if (error == beast::http::error::header_limit) {
+        return Problem {.status = Status::request_header_fields_too_large,
+            .title = "request header too large",
+            .detail = "the request header exceeds " + std::to_string(options.maxHeaderBytes) + " bytes; send fewer or shorter fields"};
+    }
+    if (error == beast::http::error::body_limit) {
+        return Problem {.status = Status::payload_too_large,
+            .title = "request body too large",
+            .detail = "the request body exceeds " + std::to_string(options.maxBodyBytes) + " bytes; send a shorter request"};
+    }
+    if (error == beast::error::timeout) {
+        return Problem {.status = Status::request_timeout,
+            .title = "request timed out",
+            .detail = "the request did not arrive within " + std::to_string(options.readTimeout.count()) + " ms; send it faster"};
+    }
+    if (error.category() == make_error_code(beast::http::error::bad_method).category() && error != beast::http::error::end_of_stream
+        && error != beast::http::error::partial_message) {
+        return Problem {.status = Status::bad_request, .title = "malformed request", .detail = "the request is not valid HTTP/1.1: " + error.message()};
+    }
+    return std::nullopt;
+}
+
+class Connection;
+
+class ConnectionExchange final : public Exchange
+{
+public:
+    ConnectionExchange(std::shared_ptr<Connection> connection, Request request)
+        : connection_(std::move(connection)),
+          request_(std::move(request))
+    {
+    }
+    ConnectionExchange(const ConnectionExchange &) = delete;
+    ConnectionExchange &operator=(const ConnectionExchange &) = delete;
+    ConnectionExchange(ConnectionExchange &&) = delete;
+    ConnectionExchange &operator=(ConnectionExchange &&) = delete;
+    ~ConnectionExchange() override;
+
+    [[nodiscard]] const Request &request() const override
+    {
+        return request_;
+    }
+    [[nodiscard]] asio::any_io_executor executor() const override;
+    void respond(Response response) override;
+    void startStream(ResponseHeader responseHeader, WriteHandler handler) override;
+    void writeChunk(std::string data, WriteHandler handler) override;
+    void finishStream() override;
+    void abortStream() override;
+    void onCallerGone(std::function<void()> handler) override;
+
+private:
+    std::shared_ptr<Connection> connection_;
+    Request request_;
+    bool ended_ = false;
+};
+
+class Connection final : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(tcp::socket socket, std::shared_ptr<ServerShared> shared)
+        : stream_(std::move(socket)),
+          readTimer_(stream_.get_executor()),
+          shared_(std::move(shared))
+    {
+        ++shared_->connections;
+    }
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+    Connection(Connection &&) = delete;
+    Connection &operator=(Connection &&) = delete;
+    ~Connection()
+    {
+        --shared_->connections;
+    }
+
+    [[nodiscard]] asio::any_io_executor executor()
+    {
+        return stream_.get_executor();
+    }
+
+    void readRequest()
+    {
+        parser_.emplace();
+        parser_->header_limit(static_cast<std::uint32_t>(shared_->options.maxHeaderBytes));
+        parser_->body_limit(shared_->options.maxBodyBytes);
+        startReadTimer();
+        beast::http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](const error_code &error, std::size_t) { self->onRequest(error); });
+    }
+
+    void respond(Response response)
+    {
+        callerGone_ = nullptr;
+        keepAlive_ = requestKeepAlive_ && !shared_->stopping;
+        response.keep_alive(keepAlive_);
+        response.prepare_payload();
+        auto message = std::make_shared<Response>(std::move(response));
+        stream_.expires_after(shared_->options.writeTimeout);
+        beast::http::async_write(stream_, *message, [self = shared_from_this(), message](const error_code &error, std::size_t) { self->onResponseEnd(error); });
+    }
+
+    void startStream(ResponseHeader responseHeader, Exchange::WriteHandler handler)
+    {
+        keepAlive_ = requestKeepAlive_ && !shared_->stopping;
+        auto message = std::make_shared<beast::http::response<beast::http::empty_body>>(std::move(responseHeader));
+        message->version(11);
+        message->chunked(true);
+        message->keep_alive(keepAlive_);
+        auto serializer = std::make_shared<beast::http::response_serializer<beast::http::empty_body>>(*message);
+        stream_.expires_after(shared_->options.writeTimeout);
+        beast::http::async_write_header(stream_,
+            *serializer,
+            [self = shared_from_this(), message, serializer, handler = std::move(handler)](const error_code &error, std::size_t) { handler(error); });
+    }
+
+    void writeChunk(std::string data, Exchange::WriteHandler handler)
+    {
+        auto body = std::make_shared<std::string>(std::move(data));
+        stream_.expires_after(shared_->options.writeTimeout);
+        asio::async_write(stream_,
+            beast::http::make_chunk(asio::buffer(*body)),
+            [self = shared_from_this(), body, handler = std::move(handler)](const error_code &error, std::size_t) { handler(error); });
+    }
+
+    void finishStream()
+    {
+        callerGone_ = nullptr;
+        stream_.expires_after(shared_->options.writeTimeout);
+        asio::async_write(
+            stream_, beast::http::make_chunk_last(), [self = shared_from_this()](const error_code &error, std::size_t) { self->onResponseEnd(error); });
+    }
+
+    void close()
+    {
+        callerGone_ = nullptr;
+        stream_.close();
+    }
+
+    void watchCaller(std::function<void()> handler)
+    {
+        callerGone_ = std::move(handler);
+        waitForCallerClose();
+    }
+
+private:
+    /// The stream's own timeout would close the socket, and the caller could not be told why.
+    void startReadTimer()
+    {
+        stream_.expires_never();
+        readTimedOut_ = false;
+        readTimer_.expires_after(shared_->options.readTimeout);
+        readTimer_.async_wait([weak = weak_from_this()](const error_code &error) {
+            const auto self = weak.lock();
+            if (error || !self) {
+                return;
+            }
+            self->readTimedOut_ = true;
+            self->stream_.cancel();
+        });
+    }
+
+    void onRequest(const error_code &error)
+    {
+        readTimer_.cancel();
+        if (error) {
+            onReadError(readTimedOut_ ? error_code(beast::error::timeout) : error);
+            return;
+        }
+        requestKeepAlive_ = parser_->keep_alive();
+        shared_->handler(std::make_shared<ConnectionExchange>(shared_from_this(), parser_->release()));
+    }
+
+    void onReadError(const error_code &error)
+    {
+        // An idle connection that times out or ends between requests is not an error of the caller.
+        if (!parser_->got_some()) {
+            close();
+            return;
+        }
+        std::optional<Problem> problem = problemForReadError(error, shared_->options);
+        if (!problem) {
+            close();
+            return;
+        }
+        support::log(support::Severity::Warning, "rejected a request that could not be read", {{"reason", error.message()}});
+        requestKeepAlive_ = false;
+        respond(makeProblemResponse(*problem));
+    }
+
+    void onResponseEnd(const error_code &error)
+    {
+        if (error) {
+            close();
+            return;
+        }
+        if (!keepAlive_ || shared_->stopping) {
+            lingerThenClose();
+            return;
+        }
+        readRequest();
+    }
+
+    /// Reads what the caller still sends for a moment; closing at once could destroy the response on its way.
+    void lingerThenClose()
+    {
+        error_code ignored;
+        stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        stream_.expires_after(lingerTimeout);
+        drain();
+    }
+
+    void drain()
+    {
+        stream_.async_read_some(asio::buffer(drainBuffer_), [self = shared_from_this()](const error_code &error, std::size_t) {
+            if (error) {
+                self->close();
+                return;
+            }
+            self->drain();
+        });
+    }
+
+    void waitForCallerClose()
+    {
+        stream_.socket().async_wait(tcp::socket::wait_read, [weak = weak_from_this()](const error_code &error) {
+            const auto self = weak.lock();
+            if (!self || error || !self->callerGone_) {
+                return;
+            }
+            self->checkCallerClose();
+        });
+    }
+
+    void checkCallerClose()
+    {
+        std::array<char, 1> byte {};
+        error_code error;
+        const std::size_t size = stream_.socket().receive(asio::buffer(byte), tcp::socket::message_peek, error);
+        // Pipelined data is left for the next request; the caller is still there.
+        if (!error && size > 0) {
+            return;
+        }
+        if (error == asio::error::would_block || error == asio::error::try_again) {
+            waitForCallerClose();
+            return;
+        }
+        const std::function<void()> handler = std::exchange(callerGone_, nullptr);
+        handler();
+    }
+
+    beast::tcp_stream stream_;
+    asio::steady_timer readTimer_;
+    std::shared_ptr<ServerShared> shared_;
+    beast::flat_buffer buffer_;
+    std::optional<beast::http::request_parser<beast::http::string_body>> parser_;
+    std::function<void()> callerGone_;
+    std::array<char, 4096> drainBuffer_ {};
+    bool readTimedOut_ = false;
+    bool keepAlive_ = true;
+    bool requestKeepAlive_ = true;
+};
+
+ConnectionExchange::~ConnectionExchange()
+{
+    if (!ended_) {
+        asio::post(connection_->executor(), [connection = connection_] { connection->close(); });
+    }
+}
+
+asio::any_io_executor ConnectionExchange::executor() const
+{
+    return connection_->executor();
+}
+
+void ConnectionExchange::respond(Response response)
+{
+    ended_ = true;
+    connection_->respond(std::move(response));
+}
+
+void ConnectionExchange::startStream(ResponseHeader responseHeader, WriteHandler handler)
+{
+    connection_->startStream(std::move(responseHeader), std::move(handler));
+}
+
+void ConnectionExchange::writeChunk(std::string data, WriteHandler handler)
+{
+    connection_->writeChunk(std::move(data), std::move(handler));
+}
+
+void ConnectionExchange::finishStream()
+{
+    ended_ = true;
+    connection_->finishStream();
+}
+
+void ConnectionExchange::abortStream()
+{
+    ended_ = true;
+    connection_->close();
+}
+
+void ConnectionExchange::onCallerGone(std::function<void()> handler)
+{
+    connection_->watchCaller(std::move(handler));
+}
+
+class ListeningServer final : public Server
+{
+public:
+    ListeningServer(asio::io_context &context, const ServerOptions &options, RequestHandler handler)
+        : context_(context),
+          acceptor_(asio::make_strand(context), options.listen),
+          shared_(std::make_shared<ServerShared>())
+    {
+        shared_->options = options;
+        shared_->handler = std::move(handler);
+    }
+
+    void start() override
+    {
+        accept();
+    }
+
+    void stopAccepting() override
+    {
+        shared_->stopping = true;
+        asio::post(acceptor_.get_executor(), [self = shared_from_this(), this] {
+            error_code ignored;
+            acceptor_.close(ignored);
+        });
+    }
+
+    [[nodiscard]] tcp::endpoint localEndpoint() const override
+    {
+        return acceptor_.local_endpoint();
+    }
+
+    [[nodiscard]] std::size_t connectionCount() const override
+    {
+        return shared_->connections;
+    }
+
+private:
+    void accept()
+    {
+        acceptor_.async_accept(asio::make_strand(context_), [self = shared_from_this(), this](const error_code &error, tcp::socket socket) {
+            if (error == asio::error::operation_aborted || shared_->stopping) {
+                return;
+            }
+            if (!error) {
+                serve(std::move(socket));
+            }
+            accept();
+        });
+    }
+
+    void serve(tcp::socket socket)
+    {
+        if (shared_->connections >= shared_->options.maxConnections) {
+            support::log(
+                support::Severity::Warning, "refused a connection; raise the connection limit or add instances", {{"limit", shared_->options.maxConnections}});
+            return;
+        }
+        error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        auto connection = std::make_shared<Connection>(std::move(socket), shared_);
+        asio::dispatch(connection->executor(), [connection] { connection->readRequest(); });
+    }
+
+    asio::io_context &context_;
+    tcp::acceptor acceptor_;
+    std::shared_ptr<ServerShared> shared_;
+};
+
+} // namespace
+
+std::shared_ptr<Server> Server::create(asio::io_context &context, const ServerOptions &options, RequestHandler handler)
+{
+    return std::make_shared<ListeningServer>(context, options, std::move(handler));
+}
+
+} // namespace mulberrywall::http
--- /dev/null
+++ b/lib/Permits/Permit.cpp
@@ -0,0 +1,35 @@
+#include "mulberrywall/Permits/Permit.h"
+
+#include <utility>
+
+namespace mulberrywall::permits
+{
+
+Permit::Permit(configuration::Endpoint endpoint, std::uint8_t enginePriority, Operations operations)
+    : endpoint_(std::move(endpoint)),
+      enginePriority_(enginePriority),
+      operations_(std::move(operations))
+{
+}
+
+Permit::~Permit()
+{
+    finish({.outcome = policy::AttemptOutcome::Cancelled, .outputTokens = outputTokens_});
+}
+
+void Permit::recordProgress(const policy::Progress &progress)
+{
+    outputTokens_ = progress.outputTokens;
+    operations_.recordProgress(progress);
+}
+
+void Permit::finish(const policy::Completion &completion)
+{
+    if (finished_) {
+        return;
+    }
+    finished_ = true;
+    operations_.finish(completion);
+}
+
+} // namespace mulberrywall::permits
--- /dev/null
+++ b/lib/Policy/Types.cpp
@@ -0,0 +1,27 @@
+#include "mulberrywall/Policy/Types.h"
+
+namespace mulberrywall::policy
+{
+
+std::string_view toString(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::Shed:
+        return "shed";
+    case RefusalReason::TargetUnreachable:
+        return "target-unreachable";
+    case RefusalReason::DeadlineExpired:
+        return "deadline-expired";
+    case RefusalReason::CrashSuspect:
+        return "crash-suspect";
+    case RefusalReason::UnknownClass:
+        return "unknown-class";
+    case RefusalReason::NoEndpoint:
+        return "no-endpoint";
+    case RefusalReason::HedgeDenied:
+        return "hedge-denied";
+    }
+    return "unknown";
+}
+
+} // namespace mulberrywall::policy
--- /dev/null
+++ b/lib/Support/Log.cpp
@@ -0,0 +1,106 @@
+#include "mulberrywall/Support/Log.h"
+
+#include <boost/core/null_deleter.hpp>
+#include <boost/date_time/posix_time/posix_time.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
+#include <boost/smart_ptr/shared_ptr.hpp>
+
+#include <atomic>
+#include <iostream>
+#include <string>
+
+namespace mulberrywall::support
+{
+
+namespace
+{
+
+struct ProcessIdentity
+{
+    std::string name;
+    std::string instance;
+};
+
+ProcessIdentity &processIdentity()
+{
+    static ProcessIdentity identity;
+    return identity;
+}
+
+std::atomic<Severity> &minimumSeverity()
+{
+    static std::atomic<Severity> minimum {Severity::Info};
+    return minimum;
+}
+
+using Logger = boost::log::sources::severity_logger_mt<Severity>;
+
+Logger &logger()
+{
+    static Logger instance;
+    return instance;
+}
+
+std::string_view toString(Severity severity)
+{
+    switch (severity) {
+    case Severity::Debug:
+        return "debug";
+    case Severity::Info:
+        return "info";
+    case Severity::Warning:
+        return "warning";
+    case Severity::Error:
+        return "error";
+    }
+    return "error";
+}
+
+std::string currentTime()
+{
+    return boost::posix_time::to_iso_extended_string(boost::posix_time::microsec_clock::universal_time()) + "Z";
+}
+
+} // namespace
+
+void initializeLog(const LogOptions &options)
+{
+    using Backend = boost::log::sinks::text_ostream_backend;
+    using Sink = boost::log::sinks::synchronous_sink<Backend>;
+
+    processIdentity() = {.name = std::string(options.processName), .instance = std::string(options.instance)};
+    minimumSeverity() = options.minimum;
+    auto backend = boost::make_shared<Backend>();
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
+    backend->auto_flush(true);
+    boost::log::core::get()->remove_all_sinks();
+    boost::log::core::get()->add_sink(boost::make_shared<Sink>(backend));
+}
+
+void log(Severity severity, std::string_view message, std::initializer_list<LogAttribute> attributes)
+{
+    if (severity < minimumSeverity().load(std::memory_order_relaxed)) {
+        return;
+    }
+    boost::json::object line;
+    line["time"] = currentTime();
+    line["severity"] = toString(severity);
+    line["process"] = processIdentity().name;
+    if (!processIdentity().instance.empty()) {
+        line["instance"] = processIdentity().instance;
+    }
+    line["message"] = message;
+    for (const LogAttribute &attribute : attributes) {
+        line[attribute.name] = attribute.value;
+    }
+    BOOST_LOG_SEV(logger(), severity) << boost::json::serialize(line);
+}
+
+} // namespace mulberrywall::support
--- /dev/null
+++ b/lib/Support/WorkerPool.cpp
@@ -0,0 +1,62 @@
+#include "mulberrywall/Support/WorkerPool.h"
+
+#include "mulberrywall/Support/Log.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <memory>
+#include <utility>
+
+namespace mulberrywall::support
+{
+
+WorkerPool::WorkerPool(unsigned threads)
+    : context_(static_cast<int>(std::max(threads, 1U))),
+      work_(boost::asio::make_work_guard(context_))
+{
+    for (unsigned index = 0; index < std::max(threads, 1U); ++index) {
+        threads_.emplace_back([this] { context_.run(); });
+    }
+}
+
+WorkerPool::~WorkerPool()
+{
+    stop();
+    join();
+}
+
+void WorkerPool::stop()
+{
+    context_.stop();
+}
+
+void WorkerPool::join()
+{
+    for (std::thread &thread : threads_) {
+        if (thread.joinable()) {
+            thread.join();
+        }
+    }
+}
+
+void onTerminationSignal(boost::asio::io_context &context, std::function<void()> handler)
+{
+    auto signals = std::make_shared<boost::asio::signal_set>(context, SIGTERM, SIGINT);
+    signals->async_wait([signals, handler = std::move(handler)](const boost::system::error_code &error, int signal) {
+        if (error) {
+            return;
+        }
+        log(Severity::Info, "termination signal received", {{"signal", signal}});
+        handler();
+        signals->async_wait([signals](const boost::system::error_code &secondError, int) {
+            if (!secondError) {
+                std::_Exit(EXIT_FAILURE);
+            }
+        });
+    });
+}
+
+} // namespace mulberrywall::support
--- /dev/null
+++ b/unittests/Http/ServerTest.cpp
@@ -0,0 +1,92 @@
+#include "mulberrywall/Http/Server.h"
+#include "mulberrywall/Http/ClientCall.h"
+#include "mulberrywall/Support/WorkerPool.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
+
+#include <gtest/gtest.h>
+
+#include <future>
+
+namespace mulberrywall::http
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+class ServerTest : public testing::Test
+{
+protected:
+    ServerTest()
+    {
+        ServerOptions options {.listen = {asio::ip::make_address("127.0.0.1"), 0}, .maxBodyBytes = 1000, .readTimeout = std::chrono::milliseconds(300)};
+        server_ = Server::create(
+            pool_.context(), options, [](const ExchangePtr &exchange) { exchange->respond(makeJsonResponse(Status::ok, exchange->request().body())); });
+        server_->start();
+    }
+
+    WholeResponse post(std::string body)
+    {
+        std::promise<WholeResponse> promise;
+        Request request(Verb::post, "/echo", 11);
+        request.body() = std::move(body);
+        const auto call = fetch(asio::make_strand(pool_.context()), {.peer = server_->localEndpoint()}, std::move(request), [&promise](WholeResponse response) {
+            promise.set_value(std::move(response));
+        });
+        return promise.get_future().get();
+    }
+
+    std::string sendRaw(std::string_view bytes)
+    {
+        asio::io_context context;
+        tcp::socket socket(context);
+        socket.connect(server_->localEndpoint());
+        asio::write(socket, asio::buffer(bytes));
+        std::string answer;
+        boost::system::error_code error;
+        asio::read(socket, asio::dynamic_buffer(answer), error);
+        return answer;
+    }
+
+    support::WorkerPool pool_ {2};
+    std::shared_ptr<Server> server_;
+};
+
+// Guards against losing or altering a body between client and server.
+TEST_F(ServerTest, EchoesBody)
+{
+    const WholeResponse response = post("hello");
+    EXPECT_FALSE(response.result.error) << response.result.error.message();
+    EXPECT_EQ(response.result.stage, CallStage::ResponseComplete);
+    EXPECT_EQ(response.body, "hello");
+}
+
+// Guards against an oversized body that reaches the handler or closes the connection without an answer.
+TEST_F(ServerTest, RejectsOversizedBody)
+{
+    EXPECT_EQ(post(std::string(2000, 'x')).status, Status::payload_too_large);
+}
+
+// Guards against a malformed request that is dropped without an explanation.
+TEST_F(ServerTest, AnswersMalformedRequest)
+{
+    const std::string answer = sendRaw("NOT HTTP AT ALL\r\n\r\n");
+    EXPECT_NE(answer.find("400 Bad Request"), std::string::npos) << answer;
+    EXPECT_NE(answer.find("not-run"), std::string::npos) << answer;
+}
+
+// Guards against a slow sender that holds its connection for ever.
+TEST_F(ServerTest, TimesOutSlowSender)
+{
+    const std::string answer = sendRaw("POST /echo HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
+    EXPECT_NE(answer.find("408 Request Timeout"), std::string::npos) << answer;
+}
+
+} // namespace
+
+} // namespace mulberrywall::http
