test: add a model engine stand-in

The router needs engines to test against, and none may be installed. engine-standin speaks the engine protocol of docs/design.md with continuous batching, a prefix cache, lagging load reports, lossy cache events, orders, cancel and resume, and injects slowness, freezes, refusals and crashes through /control. Its tokens are a function of prompt and index (mulberrywallEngineAnswers), so tests compute exact answers, and /counts states what ran. One thread; no test of its own yet, exercised with curl on every route.

--- /dev/null
+++ b/test/Support/Engine/Engine.cpp
@@ -0,0 +1,550 @@
+#include "Engine/Engine.h"
+
+#include "Engine/EngineAnswers.h"
+
+#include "mulberrywall/Support/Ids.h"
+#include "mulberrywall/Support/Log.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value_to.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdlib>
+#include <utility>
+
+namespace mulberrywall::standin
+{
+
+namespace json = boost::json;
+using http::ExchangePtr;
+using http::Status;
+using http::Verb;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds sampleInterval {50};
+constexpr std::size_t bytesPerPromptToken = 4;
+constexpr std::size_t maxCacheEvents = 10'000;
+constexpr int crashExitCode = 70;
+
+void respondJson(const ExchangePtr &exchange, const json::value &body, Status status = Status::ok)
+{
+    exchange->respond(http::makeJsonResponse(status, json::serialize(body)));
+}
+
+void refuse(const ExchangePtr &exchange, Status status, std::string detail)
+{
+    http::Response response = http::makeProblemResponse({.status = status, .title = "refused", .detail = std::move(detail)});
+    response.set(http::header::notRun, "1");
+    exchange->respond(std::move(response));
+}
+
+std::uint64_t numberOf(std::string_view text, std::uint64_t otherwise = 0)
+{
+    std::uint64_t number = otherwise;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
+json::object bodyOf(const ExchangePtr &exchange)
+{
+    boost::system::error_code error;
+    json::value body = json::parse(exchange->request().body(), error);
+    return error || !body.is_object() ? json::object() : body.get_object();
+}
+
+std::string textOf(const json::object &object, std::string_view name)
+{
+    const json::value *value = object.if_contains(name);
+    return value != nullptr && value->is_string() ? std::string(value->get_string()) : std::string();
+}
+
+void readFlag(const json::object &object, std::string_view name, bool &flag)
+{
+    if (const json::value *value = object.if_contains(name); value != nullptr && value->is_bool()) {
+        flag = value->get_bool();
+    }
+}
+
+json::value choice(bool chat, bool stream, std::string_view text, bool last)
+{
+    json::object choice {{"index", 0}, {"finish_reason", last ? json::value("stop") : json::value()}};
+    if (chat) {
+        choice[stream ? "delta" : "message"] = json::object {{"role", "assistant"}, {"content", text}};
+    } else {
+        choice["text"] = text;
+    }
+    return json::array {choice};
+}
+
+json::array blocksToJson(const std::vector<std::uint64_t> &blocks)
+{
+    json::array array;
+    for (const std::uint64_t block : blocks) {
+        array.emplace_back(block);
+    }
+    return array;
+}
+
+} // namespace
+
+Engine::Engine(boost::asio::io_context &context, EngineOptions options)
+    : context_(context),
+      options_(std::move(options)),
+      stepTimer_(context),
+      sampleTimer_(context),
+      cache_(options_.cacheBlocks),
+      incarnation_(support::makeRandomId())
+{
+    for (const std::string &model : options_.models) {
+        models_[model] = Clock::now();
+    }
+    sampleLoad();
+}
+
+void Engine::handle(const ExchangePtr &exchange)
+{
+    const std::string target(exchange->request().target());
+    const std::string_view path = http::pathOf(target);
+    const Verb verb = exchange->request().method();
+    if (path == "/control") {
+        control(exchange);
+        return;
+    }
+    if (path == "/counts") {
+        reportCounts(exchange);
+        return;
+    }
+    if (frozen_) {
+        heldWhileFrozen_.push_back(exchange);
+        return;
+    }
+    constexpr std::string_view requests = "/v1/requests/";
+    if (verb == Verb::delete_ && path.starts_with(requests)) {
+        cancelById(exchange, path.substr(requests.size()));
+        return;
+    }
+    struct Route
+    {
+        Verb verb;
+        std::string_view path;
+        void (Engine::*handler)(const ExchangePtr &);
+    };
+    static constexpr Route routes[] = {
+        {Verb::get, "/v1/load", &Engine::reportLoad},
+        {Verb::get, "/v1/state", &Engine::reportState},
+        {Verb::get, "/v1/models", &Engine::reportModels},
+        {Verb::get, "/v1/cache/events", &Engine::reportCacheEvents},
+        {Verb::post, "/v1/kv/export", &Engine::exportCache},
+        {Verb::post, "/v1/kv/import", &Engine::importCache},
+        {Verb::post, "/v1/orders", &Engine::order},
+    };
+    for (const Route &route : routes) {
+        if (route.verb == verb && route.path == path) {
+            (this->*route.handler)(exchange);
+            return;
+        }
+    }
+    if (verb == Verb::post && (path == "/v1/chat/completions" || path == "/v1/completions")) {
+        generate(exchange, path == "/v1/chat/completions");
+        return;
+    }
+    refuse(exchange, Status::not_found, "the engine has no page of this name");
+}
+
+void Engine::generate(const ExchangePtr &exchange, bool chat)
+{
+    if (leaving_ || refusing_) {
+        ++refused_;
+        refuse(exchange, Status::service_unavailable, leaving_ ? "the engine is leaving" : "the engine refuses requests");
+        return;
+    }
+    const json::object body = bodyOf(exchange);
+    if (!hasModel(textOf(body, "model"))) {
+        ++refused_;
+        refuse(exchange, Status::not_found, "the engine has not loaded this model");
+        return;
+    }
+    auto generation = std::make_shared<Generation>();
+    generation->id = http::fieldValue(exchange->request(), http::header::requestId);
+    generation->model = textOf(body, "model");
+    generation->prompt = promptOf(body);
+    generation->blocks = PrefixCache::blocksOf(generation->prompt);
+    generation->firstToken = numberOf(http::fieldValue(exchange->request(), http::header::resumeFrom));
+    generation->nextToken = generation->firstToken;
+    generation->lastToken = outputTokensOf(body);
+    generation->priority = static_cast<unsigned>(numberOf(http::fieldValue(exchange->request(), http::header::priority)));
+    generation->exchange = exchange;
+    generation->chat = chat;
+    readFlag(body, "stream", generation->stream);
+    exchange->onCallerGone([this, weak = std::weak_ptr(generation)] {
+        if (const GenerationPtr gone = weak.lock()) {
+            cancel(gone);
+        }
+    });
+    ++counts_[generation->id].received;
+    ++total_.received;
+    waiting_.emplace(generation->priority, generation);
+    admit();
+}
+
+void Engine::admit()
+{
+    while (!waiting_.empty() && running_.size() < options_.batchLimit) {
+        const GenerationPtr generation = waiting_.begin()->second;
+        waiting_.erase(waiting_.begin());
+        const std::size_t cachedBytes = cache_.match(generation->blocks) * PrefixCache::blockBytes;
+        const std::size_t prefillTokens = (generation->prompt.size() - cachedBytes) / bytesPerPromptToken;
+        generation->prefillEnd
+            = Clock::now() + std::chrono::duration_cast<Clock::duration>(options_.prefillTokenTime * static_cast<double>(prefillTokens) * slowFactor_);
+        ++counts_[generation->id].runs;
+        ++total_.runs;
+        running_.push_back(generation);
+    }
+    armStep();
+}
+
+void Engine::armStep()
+{
+    if (stepArmed_ || running_.empty()) {
+        return;
+    }
+    stepArmed_ = true;
+    const double factor = slowFactor_ * (1.0 + options_.batchSlope * static_cast<double>(running_.size()));
+    stepTimer_.expires_after(std::chrono::duration_cast<Clock::duration>(options_.baseTokenTime * factor));
+    stepTimer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            step();
+        }
+    });
+}
+
+/// One pass of the model: every running request whose prompt is processed gets one token.
+void Engine::step()
+{
+    stepArmed_ = false;
+    const Clock::time_point now = Clock::now();
+    const std::vector<GenerationPtr> batch = frozen_ ? std::vector<GenerationPtr>() : running_;
+    for (const GenerationPtr &generation : batch) {
+        if (!generation->ended && generation->prefillEnd <= now) {
+            emitToken(generation);
+        }
+    }
+    std::erase_if(running_, [](const GenerationPtr &generation) { return generation->ended; });
+    admit();
+    checkIdle();
+}
+
+void Engine::emitToken(const GenerationPtr &generation)
+{
+    if (!crashMarker_.empty() && generation->prompt.find(crashMarker_) != std::string::npos) {
+        support::log(support::Severity::Error, "crashing on a marked prompt", {{"request", generation->id}});
+        std::_Exit(crashExitCode);
+    }
+    if (generation->nextToken == generation->firstToken) {
+        storeBlocks(generation->blocks);
+    }
+    if (generation->nextToken < generation->lastToken) {
+        const std::size_t index = generation->nextToken++;
+        ++counts_[generation->id].tokens;
+        ++total_.tokens;
+        if (generation->stream) {
+            const json::object event {{"id", generation->id},
+                {"object", generation->chat ? "chat.completion.chunk" : "text_completion"},
+                {"model", generation->model},
+                {"choices", choice(generation->chat, true, tokenAt(generation->prompt, index), generation->nextToken == generation->lastToken)}};
+            generation->pending += "data: " + json::serialize(event) + "\n\n";
+        }
+    }
+    if (generation->nextToken >= generation->lastToken) {
+        finish(generation);
+    }
+    if (generation->stream) {
+        flush(generation);
+    }
+}
+
+void Engine::flush(const GenerationPtr &generation)
+{
+    if (generation->writing || !generation->exchange) {
+        return;
+    }
+    const auto written = [this, generation](const boost::system::error_code &error) {
+        generation->writing = false;
+        if (error) {
+            cancel(generation);
+            return;
+        }
+        flush(generation);
+    };
+    if (!generation->headerSent) {
+        generation->headerSent = true;
+        generation->writing = true;
+        http::ResponseHeader header;
+        header.result(Status::ok);
+        header.set(http::Field::content_type, "text/event-stream");
+        generation->exchange->startStream(std::move(header), written);
+        return;
+    }
+    if (!generation->pending.empty()) {
+        generation->writing = true;
+        generation->exchange->writeChunk(std::exchange(generation->pending, {}), written);
+        return;
+    }
+    if (generation->ended) {
+        generation->exchange->finishStream();
+        generation->exchange.reset();
+    }
+}
+
+void Engine::finish(const GenerationPtr &generation)
+{
+    generation->ended = true;
+    ++counts_[generation->id].completed;
+    ++total_.completed;
+    if (generation->stream) {
+        generation->pending += "data: [DONE]\n\n";
+        return;
+    }
+    const std::size_t produced = generation->lastToken - std::min(generation->firstToken, generation->lastToken);
+    const json::object body {{"id", generation->id},
+        {"object", generation->chat ? "chat.completion" : "text_completion"},
+        {"model", generation->model},
+        {"choices", choice(generation->chat, false, answerFor(generation->prompt, generation->lastToken, generation->firstToken), true)},
+        {"usage", {{"prompt_tokens", generation->prompt.size() / bytesPerPromptToken}, {"completion_tokens", produced}}}};
+    respondJson(generation->exchange, body);
+    generation->exchange.reset();
+}
+
+void Engine::cancel(const GenerationPtr &generation)
+{
+    if (generation->exchange) {
+        generation->exchange->abortStream();
+        generation->exchange.reset();
+    }
+    if (generation->ended) {
+        return;
+    }
+    generation->ended = true;
+    ++counts_[generation->id].cancelled;
+    ++total_.cancelled;
+    std::erase_if(waiting_, [](const auto &entry) { return entry.second->ended; });
+    std::erase_if(running_, [](const GenerationPtr &other) { return other->ended; });
+    admit();
+    checkIdle();
+}
+
+void Engine::cancelById(const ExchangePtr &exchange, std::string_view id)
+{
+    std::vector<GenerationPtr> found;
+    for (const GenerationPtr &generation : running_) {
+        if (generation->id == id) {
+            found.push_back(generation);
+        }
+    }
+    for (const auto &[priority, generation] : waiting_) {
+        if (generation->id == id) {
+            found.push_back(generation);
+        }
+    }
+    for (const GenerationPtr &generation : found) {
+        cancel(generation);
+    }
+    respondJson(exchange, json::object {{"cancelled", found.size()}}, found.empty() ? Status::not_found : Status::ok);
+}
+
+void Engine::storeBlocks(const std::vector<std::uint64_t> &blocks)
+{
+    for (const CacheChange &change : cache_.store(blocks)) {
+        cacheEvents_.push_back({.sequence = ++cacheSequence_, .time = Clock::now(), .change = change});
+    }
+    while (cacheEvents_.size() > maxCacheEvents) {
+        cacheEvents_.pop_front();
+    }
+}
+
+void Engine::sampleLoad()
+{
+    const Clock::time_point now = Clock::now();
+    samples_.push_back({.time = now, .running = running_.size(), .waiting = waiting_.size(), .tokens = total_.tokens});
+    // One sample older than the lag stays as the one that is reported, and one more as the base of its rate.
+    while (samples_.size() > 2 && samples_[2].time + options_.loadReportLag <= now) {
+        samples_.pop_front();
+    }
+    sampleTimer_.expires_after(sampleInterval);
+    sampleTimer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            sampleLoad();
+        }
+    });
+}
+
+void Engine::reportLoad(const ExchangePtr &exchange)
+{
+    const LoadSample &base = samples_.front();
+    const LoadSample &sample = samples_.size() > 1 ? samples_[1] : base;
+    const double seconds = std::chrono::duration<double>(sample.time - base.time).count();
+    const double rate = seconds > 0 ? static_cast<double>(sample.tokens - base.tokens) / seconds : 0.0;
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - sample.time);
+    respondJson(exchange, json::object {{"running", sample.running}, {"waiting", sample.waiting}, {"tokensPerSecond", rate}, {"measuredMsAgo", age.count()}});
+}
+
+json::object Engine::state() const
+{
+    json::array ready;
+    json::array loading;
+    for (const auto &[model, readyAt] : models_) {
+        (readyAt <= Clock::now() ? ready : loading).emplace_back(model);
+    }
+    return {{"models", ready}, {"loading", loading}, {"role", role_}, {"fencingNumber", fencingNumber_}, {"incarnation", incarnation_}, {"leaving", leaving_}};
+}
+
+void Engine::reportState(const ExchangePtr &exchange)
+{
+    respondJson(exchange, state());
+}
+
+bool Engine::hasModel(const std::string &model) const
+{
+    const auto found = models_.find(model);
+    return found != models_.end() && found->second <= Clock::now();
+}
+
+void Engine::reportModels(const ExchangePtr &exchange)
+{
+    json::array data;
+    for (const auto &[model, readyAt] : models_) {
+        data.push_back(json::object {{"id", model}, {"object", "model"}});
+    }
+    respondJson(exchange, json::object {{"object", "list"}, {"data", data}});
+}
+
+void Engine::reportCounts(const ExchangePtr &exchange)
+{
+    const auto render = [](const Count &count) {
+        return json::object {
+            {"received", count.received}, {"runs", count.runs}, {"tokens", count.tokens}, {"completed", count.completed}, {"cancelled", count.cancelled}};
+    };
+    json::object requests;
+    for (const auto &[id, count] : counts_) {
+        requests[id] = render(count);
+    }
+    json::object body = render(total_);
+    body["refused"] = refused_;
+    body["staleOrders"] = staleOrders_;
+    body["running"] = running_.size();
+    body["waiting"] = waiting_.size();
+    body["requests"] = std::move(requests);
+    respondJson(exchange, body);
+}
+
+void Engine::reportCacheEvents(const ExchangePtr &exchange)
+{
+    const std::uint64_t after = numberOf(http::queryParameter(std::string_view(exchange->request().target()), "after"));
+    json::array events;
+    for (const CacheEvent &event : cacheEvents_) {
+        const bool late = event.time + options_.cacheEventLag > Clock::now();
+        const bool lost = options_.cacheEventGap > 0 && event.sequence % options_.cacheEventGap == 0;
+        if (event.sequence > after && !late && !lost) {
+            const char *kind = event.change.kind == CacheChange::Kind::Stored ? "stored" : "evicted";
+            events.push_back(json::object {{"sequence", event.sequence}, {"kind", kind}, {"block", event.change.block}});
+        }
+    }
+    respondJson(exchange, json::object {{"events", events}});
+}
+
+void Engine::exportCache(const ExchangePtr &exchange)
+{
+    std::vector<std::uint64_t> blocks = PrefixCache::blocksOf(promptOf(bodyOf(exchange)));
+    blocks.resize(cache_.match(blocks));
+    respondJson(exchange, json::object {{"blocks", blocksToJson(blocks)}});
+}
+
+void Engine::importCache(const ExchangePtr &exchange)
+{
+    const json::object body = bodyOf(exchange);
+    std::vector<std::uint64_t> blocks;
+    if (const json::value *array = body.if_contains("blocks"); array != nullptr && array->is_array()) {
+        for (const json::value &block : array->get_array()) {
+            blocks.push_back(block.to_number<std::uint64_t>());
+        }
+    }
+    storeBlocks(blocks);
+    respondJson(exchange, json::object {{"imported", blocks.size()}});
+}
+
+/// The order declares the desired state: {"fencingNumber", "models", "role"}; members left out stay as they are.
+void Engine::order(const ExchangePtr &exchange)
+{
+    if (!options_.orderKey.empty() && http::fieldValue(exchange->request(), "Authorization") != "Bearer " + options_.orderKey) {
+        refuse(exchange, Status::unauthorized, "the order's sender is not authenticated");
+        return;
+    }
+    const json::object body = bodyOf(exchange);
+    const json::value *number = body.if_contains("fencingNumber");
+    const std::uint64_t fencingNumber = number != nullptr && number->is_number() ? number->to_number<std::uint64_t>() : 0;
+    if (fencingNumber < fencingNumber_) {
+        ++staleOrders_;
+        if (options_.checksFencing) {
+            refuse(exchange, Status::conflict, "the fencing number is older than " + std::to_string(fencingNumber_));
+            return;
+        }
+    }
+    fencingNumber_ = std::max(fencingNumber_, fencingNumber);
+    if (const json::value *models = body.if_contains("models"); models != nullptr && models->is_array()) {
+        std::map<std::string, Clock::time_point> desired;
+        for (const json::value &model : models->get_array()) {
+            const std::string name = json::value_to<std::string>(model);
+            const auto loaded = models_.find(name);
+            desired[name] = loaded != models_.end() ? loaded->second : Clock::now() + options_.modelLoadTime;
+        }
+        models_ = std::move(desired);
+    }
+    if (const std::string role = textOf(body, "role"); !role.empty()) {
+        role_ = role;
+    }
+    respondJson(exchange, state());
+}
+
+void Engine::control(const ExchangePtr &exchange)
+{
+    const json::object body = bodyOf(exchange);
+    if (const json::value *factor = body.if_contains("slowFactor"); factor != nullptr && factor->is_number()) {
+        slowFactor_ = factor->to_number<double>();
+    }
+    if (body.contains("crashMarker")) {
+        crashMarker_ = textOf(body, "crashMarker");
+    }
+    readFlag(body, "frozen", frozen_);
+    readFlag(body, "leaving", leaving_);
+    readFlag(body, "refuse", refusing_);
+    respondJson(exchange, state());
+    if (!frozen_) {
+        for (const ExchangePtr &held : std::exchange(heldWhileFrozen_, {})) {
+            boost::asio::post(held->executor(), [this, held] { handle(held); });
+        }
+    }
+}
+
+void Engine::leave(std::function<void()> handler)
+{
+    leaving_ = true;
+    onIdle_ = std::move(handler);
+    checkIdle();
+}
+
+void Engine::checkIdle()
+{
+    if (onIdle_ && running_.empty() && waiting_.empty()) {
+        // The last responses are still being written.
+        sampleTimer_.expires_after(sampleInterval);
+        sampleTimer_.async_wait([handler = std::exchange(onIdle_, nullptr)](const boost::system::error_code &) { handler(); });
+    }
+}
+
+} // namespace mulberrywall::standin
