router: serve a completion through a locally owned pool

Cause: nothing carried a request from a caller to an endpoint. Ruled out: forwarding bytes unparsed (progress and a later resume need the events of the stream). Before: no path.

--- /dev/null
+++ b/include/mulberrywall/Permits/PoolOwner.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "mulberrywall/Configuration/Model.h"
+#include "mulberrywall/Permits/Permit.h"
+#include "mulberrywall/Policy/PolicyFunctions.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace mulberrywall::permits
+{
+
+/// One pool that this router owns: the policy's state with its lock, its waiting handlers and its timer.
+///
+/// Thread-safe. After PoolTable in the lock order; handlers are posted to the context and never called under the lock.
+class OwnedPool : public std::enable_shared_from_this<OwnedPool>
+{
+public:
+    OwnedPool(boost::asio::io_context &context, const policy::PolicyFunctions &functions, const policy::PoolOptions &options);
+
+    // Commands
+    void configure(const policy::PoolOptions &options);
+    /// Takes the complete set of endpoints; requests running on a missing one go on.
+    void setEndpoints(std::vector<configuration::Endpoint> endpoints, const std::set<support::EndpointId> &leaving);
+    AcquireTicket acquire(PermitRequest request, PermitHandler handler);
+    void recordLoadReport(const policy::LoadReport &report);
+
+    // Queries
+    [[nodiscard]] policy::PoolSummary summarize() const;
+
+private:
+    struct Waiter
+    {
+        PermitHandler handler;
+    };
+    struct Notification
+    {
+        PermitHandler handler;
+        PermitResult result;
+    };
+
+    void withdraw(policy::PermitId permit);
+    void recordProgress(policy::PermitId permit, const policy::Progress &progress);
+    void finish(policy::PermitId permit, const policy::Completion &completion);
+    std::vector<Notification> takeNotifications(const policy::Decisions &decisions);
+    PermitResult makePermit(const policy::Grant &grant);
+    void deliver(std::vector<Notification> notifications);
+    void armTimer();
+    void onTimer();
+
+    boost::asio::io_context &context_;
+    const policy::PolicyFunctions &functions_;
+    mutable std::mutex mutex_;
+    policy::PoolHandle pool_;
+    std::unordered_map<policy::PermitId, Waiter> waiters_;
+    std::map<support::EndpointId, configuration::Endpoint> endpoints_;
+    policy::PermitId nextPermit_ = 1;
+    boost::asio::steady_timer timer_;
+    std::optional<policy::TimePoint> armedFor_;
+};
+
+/// The pools that this router owns, by name. Thread-safe; its mutex comes before that of OwnedPool.
+class PoolTable
+{
+public:
+    PoolTable(boost::asio::io_context &context, const policy::PolicyFunctions &functions);
+
+    // Commands
+    /// Takes classes, organisations, pools and endpoints from the configuration.
+    void configure(const configuration::SiteConfiguration &configuration);
+    void setLeaving(std::set<support::EndpointId> leaving);
+    /// Asks in this process, as owner of the pool.
+    AcquireTicket acquire(PermitRequest request, PermitHandler handler);
+
+    // Queries
+    /// Returns nullptr for a pool that the configuration does not have.
+    [[nodiscard]] std::shared_ptr<OwnedPool> find(const support::PoolId &pool) const;
+    [[nodiscard]] std::map<support::PoolId, policy::PoolSummary> summarize() const;
+
+private:
+    void updateEndpoints();
+
+    boost::asio::io_context &context_;
+    const policy::PolicyFunctions &functions_;
+    mutable std::mutex mutex_;
+    std::map<support::PoolId, std::shared_ptr<OwnedPool>> pools_;
+    std::vector<configuration::Endpoint> endpoints_;
+    std::set<support::EndpointId> leaving_;
+};
+
+/// Returns a source that takes every permit from the pools of this process.
+PermitSource makeLocalSource(PoolTable &pools);
+
+} // namespace mulberrywall::permits
--- /dev/null
+++ b/include/mulberrywall/Router/RouterService.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "mulberrywall/Configuration/Model.h"
+#include "mulberrywall/Http/Server.h"
+#include "mulberrywall/Permits/PoolOwner.h"
+#include "mulberrywall/Policy/PolicyFunctions.h"
+#include "mulberrywall/Router/RouterState.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace mulberrywall::router
+{
+
+struct RouterServiceOptions
+{
+    support::InstanceId instance;
+    support::DataCentreId dataCentre;
+    http::ServerOptions callerServer;
+    http::ServerOptions adminServer;
+    /// Key for the admin listener; empty lets everybody in.
+    std::string operatorKey;
+    RouterOptions router;
+};
+
+/// A router process without its command line: listeners, pools and the drain at shutdown.
+class RouterService
+{
+public:
+    RouterService(boost::asio::io_context &context, RouterServiceOptions options, const policy::PolicyFunctions &policy);
+
+    // Commands
+    /// Starts both listeners.
+    void start();
+    /// Puts a configuration in force if its revision is higher.
+    ConfigurationChange configure(configuration::SiteConfiguration configuration);
+    /// Refuses new requests, lets running ones end and then calls the handler.
+    void drain(std::function<void()> handler);
+
+    // Queries
+    [[nodiscard]] bool isReady() const;
+    [[nodiscard]] boost::asio::ip::tcp::endpoint callerEndpoint() const;
+    [[nodiscard]] boost::asio::ip::tcp::endpoint adminEndpoint() const;
+
+private:
+    void handleCaller(const http::ExchangePtr &exchange);
+    void handleAdmin(const http::ExchangePtr &exchange);
+    [[nodiscard]] http::Response answerAdmin(const http::Request &request);
+    [[nodiscard]] std::string renderStatus() const;
+    void waitUntilIdle(std::function<void()> handler);
+
+    RouterServiceOptions options_;
+    permits::PoolTable pools_;
+    RouterState state_;
+    std::shared_ptr<http::Server> callerServer_;
+    std::shared_ptr<http::Server> adminServer_;
+    boost::asio::steady_timer drainTimer_;
+};
+
+} // namespace mulberrywall::router
--- /dev/null
+++ b/include/mulberrywall/Router/RouterState.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "mulberrywall/Permits/Permit.h"
+#include "mulberrywall/Router/ActiveConfiguration.h"
+#include "mulberrywall/Support/Metrics.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <cstddef>
+
+namespace mulberrywall::router
+{
+
+struct RouterOptions
+{
+    std::chrono::milliseconds connectTimeout {1'000};
+    /// Longest silence of an endpoint before its attempt counts as stalled.
+    std::chrono::milliseconds stallTimeout {30'000};
+    /// Attempts for one request, the first included.
+    unsigned maximumAttempts = 3;
+};
+
+/// What the caller sessions of a router share; outlives them all.
+struct RouterState
+{
+    boost::asio::io_context &context;
+    RouterOptions options;
+    permits::PermitSource permits;
+    ActiveConfiguration configuration;
+    support::MetricsRegistry metrics;
+    std::atomic<std::size_t> activeRequests {0};
+    /// Set at shutdown: new requests are refused, running ones end normally.
+    std::atomic<bool> draining {false};
+};
+
+} // namespace mulberrywall::router
--- /dev/null
+++ b/lib/Permits/PoolOwner.cpp
@@ -0,0 +1,293 @@
+#include "mulberrywall/Permits/PoolOwner.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberrywall::permits
+{
+
+using policy::TimePoint;
+
+static TimePoint now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+OwnedPool::OwnedPool(boost::asio::io_context &context, const policy::PolicyFunctions &functions, const policy::PoolOptions &options)
+    : context_(context)
+    , functions_(functions)
+    , pool_(functions.create(options))
+    , timer_(context)
+{
+}
+
+void OwnedPool::configure(const policy::PoolOptions &options)
+{
+    const std::scoped_lock lock(mutex_);
+    functions_.configure(pool_.get(), options);
+}
+
+void OwnedPool::setEndpoints(std::vector<configuration::Endpoint> endpoints, const std::set<support::EndpointId> &leaving)
+{
+    std::vector<policy::EndpointSpec> specs;
+    for (const configuration::Endpoint &endpoint : endpoints) {
+        specs.push_back({.id = endpoint.id,
+                         .maximumConcurrency = endpoint.maximumConcurrency,
+                         .prefixCache = endpoint.support.prefixCache,
+                         .leaving = leaving.contains(endpoint.id)});
+    }
+    std::vector<Notification> notifications;
+    {
+        const std::scoped_lock lock(mutex_);
+        for (configuration::Endpoint &endpoint : endpoints) {
+            const support::EndpointId id = endpoint.id;
+            endpoints_.insert_or_assign(id, std::move(endpoint));
+        }
+        notifications = takeNotifications(functions_.setEndpoints(pool_.get(), specs, now()));
+        armTimer();
+    }
+    deliver(std::move(notifications));
+}
+
+AcquireTicket OwnedPool::acquire(PermitRequest request, PermitHandler handler)
+{
+    std::vector<Notification> notifications;
+    policy::PermitId permit = 0;
+    {
+        const std::scoped_lock lock(mutex_);
+        permit = nextPermit_++;
+        request.submission.permit = permit;
+        waiters_.emplace(permit, Waiter {.handler = std::move(handler)});
+        notifications = takeNotifications(functions_.submit(pool_.get(), request.submission, now()));
+        armTimer();
+    }
+    deliver(std::move(notifications));
+    return {this, [weak = weak_from_this(), permit](void *) {
+                if (const auto self = weak.lock()) {
+                    self->withdraw(permit);
+                }
+            }};
+}
+
+void OwnedPool::recordLoadReport(const policy::LoadReport &report)
+{
+    std::vector<Notification> notifications;
+    {
+        const std::scoped_lock lock(mutex_);
+        notifications = takeNotifications(functions_.recordLoadReport(pool_.get(), report, now()));
+        armTimer();
+    }
+    deliver(std::move(notifications));
+}
+
+policy::PoolSummary OwnedPool::summarize() const
+{
+    const std::scoped_lock lock(mutex_);
+    return functions_.summarize(pool_.get());
+}
+
+void OwnedPool::withdraw(policy::PermitId permit)
+{
+    std::vector<Notification> notifications;
+    {
+        const std::scoped_lock lock(mutex_);
+        if (waiters_.erase(permit) == 0) {
+            return;
+        }
+        notifications = takeNotifications(functions_.withdraw(pool_.get(), permit, now()));
+        armTimer();
+    }
+    deliver(std::move(notifications));
+}
+
+void OwnedPool::recordProgress(policy::PermitId permit, const policy::Progress &progress)
+{
+    std::vector<Notification> notifications;
+    {
+        const std::scoped_lock lock(mutex_);
+        notifications = takeNotifications(functions_.recordProgress(pool_.get(), permit, progress, now()));
+        armTimer();
+    }
+    deliver(std::move(notifications));
+}
+
+void OwnedPool::finish(policy::PermitId permit, const policy::Completion &completion)
+{
+    std::vector<Notification> notifications;
+    {
+        const std::scoped_lock lock(mutex_);
+        notifications = takeNotifications(functions_.complete(pool_.get(), permit, completion, now()));
+        armTimer();
+    }
+    deliver(std::move(notifications));
+}
+
+std::vector<OwnedPool::Notification> OwnedPool::takeNotifications(const policy::Decisions &decisions)
+{
+    std::vector<Notification> notifications;
+    for (const policy::Grant &grant : decisions.grants) {
+        auto waiter = waiters_.extract(grant.permit);
+        if (!waiter.empty()) {
+            notifications.push_back({.handler = std::move(waiter.mapped().handler), .result = makePermit(grant)});
+        }
+    }
+    for (const policy::Refusal &refusal : decisions.refusals) {
+        auto waiter = waiters_.extract(refusal.permit);
+        if (!waiter.empty()) {
+            PermitRefusal result {.reason = refusal.reason, .retryAfter = refusal.retryAfter};
+            notifications.push_back({.handler = std::move(waiter.mapped().handler), .result = std::move(result)});
+        }
+    }
+    return notifications;
+}
+
+PermitResult OwnedPool::makePermit(const policy::Grant &grant)
+{
+    Permit::Operations operations {
+        .recordProgress =
+            [weak = weak_from_this(), permit = grant.permit](const policy::Progress &progress) {
+                if (const auto self = weak.lock()) {
+                    self->recordProgress(permit, progress);
+                }
+            },
+        .finish =
+            [weak = weak_from_this(), permit = grant.permit](const policy::Completion &completion) {
+                if (const auto self = weak.lock()) {
+                    self->finish(permit, completion);
+                }
+            },
+    };
+    return std::make_shared<Permit>(endpoints_.at(grant.endpoint), grant.enginePriority, std::move(operations));
+}
+
+void OwnedPool::deliver(std::vector<Notification> notifications)
+{
+    for (Notification &notification : notifications) {
+        boost::asio::post(context_, [notification = std::move(notification)]() mutable { notification.handler(std::move(notification.result)); });
+    }
+}
+
+void OwnedPool::armTimer()
+{
+    const std::optional<TimePoint> wakeUp = functions_.nextWakeUp(pool_.get());
+    if (!wakeUp || wakeUp == armedFor_) {
+        return;
+    }
+    armedFor_ = wakeUp;
+    timer_.expires_at(*wakeUp);
+    timer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self) {
+            self->onTimer();
+        }
+    });
+}
+
+void OwnedPool::onTimer()
+{
+    std::vector<Notification> notifications;
+    {
+        const std::scoped_lock lock(mutex_);
+        armedFor_.reset();
+        notifications = takeNotifications(functions_.advance(pool_.get(), now()));
+        armTimer();
+    }
+    deliver(std::move(notifications));
+}
+
+PoolTable::PoolTable(boost::asio::io_context &context, const policy::PolicyFunctions &functions)
+    : context_(context)
+    , functions_(functions)
+{
+}
+
+static policy::PoolOptions makePoolOptions(const configuration::SiteConfiguration &configuration, const configuration::Pool &pool)
+{
+    policy::PoolOptions options {.queueLimit = pool.queueLimit};
+    for (const configuration::RequestClass &requestClass : configuration.classes) {
+        policy::ClassSpec spec {.id = requestClass.id,
+                                .tier = requestClass.tier,
+                                .minimumShare = requestClass.minimumShare,
+                                .maximumWait = requestClass.maximumWait,
+                                .hedgeBudgetPercent = requestClass.hedgeBudgetPercent};
+        spec.firstTokenTarget = requestClass.targets.firstToken.value_or(requestClass.targets.completion.value_or(spec.firstTokenTarget));
+        spec.betweenTokensTarget = requestClass.targets.betweenTokens.value_or(spec.betweenTokensTarget);
+        options.classes.push_back(spec);
+    }
+    for (const configuration::Organisation &organisation : configuration.organisations) {
+        options.organisations.push_back({.id = organisation.id, .weight = organisation.weight});
+    }
+    return options;
+}
+
+void PoolTable::configure(const configuration::SiteConfiguration &configuration)
+{
+    const std::scoped_lock lock(mutex_);
+    endpoints_ = configuration.endpoints;
+    for (const configuration::Pool &pool : configuration.pools) {
+        const policy::PoolOptions options = makePoolOptions(configuration, pool);
+        const auto found = pools_.find(pool.id);
+        if (found == pools_.end()) {
+            pools_.emplace(pool.id, std::make_shared<OwnedPool>(context_, functions_, options));
+            continue;
+        }
+        found->second->configure(options);
+    }
+    std::erase_if(pools_, [&configuration](const auto &entry) { return configuration::findPool(configuration, entry.first) == nullptr; });
+    updateEndpoints();
+}
+
+void PoolTable::setLeaving(std::set<support::EndpointId> leaving)
+{
+    const std::scoped_lock lock(mutex_);
+    leaving_ = std::move(leaving);
+    updateEndpoints();
+}
+
+void PoolTable::updateEndpoints()
+{
+    for (const auto &[id, pool] : pools_) {
+        std::vector<configuration::Endpoint> members;
+        std::copy_if(endpoints_.begin(), endpoints_.end(), std::back_inserter(members), [&id = id](const configuration::Endpoint &endpoint) {
+            return std::find(endpoint.pools.begin(), endpoint.pools.end(), id) != endpoint.pools.end();
+        });
+        pool->setEndpoints(std::move(members), leaving_);
+    }
+}
+
+AcquireTicket PoolTable::acquire(PermitRequest request, PermitHandler handler)
+{
+    const std::shared_ptr<OwnedPool> pool = find(request.pool);
+    if (!pool) {
+        PermitRefusal refusal {.reason = policy::RefusalReason::NoEndpoint, .detail = "the configuration has no pool '" + request.pool.value() + "'"};
+        boost::asio::post(context_, [handler = std::move(handler), refusal = std::move(refusal)] { handler(refusal); });
+        return nullptr;
+    }
+    return pool->acquire(std::move(request), std::move(handler));
+}
+
+std::shared_ptr<OwnedPool> PoolTable::find(const support::PoolId &pool) const
+{
+    const std::scoped_lock lock(mutex_);
+    const auto found = pools_.find(pool);
+    return found == pools_.end() ? nullptr : found->second;
+}
+
+std::map<support::PoolId, policy::PoolSummary> PoolTable::summarize() const
+{
+    const std::scoped_lock lock(mutex_);
+    std::map<support::PoolId, policy::PoolSummary> summaries;
+    for (const auto &[id, pool] : pools_) {
+        summaries.emplace(id, pool->summarize());
+    }
+    return summaries;
+}
+
+PermitSource makeLocalSource(PoolTable &pools)
+{
+    return {.acquire = [&pools](PermitRequest request, PermitHandler handler) { return pools.acquire(std::move(request), std::move(handler)); }};
+}
+
+} // namespace mulberrywall::permits
--- /dev/null
+++ b/lib/Router/RouterService.cpp
@@ -0,0 +1,177 @@
+#include "mulberrywall/Router/RouterService.h"
+
+#include "mulberrywall/Router/CallerRequest.h"
+#include "mulberrywall/Router/CallerSession.h"
+#include "mulberrywall/Support/Log.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <utility>
+
+namespace mulberrywall::router
+{
+
+namespace json = boost::json;
+
+/// Interval at which a draining router looks whether its last request has ended.
+static constexpr std::chrono::milliseconds drainPollInterval {20};
+
+RouterService::RouterService(boost::asio::io_context &context, RouterServiceOptions options, const policy::PolicyFunctions &policy)
+    : options_(std::move(options))
+    , pools_(context, policy)
+    , state_ {.context = context, .options = options_.router, .permits = permits::makeLocalSource(pools_)}
+    , callerServer_(http::Server::create(context, options_.callerServer, [this](const http::ExchangePtr &exchange) { handleCaller(exchange); }))
+    , adminServer_(http::Server::create(context, options_.adminServer, [this](const http::ExchangePtr &exchange) { handleAdmin(exchange); }))
+    , drainTimer_(context)
+{
+}
+
+void RouterService::start()
+{
+    adminServer_->start();
+    callerServer_->start();
+    support::log(support::Severity::Info, "listening", {{"listener", "caller"}, {"port", callerEndpoint().port()}});
+    support::log(support::Severity::Info, "listening", {{"listener", "admin"}, {"port", adminEndpoint().port()}});
+}
+
+ConfigurationChange RouterService::configure(configuration::SiteConfiguration configuration)
+{
+    const std::uint64_t revision = configuration.revision;
+    const ConfigurationChange change = state_.configuration.offer(std::move(configuration));
+    if (change == ConfigurationChange::Accepted) {
+        pools_.configure(*state_.configuration.current());
+        support::log(support::Severity::Info, "configuration in force", {{"revision", revision}});
+    }
+    return change;
+}
+
+void RouterService::drain(std::function<void()> handler)
+{
+    state_.draining = true;
+    support::log(support::Severity::Info, "draining", {{"activeRequests", state_.activeRequests.load()}});
+    callerServer_->stopAccepting();
+    waitUntilIdle(std::move(handler));
+}
+
+void RouterService::waitUntilIdle(std::function<void()> handler)
+{
+    if (state_.activeRequests == 0) {
+        support::log(support::Severity::Info, "drained");
+        handler();
+        return;
+    }
+    drainTimer_.expires_after(drainPollInterval);
+    drainTimer_.async_wait([this, handler = std::move(handler)](const boost::system::error_code &error) mutable {
+        if (!error) {
+            waitUntilIdle(std::move(handler));
+        }
+    });
+}
+
+bool RouterService::isReady() const
+{
+    return state_.configuration.current() != nullptr && !state_.draining;
+}
+
+boost::asio::ip::tcp::endpoint RouterService::callerEndpoint() const
+{
+    return callerServer_->localEndpoint();
+}
+
+boost::asio::ip::tcp::endpoint RouterService::adminEndpoint() const
+{
+    return adminServer_->localEndpoint();
+}
+
+static std::string renderModels(const configuration::SiteConfiguration &configuration)
+{
+    json::array models;
+    for (const configuration::Pool &pool : configuration.pools) {
+        if (pool.kind == configuration::PoolKind::ModelEngine) {
+            models.push_back({{"id", pool.id.value()}, {"object", "model"}, {"owned_by", "mulberrywall"}});
+        }
+    }
+    return json::serialize(json::object {{"object", "list"}, {"data", std::move(models)}});
+}
+
+void RouterService::handleCaller(const http::ExchangePtr &exchange)
+{
+    const ConfigurationSnapshot configuration = state_.configuration.current();
+    if (state_.draining || configuration == nullptr) {
+        const std::string detail = configuration == nullptr ? "the router has no configuration yet; try another instance" : "the router is shutting down; try another instance";
+        exchange->respond(http::makeProblemResponse({.status = http::Status::service_unavailable, .title = "not ready", .detail = detail}));
+        return;
+    }
+    const http::Request &request = exchange->request();
+    if (http::pathOf({request.target().data(), request.target().size()}) == "/v1/models") {
+        auto organisation = authorize(request, *configuration);
+        const auto *problem = std::get_if<http::Problem>(&organisation);
+        exchange->respond(problem != nullptr ? http::makeProblemResponse(*problem) : http::makeJsonResponse(http::Status::ok, renderModels(*configuration)));
+        return;
+    }
+    auto parsed = parseCallerRequest(request, *configuration, std::chrono::steady_clock::now());
+    if (const auto *problem = std::get_if<http::Problem>(&parsed)) {
+        state_.metrics.increment("mulberrywall_rejected_total", {{"reason", problem->title}});
+        exchange->respond(http::makeProblemResponse(*problem));
+        return;
+    }
+    std::make_shared<CallerSession>(state_, exchange, std::get<CallerRequest>(std::move(parsed)))->start();
+}
+
+void RouterService::handleAdmin(const http::ExchangePtr &exchange)
+{
+    exchange->respond(answerAdmin(exchange->request()));
+}
+
+http::Response RouterService::answerAdmin(const http::Request &request)
+{
+    const std::string_view path = http::pathOf({request.target().data(), request.target().size()});
+    if (path == "/healthz") {
+        return http::makeJsonResponse(http::Status::ok, R"({"status":"alive"})");
+    }
+    if (path == "/readyz") {
+        const bool ready = isReady();
+        return http::makeJsonResponse(ready ? http::Status::ok : http::Status::service_unavailable, ready ? R"({"status":"ready"})" : R"({"status":"not ready"})");
+    }
+    if (!options_.operatorKey.empty() && http::fieldValue(request, "Authorization") != "Bearer " + options_.operatorKey) {
+        return http::makeProblemResponse(
+            {.status = http::Status::unauthorized, .title = "operator key required", .detail = "send the operator key as 'Authorization: Bearer <key>'"});
+    }
+    if (path == "/metrics") {
+        http::Response response = http::makeJsonResponse(http::Status::ok, state_.metrics.renderPrometheus());
+        response.set(http::Field::content_type, "text/plain; version=0.0.4");
+        return response;
+    }
+    if (path == "/v1/status") {
+        return http::makeJsonResponse(http::Status::ok, renderStatus());
+    }
+    return http::makeProblemResponse(
+        {.status = http::Status::not_found, .title = "unknown path", .detail = "use /healthz, /readyz, /metrics or /v1/status"});
+}
+
+std::string RouterService::renderStatus() const
+{
+    const ConfigurationSnapshot configuration = state_.configuration.current();
+    json::object status;
+    status["instance"] = options_.instance.value();
+    status["dataCentre"] = options_.dataCentre.value();
+    status["ready"] = isReady();
+    status["activeRequests"] = state_.activeRequests.load();
+    if (configuration != nullptr) {
+        status["revision"] = configuration->revision;
+    }
+    json::array pools;
+    for (const auto &[id, summary] : pools_.summarize()) {
+        pools.push_back({{"pool", id.value()},
+                         {"waiting", summary.waiting},
+                         {"running", summary.running},
+                         {"freeSlots", summary.freeSlots},
+                         {"endpoints", summary.endpoints}});
+    }
+    status["pools"] = std::move(pools);
+    return json::serialize(status);
+}
+
+} // namespace mulberrywall::router
--- /dev/null
+++ b/tools/mulberrywall-router/main.cpp
@@ -0,0 +1,134 @@
+#include "mulberrywall/Configuration/Reader.h"
+#include "mulberrywall/Router/RouterService.h"
+#include "mulberrywall/Support/Error.h"
+#include "mulberrywall/Support/Log.h"
+#include "mulberrywall/Support/Settings.h"
+#include "mulberrywall/Support/WorkerPool.h"
+
+#include <boost/system/system_error.hpp>
+
+#include <future>
+#include <iostream>
+#include <optional>
+#include <string>
+
+namespace
+{
+
+using namespace mulberrywall;
+
+struct Settings
+{
+    std::string instance;
+    std::string base;
+    std::string overlay;
+    std::string callerListen = "127.0.0.1:8080";
+    std::string adminListen = "127.0.0.1:9080";
+    std::string operatorKey;
+    unsigned workers = 4;
+    std::size_t maxBodyBytes = 4 * 1024 * 1024;
+    unsigned readTimeoutMs = 30'000;
+    unsigned stallTimeoutMs = 30'000;
+};
+
+std::optional<boost::asio::ip::tcp::endpoint> parseAddress(const std::string &text)
+{
+    const std::size_t separator = text.rfind(':');
+    if (separator == std::string::npos) {
+        return std::nullopt;
+    }
+    boost::system::error_code error;
+    const auto address = boost::asio::ip::make_address(text.substr(0, separator), error);
+    const std::string port = text.substr(separator + 1);
+    if (error || port.empty() || port.size() > 5 || port.find_first_not_of("0123456789") != std::string::npos || std::stoul(port) > 65535) {
+        return std::nullopt;
+    }
+    return boost::asio::ip::tcp::endpoint(address, static_cast<std::uint16_t>(std::stoul(port)));
+}
+
+std::string validateAddress(const std::string &text)
+{
+    return parseAddress(text) ? std::string() : "'" + text + "' is not an IP address and port; write for example 127.0.0.1:8080";
+}
+
+void addSettings(CLI::App &app, Settings &settings)
+{
+    support::addSetting(app, "--instance", settings.instance, "name of this instance")->required();
+    support::addSetting(app, "--base", settings.base, "base configuration file")->required()->check(CLI::ExistingFile);
+    support::addSetting(app, "--overlay", settings.overlay, "configuration overlay of this site")->required()->check(CLI::ExistingFile);
+    support::addSetting(app, "--caller-listen", settings.callerListen, "address and port for callers")->check(validateAddress);
+    support::addSetting(app, "--admin-listen", settings.adminListen, "address and port for operators")->check(validateAddress);
+    support::addSetting(app, "--operator-key", settings.operatorKey, "key for the admin listener; empty lets everybody in");
+    support::addSetting(app, "--workers", settings.workers, "worker threads")->check(CLI::Range(1, 64));
+    support::addSetting(app, "--max-body-bytes", settings.maxBodyBytes, "largest request body")->check(CLI::PositiveNumber);
+    support::addSetting(app, "--read-timeout-ms", settings.readTimeoutMs, "time a caller has to send a request, in ms")->check(CLI::PositiveNumber);
+    support::addSetting(app, "--stall-timeout-ms", settings.stallTimeoutMs, "longest silence of an endpoint, in ms")->check(CLI::PositiveNumber);
+}
+
+std::optional<configuration::SiteConfiguration> readConfiguration(const Settings &settings)
+{
+    return support::leaf::try_handle_all(
+        [&]() -> support::Result<std::optional<configuration::SiteConfiguration>> {
+            BOOST_LEAF_AUTO(site, configuration::readSite(settings.base, settings.overlay));
+            return std::optional(std::move(site));
+        },
+        [](const support::ErrorMessage &message, const support::ErrorLocation *location) -> std::optional<configuration::SiteConfiguration> {
+            const std::string place = location == nullptr ? "" : location->file + ":" + std::to_string(location->line) + ": ";
+            std::cerr << "mulberrywall-router: " << place << message.text << '\n';
+            return std::nullopt;
+        },
+        []() -> std::optional<configuration::SiteConfiguration> {
+            std::cerr << "mulberrywall-router: the configuration could not be read\n";
+            return std::nullopt;
+        });
+}
+
+router::RouterServiceOptions makeOptions(const Settings &settings, const configuration::SiteConfiguration &site)
+{
+    router::RouterServiceOptions options;
+    options.instance = support::InstanceId(settings.instance);
+    options.dataCentre = site.dataCentre;
+    options.callerServer.listen = *parseAddress(settings.callerListen);
+    options.callerServer.maxBodyBytes = settings.maxBodyBytes;
+    options.callerServer.readTimeout = std::chrono::milliseconds(settings.readTimeoutMs);
+    options.adminServer.listen = *parseAddress(settings.adminListen);
+    options.operatorKey = settings.operatorKey;
+    options.router.stallTimeout = std::chrono::milliseconds(settings.stallTimeoutMs);
+    return options;
+}
+
+int serve(const Settings &settings)
+{
+    std::optional<configuration::SiteConfiguration> site = readConfiguration(settings);
+    if (!site) {
+        return support::toInt(support::ExitCode::InvalidConfiguration);
+    }
+    support::initializeLog({.processName = "mulberrywall-router", .instance = settings.instance});
+    support::WorkerPool workers(settings.workers);
+    std::promise<void> drained;
+    try {
+        router::RouterService service(workers.context(), makeOptions(settings, *site), policy::standardPolicy());
+        service.configure(std::move(*site));
+        support::onTerminationSignal(workers.context(), [&service, &drained] { service.drain([&drained] { drained.set_value(); }); });
+        service.start();
+        drained.get_future().wait();
+        workers.stop();
+        workers.join();
+    } catch (const boost::system::system_error &error) {
+        support::log(support::Severity::Error, "could not start; check the listen addresses", {{"reason", error.what()}});
+        return support::toInt(support::ExitCode::Failure);
+    }
+    return support::toInt(support::ExitCode::Success);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("routes language-model requests to endpoints by service level", "mulberrywall-router");
+    Settings settings;
+    bool checkSettings = false;
+    addSettings(app, settings);
+    support::addCommonFlags(app, checkSettings);
+    return support::parseAndRun(app, argc, argv, checkSettings, [&settings] { return serve(settings); });
+}
