policy: add a standard policy with strict tiers and slots

Cause: other libraries need a working PolicyFunctions table. Change: queue by tier and target, one slot count per endpoint, grants as slots free, shedding of the newest request of the lowest tier, deadlines, excluded and leaving endpoints, adoption and withdrawal. The queue keeps per-tier indexes by target, entitlement and arrival, so that later decisions need no scan of all waiting requests. Ruled out: one sorted vector, because shedding and deadlines need other orders.

--- /dev/null
+++ b/include/mulberrywall/Policy/Scheduling.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "mulberrywall/Policy/Pool.h"
+
+namespace mulberrywall::policy
+{
+
+/// Refuses expired requests, then grants free slots in order until no waiting request can use one.
+void schedule(Pool &pool, TimePoint now, Decisions &decisions);
+
+} // namespace mulberrywall::policy
--- /dev/null
+++ b/unittests/Policy/PolicyFixture.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "mulberrywall/Policy/PolicyFunctions.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace mulberrywall::policy
+{
+
+/// Time zero of all tests.
+inline constexpr TimePoint startTime {std::chrono::hours {1}};
+
+inline TimePoint at(std::chrono::milliseconds sinceStart)
+{
+    return startTime + sinceStart;
+}
+
+/// Names a class after its tier: "tier0", "tier1" and so on.
+inline ClassSpec tierClass(support::Tier tier)
+{
+    return {.id = support::ClassId("tier" + std::to_string(tier)), .tier = tier};
+}
+
+inline EndpointSpec endpointSpec(const std::string &name, unsigned slots)
+{
+    return {.id = support::EndpointId(name), .maximumConcurrency = slots};
+}
+
+inline Submission submissionOf(PermitId permit, const std::string &requestClass)
+{
+    return {.permit = permit, .requestClass = support::ClassId(requestClass), .organisation = support::OrganisationId("org")};
+}
+
+/// A pool of the standard policy with three tiers.
+class PolicyFixture : public testing::Test
+{
+protected:
+    void start(PoolOptions options, std::vector<EndpointSpec> endpoints)
+    {
+        if (options.classes.empty()) {
+            options.classes = {tierClass(0), tierClass(1), tierClass(2)};
+        }
+        pool = functions.create(options);
+        functions.setEndpoints(pool.get(), endpoints, startTime);
+    }
+
+    Decisions submit(const Submission &submission, std::chrono::milliseconds time = {})
+    {
+        return functions.submit(pool.get(), submission, at(time));
+    }
+
+    Decisions complete(PermitId permit, std::chrono::milliseconds time, const Completion &completion = {})
+    {
+        return functions.complete(pool.get(), permit, completion, at(time));
+    }
+
+    Decisions progress(PermitId permit, std::uint64_t outputTokens, std::chrono::milliseconds time)
+    {
+        return functions.recordProgress(pool.get(), permit, {.outputTokens = outputTokens}, at(time));
+    }
+
+    const PolicyFunctions &functions = standardPolicy();
+    PoolHandle pool;
+};
+
+} // namespace mulberrywall::policy
