--- a/test/Support/Engine/Engine.cpp
+++ b/test/Support/Engine/Engine.cpp
@@ -204,6 +204,8 @@
             = Clock::now() + std::chrono::duration_cast<Clock::duration>(options_.prefillTokenTime * static_cast<double>(prefillTokens) * slowFactor_);
         ++counts_[generation->id].runs;
         ++total_.runs;
+        // The counts of a crashed process are lost; its log still tells what ran.
+        support::log(support::Severity::Info, "run started", {{"request", generation->id}, {"first", generation->firstToken}});
         running_.push_back(generation);
     }
     armStep();
--- /dev/null
+++ b/test/Support/FaultProxy/StreamRoute.cpp
@@ -0,0 +1,253 @@
+#include "FaultProxy/Route.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace mulberrywall::standin
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+/// What a route shares with its connections.
+struct RouteState
+{
+    Faults faults;
+    RouteCounts counts;
+};
+
+class Relay : public std::enable_shared_from_this<Relay>
+{
+public:
+    Relay(tcp::socket client, std::shared_ptr<RouteState> state)
+        : client_(std::move(client)),
+          target_(client_.get_executor()),
+          timers_ {asio::steady_timer(client_.get_executor()), asio::steady_timer(client_.get_executor())},
+          state_(std::move(state)),
+          resetAfter_ {Faults::never, Faults::never}
+    {
+        if (state_->faults.resetConnections > 0 && state_->faults.resetAfterBytes != resetAfter_) {
+            resetAfter_ = state_->faults.resetAfterBytes;
+            --state_->faults.resetConnections;
+        }
+    }
+
+    void start(const tcp::endpoint &target)
+    {
+        target_.async_connect(target, [self = shared_from_this()](const error_code &error) {
+            if (error) {
+                self->reset();
+                return;
+            }
+            error_code ignored;
+            self->client_.set_option(tcp::no_delay(true), ignored);
+            self->target_.set_option(tcp::no_delay(true), ignored);
+            self->pump(Direction::ToTarget);
+            self->pump(Direction::ToClient);
+        });
+    }
+
+    /// Closes both sides so that the peers see a reset.
+    void reset()
+    {
+        ++state_->counts.resets;
+        for (tcp::socket *socket : {&client_, &target_}) {
+            error_code ignored;
+            socket->set_option(asio::socket_base::linger(true, 0), ignored);
+            socket->close(ignored);
+        }
+        for (asio::steady_timer &timer : timers_) {
+            timer.cancel();
+        }
+    }
+
+private:
+    tcp::socket &source(Direction direction)
+    {
+        return direction == Direction::ToTarget ? client_ : target_;
+    }
+    tcp::socket &sink(Direction direction)
+    {
+        return direction == Direction::ToTarget ? target_ : client_;
+    }
+    static std::size_t indexOf(Direction direction)
+    {
+        return static_cast<std::size_t>(direction);
+    }
+
+    void pump(Direction direction)
+    {
+        source(direction).async_read_some(
+            asio::buffer(buffers_[indexOf(direction)]), [self = shared_from_this(), direction](const error_code &error, std::size_t size) {
+                if (error == asio::error::eof) {
+                    error_code ignored;
+                    self->sink(direction).shutdown(tcp::socket::shutdown_send, ignored);
+                    return;
+                }
+                if (error) {
+                    self->abandon(error);
+                    return;
+                }
+                self->delay(direction, size);
+            });
+    }
+
+    void delay(Direction direction, std::size_t size)
+    {
+        if (state_->faults.delay.count() == 0) {
+            forward(direction, size);
+            return;
+        }
+        asio::steady_timer &timer = timers_[indexOf(direction)];
+        timer.expires_after(state_->faults.delay);
+        timer.async_wait([self = shared_from_this(), direction, size](const error_code &error) {
+            if (!error) {
+                self->forward(direction, size);
+            }
+        });
+    }
+
+    void forward(Direction direction, std::size_t size)
+    {
+        const std::size_t index = indexOf(direction);
+        if (state_->faults.swallow[index]) {
+            pump(direction);
+            return;
+        }
+        const std::size_t allowed = std::min<std::uint64_t>(size, resetAfter_[index] - forwarded_[index]);
+        asio::async_write(sink(direction),
+            asio::buffer(buffers_[index].data(), allowed),
+            [self = shared_from_this(), direction, size, allowed](const error_code &error, std::size_t written) {
+                self->forwarded_[indexOf(direction)] += written;
+                self->state_->counts.bytes[indexOf(direction)] += written;
+                if (error) {
+                    self->abandon(error);
+                    return;
+                }
+                if (allowed < size) {
+                    self->reset();
+                    return;
+                }
+                self->pump(direction);
+            });
+    }
+
+    void abandon(const error_code &error)
+    {
+        if (error != asio::error::operation_aborted) {
+            reset();
+        }
+    }
+
+    tcp::socket client_;
+    tcp::socket target_;
+    std::array<asio::steady_timer, directionCount> timers_;
+    std::shared_ptr<RouteState> state_;
+    std::array<std::uint64_t, directionCount> resetAfter_;
+    std::array<std::uint64_t, directionCount> forwarded_ {};
+    std::array<std::array<char, 64 * 1024>, directionCount> buffers_ {};
+};
+
+class StreamRoute final : public Route, public std::enable_shared_from_this<StreamRoute>
+{
+public:
+    StreamRoute(asio::io_context &context, std::uint16_t port, const tcp::endpoint &target)
+        : context_(context),
+          acceptor_(context, tcp::endpoint(asio::ip::address_v4::loopback(), port)),
+          port_(acceptor_.local_endpoint().port()),
+          target_(target)
+    {
+    }
+
+    void accept()
+    {
+        if (accepting_ || !acceptor_.is_open() || state_->faults.pauseAccept) {
+            return;
+        }
+        accepting_ = true;
+        acceptor_.async_accept([self = shared_from_this()](const error_code &error, tcp::socket socket) {
+            self->accepting_ = false;
+            if (!error) {
+                self->serve(std::move(socket));
+            }
+            self->accept();
+        });
+    }
+
+    [[nodiscard]] std::uint16_t port() const override
+    {
+        return port_;
+    }
+    [[nodiscard]] const Faults &faults() const override
+    {
+        return state_->faults;
+    }
+    [[nodiscard]] const RouteCounts &counts() const override
+    {
+        return state_->counts;
+    }
+
+    void setFaults(const Faults &faults) override
+    {
+        state_->faults = faults;
+        if (faults.cut) {
+            error_code ignored;
+            acceptor_.close(ignored);
+            for (const std::weak_ptr<Relay> &relay : relays_) {
+                if (const auto open = relay.lock()) {
+                    open->reset();
+                }
+            }
+            relays_.clear();
+            return;
+        }
+        if (!acceptor_.is_open()) {
+            const tcp::endpoint address(asio::ip::address_v4::loopback(), port_);
+            acceptor_.open(address.protocol());
+            acceptor_.set_option(tcp::acceptor::reuse_address(true));
+            acceptor_.bind(address);
+            acceptor_.listen();
+        }
+        if (faults.pauseAccept) {
+            acceptor_.cancel();
+        }
+        accept();
+    }
+
+private:
+    void serve(tcp::socket socket)
+    {
+        ++state_->counts.connections;
+        std::erase_if(relays_, [](const std::weak_ptr<Relay> &relay) { return relay.expired(); });
+        auto relay = std::make_shared<Relay>(std::move(socket), state_);
+        relays_.push_back(relay);
+        relay->start(target_);
+    }
+
+    asio::io_context &context_;
+    tcp::acceptor acceptor_;
+    std::uint16_t port_;
+    tcp::endpoint target_;
+    std::shared_ptr<RouteState> state_ = std::make_shared<RouteState>();
+    std::vector<std::weak_ptr<Relay>> relays_;
+    bool accepting_ = false;
+};
+
+} // namespace
+
+std::shared_ptr<Route> makeStreamRoute(asio::io_context &context, std::uint16_t port, const tcp::endpoint &target)
+{
+    auto route = std::make_shared<StreamRoute>(context, port, target);
+    route->accept();
+    return route;
+}
+
+} // namespace mulberrywall::standin
