--- a/include/mulberrywall/Router/CallerRequest.h
+++ b/include/mulberrywall/Router/CallerRequest.h
@@ -41,9 +41,8 @@
 /// Checks key, class, pool and body of a request to a model or a plain service.
 ///
 /// All problems have the verdict NotRun.
-std::variant<CallerRequest, http::Problem> parseCallerRequest(const http::Request &request,
-                                                              const configuration::SiteConfiguration &configuration,
-                                                              policy::TimePoint now);
+std::variant<CallerRequest, http::Problem> parseCallerRequest(
+    const http::Request &request, const configuration::SiteConfiguration &configuration, policy::TimePoint now);
 
 /// Returns the SHA-256 of a bearer key in lower-case hexadecimal, as the configuration stores it.
 std::string hashKey(std::string_view key);
--- a/lib/Configuration/Validation.cpp
+++ b/lib/Configuration/Validation.cpp
@@ -179,9 +179,10 @@
         for (const Endpoint &endpoint : site.endpoints) {
             const std::string &id = endpoint.id.value();
             if (const auto [found, inserted] = siteOfEndpoint.emplace(id, dataCentre); !inserted) {
-                return leaf::new_error(ErrorMessage {"endpoint \"" + id + "\" is declared in data centres \"" + std::string(found->second) + "\" and \""
-                                           + dataCentre + "\"; rename one"},
-                    support::ErrorLocation {});
+                std::string text = "endpoint \"" + id + "\" is declared in data centres \"";
+                text += found->second;
+                text += "\" and \"" + dataCentre + "\"; rename one";
+                return leaf::new_error(ErrorMessage {std::move(text)}, support::ErrorLocation {});
             }
             const std::pair<std::string_view, std::uint16_t> address(endpoint.address, endpoint.port);
             if (const auto [found, inserted] = endpointOfAddress.emplace(address, id); !inserted) {
--- a/lib/Permits/PoolOwner.cpp
+++ b/lib/Permits/PoolOwner.cpp
@@ -16,10 +16,10 @@
 }
 
 OwnedPool::OwnedPool(boost::asio::io_context &context, const policy::PolicyFunctions &functions, const policy::PoolOptions &options)
-    : context_(context)
-    , functions_(functions)
-    , pool_(functions.create(options))
-    , timer_(context)
+    : context_(context),
+      functions_(functions),
+      pool_(functions.create(options)),
+      timer_(context)
 {
 }
 
@@ -32,11 +32,12 @@
 void OwnedPool::setEndpoints(std::vector<configuration::Endpoint> endpoints, const std::set<support::EndpointId> &leaving)
 {
     std::vector<policy::EndpointSpec> specs;
+    specs.reserve(endpoints.size());
     for (const configuration::Endpoint &endpoint : endpoints) {
         specs.push_back({.id = endpoint.id,
-                         .maximumConcurrency = endpoint.maximumConcurrency,
-                         .prefixCache = endpoint.support.prefixCache,
-                         .leaving = leaving.contains(endpoint.id)});
+            .maximumConcurrency = endpoint.maximumConcurrency,
+            .prefixCache = endpoint.support.prefixCache,
+            .leaving = leaving.contains(endpoint.id)});
     }
     std::vector<Notification> notifications;
     {
@@ -198,8 +199,8 @@
 }
 
 PoolTable::PoolTable(boost::asio::io_context &context, const policy::PolicyFunctions &functions)
-    : context_(context)
-    , functions_(functions)
+    : context_(context),
+      functions_(functions)
 {
 }
 
@@ -208,10 +209,10 @@
     policy::PoolOptions options {.queueLimit = pool.queueLimit};
     for (const configuration::RequestClass &requestClass : configuration.classes) {
         policy::ClassSpec spec {.id = requestClass.id,
-                                .tier = requestClass.tier,
-                                .minimumShare = requestClass.minimumShare,
-                                .maximumWait = requestClass.maximumWait,
-                                .hedgeBudgetPercent = requestClass.hedgeBudgetPercent};
+            .tier = requestClass.tier,
+            .minimumShare = requestClass.minimumShare,
+            .maximumWait = requestClass.maximumWait,
+            .hedgeBudgetPercent = requestClass.hedgeBudgetPercent};
         spec.firstTokenTarget = requestClass.targets.firstToken.value_or(requestClass.targets.completion.value_or(spec.firstTokenTarget));
         spec.betweenTokensTarget = requestClass.targets.betweenTokens.value_or(spec.betweenTokensTarget);
         options.classes.push_back(spec);
@@ -287,7 +288,9 @@
 
 PermitSource makeLocalSource(PoolTable &pools)
 {
-    return {.acquire = [&pools](PermitRequest request, PermitHandler handler) { return pools.acquire(std::move(request), std::move(handler)); }};
+    return {.acquire = [&pools](PermitRequest request, PermitHandler handler) {
+        return pools.acquire(std::move(request), std::move(handler));
+    }};
 }
 
 } // namespace mulberrywall::permits
--- a/lib/Router/Attempt.cpp
+++ b/lib/Router/Attempt.cpp
@@ -11,10 +11,10 @@
 using support::Verdict;
 
 Attempt::Attempt(boost::asio::any_io_executor executor, const AttemptOptions &options, std::shared_ptr<permits::Permit> permit, AttemptHandlers handlers)
-    : executor_(std::move(executor))
-    , options_(options)
-    , permit_(std::move(permit))
-    , handlers_(std::move(handlers))
+    : executor_(std::move(executor)),
+      options_(options),
+      permit_(std::move(permit)),
+      handlers_(std::move(handlers))
 {
 }
 
@@ -23,7 +23,8 @@
     const configuration::Endpoint &endpoint = permit_->endpoint();
     request.set(http::Field::host, endpoint.address);
     request.set(http::header::priority, std::to_string(permit_->enginePriority()));
-    http::ClientCallOptions callOptions {.connectTimeout = options_.connectTimeout, .headerTimeout = options_.stallTimeout, .idleTimeout = options_.stallTimeout};
+    http::ClientCallOptions callOptions {
+        .connectTimeout = options_.connectTimeout, .headerTimeout = options_.stallTimeout, .idleTimeout = options_.stallTimeout};
     boost::system::error_code addressError;
     callOptions.peer = {boost::asio::ip::make_address(endpoint.address, addressError), endpoint.port};
     if (addressError) {
@@ -32,11 +33,14 @@
     }
     const auto self = shared_from_this();
     call_ = http::ClientCall::start(executor_,
-                                    callOptions,
-                                    std::move(request),
-                                    {.onHeader = [self](const http::ResponseHeader &responseHeader) { self->onHeader(responseHeader); },
-                                     .onBody = [self](std::string_view data) { self->handlers_.onBody(data); },
-                                     .onEnd = [self](const http::CallResult &result) { self->onCallEnd(result); }});
+        callOptions,
+        std::move(request),
+        {.onHeader = [self](const http::ResponseHeader &responseHeader) { self->onHeader(responseHeader); },
+            .onBody = [self](std::string_view data) { self->handlers_.onBody(data); },
+            .onEnd =
+                [self](const http::CallResult &result) {
+                    self->onCallEnd(result);
+                }});
 }
 
 void Attempt::readMore()
--- a/lib/Router/CallerRequest.cpp
+++ b/lib/Router/CallerRequest.cpp
@@ -57,23 +57,25 @@
     return *organisation;
 }
 
-static std::variant<configuration::RequestClass, http::Problem>
-chooseClass(const http::Request &request, const configuration::SiteConfiguration &configuration, const configuration::Organisation &organisation)
+static std::variant<configuration::RequestClass, http::Problem> chooseClass(
+    const http::Request &request, const configuration::SiteConfiguration &configuration, const configuration::Organisation &organisation)
 {
     const std::string_view name = http::fieldValue(request, http::header::requestClass);
     if (name.empty() && organisation.allowedClasses.empty()) {
-        return makeProblem(http::Status::forbidden, "no class allowed", "organisation '" + organisation.id.value() + "' has no allowed class; ask the operator to add one");
+        return makeProblem(
+            http::Status::forbidden, "no class allowed", "organisation '" + organisation.id.value() + "' has no allowed class; ask the operator to add one");
     }
     const support::ClassId id = name.empty() ? organisation.allowedClasses.front() : support::ClassId(std::string(name));
     const configuration::RequestClass *requestClass = configuration::findClass(configuration, id);
     if (requestClass == nullptr) {
-        return makeProblem(http::Status::bad_request, "unknown class", "the configuration has no class '" + id.value() + "'; correct the field Mulberrywall-Class");
+        return makeProblem(
+            http::Status::bad_request, "unknown class", "the configuration has no class '" + id.value() + "'; correct the field Mulberrywall-Class");
     }
     const auto &allowed = organisation.allowedClasses;
     if (std::find(allowed.begin(), allowed.end(), id) == allowed.end()) {
         return makeProblem(http::Status::forbidden,
-                           "class not allowed",
-                           "organisation '" + organisation.id.value() + "' may not use class '" + id.value() + "'; use an allowed class or ask the operator");
+            "class not allowed",
+            "organisation '" + organisation.id.value() + "' may not use class '" + id.value() + "'; use an allowed class or ask the operator");
     }
     return *requestClass;
 }
@@ -184,8 +186,8 @@
     return XXH3_64bits_withSeed(request.upstream.body().data(), request.upstream.body().size(), seed);
 }
 
-std::variant<CallerRequest, http::Problem>
-parseCallerRequest(const http::Request &request, const configuration::SiteConfiguration &configuration, policy::TimePoint now)
+std::variant<CallerRequest, http::Problem> parseCallerRequest(
+    const http::Request &request, const configuration::SiteConfiguration &configuration, policy::TimePoint now)
 {
     auto organisation = authorize(request, configuration);
     if (auto *problem = std::get_if<http::Problem>(&organisation)) {
--- a/lib/Router/CallerSession.cpp
+++ b/lib/Router/CallerSession.cpp
@@ -13,10 +13,10 @@
 using support::Verdict;
 
 CallerSession::CallerSession(RouterState &state, http::ExchangePtr exchange, CallerRequest request)
-    : state_(state)
-    , exchange_(std::move(exchange))
-    , request_(std::move(request))
-    , startedAt_(std::chrono::steady_clock::now())
+    : state_(state),
+      exchange_(std::move(exchange)),
+      request_(std::move(request)),
+      startedAt_(std::chrono::steady_clock::now())
 {
     ++state_.activeRequests;
 }
@@ -39,15 +39,15 @@
 void CallerSession::acquirePermit(policy::AttemptPurpose purpose)
 {
     permits::PermitRequest permitRequest {.request = request_.id,
-                                          .pool = request_.pool,
-                                          .submission = {.requestClass = request_.requestClass.id,
-                                                         .organisation = request_.organisation.id,
-                                                         .fingerprint = request_.fingerprint,
-                                                         .prefixHash = request_.prefixHash,
-                                                         .promptTokens = request_.promptTokens,
-                                                         .purpose = purpose,
-                                                         .excludedEndpoints = failedEndpoints_,
-                                                         .deadline = request_.deadline}};
+        .pool = request_.pool,
+        .submission = {.requestClass = request_.requestClass.id,
+            .organisation = request_.organisation.id,
+            .fingerprint = request_.fingerprint,
+            .prefixHash = request_.prefixHash,
+            .promptTokens = request_.promptTokens,
+            .purpose = purpose,
+            .excludedEndpoints = failedEndpoints_,
+            .deadline = request_.deadline}};
     ticket_ = state_.permits.acquire(std::move(permitRequest), [self = shared_from_this()](permits::PermitResult result) {
         boost::asio::dispatch(self->exchange_->executor(), [self, result = std::move(result)]() mutable { self->onPermitResult(std::move(result)); });
     });
@@ -76,11 +76,14 @@
     ++attempts_;
     const auto self = shared_from_this();
     attempt_ = std::make_shared<Attempt>(exchange_->executor(),
-                                         AttemptOptions {.connectTimeout = state_.options.connectTimeout, .stallTimeout = state_.options.stallTimeout},
-                                         std::move(permit),
-                                         AttemptHandlers {.onHeader = [self](const http::ResponseHeader &responseHeader) { self->onHeader(responseHeader); },
-                                                          .onBody = [self](std::string_view data) { self->onBody(data); },
-                                                          .onEnd = [self](const AttemptEnd &attemptEnd) { self->onAttemptEnd(attemptEnd); }});
+        AttemptOptions {.connectTimeout = state_.options.connectTimeout, .stallTimeout = state_.options.stallTimeout},
+        std::move(permit),
+        AttemptHandlers {.onHeader = [self](const http::ResponseHeader &responseHeader) { self->onHeader(responseHeader); },
+            .onBody = [self](std::string_view data) { self->onBody(data); },
+            .onEnd =
+                [self](const AttemptEnd &attemptEnd) {
+                    self->onAttemptEnd(attemptEnd);
+                }});
     attempt_->start(request_.upstream);
 }
 
@@ -171,8 +174,8 @@
         return;
     }
     support::log(support::Severity::Warning,
-                 "attempt failed",
-                 {{"request", request_.id.value()}, {"endpoint", endpoint.value()}, {"reason", attemptEnd.reason}, {"verdict", support::toString(attemptEnd.verdict)}});
+        "attempt failed",
+        {{"request", request_.id.value()}, {"endpoint", endpoint.value()}, {"reason", attemptEnd.reason}, {"verdict", support::toString(attemptEnd.verdict)}});
     attempt_ = nullptr;
     failedEndpoints_.push_back(endpoint);
     if (mayRetry(attemptEnd)) {
@@ -247,16 +250,16 @@
     state_.metrics.increment("mulberrywall_requests_total", {{"class", requestClass}, {"result", result}, {"outcome", support::toString(verdict)}});
     state_.metrics.observe("mulberrywall_request_seconds", duration.count(), {{"class", requestClass}});
     support::log(support::Severity::Info,
-                 "request ended",
-                 {{"request", request_.id.value()},
-                  {"class", requestClass},
-                  {"organisation", request_.organisation.id.value()},
-                  {"pool", request_.pool.value()},
-                  {"result", result},
-                  {"outcome", support::toString(verdict)},
-                  {"attempts", attempts_},
-                  {"outputTokens", outputTokens_},
-                  {"seconds", duration.count()}});
+        "request ended",
+        {{"request", request_.id.value()},
+            {"class", requestClass},
+            {"organisation", request_.organisation.id.value()},
+            {"pool", request_.pool.value()},
+            {"result", result},
+            {"outcome", support::toString(verdict)},
+            {"attempts", attempts_},
+            {"outputTokens", outputTokens_},
+            {"seconds", duration.count()}});
 }
 
 } // namespace mulberrywall::router
--- a/lib/Router/RouterService.cpp
+++ b/lib/Router/RouterService.cpp
@@ -19,12 +19,12 @@
 static constexpr std::chrono::milliseconds drainPollInterval {20};
 
 RouterService::RouterService(boost::asio::io_context &context, RouterServiceOptions options, const policy::PolicyFunctions &policy)
-    : options_(std::move(options))
-    , pools_(context, policy)
-    , state_ {.context = context, .options = options_.router, .permits = permits::makeLocalSource(pools_)}
-    , callerServer_(http::Server::create(context, options_.callerServer, [this](const http::ExchangePtr &exchange) { handleCaller(exchange); }))
-    , adminServer_(http::Server::create(context, options_.adminServer, [this](const http::ExchangePtr &exchange) { handleAdmin(exchange); }))
-    , drainTimer_(context)
+    : options_(std::move(options)),
+      pools_(context, policy),
+      state_ {.context = context, .options = options_.router, .permits = permits::makeLocalSource(pools_)},
+      callerServer_(http::Server::create(context, options_.callerServer, [this](const http::ExchangePtr &exchange) { handleCaller(exchange); })),
+      adminServer_(http::Server::create(context, options_.adminServer, [this](const http::ExchangePtr &exchange) { handleAdmin(exchange); })),
+      drainTimer_(context)
 {
 }
 
@@ -100,7 +100,8 @@
 {
     const ConfigurationSnapshot configuration = state_.configuration.current();
     if (state_.draining || configuration == nullptr) {
-        const std::string detail = configuration == nullptr ? "the router has no configuration yet; try another instance" : "the router is shutting down; try another instance";
+        const std::string detail
+            = configuration == nullptr ? "the router has no configuration yet; try another instance" : "the router is shutting down; try another instance";
         exchange->respond(http::makeProblemResponse({.status = http::Status::service_unavailable, .title = "not ready", .detail = detail}));
         return;
     }
@@ -133,7 +134,8 @@
     }
     if (path == "/readyz") {
         const bool ready = isReady();
-        return http::makeJsonResponse(ready ? http::Status::ok : http::Status::service_unavailable, ready ? R"({"status":"ready"})" : R"({"status":"not ready"})");
+        return http::makeJsonResponse(
+            ready ? http::Status::ok : http::Status::service_unavailable, ready ? R"({"status":"ready"})" : R"({"status":"not ready"})");
     }
     if (!options_.operatorKey.empty() && http::fieldValue(request, "Authorization") != "Bearer " + options_.operatorKey) {
         return http::makeProblemResponse(
@@ -147,8 +149,7 @@
     if (path == "/v1/status") {
         return http::makeJsonResponse(http::Status::ok, renderStatus());
     }
-    return http::makeProblemResponse(
-        {.status = http::Status::not_found, .title = "unknown path", .detail = "use /healthz, /readyz, /metrics or /v1/status"});
+    return http::makeProblemResponse({.status = http::Status::not_found, .title = "unknown path", .detail = "use /healthz, /readyz, /metrics or /v1/status"});
 }
 
 std::string RouterService::renderStatus() const
@@ -165,10 +166,10 @@
     json::array pools;
     for (const auto &[id, summary] : pools_.summarize()) {
         pools.push_back({{"pool", id.value()},
-                         {"waiting", summary.waiting},
-                         {"running", summary.running},
-                         {"freeSlots", summary.freeSlots},
-                         {"endpoints", summary.endpoints}});
+            {"waiting", summary.waiting},
+            {"running", summary.running},
+            {"freeSlots", summary.freeSlots},
+            {"endpoints", summary.endpoints}});
     }
     status["pools"] = std::move(pools);
     return json::serialize(status);
