--- a/test/Support/FaultProxy/StreamRoute.cpp
+++ b/test/Support/FaultProxy/StreamRoute.cpp
@@ -160,8 +160,7 @@
 {
 public:
     StreamRoute(asio::io_context &context, std::uint16_t port, const tcp::endpoint &target)
-        : context_(context),
-          acceptor_(context, tcp::endpoint(asio::ip::address_v4::loopback(), port)),
+        : acceptor_(context, tcp::endpoint(asio::ip::address_v4::loopback(), port)),
           port_(acceptor_.local_endpoint().port()),
           target_(target)
     {
@@ -232,7 +231,6 @@
         relay->start(target_);
     }
 
-    asio::io_context &context_;
     tcp::acceptor acceptor_;
     std::uint16_t port_;
     tcp::endpoint target_;
