--- a/lib/Configuration/Values.cpp
+++ b/lib/Configuration/Values.cpp
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <cmath>
 #include <cstdio>
+#include <cstdlib>
 
 namespace mulberrywall::configuration::values
 {
@@ -103,7 +104,8 @@
     const double number = input.to_number<double>();
     std::string problem = checkRange(number, options, "");
     if (problem.empty()) {
-        output = number;
+        // The JSON parser may be off in the last digit, which would look like a change; 12 digits are kept.
+        output = std::strtod(formatNumber(number).c_str(), nullptr);
     }
     return problem;
 }
--- /dev/null
+++ b/unittests/Configuration/RevisionTest.cpp
@@ -0,0 +1,86 @@
+#include "mulberrywall/Configuration/Revision.h"
+#include "mulberrywall/Configuration/Diff.h"
+#include "mulberrywall/Configuration/Reader.h"
+
+#include <gtest/gtest.h>
+
+namespace mulberrywall::configuration
+{
+
+namespace
+{
+
+std::vector<SiteConfiguration> exampleSites()
+{
+    const std::string directory = EXAMPLES_DIR;
+    const std::vector<std::string> overlays {directory + "/dc-a.toml", directory + "/dc-b.toml", directory + "/dc-c.toml"};
+    auto sites = readSites(directory + "/base.toml", overlays);
+    return sites ? std::move(*sites) : std::vector<SiteConfiguration>();
+}
+
+Revision exampleRevision()
+{
+    Revision revision {.number = 7, .basedOn = 6, .pushId = "abc", .sites = exampleSites()};
+    for (SiteConfiguration &site : revision.sites) {
+        site.revision = 7;
+    }
+    return revision;
+}
+
+// Guards against a field that is lost on the way to a revision row or to a peer.
+TEST(RevisionTest, JsonRoundTripKeepsEveryField)
+{
+    const Revision revision = exampleRevision();
+    ASSERT_EQ(revision.sites.size(), 3U);
+    const auto parsed = revisionFromJson(toJson(revision));
+    ASSERT_TRUE(parsed);
+    EXPECT_EQ(*parsed, revision);
+    const auto site = siteFromJson(toJson(revision.sites.at(1)));
+    ASSERT_TRUE(site);
+    EXPECT_EQ(*site, revision.sites.at(1));
+}
+
+// Guards against a damaged or hostile document from a peer that is accepted or ends the process.
+TEST(RevisionTest, RejectsDamagedJson)
+{
+    const std::string text = toJson(exampleRevision());
+    for (std::size_t length = 0; length < text.size(); length += 37) {
+        EXPECT_FALSE(revisionFromJson(text.substr(0, length))) << length;
+    }
+    for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>> {
+             {"\"tier\":0", "\"tier\":9"}, {"\"atlas\"", "\"titan\""}, {"\"port\":7101", "\"port\":7102"}, {"\"revision\":7", "\"revision\":-7"}}) {
+        std::string damaged = text;
+        const std::size_t position = damaged.find(from);
+        ASSERT_NE(position, std::string::npos) << from;
+        EXPECT_FALSE(revisionFromJson(damaged.replace(position, from.size(), to))) << from;
+    }
+}
+
+// Guards against an older router that refuses a revision because a newer tool wrote an additional member.
+TEST(RevisionTest, IgnoresUnknownMembers)
+{
+    std::string text = toJson(exampleRevision());
+    text.insert(1, "\"future\":{\"x\":1},");
+    EXPECT_TRUE(revisionFromJson(text));
+}
+
+// Guards against changes that the operator does not see before applying them.
+TEST(DiffTest, NamesEachChangeOnce)
+{
+    const std::vector<SiteConfiguration> before = exampleSites();
+    EXPECT_EQ(diffSites(before, before), "");
+    std::vector<SiteConfiguration> after = before;
+    for (SiteConfiguration &site : after) {
+        site.classes.at(0).tier = 5;
+    }
+    after.at(1).endpoints.erase(after.at(1).endpoints.begin());
+    after.at(2).pools.at(0).queueLimit = 9;
+    const std::string expected = "all: ~ classes." + before.at(0).classes.at(0).id.value() + ".tier: 1 -> 5\n" + "dc-b: - endpoints.engine-7105\n"
+        + "dc-c: ~ pools.atlas.queue-limit: 128 -> 9\n";
+    EXPECT_EQ(diffSites(before, after), expected);
+    EXPECT_NE(diffSites({}, before).find("+ site"), std::string::npos);
+}
+
+} // namespace
+
+} // namespace mulberrywall::configuration
