--- a/include/mulberrywall/Policy/PolicyFunctions.h
+++ b/include/mulberrywall/Policy/PolicyFunctions.h
@@ -2,9 +2,11 @@
 
 #include "mulberrywall/Policy/Types.h"
 
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <span>
+#include <vector>
 
 namespace mulberrywall::policy
 {
@@ -36,10 +38,18 @@
     void (*recordSuspect)(void *pool, Fingerprint fingerprint, unsigned crashes, TimePoint now);
     /// Does what time alone makes due.
     Decisions (*advance)(void *pool, TimePoint now);
+    /// Ends the reduced limit of a pool that was taken over, for example because all ingresses have told their permits.
+    Decisions (*finishTakeover)(void *pool, TimePoint now);
 
     // Queries
     std::optional<TimePoint> (*nextWakeUp)(const void *pool);
     PoolSummary (*summarize)(const void *pool);
+    /// Returns the crash suspects to tell other owners, ordered by fingerprint.
+    std::vector<SuspectEntry> (*suspects)(const void *pool);
+    /// Returns the time after dispatch from which a hedged attempt of the class is worth its cost, if any is.
+    std::optional<std::chrono::milliseconds> (*hedgeDelay)(const void *pool, const support::ClassId &requestClass);
+    std::vector<EndpointStatus> (*endpointStatus)(const void *pool);
+    PoolStatistics (*statistics)(const void *pool);
 };
 
 /// Returns the product's policy.
--- /dev/null
+++ b/include/mulberrywall/Policy/Tuning.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace mulberrywall::policy
+{
+
+/// Admission by estimated queueing time.
+struct AdmissionTuning
+{
+    /// A request is refused when its estimated wait exceeds this multiple of what its target leaves for queueing.
+    double slack = 1.0;
+    /// Queueing may use at least this share of the target, however long the first token takes on the endpoint.
+    double minimumQueueingShare = 0.5;
+    /// Holding times that were observed longer ago are not used.
+    std::chrono::milliseconds observationLifetime {60'000};
+};
+
+/// Minimum share of the slots for requests past their maximum wait.
+struct MinimumShareTuning
+{
+    /// Share of a tier whose classes declare less; above zero so that every class is eventually served.
+    double floor = 0.02;
+};
+
+/// Weighted fair sharing across organisations within a tier.
+struct FairShareTuning
+{
+    /// Organisations may be ahead by this many median requests before targets stop deciding among them.
+    double allowanceInRequests = 4.0;
+};
+
+/// Running estimates of output length.
+struct LengthTuning
+{
+    /// Assumed before anything was observed.
+    double defaultOutputTokens = 200.0;
+    /// Cost of one prompt token in output tokens; prefill handles many tokens in one step.
+    double promptTokenCost = 0.05;
+    /// An estimate that has seen fewer requests gives way to a coarser one.
+    std::uint64_t minimumSamples = 20;
+    /// Bound on the estimates kept by class and organisation.
+    std::size_t maximumEstimates = 4'096;
+};
+
+/// Limit on long requests.
+struct LongRequestTuning
+{
+    /// Share of each endpoint's slots that long requests may hold; at least one slot.
+    double slotShare = 0.6;
+    /// A request counts as long when its estimated work exceeds this multiple of the pool's median.
+    double workFactor = 4.0;
+};
+
+/// Adaptive concurrency limit of an endpoint.
+struct ConcurrencyTuning
+{
+    std::chrono::milliseconds adjustmentInterval {500};
+    double increase = 1.0;
+    double decreaseFactor = 0.8;
+    /// The limit falls when more than this share of the tokens missed the inter-token target.
+    double lateShare = 0.1;
+    /// Tokens needed in an interval before they count as evidence.
+    std::uint64_t minimumTokens = 20;
+    /// A limit that falls although the endpoint is about as fast as ever only costs throughput, so it stays while
+    /// the mean inter-token latency is within this multiple of the lowest one known.
+    double baselineTolerance = 1.3;
+    /// The limit stays at or above this share of the configured concurrency, and at or above 1.
+    double floorShare = 0.125;
+};
+
+/// Choice of an endpoint.
+struct SelectionTuning
+{
+    /// Prefix affinity may load an endpoint up to this multiple of the mean load.
+    double affinityBound = 1.5;
+    /// A load report loses its weight linearly over this time.
+    std::chrono::milliseconds hintLifetime {2'000};
+    /// Time without new work after a failed or refused attempt; doubles with each further failure.
+    std::chrono::milliseconds initialBackoff {100};
+    std::chrono::milliseconds maximumBackoff {5'000};
+};
+
+/// Detection of slow endpoints by their speed against the pool's median.
+struct SlowEndpointTuning
+{
+    std::chrono::milliseconds evaluationInterval {500};
+    /// Below this multiple of the median speed the endpoint's share is reduced.
+    double reduceBelow = 0.5;
+    /// Below this multiple the endpoint only gets probes.
+    double probationBelow = 0.25;
+    /// From this multiple on the endpoint, or its probe, counts as recovered.
+    double recoverAbove = 0.7;
+    /// Bound on the part of the pool that is reduced or on probation at once.
+    double maximumPoolShare = 1.0 / 3.0;
+    std::chrono::milliseconds probeInterval {1'000};
+    /// Probes go to the lowest tier unless none of its requests came for this long.
+    std::chrono::milliseconds probePatience {3'000};
+    unsigned probesToRecover = 3;
+    /// Output tokens after which a probe that still runs is judged.
+    std::uint64_t probeTokens = 32;
+    std::uint64_t minimumSamples = 5;
+    std::chrono::milliseconds observationLifetime {10'000};
+    /// An endpoint whose streams are all silent for longer is judged by the silence. Above the interval at which
+    /// ingresses report progress.
+    std::chrono::milliseconds silence {1'000};
+};
+
+/// Hedged attempts.
+struct HedgingTuning
+{
+    /// Unused budget, in attempts, that a class can save up.
+    double maximumCredit = 10.0;
+    /// Share of the pool's slots that stays free when a hedged attempt is granted.
+    double spareShare = 0.1;
+    /// Quantile samples needed before a delay is recommended.
+    std::uint64_t minimumSamples = 20;
+};
+
+/// Requests that crash endpoints.
+struct CrashTuning
+{
+    std::chrono::milliseconds expiry {600'000};
+    unsigned crashesToRefuse = 2;
+    /// Longest time for which an endpoint is emptied so that a suspect runs alone on it.
+    std::chrono::milliseconds isolationWait {3'000};
+    /// Pools with fewer usable endpoints do not empty one for a suspect.
+    std::size_t minimumEndpointsToEmpty = 4;
+    /// Progress this long after a crash proves that a request did not run on the crashed process.
+    std::chrono::milliseconds survivalProof {1'000};
+    std::size_t maximumSuspects = 10'000;
+};
+
+/// Reduced limit of a new owner.
+struct TakeoverTuning
+{
+    std::chrono::milliseconds bound {2'000};
+    /// Share of each endpoint's slots used until then; at least one slot.
+    double slotShare = 0.5;
+};
+
+/// Constants of the standard policy.
+struct Tuning
+{
+    AdmissionTuning admission;
+    MinimumShareTuning minimumShare;
+    FairShareTuning fairShare;
+    LengthTuning length;
+    LongRequestTuning longRequests;
+    ConcurrencyTuning concurrency;
+    SelectionTuning selection;
+    SlowEndpointTuning slowEndpoints;
+    HedgingTuning hedging;
+    CrashTuning crashes;
+    TakeoverTuning takeover;
+};
+
+} // namespace mulberrywall::policy
--- a/include/mulberrywall/Policy/Types.h
+++ b/include/mulberrywall/Policy/Types.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mulberrywall/Policy/Tuning.h"
 #include "mulberrywall/Support/Ids.h"
 
 #include <chrono>
@@ -78,11 +79,27 @@
     std::chrono::milliseconds retryAfter {0};
 };
 
+/// Asks the holder of a permit to cancel its running request and then report the completion.
+struct Cancellation
+{
+    PermitId permit = 0;
+    RefusalReason reason = RefusalReason::CrashSuspect;
+};
+
+/// Changes the engine priority of a running request; a holder whose engine cannot do that ignores it.
+struct PriorityChange
+{
+    PermitId permit = 0;
+    std::uint8_t enginePriority = 0;
+};
+
 /// What the caller of a command has to carry out, in order.
 struct Decisions
 {
     std::vector<Grant> grants;
     std::vector<Refusal> refusals;
+    std::vector<Cancellation> cancellations;
+    std::vector<PriorityChange> priorityChanges;
 };
 
 /// Progress of a running request, counted from its start.
@@ -154,11 +171,21 @@
     Progress progress;
 };
 
+/// How the owner came by the pool.
+enum class PoolStart : std::uint8_t {
+    Fresh,
+    /// Another owner may have granted permits that still run; limits are reduced at first.
+    TakenOver,
+};
+
 struct PoolOptions
 {
     std::size_t queueLimit = 256;
     std::vector<ClassSpec> classes;
     std::vector<OrganisationSpec> organisations;
+    /// Read when the pool is created only.
+    PoolStart start = PoolStart::Fresh;
+    Tuning tuning;
 };
 
 /// Short description of a pool's load for other routers.
@@ -170,4 +197,46 @@
     std::uint32_t endpoints = 0;
 };
 
+/// A request that crashed endpoints, for other owners.
+struct SuspectEntry
+{
+    Fingerprint fingerprint = 0;
+    unsigned crashes = 0;
+    TimePoint expiresAt;
+};
+
+enum class EndpointHealth : std::uint8_t {
+    Healthy,
+    /// Slower than the pool; gets fewer requests.
+    Reduced,
+    /// Much slower than the pool; gets probes only.
+    Probation,
+};
+
+std::string_view toString(EndpointHealth health);
+
+/// State of an endpoint for status pages and metrics.
+struct EndpointStatus
+{
+    support::EndpointId id;
+    EndpointHealth health = EndpointHealth::Healthy;
+    unsigned running = 0;
+    unsigned runningLong = 0;
+    /// Requests that the endpoint may run now.
+    unsigned slots = 0;
+    bool leaving = false;
+};
+
+/// Counters of a pool since its creation.
+struct PoolStatistics
+{
+    std::uint64_t hedgesGranted = 0;
+    std::uint64_t hedgesDenied = 0;
+    /// Grants out of order for requests past their maximum wait.
+    std::uint64_t minimumShareGrants = 0;
+    /// Output tokens of attempts that did not complete.
+    std::uint64_t wastedTokens = 0;
+    std::uint64_t endpointCrashes = 0;
+};
+
 } // namespace mulberrywall::policy
--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -211,6 +211,31 @@
     return summary;
 }
 
+std::vector<SuspectEntry> suspects(const void * /*handle*/)
+{
+    return {};
+}
+
+std::optional<std::chrono::milliseconds> hedgeDelay(const void * /*handle*/, const support::ClassId & /*requestClass*/)
+{
+    return std::nullopt;
+}
+
+std::vector<EndpointStatus> endpointStatus(const void *handle)
+{
+    std::vector<EndpointStatus> result;
+    for (const auto &[id, endpoint] : asPool(handle).endpoints) {
+        result.push_back(
+            {.id = id, .running = endpoint.running, .slots = endpoint.spec.leaving ? 0 : endpoint.spec.maximumConcurrency, .leaving = endpoint.spec.leaving});
+    }
+    return result;
+}
+
+PoolStatistics statistics(const void * /*handle*/)
+{
+    return {};
+}
+
 constexpr PolicyFunctions standardFunctions {.create = create,
     .configure = configure,
     .submit = submit,
@@ -222,8 +247,13 @@
     .adopt = adopt,
     .recordSuspect = recordSuspect,
     .advance = advance,
+    .finishTakeover = advance,
     .nextWakeUp = nextWakeUp,
-    .summarize = summarize};
+    .summarize = summarize,
+    .suspects = suspects,
+    .hedgeDelay = hedgeDelay,
+    .endpointStatus = endpointStatus,
+    .statistics = statistics};
 
 } // namespace
 
--- a/lib/Policy/Types.cpp
+++ b/lib/Policy/Types.cpp
@@ -24,4 +24,17 @@
     return "unknown";
 }
 
+std::string_view toString(EndpointHealth health)
+{
+    switch (health) {
+    case EndpointHealth::Healthy:
+        return "healthy";
+    case EndpointHealth::Reduced:
+        return "reduced";
+    case EndpointHealth::Probation:
+        return "probation";
+    }
+    return "unknown";
+}
+
 } // namespace mulberrywall::policy
