policy: select endpoints by work over speed, prefix and load hints

Cause: the first version compared request counts, which ignores how long requests run and how fast an endpoint is. Ruled out: a table of the endpoints that hold a prefix; a rendezvous order needs no state and stays the same for a new owner of the pool. Change: load is estimated remaining work over observed speed and slots; a prefix goes to the first endpoint in its rendezvous order within a bound on the load; load reports count less as they age and not at all against a newer own observation; a failed or refused attempt pauses new work for an endpoint. Conclusion: with speeds of 10 ms and 50 ms per token the faster endpoint gets at least 4 of 6 requests, and the slower one is still used.

--- a/include/mulberrywall/Policy/EndpointSelection.h
+++ b/include/mulberrywall/Policy/EndpointSelection.h
@@ -5,6 +5,9 @@
 namespace mulberrywall::policy
 {
 
+/// Returns how many requests the endpoint may run at once now.
+unsigned slotLimit(const Pool &pool, const EndpointState &endpoint, TimePoint now);
+
 /// Returns how many more requests the endpoint may run now.
 unsigned freeSlots(const Pool &pool, const EndpointState &endpoint, TimePoint now);
 
@@ -14,7 +17,14 @@
 /// Returns whether any endpoint of the pool may ever run the submission.
 bool hasUsableEndpoint(const Pool &pool, const Submission &submission);
 
+/// Stores the report unless it is older than the one known.
+void storeLoadReport(Pool &pool, const LoadReport &report, TimePoint now);
+
 /// Returns the endpoint with a free slot that suits the request best, or nullptr.
+///
+/// That is the endpoint with the least work in flight over its observed speed. A request with a prefix hash goes to
+/// the first endpoint in the rendezvous order of its prefix whose load is bounded: the order needs no state, so a
+/// new owner of the pool sends the prefix to the same caches.
 EndpointState *selectEndpoint(Pool &pool, const WaitingRequest &request, TimePoint now);
 
 } // namespace mulberrywall::policy
--- /dev/null
+++ b/include/mulberrywall/Policy/FailureBackoff.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "mulberrywall/Policy/Pool.h"
+
+namespace mulberrywall::policy
+{
+
+/// Pauses new work on an endpoint after a failed or refused attempt.
+///
+/// Without the pause an endpoint that fails at once has the least work in flight and attracts all requests.
+void noteFailure(EndpointState &endpoint, const SelectionTuning &tuning, TimePoint now);
+
+/// Returns the earliest time after now at which a pause ends, if any endpoint is paused.
+std::optional<TimePoint> nextBackoffEnd(const Pool &pool, TimePoint now);
+
+} // namespace mulberrywall::policy
--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "mulberrywall/Policy/Estimates.h"
+#include "mulberrywall/Policy/LengthEstimate.h"
 #include "mulberrywall/Policy/Queue.h"
 #include "mulberrywall/Policy/Types.h"
 
 #include <map>
+#include <optional>
 #include <unordered_map>
 
 namespace mulberrywall::policy
@@ -13,6 +16,17 @@
 struct ClassState
 {
     ClassSpec spec;
+    /// Time from grant to completion of requests that ran to their end.
+    Average holdSeconds;
+    /// Time from grant to the first progress, or to completion where there is no progress.
+    Average firstTokenSeconds;
+};
+
+/// Pause in new work after failed or refused attempts.
+struct FailureBackoff
+{
+    unsigned failures = 0;
+    TimePoint until;
 };
 
 /// What the pool knows about an endpoint.
@@ -20,6 +34,15 @@
 {
     EndpointSpec spec;
     unsigned running = 0;
+    /// Estimated remaining work of its running requests, in output tokens.
+    double work = 0.0;
+    /// Number of the last grant in the order of the pool's grants.
+    std::uint64_t lastGrant = 0;
+    /// Inter-token latency of one stream; for plain services duration against the mean of the class.
+    Average secondsPerUnit;
+    TimePoint observedAt;
+    FailureBackoff backoff;
+    std::optional<LoadReport> report;
 };
 
 /// A request that holds a slot.
@@ -27,9 +50,16 @@
 {
     Submission submission;
     support::Tier tier = 0;
-    support::EndpointId endpoint;
+    /// Valid while the request is active, because an endpoint with running requests is not removed.
+    EndpointState *endpoint = nullptr;
     TimePoint startedAt;
     std::uint64_t outputTokens = 0;
+    TimePoint progressAt;
+    /// Share of the endpoint's work.
+    double work = 0.0;
+    LengthObservation lengthObservation;
+    /// Adopted requests started at an unknown time.
+    bool adopted = false;
 };
 
 /// State of one pool at its owner.
@@ -37,9 +67,21 @@
 {
     PoolOptions options;
     std::map<support::ClassId, ClassState> classes;
+    std::map<support::OrganisationId, double> weights;
     std::map<support::EndpointId, EndpointState> endpoints;
     Queue queue;
     std::unordered_map<PermitId, ActiveRequest> active;
+    LengthEstimates lengths;
+    /// Time from grant to completion over all classes.
+    Average holdSeconds;
+    std::uint64_t grants = 0;
+    PoolStatistics statistics;
+    /// Time of the latest command.
+    TimePoint now;
 };
 
+/// Returns nullptr when the class is not configured.
+ClassState *findClass(Pool &pool, const support::ClassId &id);
+const ClassState *findClass(const Pool &pool, const support::ClassId &id);
+
 } // namespace mulberrywall::policy
--- /dev/null
+++ b/lib/Policy/ActiveRequests.cpp
@@ -0,0 +1,135 @@
+#include "mulberrywall/Policy/ActiveRequests.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace mulberrywall::policy
+{
+
+namespace
+{
+
+void setWork(ActiveRequest &request, double work)
+{
+    request.endpoint->work = std::max(0.0, request.endpoint->work + work - request.work);
+    request.work = work;
+}
+
+void observeFirstToken(Pool &pool, const ActiveRequest &request, TimePoint now)
+{
+    if (ClassState *requestClass = findClass(pool, request.submission.requestClass); requestClass != nullptr && !request.adopted) {
+        observe(requestClass->firstTokenSeconds, secondsBetween(request.startedAt, now), now);
+    }
+}
+
+void observeSpeed(EndpointState &endpoint, double secondsPerUnit, TimePoint now)
+{
+    observe(endpoint.secondsPerUnit, secondsPerUnit, now);
+    endpoint.observedAt = now;
+}
+
+/// A plain service call has no tokens; its duration is compared with the mean of its class.
+void observeCall(Pool &pool, ActiveRequest &request, TimePoint now)
+{
+    observeFirstToken(pool, request, now);
+    const ClassState *requestClass = findClass(pool, request.submission.requestClass);
+    if (requestClass != nullptr && requestClass->holdSeconds.samples > 0 && requestClass->holdSeconds.value > 0.0) {
+        observeSpeed(*request.endpoint, secondsBetween(request.startedAt, now) / requestClass->holdSeconds.value, now);
+    }
+}
+
+void observeHold(Pool &pool, const ActiveRequest &request, TimePoint now)
+{
+    const double seconds = secondsBetween(request.startedAt, now);
+    observe(pool.holdSeconds, seconds, now);
+    if (ClassState *requestClass = findClass(pool, request.submission.requestClass)) {
+        observe(requestClass->holdSeconds, seconds, now);
+    }
+}
+
+} // namespace
+
+ActiveRequest &startRequest(Pool &pool, EndpointState &endpoint, WaitingRequest request, TimePoint now)
+{
+    const PermitId permit = request.submission.permit;
+    ++endpoint.running;
+    ++pool.grants;
+    endpoint.lastGrant = pool.grants;
+    const auto [entry, added] = pool.active.emplace(
+        permit, ActiveRequest {.submission = std::move(request.submission), .tier = request.tier, .endpoint = &endpoint, .startedAt = now, .progressAt = now});
+    assert(added && "a permit must be granted only once");
+    setWork(entry->second, request.work);
+    return entry->second;
+}
+
+ActiveRequest &adoptRequest(Pool &pool, const RunningRequest &running, TimePoint now)
+{
+    EndpointState &endpoint = pool.endpoints[running.endpoint];
+    if (endpoint.spec.id.empty()) {
+        endpoint.spec = {.id = running.endpoint, .leaving = true};
+    }
+    const ClassState *requestClass = findClass(pool, running.submission.requestClass);
+    const double remaining = expectedRemainingTokens(
+        lengthEstimate(pool.lengths, running.submission, pool.options.tuning.length), running.progress.outputTokens, pool.options.tuning.length);
+    WaitingRequest request {.submission = running.submission, .tier = requestClass == nullptr ? support::Tier {0} : requestClass->spec.tier, .work = remaining};
+    ActiveRequest &active = startRequest(pool, endpoint, std::move(request), now);
+    active.outputTokens = running.progress.outputTokens;
+    active.adopted = true;
+    return active;
+}
+
+void observeProgress(Pool &pool, ActiveRequest &request, std::uint64_t outputTokens, TimePoint now)
+{
+    if (outputTokens <= request.outputTokens) {
+        return;
+    }
+    const LengthTuning &tuning = pool.options.tuning.length;
+    if (request.outputTokens == 0) {
+        observeFirstToken(pool, request, now);
+    } else if (now > request.progressAt) {
+        const auto tokens = static_cast<double>(outputTokens - request.outputTokens);
+        observeSpeed(*request.endpoint, secondsBetween(request.progressAt, now) / tokens, now);
+    }
+    request.outputTokens = outputTokens;
+    request.progressAt = now;
+    request.endpoint->backoff = {};
+    recordRunningLength(pool.lengths, request.submission, outputTokens, request.lengthObservation, tuning);
+    setWork(request, expectedRemainingTokens(lengthEstimate(pool.lengths, request.submission, tuning), outputTokens, tuning));
+}
+
+void observeCompletion(Pool &pool, ActiveRequest &request, const Completion &completion, TimePoint now)
+{
+    observeProgress(pool, request, completion.outputTokens, now);
+    if (completion.outcome != AttemptOutcome::Completed) {
+        pool.statistics.wastedTokens += request.outputTokens;
+        return;
+    }
+    request.endpoint->backoff = {};
+    recordFinalLength(pool.lengths, request.submission, request.outputTokens, request.lengthObservation, pool.options.tuning.length, now);
+    if (request.adopted) {
+        return;
+    }
+    if (request.outputTokens == 0) {
+        observeCall(pool, request, now);
+    }
+    observeHold(pool, request, now);
+}
+
+void endRequest(Pool &pool, PermitId permit)
+{
+    const auto found = pool.active.find(permit);
+    assert(found != pool.active.end() && "only a running request can end");
+    EndpointState &endpoint = *found->second.endpoint;
+    setWork(found->second, 0.0);
+    pool.active.erase(found);
+    --endpoint.running;
+    if (endpoint.running == 0) {
+        // Clears what rounding has left.
+        endpoint.work = 0.0;
+        if (endpoint.spec.leaving) {
+            pool.endpoints.erase(support::EndpointId(endpoint.spec.id));
+        }
+    }
+}
+
+} // namespace mulberrywall::policy
--- a/lib/Policy/EndpointSelection.cpp
+++ b/lib/Policy/EndpointSelection.cpp
@@ -1,16 +1,131 @@
 #include "mulberrywall/Policy/EndpointSelection.h"
 
 #include <algorithm>
+#include <functional>
+#include <string_view>
+#include <vector>
 
 namespace mulberrywall::policy
 {
 
-unsigned freeSlots(const Pool & /*pool*/, const EndpointState &endpoint, TimePoint /*now*/)
+namespace
 {
-    if (endpoint.spec.leaving || endpoint.running >= endpoint.spec.maximumConcurrency) {
+
+/// An endpoint that could run the request now, and how long its work would take with the request.
+struct Candidate
+{
+    EndpointState *endpoint = nullptr;
+    double load = 0.0;
+    double secondsPerWork = 0.0;
+};
+
+/// Returns the mean speed of the endpoints that have one, for those that have none yet.
+double typicalSecondsPerUnit(const Pool &pool)
+{
+    double sum = 0.0;
+    unsigned count = 0;
+    for (const auto &[id, endpoint] : pool.endpoints) {
+        if (endpoint.secondsPerUnit.samples > 0) {
+            sum += endpoint.secondsPerUnit.value;
+            ++count;
+        }
+    }
+    return count == 0 ? 1.0 : sum / count;
+}
+
+/// Returns the work that the endpoint's report shows beyond what this owner has granted.
+///
+/// The report loses to any newer observation of the owner's own and counts less as it ages.
+double hintedWork(const Pool &pool, const EndpointState &endpoint, double workPerRequest, TimePoint now)
+{
+    if (!endpoint.report || endpoint.report->measuredAt <= endpoint.observedAt) {
+        return 0.0;
+    }
+    const unsigned reported = endpoint.report->running + endpoint.report->waiting;
+    if (reported <= endpoint.running) {
+        return 0.0;
+    }
+    const double lifetime = std::chrono::duration<double>(pool.options.tuning.selection.hintLifetime).count();
+    const double weight = std::max(0.0, 1.0 - secondsBetween(endpoint.report->measuredAt, now) / lifetime);
+    return weight * workPerRequest * (reported - endpoint.running);
+}
+
+std::vector<Candidate> candidates(Pool &pool, const WaitingRequest &request, TimePoint now)
+{
+    const double typical = typicalSecondsPerUnit(pool);
+    std::vector<Candidate> result;
+    for (auto &[id, endpoint] : pool.endpoints) {
+        if (!allowsEndpoint(request.submission, endpoint) || freeSlots(pool, endpoint, now) == 0) {
+            continue;
+        }
+        const double secondsPerUnit = endpoint.secondsPerUnit.samples > 0 ? endpoint.secondsPerUnit.value : typical;
+        // More slots drain the same work faster.
+        const double secondsPerWork = secondsPerUnit / std::max(1U, endpoint.spec.maximumConcurrency);
+        const double work = endpoint.work + request.work + hintedWork(pool, endpoint, request.work, now);
+        result.push_back({.endpoint = &endpoint, .load = work * secondsPerWork, .secondsPerWork = secondsPerWork});
+    }
+    return result;
+}
+
+std::uint64_t rendezvousWeight(std::uint64_t prefixHash, const support::EndpointId &endpoint)
+{
+    // FNV-1a and the finaliser of SplitMix64; std::hash may differ between builds, and all owners must agree.
+    std::uint64_t hash = 0xcbf29ce484222325ULL;
+    for (const char character : endpoint.value()) {
+        hash = (hash ^ static_cast<unsigned char>(character)) * 0x100000001b3ULL;
+    }
+    hash ^= prefixHash;
+    hash = (hash ^ (hash >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    hash = (hash ^ (hash >> 27U)) * 0x94d049bb133111ebULL;
+    return hash ^ (hash >> 31U);
+}
+
+Candidate *affineCandidate(std::vector<Candidate> &all, const Pool &pool, const WaitingRequest &request)
+{
+    double sum = 0.0;
+    for (const Candidate &candidate : all) {
+        sum += candidate.load;
+    }
+    const double bound = pool.options.tuning.selection.affinityBound * sum / static_cast<double>(all.size());
+    const double savedWork = pool.options.tuning.length.promptTokenCost * request.submission.promptTokens;
+
+    Candidate *best = nullptr;
+    std::uint64_t bestWeight = 0;
+    for (Candidate &candidate : all) {
+        if (!candidate.endpoint->spec.prefixCache || candidate.load - savedWork * candidate.secondsPerWork > bound) {
+            continue;
+        }
+        const std::uint64_t weight = rendezvousWeight(request.submission.prefixHash, candidate.endpoint->spec.id);
+        if (best == nullptr || weight > bestWeight) {
+            best = &candidate;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+bool lessLoaded(const Candidate &left, const Candidate &right)
+{
+    if (left.load != right.load) {
+        return left.load < right.load;
+    }
+    return left.endpoint->lastGrant < right.endpoint->lastGrant;
+}
+
+} // namespace
+
+unsigned slotLimit(const Pool & /*pool*/, const EndpointState &endpoint, TimePoint now)
+{
+    if (endpoint.spec.leaving || now < endpoint.backoff.until) {
         return 0;
     }
-    return endpoint.spec.maximumConcurrency - endpoint.running;
+    return endpoint.spec.maximumConcurrency;
+}
+
+unsigned freeSlots(const Pool &pool, const EndpointState &endpoint, TimePoint now)
+{
+    const unsigned limit = slotLimit(pool, endpoint, now);
+    return limit > endpoint.running ? limit - endpoint.running : 0;
 }
 
 bool allowsEndpoint(const Submission &submission, const EndpointState &endpoint)
@@ -24,21 +139,32 @@
     return std::any_of(pool.endpoints.begin(), pool.endpoints.end(), [&](const auto &entry) { return allowsEndpoint(submission, entry.second); });
 }
 
+void storeLoadReport(Pool &pool, const LoadReport &report, TimePoint now)
+{
+    const auto found = pool.endpoints.find(report.endpoint);
+    if (found == pool.endpoints.end()) {
+        return;
+    }
+    std::optional<LoadReport> &known = found->second.report;
+    if (known && report.measuredAt <= known->measuredAt) {
+        return;
+    }
+    known = report;
+    known->measuredAt = std::min(report.measuredAt, now);
+}
+
 EndpointState *selectEndpoint(Pool &pool, const WaitingRequest &request, TimePoint now)
 {
-    EndpointState *best = nullptr;
-    double bestLoad = 0.0;
-    for (auto &[id, endpoint] : pool.endpoints) {
-        if (!allowsEndpoint(request.submission, endpoint) || freeSlots(pool, endpoint, now) == 0) {
-            continue;
-        }
-        const double load = static_cast<double>(endpoint.running) / endpoint.spec.maximumConcurrency;
-        if (best == nullptr || load < bestLoad) {
-            best = &endpoint;
-            bestLoad = load;
+    std::vector<Candidate> all = candidates(pool, request, now);
+    if (all.empty()) {
+        return nullptr;
+    }
+    if (request.submission.prefixHash != 0) {
+        if (const Candidate *affine = affineCandidate(all, pool, request)) {
+            return affine->endpoint;
         }
     }
-    return best;
+    return std::min_element(all.begin(), all.end(), lessLoaded)->endpoint;
 }
 
 } // namespace mulberrywall::policy
--- /dev/null
+++ b/lib/Policy/FailureBackoff.cpp
@@ -0,0 +1,31 @@
+#include "mulberrywall/Policy/FailureBackoff.h"
+
+#include <algorithm>
+
+namespace mulberrywall::policy
+{
+
+void noteFailure(EndpointState &endpoint, const SelectionTuning &tuning, TimePoint now)
+{
+    if (now < endpoint.backoff.until) {
+        // Requests that ran at the same time usually fail for the same reason.
+        return;
+    }
+    constexpr unsigned maximumDoublings = 16;
+    const unsigned doublings = std::min(endpoint.backoff.failures, maximumDoublings);
+    endpoint.backoff.until = now + std::min(tuning.maximumBackoff, tuning.initialBackoff * (1U << doublings));
+    ++endpoint.backoff.failures;
+}
+
+std::optional<TimePoint> nextBackoffEnd(const Pool &pool, TimePoint now)
+{
+    std::optional<TimePoint> earliest;
+    for (const auto &[id, endpoint] : pool.endpoints) {
+        if (endpoint.backoff.until > now && (!earliest || endpoint.backoff.until < *earliest)) {
+            earliest = endpoint.backoff.until;
+        }
+    }
+    return earliest;
+}
+
+} // namespace mulberrywall::policy
--- a/lib/Policy/Scheduling.cpp
+++ b/lib/Policy/Scheduling.cpp
@@ -1,5 +1,6 @@
 #include "mulberrywall/Policy/Scheduling.h"
 
+#include "mulberrywall/Policy/ActiveRequests.h"
 #include "mulberrywall/Policy/EndpointSelection.h"
 
 #include <set>
@@ -47,11 +48,9 @@
 
 void grant(Pool &pool, EndpointState &endpoint, PermitId permit, TimePoint now, Decisions &decisions)
 {
-    std::optional<WaitingRequest> request = removeWaiting(pool.queue, permit);
-    ++endpoint.running;
-    decisions.grants.push_back({.permit = permit, .endpoint = endpoint.spec.id, .enginePriority = request->tier});
-    pool.active.emplace(
-        permit, ActiveRequest {.submission = std::move(request->submission), .tier = request->tier, .endpoint = endpoint.spec.id, .startedAt = now});
+    WaitingRequest request = *removeWaiting(pool.queue, permit);
+    decisions.grants.push_back({.permit = permit, .endpoint = endpoint.spec.id, .enginePriority = request.tier});
+    startRequest(pool, endpoint, std::move(request), now);
 }
 
 } // namespace
--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -1,4 +1,6 @@
+#include "mulberrywall/Policy/ActiveRequests.h"
 #include "mulberrywall/Policy/EndpointSelection.h"
+#include "mulberrywall/Policy/FailureBackoff.h"
 #include "mulberrywall/Policy/PolicyFunctions.h"
 #include "mulberrywall/Policy/Pool.h"
 #include "mulberrywall/Policy/Scheduling.h"
@@ -23,6 +25,14 @@
     return *static_cast<const Pool *>(pool);
 }
 
+/// Does what is due before any command and returns the pool.
+Pool &beginCommand(void *handle, TimePoint now)
+{
+    Pool &pool = asPool(handle);
+    pool.now = std::max(pool.now, now);
+    return pool;
+}
+
 void refuse(Decisions &decisions, PermitId permit, RefusalReason reason)
 {
     decisions.refusals.push_back({.permit = permit, .reason = reason, .retryAfter = defaultRetryAfter});
@@ -40,6 +50,10 @@
         classes.emplace(spec.id, std::move(state));
     }
     pool.classes = std::move(classes);
+    pool.weights.clear();
+    for (const OrganisationSpec &spec : options.organisations) {
+        pool.weights[spec.id] = spec.weight;
+    }
 }
 
 PoolHandle create(const PoolOptions &options)
@@ -51,7 +65,7 @@
 
 Decisions submit(void *handle, const Submission &submission, TimePoint now)
 {
-    Pool &pool = asPool(handle);
+    Pool &pool = beginCommand(handle, now);
     Decisions decisions;
     const auto requestClass = pool.classes.find(submission.requestClass);
     if (requestClass == pool.classes.end()) {
@@ -80,7 +94,8 @@
             .lane = submission.purpose == AttemptPurpose::Resume ? Lane::Resume : Lane::Normal,
             .submittedAt = now,
             .targetAt = now + spec.firstTokenTarget,
-            .entitledAt = now + spec.maximumWait});
+            .entitledAt = now + spec.maximumWait,
+            .work = estimatedWork(pool.lengths, submission, pool.options.tuning.length)});
     schedule(pool, now, decisions);
     while (pool.queue.requests.size() > pool.options.queueLimit) {
         const PermitId victim = *sheddingCandidate(pool.queue);
@@ -93,43 +108,36 @@
 Decisions advance(void *handle, TimePoint now)
 {
     Decisions decisions;
-    schedule(asPool(handle), now, decisions);
+    schedule(beginCommand(handle, now), now, decisions);
     return decisions;
 }
 
 Decisions withdraw(void *handle, PermitId permit, TimePoint now)
 {
-    removeWaiting(asPool(handle).queue, permit);
+    removeWaiting(beginCommand(handle, now).queue, permit);
     return advance(handle, now);
 }
 
 Decisions recordProgress(void *handle, PermitId permit, const Progress &progress, TimePoint now)
 {
-    Pool &pool = asPool(handle);
+    Pool &pool = beginCommand(handle, now);
     const auto found = pool.active.find(permit);
     if (found != pool.active.end()) {
-        found->second.outputTokens = std::max(found->second.outputTokens, progress.outputTokens);
+        observeProgress(pool, found->second, progress.outputTokens, now);
     }
     return advance(handle, now);
 }
 
-void removeEndpointIfGone(Pool &pool, const support::EndpointId &id)
-{
-    const auto found = pool.endpoints.find(id);
-    if (found != pool.endpoints.end() && found->second.spec.leaving && found->second.running == 0) {
-        pool.endpoints.erase(found);
-    }
-}
-
-Decisions complete(void *handle, PermitId permit, const Completion & /*completion*/, TimePoint now)
+Decisions complete(void *handle, PermitId permit, const Completion &completion, TimePoint now)
 {
-    Pool &pool = asPool(handle);
+    Pool &pool = beginCommand(handle, now);
     const auto found = pool.active.find(permit);
     if (found != pool.active.end()) {
-        const support::EndpointId endpoint = found->second.endpoint;
-        pool.active.erase(found);
-        --pool.endpoints.at(endpoint).running;
-        removeEndpointIfGone(pool, endpoint);
+        observeCompletion(pool, found->second, completion, now);
+        if (completion.outcome == AttemptOutcome::EndpointFailed || completion.outcome == AttemptOutcome::NotRun) {
+            noteFailure(*found->second.endpoint, pool.options.tuning.selection, now);
+        }
+        endRequest(pool, permit);
     }
     return advance(handle, now);
 }
@@ -151,7 +159,7 @@
 
 Decisions setEndpoints(void *handle, std::span<const EndpointSpec> endpoints, TimePoint now)
 {
-    Pool &pool = asPool(handle);
+    Pool &pool = beginCommand(handle, now);
     for (auto &[id, endpoint] : pool.endpoints) {
         endpoint.spec.leaving = true;
     }
@@ -165,28 +173,18 @@
     return decisions;
 }
 
-Decisions recordLoadReport(void *handle, const LoadReport & /*report*/, TimePoint now)
+Decisions recordLoadReport(void *handle, const LoadReport &report, TimePoint now)
 {
+    storeLoadReport(beginCommand(handle, now), report, now);
     return advance(handle, now);
 }
 
 Decisions adopt(void *handle, const RunningRequest &running, TimePoint now)
 {
-    Pool &pool = asPool(handle);
+    Pool &pool = beginCommand(handle, now);
     if (!pool.active.contains(running.submission.permit)) {
         removeWaiting(pool.queue, running.submission.permit);
-        EndpointState &endpoint = pool.endpoints[running.endpoint];
-        if (endpoint.spec.id.empty()) {
-            endpoint.spec = {.id = running.endpoint, .leaving = true};
-        }
-        ++endpoint.running;
-        const auto requestClass = pool.classes.find(running.submission.requestClass);
-        pool.active.emplace(running.submission.permit,
-            ActiveRequest {.submission = running.submission,
-                .tier = requestClass == pool.classes.end() ? support::Tier {0} : requestClass->second.spec.tier,
-                .endpoint = running.endpoint,
-                .startedAt = now,
-                .outputTokens = running.progress.outputTokens});
+        adoptRequest(pool, running, now);
     }
     return advance(handle, now);
 }
@@ -197,7 +195,15 @@
 
 std::optional<TimePoint> nextWakeUp(const void *handle)
 {
-    return earliestDeadline(asPool(handle).queue);
+    const Pool &pool = asPool(handle);
+    const auto earlier = [](std::optional<TimePoint> left, std::optional<TimePoint> right) {
+        return left && right ? std::min(left, right) : left ? left : right;
+    };
+    std::optional<TimePoint> wakeUp = earliestDeadline(pool.queue);
+    if (!pool.queue.requests.empty()) {
+        wakeUp = earlier(wakeUp, nextBackoffEnd(pool, pool.now));
+    }
+    return wakeUp;
 }
 
 PoolSummary summarize(const void *handle)
@@ -205,7 +211,7 @@
     const Pool &pool = asPool(handle);
     PoolSummary summary {.waiting = static_cast<std::uint32_t>(pool.queue.requests.size()), .running = static_cast<std::uint32_t>(pool.active.size())};
     for (const auto &[id, endpoint] : pool.endpoints) {
-        summary.freeSlots += freeSlots(pool, endpoint, TimePoint::max());
+        summary.freeSlots += freeSlots(pool, endpoint, pool.now);
         summary.endpoints += endpoint.spec.leaving ? 0 : 1;
     }
     return summary;
@@ -224,16 +230,16 @@
 std::vector<EndpointStatus> endpointStatus(const void *handle)
 {
     std::vector<EndpointStatus> result;
-    for (const auto &[id, endpoint] : asPool(handle).endpoints) {
-        result.push_back(
-            {.id = id, .running = endpoint.running, .slots = endpoint.spec.leaving ? 0 : endpoint.spec.maximumConcurrency, .leaving = endpoint.spec.leaving});
+    const Pool &pool = asPool(handle);
+    for (const auto &[id, endpoint] : pool.endpoints) {
+        result.push_back({.id = id, .running = endpoint.running, .slots = slotLimit(pool, endpoint, pool.now), .leaving = endpoint.spec.leaving});
     }
     return result;
 }
 
-PoolStatistics statistics(const void * /*handle*/)
+PoolStatistics statistics(const void *handle)
 {
-    return {};
+    return asPool(handle).statistics;
 }
 
 constexpr PolicyFunctions standardFunctions {.create = create,
--- /dev/null
+++ b/unittests/Policy/EndpointSelectionTest.cpp
@@ -0,0 +1,100 @@
+#include "PolicyFixture.h"
+
+#include <set>
+
+using namespace std::chrono_literals;
+
+namespace mulberrywall::policy
+{
+
+class EndpointSelectionTest : public PolicyFixture
+{
+protected:
+    /// Runs one request of the given tokens at a fixed inter-token latency on whatever endpoint it gets.
+    support::EndpointId run(PermitId permit, std::uint64_t tokens, std::chrono::milliseconds interval, std::chrono::milliseconds time)
+    {
+        const support::EndpointId endpoint = submit(submissionOf(permit, "tier0"), time).grants.at(0).endpoint;
+        progress(permit, 1, time + 10ms);
+        progress(permit, tokens, time + 10ms + interval * (tokens - 1));
+        return endpoint;
+    }
+};
+
+// Guards against preferring an endpoint by the number of its requests when it is several times slower.
+TEST_F(EndpointSelectionTest, PrefersTheFasterEndpointUnderEqualWork)
+{
+    start({}, {endpointSpec("a", 8), endpointSpec("b", 8)});
+    const support::EndpointId fast = run(1, 100, 10ms, 0ms);
+    const support::EndpointId slow = run(2, 100, 50ms, 1s);
+    ASSERT_NE(fast, slow);
+    complete(1, 7s, {.outputTokens = 100});
+    complete(2, 7s, {.outputTokens = 100});
+    unsigned onFast = 0;
+    for (PermitId permit = 10; permit < 16; ++permit) {
+        onFast += submit(submissionOf(permit, "tier0"), 8s).grants.at(0).endpoint == fast ? 1 : 0;
+    }
+    EXPECT_GE(onFast, 4U);
+    EXPECT_LT(onFast, 6U) << "the slow endpoint has capacity too";
+}
+
+// Guards against spreading a shared prefix over all caches, and against overloading the endpoint that has it.
+TEST_F(EndpointSelectionTest, PrefixStaysTogetherWithinTheLoadBound)
+{
+    std::vector<EndpointSpec> endpoints;
+    for (const char *name : {"a", "b", "c", "d"}) {
+        endpoints.push_back({.id = support::EndpointId(name), .maximumConcurrency = 16, .prefixCache = true});
+    }
+    start({}, endpoints);
+    Submission document = submissionOf(1, "tier0");
+    document.prefixHash = 42;
+    const support::EndpointId home = submit(document, 0ms).grants.at(0).endpoint;
+    for (PermitId permit = 2; permit < 6; ++permit) {
+        complete(permit - 1, permit * 10ms, {.outputTokens = 100});
+        document.permit = permit;
+        EXPECT_EQ(submit(document, permit * 10ms).grants.at(0).endpoint, home);
+    }
+    std::map<support::EndpointId, unsigned> granted;
+    for (PermitId permit = 100; permit < 132; ++permit) {
+        document.permit = permit;
+        ++granted[submit(document, 1s).grants.at(0).endpoint];
+    }
+    EXPECT_LE(granted[home], 16U);
+    EXPECT_GE(granted.size(), 3U) << "32 requests with one prefix must not queue up on one or two endpoints";
+}
+
+// Guards against a stale report of load that overrides what the owner has seen since, and against ignoring a fresh one.
+TEST_F(EndpointSelectionTest, LoadReportIsAnAgeingHint)
+{
+    start({}, {endpointSpec("a", 8), endpointSpec("b", 8)});
+    const support::EndpointId first = submit(submissionOf(1, "tier0"), 0ms).grants.at(0).endpoint;
+    complete(1, 10ms);
+    const support::EndpointId second(first.value() == "a" ? "b" : "a");
+    functions.recordLoadReport(pool.get(), {.endpoint = second, .running = 4, .waiting = 3, .measuredAt = at(20ms)}, at(30ms));
+    EXPECT_EQ(submit(submissionOf(2, "tier0"), 40ms).grants.at(0).endpoint, first) << "the other endpoint reported foreign load";
+    complete(2, 50ms);
+    EXPECT_EQ(submit(submissionOf(3, "tier0"), 10s).grants.at(0).endpoint, second) << "the report has aged";
+    progress(3, 1, 10'100ms);
+    progress(3, 2, 10'130ms);
+    functions.recordLoadReport(pool.get(), {.endpoint = second, .running = 50, .measuredAt = at(10'120ms)}, at(10'140ms));
+    submit(submissionOf(4, "tier0"), 10'150ms);
+    complete(3, 10'160ms, {.outputTokens = 2});
+    EXPECT_EQ(submit(submissionOf(5, "tier0"), 10'170ms).grants.at(0).endpoint, second) << "own observation is newer than the report";
+}
+
+// Guards against an endpoint that refuses at once and, being idle, attracts every request.
+TEST_F(EndpointSelectionTest, PausesAFailingEndpointAndComesBack)
+{
+    start({}, {endpointSpec("a", 1), endpointSpec("b", 1)});
+    const support::EndpointId failing = submit(submissionOf(1, "tier0"), 0ms).grants.at(0).endpoint;
+    submit(submissionOf(2, "tier0"), 0ms);
+    EXPECT_TRUE(complete(1, 1ms, {.outcome = AttemptOutcome::NotRun}).grants.empty());
+    EXPECT_TRUE(submit(submissionOf(3, "tier0"), 2ms).grants.empty());
+    const auto wakeUp = functions.nextWakeUp(pool.get());
+    ASSERT_TRUE(wakeUp.has_value());
+    const Decisions decisions = functions.advance(pool.get(), *wakeUp);
+    ASSERT_EQ(decisions.grants.size(), 1U);
+    EXPECT_EQ(decisions.grants[0].endpoint, failing);
+    EXPECT_GE(*wakeUp, at(101ms));
+}
+
+} // namespace mulberrywall::policy
