policy: share a tier by weight and give overdue requests a minimum share

Cause: strict order by target lets one organisation take a tier, and strict tiers starve the lower ones. Ruled out: a bound on the number of slots alone, which in a small pool is one slot and so much more than the share; protection of overdue requests from shedding, which would shed higher tiers for lower ones. Change: start-time fair queueing of work by weight within a tier, with the earliest target deciding among organisations within an allowance; resumes first; the oldest request past its maximum wait goes next within a bound on the tier's slots and slot time. Conclusion: order within and across tiers is in place.

--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -58,10 +58,31 @@
     /// Share of the endpoint's work.
     double work = 0.0;
     LengthObservation lengthObservation;
+    /// Work that was charged to the organisation's fair share.
+    double chargedWork = 0.0;
+    bool usesMinimumShare = false;
     /// Adopted requests started at an unknown time.
     bool adopted = false;
 };
 
+/// Service that the organisations of a tier have received, for weighted fair sharing.
+struct FairShares
+{
+    /// Work granted over weight; an organisation without an entry is at the current virtual time.
+    std::map<support::OrganisationId, double> virtualTimes;
+    /// Lowest virtual time among waiting organisations at the last grant.
+    double current = 0.0;
+};
+
+/// Use of a tier's minimum share.
+struct MinimumShareUse
+{
+    /// Running requests that were granted out of order.
+    unsigned running = 0;
+    /// Slot time that the tier may still use; never positive, so that it cannot be saved up.
+    double creditSlotSeconds = 0.0;
+};
+
 /// State of one pool at its owner.
 struct Pool
 {
@@ -71,6 +92,9 @@
     std::map<support::EndpointId, EndpointState> endpoints;
     Queue queue;
     std::unordered_map<PermitId, ActiveRequest> active;
+    std::map<support::Tier, FairShares> fairShares;
+    std::map<support::Tier, MinimumShareUse> minimumShares;
+    TimePoint minimumSharesAccruedAt;
     LengthEstimates lengths;
     /// Time from grant to completion over all classes.
     Average holdSeconds;
--- a/include/mulberrywall/Policy/Queue.h
+++ b/include/mulberrywall/Policy/Queue.h
@@ -79,6 +79,16 @@
     std::uint64_t nextSequence = 0;
 };
 
+/// Waiting requests that cannot be granted at the moment.
+struct BlockedRequests
+{
+    std::set<PermitId> permits;
+    std::set<Lane> lanes;
+};
+
+/// Returns whether the request or its lane is blocked.
+bool isBlocked(const BlockedRequests &blocked, Lane lane, PermitId permit);
+
 /// Adds a request and assigns its sequence; the permit must not be in the queue.
 void enqueue(Queue &queue, WaitingRequest request);
 
--- /dev/null
+++ b/lib/Policy/FairShare.cpp
@@ -0,0 +1,167 @@
+#include "mulberrywall/Policy/FairShare.h"
+
+#include <algorithm>
+#include <limits>
+#include <vector>
+
+namespace mulberrywall::policy
+{
+
+namespace
+{
+
+/// Weights at or below zero would stop an organisation for ever.
+constexpr double smallestWeight = 0.001;
+/// Entries of organisations that are not ahead are dropped when there are more than this.
+constexpr std::size_t maximumEntries = 4'096;
+
+double weightOf(const Pool &pool, const support::OrganisationId &organisation)
+{
+    const auto found = pool.weights.find(organisation);
+    return found == pool.weights.end() ? 1.0 : std::max(smallestWeight, found->second);
+}
+
+double virtualTime(const FairShares &shares, const support::OrganisationId &organisation)
+{
+    const auto found = shares.virtualTimes.find(organisation);
+    return found == shares.virtualTimes.end() ? shares.current : found->second;
+}
+
+void prune(FairShares &shares)
+{
+    if (shares.virtualTimes.size() > maximumEntries) {
+        std::erase_if(shares.virtualTimes, [&](const auto &entry) { return entry.second <= shares.current; });
+    }
+}
+
+/// The first request of an organisation in one lane that is not blocked.
+struct Head
+{
+    WaitingKey key;
+    double virtualTime = 0.0;
+};
+
+void addHead(std::vector<Head> &heads,
+    const FairShares &shares,
+    Lane lane,
+    const support::OrganisationId &organisation,
+    const OrganisationQueue &waiting,
+    const BlockedRequests &blocked)
+{
+    const auto first
+        = std::find_if(waiting.byTarget.begin(), waiting.byTarget.end(), [&](const WaitingKey &key) { return !isBlocked(blocked, lane, key.permit); });
+    if (first != waiting.byTarget.end()) {
+        heads.push_back({.key = *first, .virtualTime = virtualTime(shares, organisation)});
+    }
+}
+
+std::optional<PermitId> earliestEligible(const std::vector<Head> &heads, double allowance)
+{
+    double lowest = std::numeric_limits<double>::max();
+    for (const Head &head : heads) {
+        lowest = std::min(lowest, head.virtualTime);
+    }
+    const Head *best = nullptr;
+    for (const Head &head : heads) {
+        if (head.virtualTime <= lowest + allowance && (best == nullptr || head.key < best->key)) {
+            best = &head;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional(best->key.permit);
+}
+
+bool waitsInTier(const TierQueue &tier, const support::OrganisationId &organisation)
+{
+    constexpr std::array lanes {Lane::Resume, Lane::Normal, Lane::Long, Lane::Suspect};
+    return std::any_of(lanes.begin(), lanes.end(), [&](Lane lane) { return tier.organisations.contains({lane, organisation}); });
+}
+
+/// Returns the lowest virtual time among the organisations that wait in the tier.
+double lowestWaiting(const FairShares &shares, const TierQueue &tier)
+{
+    double lowest = std::numeric_limits<double>::max();
+    for (const auto &[key, waiting] : tier.organisations) {
+        lowest = std::min(lowest, virtualTime(shares, key.second));
+    }
+    return lowest;
+}
+
+} // namespace
+
+void activateOrganisation(Pool &pool, support::Tier tier, const support::OrganisationId &organisation)
+{
+    const auto queue = pool.queue.tiers.find(tier);
+    if (queue != pool.queue.tiers.end() && waitsInTier(queue->second, organisation)) {
+        return;
+    }
+    FairShares &shares = pool.fairShares[tier];
+    const auto found = shares.virtualTimes.find(organisation);
+    if (found != shares.virtualTimes.end()) {
+        found->second = std::max(found->second, shares.current);
+    }
+}
+
+void chargeGrant(Pool &pool, ActiveRequest &request)
+{
+    FairShares &shares = pool.fairShares[request.tier];
+    const support::OrganisationId &organisation = request.submission.organisation;
+    const double before = virtualTime(shares, organisation);
+    const auto queue = pool.queue.tiers.find(request.tier);
+    const double othersLowest = queue == pool.queue.tiers.end() ? before : std::min(before, lowestWaiting(shares, queue->second));
+    shares.current = std::max(shares.current, othersLowest);
+    request.chargedWork = request.work;
+    shares.virtualTimes[organisation] = before + request.chargedWork / weightOf(pool, organisation);
+    prune(shares);
+}
+
+void settleCharge(Pool &pool, ActiveRequest &request)
+{
+    FairShares &shares = pool.fairShares[request.tier];
+    const auto found = shares.virtualTimes.find(request.submission.organisation);
+    if (request.adopted || found == shares.virtualTimes.end()) {
+        return;
+    }
+    const double work = workOf(request.submission, static_cast<double>(request.outputTokens), pool.options.tuning.length);
+    found->second += (work - request.chargedWork) / weightOf(pool, request.submission.organisation);
+}
+
+const WaitingRequest *fairCandidate(const Pool &pool, support::Tier tier, const BlockedRequests &blocked)
+{
+    const auto queue = pool.queue.tiers.find(tier);
+    if (queue == pool.queue.tiers.end()) {
+        return nullptr;
+    }
+    static const FairShares noShares;
+    const auto known = pool.fairShares.find(tier);
+    const FairShares &shares = known == pool.fairShares.end() ? noShares : known->second;
+
+    std::vector<Head> resumes;
+    std::vector<Head> others;
+    for (const auto &[key, waiting] : queue->second.organisations) {
+        addHead(key.first == Lane::Resume ? resumes : others, shares, key.first, key.second, waiting, blocked);
+    }
+    const double requestWork = valueOr(pool.lengths.medianWork, pool.options.tuning.length.defaultOutputTokens);
+    const double allowance = pool.options.tuning.fairShare.allowanceInRequests * requestWork;
+    const auto permit = earliestEligible(resumes.empty() ? others : resumes, allowance);
+    return permit ? &pool.queue.requests.at(*permit) : nullptr;
+}
+
+double waitingShare(const Pool &pool, support::Tier tier, const support::OrganisationId &organisation)
+{
+    const double own = weightOf(pool, organisation);
+    double total = own;
+    const auto queue = pool.queue.tiers.find(tier);
+    if (queue != pool.queue.tiers.end()) {
+        const support::OrganisationId *previous = nullptr;
+        for (const auto &[key, waiting] : queue->second.organisations) {
+            // Lanes repeat organisations; a second lane of the same one counts again, which only lowers the share.
+            if (key.second != organisation && (previous == nullptr || *previous != key.second)) {
+                total += weightOf(pool, key.second);
+            }
+            previous = &key.second;
+        }
+    }
+    return own / total;
+}
+
+} // namespace mulberrywall::policy
--- a/lib/Policy/Queue.cpp
+++ b/lib/Policy/Queue.cpp
@@ -34,6 +34,11 @@
 
 } // namespace
 
+bool isBlocked(const BlockedRequests &blocked, Lane lane, PermitId permit)
+{
+    return blocked.lanes.contains(lane) || blocked.permits.contains(permit);
+}
+
 void enqueue(Queue &queue, WaitingRequest request)
 {
     const PermitId permit = request.submission.permit;
--- a/lib/Policy/Scheduling.cpp
+++ b/lib/Policy/Scheduling.cpp
@@ -2,8 +2,8 @@
 
 #include "mulberrywall/Policy/ActiveRequests.h"
 #include "mulberrywall/Policy/EndpointSelection.h"
-
-#include <set>
+#include "mulberrywall/Policy/FairShare.h"
+#include "mulberrywall/Policy/MinimumShare.h"
 
 namespace mulberrywall::policy
 {
@@ -20,61 +20,74 @@
     return total;
 }
 
-/// Returns the first request by tier, then resumes, then earliest target that is not blocked in this pass.
-const WaitingRequest *nextCandidate(const Queue &queue, const std::set<PermitId> &blocked)
+void refuseExpired(Pool &pool, TimePoint now, Decisions &decisions)
 {
-    for (const auto &[number, tier] : queue.tiers) {
-        const WaitingRequest *best = nullptr;
-        for (const auto &[key, organisation] : tier.organisations) {
-            for (const WaitingKey &waiting : organisation.byTarget) {
-                if (blocked.contains(waiting.permit)) {
-                    continue;
-                }
-                const WaitingRequest &request = queue.requests.at(waiting.permit);
-                const bool better = best == nullptr || (request.lane == Lane::Resume && best->lane != Lane::Resume)
-                    || (request.lane == best->lane && request.targetAt < best->targetAt);
-                if (better) {
-                    best = &request;
-                }
-                break;
-            }
-        }
-        if (best != nullptr) {
-            return best;
+    while (const auto expired = expiredRequest(pool.queue, now)) {
+        removeWaiting(pool.queue, *expired);
+        decisions.refusals.push_back({.permit = *expired, .reason = RefusalReason::DeadlineExpired});
+    }
+}
+
+const WaitingRequest *regularCandidate(const Pool &pool, const BlockedRequests &blocked)
+{
+    for (const auto &[tier, queue] : pool.queue.tiers) {
+        if (const WaitingRequest *request = fairCandidate(pool, tier, blocked)) {
+            return request;
         }
     }
     return nullptr;
 }
 
-void grant(Pool &pool, EndpointState &endpoint, PermitId permit, TimePoint now, Decisions &decisions)
+/// The next request to grant and whether it overtakes others through its tier's minimum share.
+struct Candidate
+{
+    const WaitingRequest *request = nullptr;
+    bool usesMinimumShare = false;
+};
+
+Candidate nextCandidate(const Pool &pool, const BlockedRequests &blocked, TimePoint now)
+{
+    const WaitingRequest *regular = regularCandidate(pool, blocked);
+    const WaitingRequest *overdue = overdueCandidate(pool, blocked, now);
+    if (overdue != nullptr && overdue != regular) {
+        return {.request = overdue, .usesMinimumShare = true};
+    }
+    return {.request = regular};
+}
+
+void grant(Pool &pool, EndpointState &endpoint, const Candidate &candidate, TimePoint now, Decisions &decisions)
 {
+    const PermitId permit = candidate.request->submission.permit;
     WaitingRequest request = *removeWaiting(pool.queue, permit);
     decisions.grants.push_back({.permit = permit, .endpoint = endpoint.spec.id, .enginePriority = request.tier});
-    startRequest(pool, endpoint, std::move(request), now);
+    ActiveRequest &active = startRequest(pool, endpoint, std::move(request), now);
+    chargeGrant(pool, active);
+    if (candidate.usesMinimumShare) {
+        startMinimumShareUse(pool, active);
+    }
 }
 
 } // namespace
 
 void schedule(Pool &pool, TimePoint now, Decisions &decisions)
 {
-    while (const auto expired = expiredRequest(pool.queue, now)) {
-        removeWaiting(pool.queue, *expired);
-        decisions.refusals.push_back({.permit = *expired, .reason = RefusalReason::DeadlineExpired});
+    refuseExpired(pool, now, decisions);
+    if (pool.queue.requests.empty()) {
+        return;
     }
-
-    std::set<PermitId> blocked;
+    BlockedRequests blocked;
     unsigned slots = freeSlotsOfPool(pool, now);
     while (slots > 0) {
-        const WaitingRequest *candidate = nextCandidate(pool.queue, blocked);
-        if (candidate == nullptr) {
+        const Candidate candidate = nextCandidate(pool, blocked, now);
+        if (candidate.request == nullptr) {
             return;
         }
-        EndpointState *endpoint = selectEndpoint(pool, *candidate, now);
+        EndpointState *endpoint = selectEndpoint(pool, *candidate.request, now);
         if (endpoint == nullptr) {
-            blocked.insert(candidate->submission.permit);
+            blocked.permits.insert(candidate.request->submission.permit);
             continue;
         }
-        grant(pool, *endpoint, candidate->submission.permit, now, decisions);
+        grant(pool, *endpoint, candidate, now, decisions);
         --slots;
     }
 }
--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -1,6 +1,8 @@
 #include "mulberrywall/Policy/ActiveRequests.h"
 #include "mulberrywall/Policy/EndpointSelection.h"
 #include "mulberrywall/Policy/FailureBackoff.h"
+#include "mulberrywall/Policy/FairShare.h"
+#include "mulberrywall/Policy/MinimumShare.h"
 #include "mulberrywall/Policy/PolicyFunctions.h"
 #include "mulberrywall/Policy/Pool.h"
 #include "mulberrywall/Policy/Scheduling.h"
@@ -30,6 +32,7 @@
 {
     Pool &pool = asPool(handle);
     pool.now = std::max(pool.now, now);
+    accrueMinimumShares(pool, now);
     return pool;
 }
 
@@ -88,6 +91,7 @@
             return decisions;
         }
     }
+    activateOrganisation(pool, spec.tier, submission.organisation);
     enqueue(pool.queue,
         {.submission = submission,
             .tier = spec.tier,
@@ -137,6 +141,8 @@
         if (completion.outcome == AttemptOutcome::EndpointFailed || completion.outcome == AttemptOutcome::NotRun) {
             noteFailure(*found->second.endpoint, pool.options.tuning.selection, now);
         }
+        settleCharge(pool, found->second);
+        endMinimumShareUse(pool, found->second);
         endRequest(pool, permit);
     }
     return advance(handle, now);
