policy: admit by estimated wait and adapt concurrency limits

Cause: the queue accepted requests that were bound to miss their target, and static slots let continuous batching exceed the inter-token target. Ruled out: counting the minimum share of lower tiers in the estimate (it must not lower a higher tier's bound); comparing inter-token latency with the lowest ever seen (a pool that starts saturated never sees a low one). Change: a request is refused when the slot time ahead of it over the slots of its tier exceeds what its target leaves; ahead is the lesser of the order by target and the organisation's fair share; each class may keep what its minimum share serves. Limits fall by 0.8 when over a tenth of the tokens is late, rise by 1 while in use, and a decrease without effect is taken back. A simulated engine that meets 50 ms up to 40 requests settles between 30 and 41 of 64. Conclusion: admission and concurrency follow observations.

--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mulberrywall/Policy/ConcurrencyLimit.h"
 #include "mulberrywall/Policy/Estimates.h"
 #include "mulberrywall/Policy/LengthEstimate.h"
 #include "mulberrywall/Policy/Queue.h"
@@ -41,6 +42,7 @@
     /// Inter-token latency of one stream; for plain services duration against the mean of the class.
     Average secondsPerUnit;
     TimePoint observedAt;
+    ConcurrencyLimit concurrency;
     FailureBackoff backoff;
     std::optional<LoadReport> report;
 };
@@ -95,6 +97,9 @@
     std::map<support::Tier, FairShares> fairShares;
     std::map<support::Tier, MinimumShareUse> minimumShares;
     TimePoint minimumSharesAccruedAt;
+    std::map<support::Tier, unsigned> runningByTier;
+    /// Sum over active requests of their start times in seconds.
+    double startSecondsSum = 0.0;
     LengthEstimates lengths;
     /// Time from grant to completion over all classes.
     Average holdSeconds;
--- a/include/mulberrywall/Policy/Tuning.h
+++ b/include/mulberrywall/Policy/Tuning.h
@@ -14,8 +14,8 @@
     double slack = 1.0;
     /// Queueing may use at least this share of the target, however long the first token takes on the endpoint.
     double minimumQueueingShare = 0.5;
-    /// Holding times that were observed longer ago are not used.
-    std::chrono::milliseconds observationLifetime {60'000};
+    /// Holding times that were observed longer ago give way to the age of running requests.
+    std::chrono::milliseconds observationLifetime {10'000};
 };
 
 /// Minimum share of the slots for requests past their maximum wait.
@@ -64,9 +64,11 @@
     double lateShare = 0.1;
     /// Tokens needed in an interval before they count as evidence.
     std::uint64_t minimumTokens = 20;
-    /// A limit that falls although the endpoint is about as fast as ever only costs throughput, so it stays while
-    /// the mean inter-token latency is within this multiple of the lowest one known.
-    double baselineTolerance = 1.3;
+    /// A decrease has helped when the mean inter-token latency fell below this multiple of what it was. With the
+    /// factor of 0.8 that is the case when concurrency causes at least a quarter of the latency.
+    double improvement = 0.95;
+    /// After a decrease that did not help the limit is left alone for this long; it would only cost throughput.
+    std::chrono::milliseconds holdAfterUselessDecrease {30'000};
     /// The limit stays at or above this share of the configured concurrency, and at or above 1.
     double floorShare = 0.125;
 };
--- a/lib/Policy/ActiveRequests.cpp
+++ b/lib/Policy/ActiveRequests.cpp
@@ -28,6 +28,15 @@
     endpoint.observedAt = now;
 }
 
+void observeTokens(Pool &pool, ActiveRequest &request, std::uint64_t tokens, TimePoint now)
+{
+    const double secondsPerToken = secondsBetween(request.progressAt, now) / static_cast<double>(tokens);
+    observeSpeed(*request.endpoint, secondsPerToken, now);
+    if (const ClassState *requestClass = findClass(pool, request.submission.requestClass)) {
+        noteTokens(request.endpoint->concurrency, tokens, secondsPerToken, requestClass->spec.betweenTokensTarget);
+    }
+}
+
 /// A plain service call has no tokens; its duration is compared with the mean of its class.
 void observeCall(Pool &pool, ActiveRequest &request, TimePoint now)
 {
@@ -53,6 +62,9 @@
 {
     const PermitId permit = request.submission.permit;
     ++endpoint.running;
+    noteRunning(endpoint.concurrency, endpoint.running);
+    ++pool.runningByTier[request.tier];
+    pool.startSecondsSum += secondsBetween(TimePoint {}, now);
     ++pool.grants;
     endpoint.lastGrant = pool.grants;
     const auto [entry, added] = pool.active.emplace(
@@ -87,8 +99,7 @@
     if (request.outputTokens == 0) {
         observeFirstToken(pool, request, now);
     } else if (now > request.progressAt) {
-        const auto tokens = static_cast<double>(outputTokens - request.outputTokens);
-        observeSpeed(*request.endpoint, secondsBetween(request.progressAt, now) / tokens, now);
+        observeTokens(pool, request, outputTokens - request.outputTokens, now);
     }
     request.outputTokens = outputTokens;
     request.progressAt = now;
@@ -100,6 +111,9 @@
 void observeCompletion(Pool &pool, ActiveRequest &request, const Completion &completion, TimePoint now)
 {
     observeProgress(pool, request, completion.outputTokens, now);
+    if (completion.outcome == AttemptOutcome::NotRun) {
+        noteRefused(request.endpoint->concurrency);
+    }
     if (completion.outcome != AttemptOutcome::Completed) {
         pool.statistics.wastedTokens += request.outputTokens;
         return;
@@ -121,6 +135,8 @@
     assert(found != pool.active.end() && "only a running request can end");
     EndpointState &endpoint = *found->second.endpoint;
     setWork(found->second, 0.0);
+    --pool.runningByTier.at(found->second.tier);
+    pool.startSecondsSum -= secondsBetween(TimePoint {}, found->second.startedAt);
     pool.active.erase(found);
     --endpoint.running;
     if (endpoint.running == 0) {
--- a/lib/Policy/EndpointSelection.cpp
+++ b/lib/Policy/EndpointSelection.cpp
@@ -119,7 +119,7 @@
     if (endpoint.spec.leaving || now < endpoint.backoff.until) {
         return 0;
     }
-    return endpoint.spec.maximumConcurrency;
+    return currentLimit(endpoint.concurrency, endpoint.spec.maximumConcurrency);
 }
 
 unsigned freeSlots(const Pool &pool, const EndpointState &endpoint, TimePoint now)
--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -1,4 +1,5 @@
 #include "mulberrywall/Policy/ActiveRequests.h"
+#include "mulberrywall/Policy/Admission.h"
 #include "mulberrywall/Policy/EndpointSelection.h"
 #include "mulberrywall/Policy/FailureBackoff.h"
 #include "mulberrywall/Policy/FairShare.h"
@@ -33,12 +34,16 @@
     Pool &pool = asPool(handle);
     pool.now = std::max(pool.now, now);
     accrueMinimumShares(pool, now);
+    for (auto &[id, endpoint] : pool.endpoints) {
+        noteRunning(endpoint.concurrency, endpoint.running);
+        adjustLimit(endpoint.concurrency, endpoint.spec.maximumConcurrency, pool.options.tuning.concurrency, now);
+    }
     return pool;
 }
 
-void refuse(Decisions &decisions, PermitId permit, RefusalReason reason)
+void refuse(Decisions &decisions, PermitId permit, RefusalReason reason, std::chrono::milliseconds retryAfter = defaultRetryAfter)
 {
-    decisions.refusals.push_back({.permit = permit, .reason = reason, .retryAfter = defaultRetryAfter});
+    decisions.refusals.push_back({.permit = permit, .reason = reason, .retryAfter = retryAfter});
 }
 
 void configure(void *handle, const PoolOptions &options)
@@ -101,10 +106,16 @@
             .entitledAt = now + spec.maximumWait,
             .work = estimatedWork(pool.lengths, submission, pool.options.tuning.length)});
     schedule(pool, now, decisions);
+    if (const auto waiting = pool.queue.requests.find(submission.permit); waiting != pool.queue.requests.end()) {
+        if (const auto retryAfter = unreachableTarget(pool, waiting->second, now)) {
+            removeWaiting(pool.queue, submission.permit);
+            refuse(decisions, submission.permit, RefusalReason::TargetUnreachable, *retryAfter);
+        }
+    }
     while (pool.queue.requests.size() > pool.options.queueLimit) {
         const PermitId victim = *sheddingCandidate(pool.queue);
         removeWaiting(pool.queue, victim);
-        refuse(decisions, victim, RefusalReason::Shed);
+        refuse(decisions, victim, RefusalReason::Shed, retryDelay(pool, now));
     }
     return decisions;
 }
--- /dev/null
+++ b/unittests/Policy/AdmissionTest.cpp
@@ -0,0 +1,95 @@
+#include "PolicyFixture.h"
+
+using namespace std::chrono_literals;
+
+namespace mulberrywall::policy
+{
+
+class AdmissionTest : public PolicyFixture
+{
+protected:
+    /// Teaches the pool that a request holds a slot for one second.
+    void learnHoldingTime(const std::string &requestClass)
+    {
+        for (PermitId permit = 1'000; permit < 1'010; ++permit) {
+            submit(submissionOf(permit, requestClass), time);
+            time += 1s;
+            complete(permit, time);
+        }
+    }
+
+    std::chrono::milliseconds time {0};
+};
+
+// Guards against queueing requests that are bound to miss their target, and against refusing those that can meet it.
+TEST_F(AdmissionTest, RefusesWhatWouldMissItsTarget)
+{
+    ClassSpec spec = tierClass(0);
+    spec.firstTokenTarget = 6s;
+    start({.classes = {spec}}, {endpointSpec("a", 1)});
+    learnHoldingTime("tier0");
+    unsigned admitted = 0;
+    unsigned unreachable = 0;
+    for (PermitId permit = 1; permit <= 20; ++permit) {
+        const Decisions decisions = submit(submissionOf(permit, "tier0"), time);
+        if (decisions.refusals.empty()) {
+            ++admitted;
+            continue;
+        }
+        EXPECT_EQ(decisions.refusals[0].permit, permit);
+        EXPECT_EQ(decisions.refusals[0].reason, RefusalReason::TargetUnreachable);
+        EXPECT_GT(decisions.refusals[0].retryAfter, 0ms);
+        ++unreachable;
+    }
+    // The slot turns over once a second and the first token takes a second, which leaves five seconds for queueing.
+    EXPECT_NEAR(admitted, 7, 2);
+    EXPECT_EQ(admitted + unreachable, 20U);
+}
+
+// Guards against refusing a higher tier because of requests that wait in a lower tier.
+TEST_F(AdmissionTest, LowerTiersDoNotCount)
+{
+    std::vector<ClassSpec> classes {tierClass(0), tierClass(1)};
+    classes[0].firstTokenTarget = 4s;
+    classes[1].firstTokenTarget = 1h;
+    start({.classes = classes}, {endpointSpec("a", 1)});
+    learnHoldingTime("tier0");
+    for (PermitId permit = 1; permit <= 50; ++permit) {
+        EXPECT_TRUE(submit(submissionOf(permit, "tier1"), time).refusals.empty());
+    }
+    EXPECT_TRUE(submit(submissionOf(100, "tier0"), time).refusals.empty());
+    EXPECT_TRUE(submit(submissionOf(101, "tier0"), time).refusals.empty());
+}
+
+// Guards against a class that is refused at admission for as long as a higher tier saturates the pool.
+TEST_F(AdmissionTest, EveryClassMayKeepARequestWaiting)
+{
+    std::vector<ClassSpec> classes {tierClass(0), tierClass(1)};
+    classes[0].firstTokenTarget = 1h;
+    classes[1].firstTokenTarget = 10ms;
+    start({.classes = classes}, {endpointSpec("a", 1)});
+    learnHoldingTime("tier0");
+    for (PermitId permit = 1; permit <= 50; ++permit) {
+        submit(submissionOf(permit, "tier0"), time);
+    }
+    EXPECT_TRUE(submit(submissionOf(100, "tier1"), time).refusals.empty());
+    EXPECT_EQ(submit(submissionOf(101, "tier1"), time).refusals.at(0).reason, RefusalReason::TargetUnreachable);
+}
+
+// Guards against refusing an organisation that sends little because of another one's backlog in the same tier.
+TEST_F(AdmissionTest, BacklogOfAnotherOrganisationDoesNotCount)
+{
+    ClassSpec spec = tierClass(0);
+    spec.firstTokenTarget = 10s;
+    start({.classes = {spec}}, {endpointSpec("a", 1)});
+    learnHoldingTime("tier0");
+    for (PermitId permit = 1; permit <= 30; ++permit) {
+        submit(submissionOf(permit, "tier0"), time);
+    }
+    EXPECT_FALSE(submit(submissionOf(31, "tier0"), time).refusals.empty());
+    Submission other = submissionOf(32, "tier0");
+    other.organisation = support::OrganisationId("other");
+    EXPECT_TRUE(submit(other, time).refusals.empty());
+}
+
+} // namespace mulberrywall::policy
--- /dev/null
+++ b/unittests/Policy/ConcurrencyLimitTest.cpp
@@ -0,0 +1,67 @@
+#include "PolicyFixture.h"
+
+#include "mulberrywall/Policy/ConcurrencyLimit.h"
+
+#include <algorithm>
+
+using namespace std::chrono_literals;
+
+namespace mulberrywall::policy
+{
+
+namespace
+{
+
+constexpr unsigned maximumConcurrency = 64;
+
+/// Runs intervals on an engine whose inter-token latency is base plus a cost for each concurrent request.
+unsigned settle(ConcurrencyLimit &limit, unsigned intervals, double baseSeconds, double secondsPerRequest, std::chrono::milliseconds target)
+{
+    const ConcurrencyTuning tuning;
+    TimePoint now = std::max(limit.intervalStart, startTime);
+    for (unsigned i = 0; i < intervals; ++i) {
+        const unsigned running = currentLimit(limit, maximumConcurrency);
+        noteRunning(limit, running);
+        noteTokens(limit, 50, baseSeconds + secondsPerRequest * running, target);
+        now += tuning.adjustmentInterval;
+        adjustLimit(limit, maximumConcurrency, tuning, now);
+    }
+    return currentLimit(limit, maximumConcurrency);
+}
+
+} // namespace
+
+// Guards against a limit that stays above what the inter-token target allows, and against one that collapses.
+TEST(ConcurrencyLimitTest, SettlesWhereTheTargetIsMetAndRecovers)
+{
+    ConcurrencyLimit limit;
+    // The target of 50 ms is met up to 40 concurrent requests.
+    const unsigned settled = settle(limit, 100, 0.010, 0.001, 50ms);
+    EXPECT_GE(settled, 30U);
+    EXPECT_LE(settled, 41U);
+    EXPECT_EQ(settle(limit, 200, 0.010, 0.0001, 50ms), maximumConcurrency);
+}
+
+// Guards against giving up throughput for a target that the engine misses at any concurrency.
+TEST(ConcurrencyLimitTest, StaysWhenLessConcurrencyDoesNotHelp)
+{
+    ConcurrencyLimit limit;
+    unsigned lowest = maximumConcurrency;
+    for (unsigned i = 0; i < 100; ++i) {
+        lowest = std::min(lowest, settle(limit, 1, 0.080, 0.0, 50ms));
+    }
+    EXPECT_EQ(lowest, 51U) << "one trial decrease at a time";
+    EXPECT_EQ(settle(limit, 2, 0.080, 0.0, 50ms), maximumConcurrency);
+}
+
+// Guards against sending an endpoint more than it accepts, and against keeping it at one request for ever.
+TEST(ConcurrencyLimitTest, RefusedAttemptsLowerTheLimit)
+{
+    ConcurrencyLimit limit;
+    noteRunning(limit, 20);
+    noteRefused(limit);
+    adjustLimit(limit, maximumConcurrency, {}, startTime);
+    EXPECT_EQ(currentLimit(limit, maximumConcurrency), 16U);
+}
+
+} // namespace mulberrywall::policy
