policy: limit long requests and slow endpoints

Cause: long requests could fill every slot, and a slowed endpoint kept its share of new work. Ruled out: an absolute length as the mark of a long request (pools differ by orders of magnitude); probes with requests of any tier (they put the slowness on the callers that can bear it least). Change: requests whose estimated work exceeds four pool medians, or that outgrow their class's quantile, count as long; they hold at most a share of each endpoint's and of the pool's slots and get a lower engine priority. Speeds are compared with the pool's median twice a second; slow endpoints get a reduced share, then only probes by the lowest tier, never more than a third of the pool. Streams that are all silent count as slow. An endpoint slowed ten times is on probation within 5 s, gets 2 to 11 probes in 10 s, and is healthy within 12 s of recovering. Conclusion: head-of-line blocking and slow endpoints are bounded.

--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -30,11 +30,24 @@
     TimePoint until;
 };
 
+/// Slowness of an endpoint against the pool, see evaluateEndpoints.
+struct SlowState
+{
+    EndpointHealth health = EndpointHealth::Healthy;
+    /// Median seconds per unit of the pool over the endpoint's own.
+    double relativeSpeed = 1.0;
+    /// The fields below are used on probation only.
+    TimePoint nextProbeAt;
+    unsigned goodProbes = 0;
+    std::optional<PermitId> probe;
+};
+
 /// What the pool knows about an endpoint.
 struct EndpointState
 {
     EndpointSpec spec;
     unsigned running = 0;
+    unsigned runningLong = 0;
     /// Estimated remaining work of its running requests, in output tokens.
     double work = 0.0;
     /// Number of the last grant in the order of the pool's grants.
@@ -44,6 +57,7 @@
     TimePoint observedAt;
     ConcurrencyLimit concurrency;
     FailureBackoff backoff;
+    SlowState slow;
     std::optional<LoadReport> report;
 };
 
@@ -57,12 +71,16 @@
     TimePoint startedAt;
     std::uint64_t outputTokens = 0;
     TimePoint progressAt;
+    /// Tokens and time of the first progress.
+    std::uint64_t firstTokens = 0;
+    TimePoint firstProgressAt;
     /// Share of the endpoint's work.
     double work = 0.0;
     LengthObservation lengthObservation;
     /// Work that was charged to the organisation's fair share.
     double chargedWork = 0.0;
     bool usesMinimumShare = false;
+    bool isLong = false;
     /// Adopted requests started at an unknown time.
     bool adopted = false;
 };
@@ -104,6 +122,9 @@
     /// Time from grant to completion over all classes.
     Average holdSeconds;
     std::uint64_t grants = 0;
+    TimePoint nextHealthEvaluation;
+    /// As of the last evaluation; 0 before.
+    double medianSecondsPerUnit = 0.0;
     PoolStatistics statistics;
     /// Time of the latest command.
     TimePoint now;
--- a/include/mulberrywall/Policy/Queue.h
+++ b/include/mulberrywall/Policy/Queue.h
@@ -83,11 +83,11 @@
 struct BlockedRequests
 {
     std::set<PermitId> permits;
-    std::set<Lane> lanes;
+    std::set<std::pair<support::Tier, Lane>> lanes;
 };
 
 /// Returns whether the request or its lane is blocked.
-bool isBlocked(const BlockedRequests &blocked, Lane lane, PermitId permit);
+bool isBlocked(const BlockedRequests &blocked, support::Tier tier, Lane lane, PermitId permit);
 
 /// Adds a request and assigns its sequence; the permit must not be in the queue.
 void enqueue(Queue &queue, WaitingRequest request);
--- a/lib/Policy/ActiveRequests.cpp
+++ b/lib/Policy/ActiveRequests.cpp
@@ -86,6 +86,8 @@
     WaitingRequest request {.submission = running.submission, .tier = requestClass == nullptr ? support::Tier {0} : requestClass->spec.tier, .work = remaining};
     ActiveRequest &active = startRequest(pool, endpoint, std::move(request), now);
     active.outputTokens = running.progress.outputTokens;
+    active.firstTokens = running.progress.outputTokens;
+    active.firstProgressAt = now;
     active.adopted = true;
     return active;
 }
@@ -98,6 +100,8 @@
     const LengthTuning &tuning = pool.options.tuning.length;
     if (request.outputTokens == 0) {
         observeFirstToken(pool, request, now);
+        request.firstTokens = outputTokens;
+        request.firstProgressAt = now;
     } else if (now > request.progressAt) {
         observeTokens(pool, request, outputTokens - request.outputTokens, now);
     }
@@ -134,11 +138,13 @@
     const auto found = pool.active.find(permit);
     assert(found != pool.active.end() && "only a running request can end");
     EndpointState &endpoint = *found->second.endpoint;
+    const bool wasLong = found->second.isLong;
     setWork(found->second, 0.0);
     --pool.runningByTier.at(found->second.tier);
     pool.startSecondsSum -= secondsBetween(TimePoint {}, found->second.startedAt);
     pool.active.erase(found);
     --endpoint.running;
+    endpoint.runningLong -= wasLong ? 1 : 0;
     if (endpoint.running == 0) {
         // Clears what rounding has left.
         endpoint.work = 0.0;
--- a/lib/Policy/EndpointSelection.cpp
+++ b/lib/Policy/EndpointSelection.cpp
@@ -1,5 +1,8 @@
 #include "mulberrywall/Policy/EndpointSelection.h"
 
+#include "mulberrywall/Policy/LongRequests.h"
+#include "mulberrywall/Policy/SlowEndpoints.h"
+
 #include <algorithm>
 #include <functional>
 #include <string_view>
@@ -58,6 +61,9 @@
         if (!allowsEndpoint(request.submission, endpoint) || freeSlots(pool, endpoint, now) == 0) {
             continue;
         }
+        if (endpoint.slow.health == EndpointHealth::Probation || (request.lane == Lane::Long && !mayRunLong(pool, endpoint, now))) {
+            continue;
+        }
         const double secondsPerUnit = endpoint.secondsPerUnit.samples > 0 ? endpoint.secondsPerUnit.value : typical;
         // More slots drain the same work faster.
         const double secondsPerWork = secondsPerUnit / std::max(1U, endpoint.spec.maximumConcurrency);
@@ -104,6 +110,18 @@
     return best;
 }
 
+/// Returns an endpoint on probation that the request should probe, or nullptr.
+EndpointState *endpointToProbe(Pool &pool, const WaitingRequest &request, TimePoint now)
+{
+    for (auto &[id, endpoint] : pool.endpoints) {
+        const bool due = endpoint.slow.health == EndpointHealth::Probation && freeSlots(pool, endpoint, now) > 0;
+        if (due && allowsEndpoint(request.submission, endpoint) && maySendProbe(pool, endpoint, request, now)) {
+            return &endpoint;
+        }
+    }
+    return nullptr;
+}
+
 bool lessLoaded(const Candidate &left, const Candidate &right)
 {
     if (left.load != right.load) {
@@ -114,12 +132,13 @@
 
 } // namespace
 
-unsigned slotLimit(const Pool & /*pool*/, const EndpointState &endpoint, TimePoint now)
+unsigned slotLimit(const Pool &pool, const EndpointState &endpoint, TimePoint now)
 {
     if (endpoint.spec.leaving || now < endpoint.backoff.until) {
         return 0;
     }
-    return currentLimit(endpoint.concurrency, endpoint.spec.maximumConcurrency);
+    const unsigned slots = currentLimit(endpoint.concurrency, endpoint.spec.maximumConcurrency);
+    return slotsByHealth(pool, endpoint, slots, now);
 }
 
 unsigned freeSlots(const Pool &pool, const EndpointState &endpoint, TimePoint now)
@@ -155,6 +174,9 @@
 
 EndpointState *selectEndpoint(Pool &pool, const WaitingRequest &request, TimePoint now)
 {
+    if (EndpointState *probed = endpointToProbe(pool, request, now)) {
+        return probed;
+    }
     std::vector<Candidate> all = candidates(pool, request, now);
     if (all.empty()) {
         return nullptr;
--- a/lib/Policy/FairShare.cpp
+++ b/lib/Policy/FairShare.cpp
@@ -41,18 +41,14 @@
     double virtualTime = 0.0;
 };
 
-void addHead(std::vector<Head> &heads,
-    const FairShares &shares,
-    Lane lane,
-    const support::OrganisationId &organisation,
-    const OrganisationQueue &waiting,
-    const BlockedRequests &blocked)
+std::optional<WaitingKey> firstUnblocked(const OrganisationQueue &waiting, support::Tier tier, Lane lane, const BlockedRequests &blocked)
 {
-    const auto first
-        = std::find_if(waiting.byTarget.begin(), waiting.byTarget.end(), [&](const WaitingKey &key) { return !isBlocked(blocked, lane, key.permit); });
-    if (first != waiting.byTarget.end()) {
-        heads.push_back({.key = *first, .virtualTime = virtualTime(shares, organisation)});
+    if (blocked.lanes.contains({tier, lane})) {
+        return std::nullopt;
     }
+    const auto first
+        = std::find_if(waiting.byTarget.begin(), waiting.byTarget.end(), [&](const WaitingKey &key) { return !blocked.permits.contains(key.permit); });
+    return first == waiting.byTarget.end() ? std::nullopt : std::optional(*first);
 }
 
 std::optional<PermitId> earliestEligible(const std::vector<Head> &heads, double allowance)
@@ -138,7 +134,10 @@
     std::vector<Head> resumes;
     std::vector<Head> others;
     for (const auto &[key, waiting] : queue->second.organisations) {
-        addHead(key.first == Lane::Resume ? resumes : others, shares, key.first, key.second, waiting, blocked);
+        if (const auto first = firstUnblocked(waiting, tier, key.first, blocked)) {
+            std::vector<Head> &heads = key.first == Lane::Resume ? resumes : others;
+            heads.push_back({.key = *first, .virtualTime = virtualTime(shares, key.second)});
+        }
     }
     const double requestWork = valueOr(pool.lengths.medianWork, pool.options.tuning.length.defaultOutputTokens);
     const double allowance = pool.options.tuning.fairShare.allowanceInRequests * requestWork;
--- /dev/null
+++ b/lib/Policy/LongRequests.cpp
@@ -0,0 +1,71 @@
+#include "mulberrywall/Policy/LongRequests.h"
+
+#include "mulberrywall/Policy/EndpointSelection.h"
+
+#include <algorithm>
+#include <cassert>
+#include <limits>
+
+namespace mulberrywall::policy
+{
+
+namespace
+{
+
+unsigned longLimit(const Pool &pool, unsigned slots)
+{
+    return std::max(1U, static_cast<unsigned>(pool.options.tuning.longRequests.slotShare * slots));
+}
+
+} // namespace
+
+bool isExpectedLong(const Pool &pool, double work)
+{
+    const Tuning &tuning = pool.options.tuning;
+    if (pool.lengths.medianWork.samples < tuning.length.minimumSamples) {
+        return false;
+    }
+    return work > tuning.longRequests.workFactor * valueOr(pool.lengths.medianWork, 0.0);
+}
+
+bool mayRunLong(const Pool &pool, const EndpointState &endpoint, TimePoint now)
+{
+    if (endpoint.runningLong >= longLimit(pool, slotLimit(pool, endpoint, now))) {
+        return false;
+    }
+    unsigned slots = 0;
+    unsigned running = 0;
+    for (const auto &[id, other] : pool.endpoints) {
+        slots += slotLimit(pool, other, now);
+        running += other.runningLong;
+    }
+    return running < longLimit(pool, slots);
+}
+
+void markLong(Pool & /*pool*/, ActiveRequest &request)
+{
+    assert(!request.isLong && "a request becomes long only once");
+    request.isLong = true;
+    ++request.endpoint->runningLong;
+}
+
+bool markLongIfExceeded(Pool &pool, ActiveRequest &request)
+{
+    if (request.isLong || !request.lengthObservation.aboveClass) {
+        return false;
+    }
+    const auto estimate = pool.lengths.byClass.find(request.submission.requestClass);
+    if (estimate == pool.lengths.byClass.end() || estimate->second.mean.samples < pool.options.tuning.length.minimumSamples) {
+        return false;
+    }
+    markLong(pool, request);
+    return true;
+}
+
+std::uint8_t enginePriority(support::Tier tier, Lane lane)
+{
+    constexpr unsigned lowest = std::numeric_limits<std::uint8_t>::max();
+    return static_cast<std::uint8_t>(std::min(lowest, 2U * tier + (lane == Lane::Long ? 1U : 0U)));
+}
+
+} // namespace mulberrywall::policy
--- a/lib/Policy/MinimumShare.cpp
+++ b/lib/Policy/MinimumShare.cpp
@@ -68,7 +68,7 @@
                 break;
             }
             const WaitingRequest &request = pool.queue.requests.at(key.permit);
-            if (!isBlocked(blocked, request.lane, key.permit)) {
+            if (!isBlocked(blocked, tier, request.lane, key.permit)) {
                 return &request;
             }
         }
--- a/lib/Policy/Queue.cpp
+++ b/lib/Policy/Queue.cpp
@@ -34,9 +34,9 @@
 
 } // namespace
 
-bool isBlocked(const BlockedRequests &blocked, Lane lane, PermitId permit)
+bool isBlocked(const BlockedRequests &blocked, support::Tier tier, Lane lane, PermitId permit)
 {
-    return blocked.lanes.contains(lane) || blocked.permits.contains(permit);
+    return blocked.lanes.contains({tier, lane}) || blocked.permits.contains(permit);
 }
 
 void enqueue(Queue &queue, WaitingRequest request)
--- a/lib/Policy/Scheduling.cpp
+++ b/lib/Policy/Scheduling.cpp
@@ -3,6 +3,7 @@
 #include "mulberrywall/Policy/ActiveRequests.h"
 #include "mulberrywall/Policy/EndpointSelection.h"
 #include "mulberrywall/Policy/FairShare.h"
+#include "mulberrywall/Policy/LongRequests.h"
 #include "mulberrywall/Policy/MinimumShare.h"
 
 namespace mulberrywall::policy
@@ -59,14 +60,30 @@
 {
     const PermitId permit = candidate.request->submission.permit;
     WaitingRequest request = *removeWaiting(pool.queue, permit);
-    decisions.grants.push_back({.permit = permit, .endpoint = endpoint.spec.id, .enginePriority = request.tier});
+    decisions.grants.push_back({.permit = permit, .endpoint = endpoint.spec.id, .enginePriority = enginePriority(request.tier, request.lane)});
+    const Lane lane = request.lane;
     ActiveRequest &active = startRequest(pool, endpoint, std::move(request), now);
     chargeGrant(pool, active);
+    if (lane == Lane::Long) {
+        markLong(pool, active);
+    }
+    if (endpoint.slow.health == EndpointHealth::Probation) {
+        endpoint.slow.probe = permit;
+    }
     if (candidate.usesMinimumShare) {
         startMinimumShareUse(pool, active);
     }
 }
 
+/// Blocks a request that found no endpoint, and its whole lane unless the request itself excludes endpoints.
+void block(BlockedRequests &blocked, const WaitingRequest &request)
+{
+    blocked.permits.insert(request.submission.permit);
+    if (request.submission.excludedEndpoints.empty()) {
+        blocked.lanes.insert({request.tier, request.lane});
+    }
+}
+
 } // namespace
 
 void schedule(Pool &pool, TimePoint now, Decisions &decisions)
@@ -84,7 +101,7 @@
         }
         EndpointState *endpoint = selectEndpoint(pool, *candidate.request, now);
         if (endpoint == nullptr) {
-            blocked.permits.insert(candidate.request->submission.permit);
+            block(blocked, *candidate.request);
             continue;
         }
         grant(pool, *endpoint, candidate, now, decisions);
--- /dev/null
+++ b/lib/Policy/SlowEndpoints.cpp
@@ -0,0 +1,263 @@
+#include "mulberrywall/Policy/SlowEndpoints.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace mulberrywall::policy
+{
+
+namespace
+{
+
+/// Fewer endpoints have no meaningful median.
+constexpr std::size_t minimumEndpoints = 3;
+
+struct Measured
+{
+    EndpointState *endpoint = nullptr;
+    double secondsPerUnit = 0.0;
+};
+
+std::size_t usableEndpoints(const Pool &pool)
+{
+    const auto count = std::count_if(pool.endpoints.begin(), pool.endpoints.end(), [](const auto &entry) { return !entry.second.spec.leaving; });
+    return static_cast<std::size_t>(count);
+}
+
+std::size_t slowBound(const Pool &pool)
+{
+    constexpr double rounding = 1e-9;
+    return static_cast<std::size_t>(pool.options.tuning.slowEndpoints.maximumPoolShare * static_cast<double>(usableEndpoints(pool)) + rounding);
+}
+
+std::size_t slowEndpoints(const Pool &pool)
+{
+    const auto count = std::count_if(pool.endpoints.begin(), pool.endpoints.end(), [](const auto &entry) {
+        return !entry.second.spec.leaving && entry.second.slow.health != EndpointHealth::Healthy;
+    });
+    return static_cast<std::size_t>(count);
+}
+
+/// Returns for each endpoint with running streams the time of the latest progress of any of them.
+std::map<const EndpointState *, TimePoint> latestProgress(const Pool &pool)
+{
+    std::map<const EndpointState *, TimePoint> latest;
+    for (const auto &[permit, request] : pool.active) {
+        if (request.outputTokens > 0) {
+            TimePoint &time = latest[request.endpoint];
+            time = std::max(time, request.progressAt);
+        }
+    }
+    return latest;
+}
+
+std::vector<Measured> measure(Pool &pool, TimePoint now)
+{
+    const SlowEndpointTuning &tuning = pool.options.tuning.slowEndpoints;
+    const auto latest = latestProgress(pool);
+    std::vector<Measured> result;
+    for (auto &[id, endpoint] : pool.endpoints) {
+        if (endpoint.spec.leaving) {
+            continue;
+        }
+        const auto progress = latest.find(&endpoint);
+        const bool silent = progress != latest.end() && now - progress->second > tuning.silence;
+        const bool fresh = isFresh(endpoint.secondsPerUnit, tuning.minimumSamples, tuning.observationLifetime, now);
+        if (fresh || silent) {
+            const double silence = silent ? secondsBetween(progress->second, now) : 0.0;
+            result.push_back({.endpoint = &endpoint, .secondsPerUnit = std::max(endpoint.secondsPerUnit.value, silence)});
+        }
+    }
+    return result;
+}
+
+double median(std::vector<Measured> measured)
+{
+    const auto middle = measured.begin() + static_cast<std::ptrdiff_t>(measured.size() / 2);
+    std::nth_element(
+        measured.begin(), middle, measured.end(), [](const Measured &left, const Measured &right) { return left.secondsPerUnit < right.secondsPerUnit; });
+    return middle->secondsPerUnit;
+}
+
+void setHealth(EndpointState &endpoint, EndpointHealth health, TimePoint now)
+{
+    if (endpoint.slow.health == health) {
+        return;
+    }
+    endpoint.slow = {.health = health, .relativeSpeed = endpoint.slow.relativeSpeed, .nextProbeAt = now};
+}
+
+void judgeReduced(EndpointState &endpoint, const SlowEndpointTuning &tuning, TimePoint now)
+{
+    if (endpoint.slow.relativeSpeed >= tuning.recoverAbove) {
+        setHealth(endpoint, EndpointHealth::Healthy, now);
+    } else if (endpoint.slow.relativeSpeed < tuning.probationBelow) {
+        setHealth(endpoint, EndpointHealth::Probation, now);
+    }
+}
+
+/// An endpoint that got no work to measure is not held to an old observation.
+void forgetStale(Pool &pool, TimePoint now)
+{
+    for (auto &[id, endpoint] : pool.endpoints) {
+        const bool stale = now - endpoint.observedAt > pool.options.tuning.slowEndpoints.observationLifetime;
+        if (endpoint.slow.health == EndpointHealth::Reduced && endpoint.running == 0 && stale) {
+            setHealth(endpoint, EndpointHealth::Healthy, now);
+        }
+    }
+}
+
+void judgeProbe(Pool &pool, ActiveRequest &request, double secondsPerUnit, TimePoint now)
+{
+    const SlowEndpointTuning &tuning = pool.options.tuning.slowEndpoints;
+    SlowState &slow = request.endpoint->slow;
+    slow.probe.reset();
+    slow.nextProbeAt = now + tuning.probeInterval;
+    if (secondsPerUnit <= 0.0 || pool.medianSecondsPerUnit < tuning.recoverAbove * secondsPerUnit) {
+        slow.goodProbes = 0;
+        return;
+    }
+    ++slow.goodProbes;
+    if (slow.goodProbes >= tuning.probesToRecover) {
+        request.endpoint->secondsPerUnit = {.value = secondsPerUnit, .samples = tuning.minimumSamples, .observedAt = now};
+        setHealth(*request.endpoint, EndpointHealth::Healthy, now);
+    }
+}
+
+bool isProbe(const ActiveRequest &request)
+{
+    return request.endpoint->slow.probe == request.submission.permit;
+}
+
+/// Returns the probe's seconds per unit, comparable with the pool's median; 0 when it shows nothing.
+double probeSeconds(const Pool &pool, const ActiveRequest &request, TimePoint now)
+{
+    if (request.outputTokens > request.firstTokens) {
+        return secondsBetween(request.firstProgressAt, request.progressAt) / static_cast<double>(request.outputTokens - request.firstTokens);
+    }
+    const ClassState *requestClass = findClass(pool, request.submission.requestClass);
+    if (requestClass == nullptr || requestClass->holdSeconds.value <= 0.0) {
+        return 0.0;
+    }
+    return pool.medianSecondsPerUnit * secondsBetween(request.startedAt, now) / requestClass->holdSeconds.value;
+}
+
+} // namespace
+
+void evaluateEndpoints(Pool &pool, TimePoint now)
+{
+    const SlowEndpointTuning &tuning = pool.options.tuning.slowEndpoints;
+    if (now < pool.nextHealthEvaluation) {
+        return;
+    }
+    pool.nextHealthEvaluation = now + tuning.evaluationInterval;
+    forgetStale(pool, now);
+    std::vector<Measured> measured = measure(pool, now);
+    if (measured.size() < minimumEndpoints) {
+        return;
+    }
+    pool.medianSecondsPerUnit = median(measured);
+    for (const Measured &entry : measured) {
+        entry.endpoint->slow.relativeSpeed = pool.medianSecondsPerUnit / std::max(entry.secondsPerUnit, 1e-9);
+    }
+    std::sort(measured.begin(), measured.end(), [](const Measured &left, const Measured &right) { return left.secondsPerUnit > right.secondsPerUnit; });
+    for (const Measured &entry : measured) {
+        SlowState &slow = entry.endpoint->slow;
+        if (slow.health == EndpointHealth::Reduced) {
+            judgeReduced(*entry.endpoint, tuning, now);
+        }
+    }
+    for (const Measured &entry : measured) {
+        SlowState &slow = entry.endpoint->slow;
+        if (slow.health == EndpointHealth::Healthy && slow.relativeSpeed < tuning.reduceBelow && slowEndpoints(pool) < slowBound(pool)) {
+            setHealth(*entry.endpoint, EndpointHealth::Reduced, now);
+        }
+    }
+}
+
+void enforceSlowBound(Pool &pool)
+{
+    while (slowEndpoints(pool) > slowBound(pool)) {
+        EndpointState *fastest = nullptr;
+        for (auto &[id, endpoint] : pool.endpoints) {
+            const bool slow = !endpoint.spec.leaving && endpoint.slow.health != EndpointHealth::Healthy;
+            if (slow && (fastest == nullptr || endpoint.slow.relativeSpeed > fastest->slow.relativeSpeed)) {
+                fastest = &endpoint;
+            }
+        }
+        setHealth(*fastest, EndpointHealth::Healthy, pool.now);
+    }
+}
+
+unsigned slotsByHealth(const Pool &pool, const EndpointState &endpoint, unsigned slots, TimePoint now)
+{
+    switch (endpoint.slow.health) {
+    case EndpointHealth::Healthy:
+        return slots;
+    case EndpointHealth::Reduced: {
+        const double share = std::clamp(endpoint.slow.relativeSpeed, pool.options.tuning.slowEndpoints.probationBelow, 1.0);
+        return std::max(1U, static_cast<unsigned>(share * slots));
+    }
+    case EndpointHealth::Probation: {
+        const bool due = !endpoint.slow.probe && now >= endpoint.slow.nextProbeAt;
+        return due ? std::min(slots, endpoint.running + 1) : 0;
+    }
+    }
+    return slots;
+}
+
+bool maySendProbe(const Pool &pool, const EndpointState &endpoint, const WaitingRequest &request, TimePoint now)
+{
+    if (request.lane != Lane::Normal) {
+        return false;
+    }
+    if (now >= endpoint.slow.nextProbeAt + pool.options.tuning.slowEndpoints.probePatience) {
+        return true;
+    }
+    return std::none_of(pool.classes.begin(), pool.classes.end(), [&](const auto &entry) { return entry.second.spec.tier > request.tier; });
+}
+
+void noteProbeProgress(Pool &pool, ActiveRequest &request, TimePoint now)
+{
+    if (isProbe(request) && request.outputTokens >= pool.options.tuning.slowEndpoints.probeTokens && request.outputTokens > request.firstTokens) {
+        judgeProbe(pool, request, probeSeconds(pool, request, now), now);
+    }
+}
+
+void noteProbeEnd(Pool &pool, ActiveRequest &request, AttemptOutcome outcome, TimePoint now)
+{
+    if (!isProbe(request)) {
+        return;
+    }
+    switch (outcome) {
+    case AttemptOutcome::Completed:
+        judgeProbe(pool, request, probeSeconds(pool, request, now), now);
+        return;
+    case AttemptOutcome::Cancelled:
+        request.endpoint->slow.probe.reset();
+        return;
+    case AttemptOutcome::NotRun:
+    case AttemptOutcome::EndpointFailed:
+    case AttemptOutcome::Stalled:
+        judgeProbe(pool, request, 0.0, now);
+        return;
+    }
+}
+
+std::optional<TimePoint> nextProbe(const Pool &pool, TimePoint now)
+{
+    std::optional<TimePoint> earliest;
+    for (const auto &[id, endpoint] : pool.endpoints) {
+        if (endpoint.slow.health != EndpointHealth::Probation || endpoint.slow.probe) {
+            continue;
+        }
+        const TimePoint due = endpoint.slow.nextProbeAt;
+        const TimePoint next = due > now ? due : due + pool.options.tuning.slowEndpoints.probePatience;
+        if (next > now && (!earliest || next < *earliest)) {
+            earliest = next;
+        }
+    }
+    return earliest;
+}
+
+} // namespace mulberrywall::policy
--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -3,10 +3,12 @@
 #include "mulberrywall/Policy/EndpointSelection.h"
 #include "mulberrywall/Policy/FailureBackoff.h"
 #include "mulberrywall/Policy/FairShare.h"
+#include "mulberrywall/Policy/LongRequests.h"
 #include "mulberrywall/Policy/MinimumShare.h"
 #include "mulberrywall/Policy/PolicyFunctions.h"
 #include "mulberrywall/Policy/Pool.h"
 #include "mulberrywall/Policy/Scheduling.h"
+#include "mulberrywall/Policy/SlowEndpoints.h"
 
 #include <algorithm>
 
@@ -38,6 +40,7 @@
         noteRunning(endpoint.concurrency, endpoint.running);
         adjustLimit(endpoint.concurrency, endpoint.spec.maximumConcurrency, pool.options.tuning.concurrency, now);
     }
+    evaluateEndpoints(pool, now);
     return pool;
 }
 
@@ -71,52 +74,84 @@
     return pool;
 }
 
-Decisions submit(void *handle, const Submission &submission, TimePoint now)
+Lane laneOf(const Pool &pool, const Submission &submission, double work)
 {
-    Pool &pool = beginCommand(handle, now);
-    Decisions decisions;
-    const auto requestClass = pool.classes.find(submission.requestClass);
-    if (requestClass == pool.classes.end()) {
-        refuse(decisions, submission.permit, RefusalReason::UnknownClass);
-        return decisions;
+    if (submission.purpose == AttemptPurpose::Resume) {
+        return Lane::Resume;
+    }
+    return isExpectedLong(pool, work) ? Lane::Long : Lane::Normal;
+}
+
+WaitingRequest makeWaiting(const Pool &pool, const Submission &submission, const ClassSpec &spec, TimePoint now)
+{
+    const double work = estimatedWork(pool.lengths, submission, pool.options.tuning.length);
+    return {.submission = submission,
+        .tier = spec.tier,
+        .lane = laneOf(pool, submission, work),
+        .submittedAt = now,
+        .targetAt = now + spec.firstTokenTarget,
+        .entitledAt = now + spec.maximumWait,
+        .work = work};
+}
+
+/// Returns why the submission cannot even wait, if it cannot.
+std::optional<RefusalReason> immediateRefusal(Pool &pool, const Submission &submission, TimePoint now)
+{
+    const ClassState *requestClass = findClass(pool, submission.requestClass);
+    if (requestClass == nullptr) {
+        return RefusalReason::UnknownClass;
     }
     if (submission.deadline <= now) {
-        refuse(decisions, submission.permit, RefusalReason::DeadlineExpired);
-        return decisions;
+        return RefusalReason::DeadlineExpired;
     }
     if (!hasUsableEndpoint(pool, submission)) {
-        refuse(decisions, submission.permit, RefusalReason::NoEndpoint);
-        return decisions;
+        return RefusalReason::NoEndpoint;
     }
-    const ClassSpec &spec = requestClass->second.spec;
     if (submission.purpose == AttemptPurpose::Hedge) {
-        const WaitingRequest attempt {.submission = submission, .tier = spec.tier};
+        const WaitingRequest attempt = makeWaiting(pool, submission, requestClass->spec, now);
         if (!pool.queue.requests.empty() || selectEndpoint(pool, attempt, now) == nullptr) {
-            refuse(decisions, submission.permit, RefusalReason::HedgeDenied);
-            return decisions;
+            return RefusalReason::HedgeDenied;
         }
     }
-    activateOrganisation(pool, spec.tier, submission.organisation);
-    enqueue(pool.queue,
-        {.submission = submission,
-            .tier = spec.tier,
-            .lane = submission.purpose == AttemptPurpose::Resume ? Lane::Resume : Lane::Normal,
-            .submittedAt = now,
-            .targetAt = now + spec.firstTokenTarget,
-            .entitledAt = now + spec.maximumWait,
-            .work = estimatedWork(pool.lengths, submission, pool.options.tuning.length)});
-    schedule(pool, now, decisions);
-    if (const auto waiting = pool.queue.requests.find(submission.permit); waiting != pool.queue.requests.end()) {
-        if (const auto retryAfter = unreachableTarget(pool, waiting->second, now)) {
-            removeWaiting(pool.queue, submission.permit);
-            refuse(decisions, submission.permit, RefusalReason::TargetUnreachable, *retryAfter);
-        }
+    return std::nullopt;
+}
+
+void refuseIfUnreachable(Pool &pool, PermitId permit, TimePoint now, Decisions &decisions)
+{
+    const auto waiting = pool.queue.requests.find(permit);
+    if (waiting == pool.queue.requests.end()) {
+        return;
     }
+    if (const auto retryAfter = unreachableTarget(pool, waiting->second, now)) {
+        removeWaiting(pool.queue, permit);
+        refuse(decisions, permit, RefusalReason::TargetUnreachable, *retryAfter);
+    }
+}
+
+void shedExcess(Pool &pool, TimePoint now, Decisions &decisions)
+{
     while (pool.queue.requests.size() > pool.options.queueLimit) {
         const PermitId victim = *sheddingCandidate(pool.queue);
         removeWaiting(pool.queue, victim);
         refuse(decisions, victim, RefusalReason::Shed, retryDelay(pool, now));
     }
+}
+
+Decisions submit(void *handle, const Submission &submission, TimePoint now)
+{
+    Pool &pool = beginCommand(handle, now);
+    Decisions decisions;
+    if (const auto reason = immediateRefusal(pool, submission, now)) {
+        refuse(decisions, submission.permit, *reason);
+        schedule(pool, now, decisions);
+        return decisions;
+    }
+    const ClassSpec &spec = findClass(pool, submission.requestClass)->spec;
+    activateOrganisation(pool, spec.tier, submission.organisation);
+    enqueue(pool.queue, makeWaiting(pool, submission, spec, now));
+    schedule(pool, now, decisions);
+    refuseIfUnreachable(pool, submission.permit, now, decisions);
+    shedExcess(pool, now, decisions);
     return decisions;
 }
 
@@ -136,11 +171,17 @@
 Decisions recordProgress(void *handle, PermitId permit, const Progress &progress, TimePoint now)
 {
     Pool &pool = beginCommand(handle, now);
+    Decisions decisions;
     const auto found = pool.active.find(permit);
     if (found != pool.active.end()) {
         observeProgress(pool, found->second, progress.outputTokens, now);
+        noteProbeProgress(pool, found->second, now);
+        if (markLongIfExceeded(pool, found->second)) {
+            decisions.priorityChanges.push_back({.permit = permit, .enginePriority = enginePriority(found->second.tier, Lane::Long)});
+        }
     }
-    return advance(handle, now);
+    schedule(pool, now, decisions);
+    return decisions;
 }
 
 Decisions complete(void *handle, PermitId permit, const Completion &completion, TimePoint now)
@@ -152,6 +193,7 @@
         if (completion.outcome == AttemptOutcome::EndpointFailed || completion.outcome == AttemptOutcome::NotRun) {
             noteFailure(*found->second.endpoint, pool.options.tuning.selection, now);
         }
+        noteProbeEnd(pool, found->second, completion.outcome, now);
         settleCharge(pool, found->second);
         endMinimumShareUse(pool, found->second);
         endRequest(pool, permit);
@@ -184,6 +226,7 @@
         pool.endpoints[spec.id].spec = spec;
     }
     std::erase_if(pool.endpoints, [](const auto &entry) { return entry.second.spec.leaving && entry.second.running == 0; });
+    enforceSlowBound(pool);
     Decisions decisions;
     refuseWithoutEndpoint(pool, decisions);
     schedule(pool, now, decisions);
@@ -219,6 +262,10 @@
     std::optional<TimePoint> wakeUp = earliestDeadline(pool.queue);
     if (!pool.queue.requests.empty()) {
         wakeUp = earlier(wakeUp, nextBackoffEnd(pool, pool.now));
+        wakeUp = earlier(wakeUp, nextProbe(pool, pool.now));
+    }
+    if (!pool.active.empty()) {
+        wakeUp = earlier(wakeUp, pool.nextHealthEvaluation);
     }
     return wakeUp;
 }
@@ -249,7 +296,12 @@
     std::vector<EndpointStatus> result;
     const Pool &pool = asPool(handle);
     for (const auto &[id, endpoint] : pool.endpoints) {
-        result.push_back({.id = id, .running = endpoint.running, .slots = slotLimit(pool, endpoint, pool.now), .leaving = endpoint.spec.leaving});
+        result.push_back({.id = id,
+            .health = endpoint.slow.health,
+            .running = endpoint.running,
+            .runningLong = endpoint.runningLong,
+            .slots = slotLimit(pool, endpoint, pool.now),
+            .leaving = endpoint.spec.leaving});
     }
     return result;
 }
--- /dev/null
+++ b/unittests/Policy/SlowEndpointsTest.cpp
@@ -0,0 +1,141 @@
+#include "PolicyFixture.h"
+
+#include <algorithm>
+#include <map>
+
+using namespace std::chrono_literals;
+
+namespace mulberrywall::policy
+{
+
+/// Runs streams of 20 tokens on endpoints with a given inter-token latency.
+class SlowEndpointsTest : public PolicyFixture
+{
+protected:
+    void startPool(unsigned endpointCount)
+    {
+        std::vector<EndpointSpec> endpoints;
+        for (unsigned i = 0; i < endpointCount; ++i) {
+            endpoints.push_back(endpointSpec("e" + std::to_string(i), 4));
+            interval[endpoints.back().id] = 10ms;
+        }
+        PoolOptions options {.classes = {tierClass(0), tierClass(1)}};
+        for (ClassSpec &spec : options.classes) {
+            spec.firstTokenTarget = 1h;
+            spec.maximumWait = 1h;
+        }
+        start(options, endpoints);
+    }
+
+    /// Keeps the pool busy in steps of 10 ms.
+    void runUntil(std::chrono::milliseconds end)
+    {
+        for (; time < end; time += 10ms) {
+            while (functions.summarize(pool.get()).waiting < 4) {
+                note(submit(submissionOf(nextPermit, nextPermit % 4 == 0 ? "tier1" : "tier0"), time));
+                ++nextPermit;
+            }
+            for (auto &[permit, stream] : std::map<PermitId, Stream>(streams)) {
+                const auto tokens = static_cast<std::uint64_t>((time - stream.startedAt) / interval.at(stream.endpoint));
+                if (tokens >= 20) {
+                    streams.erase(permit);
+                    note(complete(permit, time, {.outputTokens = 20}));
+                } else if (tokens > 0) {
+                    note(progress(permit, tokens, time));
+                }
+            }
+            note(functions.advance(pool.get(), at(time)));
+            largestSlowCount = std::max(largestSlowCount, slowCount());
+        }
+    }
+
+    std::ptrdiff_t slowCount()
+    {
+        const auto all = functions.endpointStatus(pool.get());
+        return std::count_if(all.begin(), all.end(), [](const EndpointStatus &status) { return status.health != EndpointHealth::Healthy; });
+    }
+
+    EndpointHealth health(const std::string &name)
+    {
+        for (const EndpointStatus &status : functions.endpointStatus(pool.get())) {
+            if (status.id.value() == name) {
+                return status.health;
+            }
+        }
+        return EndpointHealth::Healthy;
+    }
+
+    struct Stream
+    {
+        support::EndpointId endpoint;
+        std::chrono::milliseconds startedAt;
+    };
+
+    void note(const Decisions &decisions)
+    {
+        for (const Grant &grant : decisions.grants) {
+            streams[grant.permit] = {.endpoint = grant.endpoint, .startedAt = time};
+            ++granted[grant.endpoint];
+            grantedAnyTier[grant.endpoint] += grant.enginePriority < 2 ? 1 : 0;
+        }
+    }
+
+    std::map<support::EndpointId, std::chrono::milliseconds> interval;
+    std::map<PermitId, Stream> streams;
+    std::map<support::EndpointId, unsigned> granted;
+    std::map<support::EndpointId, unsigned> grantedAnyTier;
+    std::chrono::milliseconds time {0};
+    PermitId nextPermit = 1;
+    std::ptrdiff_t largestSlowCount = 0;
+};
+
+// Guards against a slowed endpoint that keeps its share, and against one that never comes back.
+TEST_F(SlowEndpointsTest, SlowEndpointGoesOnProbationAndRecovers)
+{
+    startPool(4);
+    runUntil(3s);
+    EXPECT_EQ(largestSlowCount, 0);
+    const support::EndpointId slow("e1");
+    interval[slow] = 100ms;
+    runUntil(8s);
+    EXPECT_EQ(health("e1"), EndpointHealth::Probation);
+    granted.clear();
+    grantedAnyTier.clear();
+    runUntil(18s);
+    EXPECT_GE(granted[slow], 2U) << "probes must go on";
+    EXPECT_LE(granted[slow], 11U) << "at most one probe a second";
+    EXPECT_EQ(grantedAnyTier[slow], 0U) << "probes must not slow down the higher tier";
+    interval[slow] = 10ms;
+    runUntil(30s);
+    EXPECT_EQ(health("e1"), EndpointHealth::Healthy);
+}
+
+// Guards against losing most of a pool when many endpoints are slow at once.
+TEST_F(SlowEndpointsTest, NeverMoreThanAThirdOfThePool)
+{
+    startPool(7);
+    runUntil(3s);
+    for (const char *name : {"e0", "e1", "e2"}) {
+        interval[support::EndpointId(name)] = 100ms;
+    }
+    runUntil(15s);
+    EXPECT_EQ(largestSlowCount, 2);
+    std::vector<EndpointSpec> fewer;
+    for (const char *name : {"e0", "e1", "e2", "e3", "e4"}) {
+        fewer.push_back(endpointSpec(name, 4));
+    }
+    functions.setEndpoints(pool.get(), fewer, at(time));
+    EXPECT_LE(slowCount(), 1);
+}
+
+// Guards against an endpoint that hangs and so produces no slow tokens to observe.
+TEST_F(SlowEndpointsTest, SilentEndpointCountsAsSlow)
+{
+    startPool(4);
+    runUntil(3s);
+    interval[support::EndpointId("e2")] = 1h;
+    runUntil(6s);
+    EXPECT_NE(health("e2"), EndpointHealth::Healthy);
+}
+
+} // namespace mulberrywall::policy
