policy: run crash suspects alone and refuse them after two crashes

Cause: a request that crashes every endpoint that runs it, sent again, takes a pool down. Ruled out: holding the next suspect back until the one before has ended, since the streams of a crashed engine would then resume one after another to the end of each; forgetting a cleared suspect, since gossip would bring it back. Change: all requests on a crashed endpoint become suspects, once per crash. They run one at a time on an idle endpoint; a large pool empties one, and after 3 s the suspect shares. A suspect that made progress for as long as it ran before the crash (0.5 s to 2 s) has passed its trial and the next one may run. Survivors and completed suspects are cleared. A second crash refuses waiting copies and cancels running ones for 10 minutes. Conclusion: a request crashes at most two endpoints unless copies of it were granted before the first crash.

--- /dev/null
+++ b/include/mulberrywall/Policy/CrashSuspects.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "mulberrywall/Policy/Pool.h"
+
+namespace mulberrywall::policy
+{
+
+/// Returns how many crashes the request is still held responsible for; 0 means that it is no suspect.
+unsigned suspectedCrashes(const Pool &pool, Fingerprint fingerprint, TimePoint now);
+
+/// Returns whether the request is refused for its crashes.
+bool isRefusedForCrashes(const Pool &pool, Fingerprint fingerprint, TimePoint now);
+
+/// Returns how long the suspicion will last.
+std::chrono::milliseconds suspicionLeft(const Pool &pool, Fingerprint fingerprint, TimePoint now);
+
+/// Suspects every request on the endpoint of a request that failed with it, and asks to cancel other copies of
+/// requests that crashed too often. Later failures from the same crash change nothing.
+void noteEndpointCrash(Pool &pool, const ActiveRequest &failed, TimePoint now, Decisions &decisions);
+
+/// Learns from progress that the request did not run on a crashed process, or that a suspect has passed its trial.
+void noteSuspectProgress(Pool &pool, ActiveRequest &request, TimePoint now);
+
+/// Clears the suspicion against a request that has run to its end.
+void noteSuspectCompleted(Pool &pool, const ActiveRequest &request);
+
+/// Learns of a suspect from another owner. Hearing the same again does not prolong the suspicion.
+void learnSuspect(Pool &pool, Fingerprint fingerprint, unsigned crashes, TimePoint now);
+
+/// Returns the endpoint for a suspect, or nullptr when it has to wait.
+///
+/// Suspects run one at a time, on an idle endpoint. Without one, a large pool empties an endpoint; after a bound the
+/// suspect shares an endpoint with others.
+EndpointState *selectEndpointForSuspect(Pool &pool, const WaitingRequest &request, TimePoint now);
+
+/// Returns whether the endpoint takes no requests other than a suspect.
+bool isIsolated(const Pool &pool, const EndpointState &endpoint, TimePoint now);
+
+/// Puts a suspect that starts to run on trial.
+void startTrial(Pool &pool, ActiveRequest &request, TimePoint now);
+
+/// Ends the trial of a request that ended or has survived it.
+void endTrial(Pool &pool, const ActiveRequest &request);
+
+/// Stops emptying an endpoint that no suspect can use.
+void cancelUnusedIsolation(Pool &pool, TimePoint now);
+
+/// Returns the earliest time after now at which a waiting suspect may get an endpoint by time alone.
+std::optional<TimePoint> nextSuspectChange(const Pool &pool, TimePoint now);
+
+} // namespace mulberrywall::policy
--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -58,6 +58,8 @@
     ConcurrencyLimit concurrency;
     FailureBackoff backoff;
     SlowState slow;
+    /// Until then the endpoint takes no requests beside the suspect that runs on it.
+    TimePoint exclusiveUntil;
     std::optional<LoadReport> report;
 };
 
@@ -81,6 +83,8 @@
     double chargedWork = 0.0;
     bool usesMinimumShare = false;
     bool isLong = false;
+    /// Set while the request counts as having run on a process that crashed.
+    std::optional<TimePoint> crashNotedAt;
     /// Adopted requests started at an unknown time.
     bool adopted = false;
 };
@@ -103,6 +107,35 @@
     double creditSlotSeconds = 0.0;
 };
 
+/// A request that ran on endpoints when they crashed.
+struct Suspect
+{
+    unsigned crashes = 0;
+    /// Crashes that the request has proved not to be the cause of. Kept apart so that hearing of these crashes from
+    /// other owners does not bring the suspicion back.
+    unsigned cleared = 0;
+    TimePoint lastCrashAt;
+    TimePoint::duration ranBeforeCrash {};
+};
+
+/// An endpoint that gets no new requests until a suspect can run alone on it.
+struct Isolation
+{
+    support::EndpointId endpoint;
+    TimePoint until;
+};
+
+/// Requests under suspicion of crashing endpoints.
+struct CrashSuspects
+{
+    std::map<Fingerprint, Suspect> byFingerprint;
+    /// Running suspects that have not passed their trial; at most one, but for adopted ones.
+    std::set<PermitId> onTrial;
+    std::optional<Isolation> isolation;
+    /// Waiting requests have to be checked against the list again.
+    bool changed = false;
+};
+
 /// State of one pool at its owner.
 struct Pool
 {
@@ -118,6 +151,7 @@
     std::map<support::Tier, unsigned> runningByTier;
     /// Sum over active requests of their start times in seconds.
     double startSecondsSum = 0.0;
+    CrashSuspects suspects;
     LengthEstimates lengths;
     /// Time from grant to completion over all classes.
     Average holdSeconds;
--- a/include/mulberrywall/Policy/Tuning.h
+++ b/include/mulberrywall/Policy/Tuning.h
@@ -133,6 +133,11 @@
     /// Progress this long after a crash proves that a request did not run on the crashed process.
     std::chrono::milliseconds survivalProof {1'000};
     std::size_t maximumSuspects = 10'000;
+    /// A suspect that makes progress for as long as it ran before the crash, within these bounds, has passed its trial:
+    /// it stays a suspect, but the next one may run. Without the upper bound, the twenty streams of a crashed engine
+    /// would resume one after another to the end of each.
+    std::chrono::milliseconds minimumTrial {500};
+    std::chrono::milliseconds maximumTrial {2'000};
 };
 
 /// Reduced limit of a new owner.
--- a/lib/Policy/EndpointSelection.cpp
+++ b/lib/Policy/EndpointSelection.cpp
@@ -1,5 +1,6 @@
 #include "mulberrywall/Policy/EndpointSelection.h"
 
+#include "mulberrywall/Policy/CrashSuspects.h"
 #include "mulberrywall/Policy/LongRequests.h"
 #include "mulberrywall/Policy/SlowEndpoints.h"
 
@@ -61,6 +62,9 @@
         if (!allowsEndpoint(request.submission, endpoint) || freeSlots(pool, endpoint, now) == 0) {
             continue;
         }
+        if (isIsolated(pool, endpoint, now)) {
+            continue;
+        }
         if (endpoint.slow.health == EndpointHealth::Probation || (request.lane == Lane::Long && !mayRunLong(pool, endpoint, now))) {
             continue;
         }
@@ -115,7 +119,7 @@
 {
     for (auto &[id, endpoint] : pool.endpoints) {
         const bool due = endpoint.slow.health == EndpointHealth::Probation && freeSlots(pool, endpoint, now) > 0;
-        if (due && allowsEndpoint(request.submission, endpoint) && maySendProbe(pool, endpoint, request, now)) {
+        if (due && !isIsolated(pool, endpoint, now) && allowsEndpoint(request.submission, endpoint) && maySendProbe(pool, endpoint, request, now)) {
             return &endpoint;
         }
     }
@@ -174,6 +178,9 @@
 
 EndpointState *selectEndpoint(Pool &pool, const WaitingRequest &request, TimePoint now)
 {
+    if (request.lane == Lane::Suspect) {
+        return selectEndpointForSuspect(pool, request, now);
+    }
     if (EndpointState *probed = endpointToProbe(pool, request, now)) {
         return probed;
     }
--- a/lib/Policy/Scheduling.cpp
+++ b/lib/Policy/Scheduling.cpp
@@ -1,6 +1,7 @@
 #include "mulberrywall/Policy/Scheduling.h"
 
 #include "mulberrywall/Policy/ActiveRequests.h"
+#include "mulberrywall/Policy/CrashSuspects.h"
 #include "mulberrywall/Policy/EndpointSelection.h"
 #include "mulberrywall/Policy/FairShare.h"
 #include "mulberrywall/Policy/LongRequests.h"
@@ -67,6 +68,9 @@
     if (lane == Lane::Long) {
         markLong(pool, active);
     }
+    if (lane == Lane::Suspect) {
+        startTrial(pool, active, now);
+    }
     if (endpoint.slow.health == EndpointHealth::Probation) {
         endpoint.slow.probe = permit;
     }
@@ -89,6 +93,7 @@
 void schedule(Pool &pool, TimePoint now, Decisions &decisions)
 {
     refuseExpired(pool, now, decisions);
+    cancelUnusedIsolation(pool, now);
     if (pool.queue.requests.empty()) {
         return;
     }
--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -1,5 +1,6 @@
 #include "mulberrywall/Policy/ActiveRequests.h"
 #include "mulberrywall/Policy/Admission.h"
+#include "mulberrywall/Policy/CrashSuspects.h"
 #include "mulberrywall/Policy/EndpointSelection.h"
 #include "mulberrywall/Policy/FailureBackoff.h"
 #include "mulberrywall/Policy/FairShare.h"
@@ -74,8 +75,11 @@
     return pool;
 }
 
-Lane laneOf(const Pool &pool, const Submission &submission, double work)
+Lane laneOf(const Pool &pool, const Submission &submission, double work, TimePoint now)
 {
+    if (suspectedCrashes(pool, submission.fingerprint, now) > 0) {
+        return Lane::Suspect;
+    }
     if (submission.purpose == AttemptPurpose::Resume) {
         return Lane::Resume;
     }
@@ -87,13 +91,43 @@
     const double work = estimatedWork(pool.lengths, submission, pool.options.tuning.length);
     return {.submission = submission,
         .tier = spec.tier,
-        .lane = laneOf(pool, submission, work),
+        .lane = laneOf(pool, submission, work, now),
         .submittedAt = now,
         .targetAt = now + spec.firstTokenTarget,
         .entitledAt = now + spec.maximumWait,
         .work = work};
 }
 
+/// Applies a changed list of crash suspects to the waiting requests.
+void updateWaitingSuspects(Pool &pool, TimePoint now, Decisions &decisions)
+{
+    if (!pool.suspects.changed) {
+        return;
+    }
+    pool.suspects.changed = false;
+    std::vector<PermitId> waiting;
+    for (const auto &[permit, request] : pool.queue.requests) {
+        waiting.push_back(permit);
+    }
+    std::sort(waiting.begin(), waiting.end());
+    for (const PermitId permit : waiting) {
+        const WaitingRequest &request = pool.queue.requests.at(permit);
+        const Fingerprint fingerprint = request.submission.fingerprint;
+        if (isRefusedForCrashes(pool, fingerprint, now)) {
+            removeWaiting(pool.queue, permit);
+            refuse(decisions, permit, RefusalReason::CrashSuspect, suspicionLeft(pool, fingerprint, now));
+            continue;
+        }
+        changeLane(pool.queue, permit, laneOf(pool, request.submission, request.work, now));
+    }
+}
+
+void scheduleAll(Pool &pool, TimePoint now, Decisions &decisions)
+{
+    updateWaitingSuspects(pool, now, decisions);
+    schedule(pool, now, decisions);
+}
+
 /// Returns why the submission cannot even wait, if it cannot.
 std::optional<RefusalReason> immediateRefusal(Pool &pool, const Submission &submission, TimePoint now)
 {
@@ -104,6 +138,9 @@
     if (submission.deadline <= now) {
         return RefusalReason::DeadlineExpired;
     }
+    if (isRefusedForCrashes(pool, submission.fingerprint, now)) {
+        return RefusalReason::CrashSuspect;
+    }
     if (!hasUsableEndpoint(pool, submission)) {
         return RefusalReason::NoEndpoint;
     }
@@ -142,14 +179,15 @@
     Pool &pool = beginCommand(handle, now);
     Decisions decisions;
     if (const auto reason = immediateRefusal(pool, submission, now)) {
-        refuse(decisions, submission.permit, *reason);
-        schedule(pool, now, decisions);
+        const bool crashed = *reason == RefusalReason::CrashSuspect;
+        refuse(decisions, submission.permit, *reason, crashed ? suspicionLeft(pool, submission.fingerprint, now) : defaultRetryAfter);
+        scheduleAll(pool, now, decisions);
         return decisions;
     }
     const ClassSpec &spec = findClass(pool, submission.requestClass)->spec;
     activateOrganisation(pool, spec.tier, submission.organisation);
     enqueue(pool.queue, makeWaiting(pool, submission, spec, now));
-    schedule(pool, now, decisions);
+    scheduleAll(pool, now, decisions);
     refuseIfUnreachable(pool, submission.permit, now, decisions);
     shedExcess(pool, now, decisions);
     return decisions;
@@ -158,7 +196,7 @@
 Decisions advance(void *handle, TimePoint now)
 {
     Decisions decisions;
-    schedule(beginCommand(handle, now), now, decisions);
+    scheduleAll(beginCommand(handle, now), now, decisions);
     return decisions;
 }
 
@@ -176,29 +214,51 @@
     if (found != pool.active.end()) {
         observeProgress(pool, found->second, progress.outputTokens, now);
         noteProbeProgress(pool, found->second, now);
+        noteSuspectProgress(pool, found->second, now);
         if (markLongIfExceeded(pool, found->second)) {
             decisions.priorityChanges.push_back({.permit = permit, .enginePriority = enginePriority(found->second.tier, Lane::Long)});
         }
     }
-    schedule(pool, now, decisions);
+    scheduleAll(pool, now, decisions);
     return decisions;
 }
 
+void learnFromOutcome(Pool &pool, ActiveRequest &request, AttemptOutcome outcome, TimePoint now, Decisions &decisions)
+{
+    noteProbeEnd(pool, request, outcome, now);
+    switch (outcome) {
+    case AttemptOutcome::Completed:
+        noteSuspectCompleted(pool, request);
+        return;
+    case AttemptOutcome::NotRun:
+        noteFailure(*request.endpoint, pool.options.tuning.selection, now);
+        return;
+    case AttemptOutcome::EndpointFailed:
+        noteFailure(*request.endpoint, pool.options.tuning.selection, now);
+        noteEndpointCrash(pool, request, now, decisions);
+        return;
+    case AttemptOutcome::Cancelled:
+    case AttemptOutcome::Stalled:
+        return;
+    }
+}
+
 Decisions complete(void *handle, PermitId permit, const Completion &completion, TimePoint now)
 {
     Pool &pool = beginCommand(handle, now);
+    Decisions decisions;
     const auto found = pool.active.find(permit);
     if (found != pool.active.end()) {
-        observeCompletion(pool, found->second, completion, now);
-        if (completion.outcome == AttemptOutcome::EndpointFailed || completion.outcome == AttemptOutcome::NotRun) {
-            noteFailure(*found->second.endpoint, pool.options.tuning.selection, now);
-        }
-        noteProbeEnd(pool, found->second, completion.outcome, now);
-        settleCharge(pool, found->second);
-        endMinimumShareUse(pool, found->second);
+        ActiveRequest &request = found->second;
+        observeCompletion(pool, request, completion, now);
+        learnFromOutcome(pool, request, completion.outcome, now, decisions);
+        settleCharge(pool, request);
+        endMinimumShareUse(pool, request);
+        endTrial(pool, request);
         endRequest(pool, permit);
     }
-    return advance(handle, now);
+    scheduleAll(pool, now, decisions);
+    return decisions;
 }
 
 void refuseWithoutEndpoint(Pool &pool, Decisions &decisions)
@@ -229,7 +289,7 @@
     enforceSlowBound(pool);
     Decisions decisions;
     refuseWithoutEndpoint(pool, decisions);
-    schedule(pool, now, decisions);
+    scheduleAll(pool, now, decisions);
     return decisions;
 }
 
@@ -244,13 +304,17 @@
     Pool &pool = beginCommand(handle, now);
     if (!pool.active.contains(running.submission.permit)) {
         removeWaiting(pool.queue, running.submission.permit);
-        adoptRequest(pool, running, now);
+        ActiveRequest &request = adoptRequest(pool, running, now);
+        if (suspectedCrashes(pool, request.submission.fingerprint, now) > 0) {
+            pool.suspects.onTrial.insert(request.submission.permit);
+        }
     }
     return advance(handle, now);
 }
 
-void recordSuspect(void * /*handle*/, Fingerprint /*fingerprint*/, unsigned /*crashes*/, TimePoint /*now*/)
+void recordSuspect(void *handle, Fingerprint fingerprint, unsigned crashes, TimePoint now)
 {
+    learnSuspect(beginCommand(handle, now), fingerprint, crashes, now);
 }
 
 std::optional<TimePoint> nextWakeUp(const void *handle)
@@ -263,6 +327,10 @@
     if (!pool.queue.requests.empty()) {
         wakeUp = earlier(wakeUp, nextBackoffEnd(pool, pool.now));
         wakeUp = earlier(wakeUp, nextProbe(pool, pool.now));
+        wakeUp = earlier(wakeUp, nextSuspectChange(pool, pool.now));
+        if (pool.suspects.changed) {
+            wakeUp = earlier(wakeUp, pool.now);
+        }
     }
     if (!pool.active.empty()) {
         wakeUp = earlier(wakeUp, pool.nextHealthEvaluation);
@@ -281,9 +349,16 @@
     return summary;
 }
 
-std::vector<SuspectEntry> suspects(const void * /*handle*/)
+std::vector<SuspectEntry> suspects(const void *handle)
 {
-    return {};
+    const Pool &pool = asPool(handle);
+    std::vector<SuspectEntry> result;
+    for (const auto &[fingerprint, suspect] : pool.suspects.byFingerprint) {
+        if (const unsigned crashes = suspectedCrashes(pool, fingerprint, pool.now); crashes > 0) {
+            result.push_back({.fingerprint = fingerprint, .crashes = crashes, .expiresAt = suspect.lastCrashAt + pool.options.tuning.crashes.expiry});
+        }
+    }
+    return result;
 }
 
 std::optional<std::chrono::milliseconds> hedgeDelay(const void * /*handle*/, const support::ClassId & /*requestClass*/)
--- /dev/null
+++ b/unittests/Policy/CrashSuspectsTest.cpp
@@ -0,0 +1,184 @@
+#include "PolicyFixture.h"
+
+using namespace std::chrono_literals;
+
+namespace mulberrywall::policy
+{
+
+class CrashSuspectsTest : public PolicyFixture
+{
+protected:
+    static Submission submissionWith(PermitId permit, Fingerprint fingerprint)
+    {
+        Submission submission = submissionOf(permit, "tier1");
+        submission.fingerprint = fingerprint;
+        return submission;
+    }
+
+    /// Crashes the endpoint of the given running requests.
+    Decisions crash(std::vector<PermitId> permits, std::chrono::milliseconds time)
+    {
+        Decisions all;
+        for (const PermitId permit : permits) {
+            const Decisions decisions = complete(permit, time, {.outcome = AttemptOutcome::EndpointFailed});
+            all.grants.insert(all.grants.end(), decisions.grants.begin(), decisions.grants.end());
+            all.refusals.insert(all.refusals.end(), decisions.refusals.begin(), decisions.refusals.end());
+            all.cancellations.insert(all.cancellations.end(), decisions.cancellations.begin(), decisions.cancellations.end());
+        }
+        return all;
+    }
+
+    static std::vector<EndpointSpec> endpoints(unsigned count, unsigned slots)
+    {
+        std::vector<EndpointSpec> result;
+        for (unsigned i = 0; i < count; ++i) {
+            result.push_back(endpointSpec("e" + std::to_string(i), slots));
+        }
+        return result;
+    }
+};
+
+// Guards against a request that crashes one endpoint after another, and against suspecting it for ever.
+TEST_F(CrashSuspectsTest, RefusedAfterTheSecondCrashUntilItExpires)
+{
+    start({}, endpoints(3, 4));
+    submit(submissionWith(1, 77));
+    crash({1}, 100ms);
+    ASSERT_EQ(submit(submissionWith(2, 77), 200ms).grants.size(), 1U);
+    crash({2}, 300ms);
+    const Decisions refused = submit(submissionWith(3, 77), 400ms);
+    ASSERT_EQ(refused.refusals.size(), 1U);
+    EXPECT_EQ(refused.refusals[0].reason, RefusalReason::CrashSuspect);
+    EXPECT_EQ(submit(submissionWith(4, 77), 300ms + 10min).grants.size(), 1U);
+}
+
+// Guards against a crash being counted once for each request that reports it.
+TEST_F(CrashSuspectsTest, OneCrashCountsOnceForAllRequestsOnTheEndpoint)
+{
+    start({}, endpoints(1, 4));
+    submit(submissionWith(1, 77));
+    submit(submissionWith(2, 77));
+    submit(submissionWith(3, 78));
+    crash({1, 2, 3}, 100ms);
+    const auto suspects = functions.suspects(pool.get());
+    ASSERT_EQ(suspects.size(), 2U);
+    EXPECT_EQ(suspects[0].crashes, 1U);
+    EXPECT_EQ(suspects[1].crashes, 1U);
+    EXPECT_EQ(functions.statistics(pool.get()).endpointCrashes, 1U);
+}
+
+// Guards against bystanders on the endpoint of a suspect, and against two suspects at once.
+TEST_F(CrashSuspectsTest, SuspectsRunAloneAndOneAtATime)
+{
+    start({}, endpoints(4, 2));
+    submit(submissionWith(1, 77));
+    submit(submissionWith(2, 0));
+    functions.recordSuspect(pool.get(), 77, 1, at(1ms));
+    functions.recordSuspect(pool.get(), 78, 1, at(1ms));
+    const Decisions first = submit(submissionWith(3, 77), 2ms);
+    ASSERT_EQ(first.grants.size(), 1U);
+    const support::EndpointId isolated = first.grants[0].endpoint;
+    EXPECT_TRUE(submit(submissionWith(4, 78), 3ms).grants.empty());
+    for (PermitId permit = 10; permit < 20; ++permit) {
+        for (const Grant &grant : submit(submissionWith(permit, permit), 4ms).grants) {
+            EXPECT_NE(grant.endpoint, isolated);
+        }
+    }
+    bool granted = false;
+    for (const Grant &grant : complete(3, 5ms).grants) {
+        granted = granted || grant.permit == 4;
+    }
+    EXPECT_TRUE(granted) << "the next suspect follows on the idle endpoint";
+}
+
+// Guards against a suspect that waits for ever in a busy pool, and against running it among others when an endpoint
+// can be emptied.
+TEST_F(CrashSuspectsTest, BusyPoolEmptiesAnEndpoint)
+{
+    start({}, endpoints(4, 2));
+    for (PermitId permit = 1; permit <= 7; ++permit) {
+        submit(submissionWith(permit, permit));
+    }
+    functions.recordSuspect(pool.get(), 77, 1, at(1ms));
+    EXPECT_TRUE(submit(submissionWith(8, 77), 2ms).grants.empty());
+    EXPECT_TRUE(submit(submissionWith(9, 9), 2ms).grants.empty()) << "the endpoint with a free slot is being emptied";
+    bool granted = false;
+    for (PermitId permit = 1; permit <= 7 && !granted; ++permit) {
+        for (const Grant &grant : complete(permit, 3ms).grants) {
+            granted = granted || grant.permit == 8;
+        }
+    }
+    EXPECT_TRUE(granted);
+}
+
+// Guards against an endpoint that stays empty when its last requests do not end.
+TEST_F(CrashSuspectsTest, SharesAnEndpointAfterTheBound)
+{
+    start({}, endpoints(4, 2));
+    for (PermitId permit = 1; permit <= 7; ++permit) {
+        submit(submissionWith(permit, permit));
+    }
+    functions.recordSuspect(pool.get(), 77, 1, at(1ms));
+    submit(submissionWith(8, 77), 2ms);
+    std::optional<TimePoint> wakeUp = functions.nextWakeUp(pool.get());
+    Decisions decisions;
+    while (wakeUp && *wakeUp <= at(10s) && decisions.grants.empty()) {
+        const TimePoint now = *wakeUp;
+        decisions = functions.advance(pool.get(), now);
+        wakeUp = functions.nextWakeUp(pool.get());
+    }
+    ASSERT_EQ(decisions.grants.size(), 1U);
+    EXPECT_EQ(decisions.grants[0].permit, 8U);
+}
+
+// Guards against treating a broken connection as a crash of requests that go on, and against gossip that brings a
+// cleared suspicion back.
+TEST_F(CrashSuspectsTest, SurvivorsAreCleared)
+{
+    start({}, endpoints(1, 4));
+    submit(submissionWith(1, 77));
+    submit(submissionWith(2, 78));
+    crash({1}, 100ms);
+    EXPECT_EQ(functions.suspects(pool.get()).size(), 2U);
+    progress(2, 10, 1'200ms);
+    ASSERT_EQ(functions.suspects(pool.get()).size(), 1U);
+    EXPECT_EQ(functions.suspects(pool.get())[0].fingerprint, 77U);
+    functions.recordSuspect(pool.get(), 78, 1, at(1'300ms));
+    EXPECT_EQ(functions.suspects(pool.get()).size(), 1U);
+    complete(2, 1'400ms, {.outputTokens = 10});
+    submit(submissionWith(3, 77), 1'500ms);
+    complete(3, 1'600ms);
+    EXPECT_TRUE(functions.suspects(pool.get()).empty()) << "a suspect that ran to its end is none";
+}
+
+// Guards against streams of a crashed engine that resume one after another to the end of each.
+TEST_F(CrashSuspectsTest, NextSuspectFollowsWhenTheTrialIsPassed)
+{
+    start({}, endpoints(3, 4));
+    submit(submissionWith(1, 77));
+    functions.recordSuspect(pool.get(), 78, 1, at(1ms));
+    functions.recordSuspect(pool.get(), 79, 1, at(1ms));
+    submit(submissionWith(2, 78), 2ms);
+    EXPECT_TRUE(submit(submissionWith(3, 79), 3ms).grants.empty());
+    EXPECT_TRUE(progress(2, 5, 1s).grants.empty());
+    const Decisions decisions = progress(2, 50, 2'100ms);
+    ASSERT_EQ(decisions.grants.size(), 1U);
+    EXPECT_EQ(decisions.grants[0].permit, 3U);
+}
+
+// Guards against copies of a request that go on crashing endpoints after the verdict, waiting or running.
+TEST_F(CrashSuspectsTest, VerdictReachesWaitingAndRunningCopies)
+{
+    start({}, endpoints(2, 1));
+    const support::EndpointId first = submit(submissionWith(1, 77)).grants.at(0).endpoint;
+    submit(submissionWith(2, 77));
+    submit(submissionWith(3, 77));
+    functions.recordSuspect(pool.get(), 77, 1, at(1ms));
+    const Decisions decisions = crash({1}, 10ms);
+    ASSERT_EQ(decisions.refusals.size(), 1U);
+    EXPECT_EQ(decisions.refusals[0].permit, 3U);
+    ASSERT_EQ(decisions.cancellations.size(), 1U);
+    EXPECT_EQ(decisions.cancellations[0].permit, 2U);
+}
+
+} // namespace mulberrywall::policy
