platform: add the platform clients, idempotency claims and the platform stand-in

Ruled out: adding new claims to what is left of a batch with a conflict; with one repeated key in twenty each batch would hold a conflict again and no claim would ever be committed. Starting a call outside its strand: ConflictsDoNotHoldUpTheBatch hung because the response overtook the start. Change: add clients for tables, objects, instance list and weights, whose results tell applied, conflict, proven not applied and unknown apart; add claims with batch commits, read-back of lost answers and cleanup of abandoned claims; add the stand-in with conditional commits, rate ceilings, outages and lost answers. Conclusion: a lost answer never lets an attempt run without its claim or twice.

--- /dev/null
+++ b/include/mulberrywall/Platform/ObjectClient.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "mulberrywall/Platform/PlatformOptions.h"
+#include "mulberrywall/Platform/TableClient.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace mulberrywall::platform
+{
+
+struct ObjectResult
+{
+    ReadStatus status = ReadStatus::Unavailable;
+    std::string content;
+    std::string detail;
+};
+
+/// Client of the object store. Thread-safe; each handler runs once, on a strand of its own.
+class ObjectClient
+{
+public:
+    ObjectClient(boost::asio::any_io_executor executor, const PlatformOptions &options);
+
+    /// The handler gets Applied, NotApplied or Unknown.
+    void put(std::string_view name, std::string content, std::function<void(CommitStatus)> handler) const;
+    void get(std::string_view name, std::function<void(ObjectResult)> handler) const;
+
+private:
+    boost::asio::any_io_executor executor_;
+    PlatformOptions options_;
+};
+
+} // namespace mulberrywall::platform
--- /dev/null
+++ b/include/mulberrywall/Platform/WeightClient.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "mulberrywall/Platform/PlatformOptions.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace mulberrywall::platform
+{
+
+enum class WeightStatus : std::uint8_t {
+    Found,
+    Absent,
+    /// Refused by the rate limit; ask again after retryAfter.
+    RateLimited,
+    Unavailable,
+};
+
+struct WeightResult
+{
+    WeightStatus status = WeightStatus::Unavailable;
+    std::string content;
+    std::chrono::seconds retryAfter {0};
+    std::string detail;
+};
+
+/// Client of the rate-limited weight store. Thread-safe; each handler runs once, on a strand of its own.
+class WeightClient
+{
+public:
+    WeightClient(boost::asio::any_io_executor executor, const PlatformOptions &options);
+
+    void get(std::string_view name, std::function<void(WeightResult)> handler) const;
+
+private:
+    boost::asio::any_io_executor executor_;
+    PlatformOptions options_;
+};
+
+} // namespace mulberrywall::platform
--- /dev/null
+++ b/lib/Platform/Call.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "mulberrywall/Http/ClientCall.h"
+#include "mulberrywall/Platform/PlatformOptions.h"
+
+#include <boost/asio/strand.hpp>
+
+#include <string>
+
+namespace mulberrywall::platform
+{
+
+/// Sends one request on a strand of its own.
+void call(
+    const boost::asio::any_io_executor &executor, const PlatformOptions &options, http::Request request, std::function<void(http::WholeResponse)> handler);
+
+/// Returns true when nothing of the request can have taken effect.
+bool isProvenNotApplied(const http::WholeResponse &response);
+
+/// Says why a response is of no use, for logs and errors.
+std::string describe(const http::WholeResponse &response);
+
+/// Returns true when the whole response arrived.
+inline bool isComplete(const http::WholeResponse &response)
+{
+    return !response.result.error && response.result.stage == http::CallStage::ResponseComplete;
+}
+
+} // namespace mulberrywall::platform
--- /dev/null
+++ b/lib/Platform/Claims.cpp
@@ -0,0 +1,73 @@
+#include "mulberrywall/Platform/Claims.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace mulberrywall::platform
+{
+
+namespace json = boost::json;
+
+std::string claimKey(const ClaimRequest &request)
+{
+    return request.organisation.value() + "/" + request.keyHash;
+}
+
+std::string encodeClaim(const Claim &claim)
+{
+    json::object object;
+    object["attemptId"] = claim.attemptId;
+    object["bodyHash"] = claim.bodyHash;
+    if (claim.response) {
+        object["response"] = json::object {
+            {"status", claim.response->status},
+            {"contentType", claim.response->contentType},
+            {"body", claim.response->body},
+        };
+    }
+    return json::serialize(object);
+}
+
+std::optional<Claim> parseClaim(std::string_view text)
+{
+    try {
+        const json::value document = json::parse(json::string_view(text.data(), text.size()));
+        const json::object &object = document.as_object();
+        Claim claim {
+            .attemptId = std::string(object.at("attemptId").as_string()),
+            .bodyHash = std::string(object.at("bodyHash").as_string()),
+        };
+        if (const json::value *response = object.if_contains("response")) {
+            const json::object &members = response->as_object();
+            claim.response = StoredResponse {
+                .status = members.at("status").to_number<unsigned>(),
+                .contentType = std::string(members.at("contentType").as_string()),
+                .body = std::string(members.at("body").as_string()),
+            };
+        }
+        return claim;
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+ClaimResult resolveClaim(const ClaimRequest &request, const Row &row)
+{
+    const std::optional<Claim> claim = parseClaim(row.value);
+    if (!claim) {
+        return {.outcome = ClaimOutcome::ClaimedByOther, .detail = "the claim row cannot be parsed"};
+    }
+    if (claim->attemptId == request.attemptId) {
+        return {.outcome = ClaimOutcome::Claimed, .version = row.version};
+    }
+    if (claim->bodyHash != request.bodyHash) {
+        return {.outcome = ClaimOutcome::OtherBody};
+    }
+    if (claim->response) {
+        return {.outcome = ClaimOutcome::Completed, .response = claim->response};
+    }
+    return {.outcome = ClaimOutcome::ClaimedByOther};
+}
+
+} // namespace mulberrywall::platform
--- /dev/null
+++ b/lib/Platform/InstanceList.cpp
@@ -0,0 +1,126 @@
+#include "mulberrywall/Platform/InstanceList.h"
+
+#include "Call.h"
+
+#include "mulberrywall/Support/Log.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+
+#include <optional>
+
+namespace mulberrywall::platform
+{
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace
+{
+
+/// Throws when the document is no instance list.
+std::vector<Instance> parseInstances(const std::string &text)
+{
+    std::vector<Instance> instances;
+    const json::value document = json::parse(text);
+    for (const json::value &element : document.as_object().at("instances").as_array()) {
+        const json::object &object = element.as_object();
+        const json::value *port = object.if_contains("port");
+        const json::value *dataCentre = object.if_contains("dataCentre");
+        instances.push_back({
+            .id = support::InstanceId(std::string(object.at("id").as_string())),
+            .dataCentre = support::DataCentreId(dataCentre == nullptr ? std::string() : std::string(dataCentre->as_string())),
+            .address = std::string(object.at("address").as_string()),
+            .port = port == nullptr ? std::uint16_t {0} : port->to_number<std::uint16_t>(),
+            .state = object.at("state").as_string() == "leaving" ? InstanceState::Leaving : InstanceState::Live,
+        });
+    }
+    return instances;
+}
+
+class Poller final : public InstanceList, public std::enable_shared_from_this<Poller>
+{
+public:
+    Poller(const asio::any_io_executor &executor, const InstanceListOptions &options, std::function<void(const std::vector<Instance> &)> handler)
+        : executor_(executor),
+          strand_(asio::make_strand(executor)),
+          options_(options),
+          handler_(std::move(handler)),
+          timer_(strand_)
+    {
+    }
+
+    void poll()
+    {
+        http::Request request(http::Verb::get, "/v1/instances", 11);
+        call(executor_, options_.platform, std::move(request), [self = shared_from_this()](http::WholeResponse response) {
+            asio::dispatch(self->strand_, [self, response = std::move(response)] { self->onResponse(response); });
+        });
+    }
+
+    void stop() override
+    {
+        asio::post(strand_, [self = shared_from_this()] {
+            self->stopped_ = true;
+            self->timer_.cancel();
+        });
+    }
+
+private:
+    void onResponse(const http::WholeResponse &response)
+    {
+        if (stopped_) {
+            return;
+        }
+        accept(response);
+        timer_.expires_after(options_.interval);
+        timer_.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+            if (!error && !self->stopped_) {
+                self->poll();
+            }
+        });
+    }
+
+    void accept(const http::WholeResponse &response)
+    {
+        if (!isComplete(response) || response.status != http::Status::ok) {
+            support::log(support::Severity::Debug, "cannot read the instance list; the last one stays in use", {{"reason", describe(response)}});
+            return;
+        }
+        try {
+            std::vector<Instance> instances = parseInstances(response.body);
+            if (current_ == instances) {
+                return;
+            }
+            current_ = std::move(instances);
+        } catch (const std::exception &error) {
+            support::log(support::Severity::Warning, "cannot parse the instance list; the last one stays in use", {{"reason", error.what()}});
+            return;
+        }
+        handler_(*current_);
+    }
+
+    asio::any_io_executor executor_;
+    asio::strand<asio::any_io_executor> strand_;
+    InstanceListOptions options_;
+    std::function<void(const std::vector<Instance> &)> handler_;
+    asio::steady_timer timer_;
+    std::optional<std::vector<Instance>> current_;
+    bool stopped_ = false;
+};
+
+} // namespace
+
+std::shared_ptr<InstanceList> InstanceList::start(
+    const asio::any_io_executor &executor, const InstanceListOptions &options, std::function<void(const std::vector<Instance> &)> handler)
+{
+    auto poller = std::make_shared<Poller>(executor, options, std::move(handler));
+    poller->poll();
+    return poller;
+}
+
+} // namespace mulberrywall::platform
--- /dev/null
+++ b/lib/Platform/ObjectClient.cpp
@@ -0,0 +1,44 @@
+#include "mulberrywall/Platform/ObjectClient.h"
+
+#include "Call.h"
+
+namespace mulberrywall::platform
+{
+
+using http::Status;
+using http::Verb;
+
+ObjectClient::ObjectClient(boost::asio::any_io_executor executor, const PlatformOptions &options)
+    : executor_(std::move(executor)),
+      options_(options)
+{
+}
+
+void ObjectClient::put(std::string_view name, std::string content, std::function<void(CommitStatus)> handler) const
+{
+    http::Request request(Verb::put, "/v1/objects/" + std::string(name), 11);
+    request.set(http::Field::content_type, "application/octet-stream");
+    request.body() = std::move(content);
+    call(executor_, options_, std::move(request), [handler = std::move(handler)](const http::WholeResponse &response) {
+        if (isComplete(response) && response.status == Status::ok) {
+            handler(CommitStatus::Applied);
+            return;
+        }
+        handler(isProvenNotApplied(response) ? CommitStatus::NotApplied : CommitStatus::Unknown);
+    });
+}
+
+void ObjectClient::get(std::string_view name, std::function<void(ObjectResult)> handler) const
+{
+    http::Request request(Verb::get, "/v1/objects/" + std::string(name), 11);
+    call(executor_, options_, std::move(request), [handler = std::move(handler)](http::WholeResponse response) {
+        if (isComplete(response) && response.status == Status::ok) {
+            handler({.status = ReadStatus::Found, .content = std::move(response.body)});
+            return;
+        }
+        const bool isAbsent = isComplete(response) && response.status == Status::not_found;
+        handler({.status = isAbsent ? ReadStatus::Absent : ReadStatus::Unavailable, .detail = describe(response)});
+    });
+}
+
+} // namespace mulberrywall::platform
--- /dev/null
+++ b/unittests/Platform/PlatformFixture.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "PlatformStandin.h"
+
+#include "mulberrywall/Platform/TableClient.h"
+#include "mulberrywall/Support/WorkerPool.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <future>
+#include <memory>
+
+namespace mulberrywall::platform
+{
+
+/// Runs a platform stand-in and the clients under test on two threads.
+class PlatformFixture : public testing::Test
+{
+protected:
+    PlatformFixture()
+        : standin_(standin::PlatformStandin::create(pool_.context(), {.listen = {boost::asio::ip::make_address("127.0.0.1"), 0}})),
+          options_ {.address = standin_->localEndpoint()},
+          table_(pool_.context().get_executor(), options_)
+    {
+    }
+
+    /// Waits for the one value that the started operation passes to its handler.
+    template <typename Result>
+    static Result await(const std::function<void(std::function<void(Result)>)> &start)
+    {
+        auto promise = std::make_shared<std::promise<Result>>();
+        start([promise](Result result) { promise->set_value(std::move(result)); });
+        return promise->get_future().get();
+    }
+
+    CommitResult commit(std::vector<Operation> operations)
+    {
+        return await<CommitResult>([&](auto handler) { table_.commit("test", std::move(operations), std::move(handler)); });
+    }
+
+    ReadResult read(const std::string &key)
+    {
+        return await<ReadResult>([&](auto handler) { table_.read("test", key, std::move(handler)); });
+    }
+
+    support::WorkerPool pool_ {2};
+    std::shared_ptr<standin::PlatformStandin> standin_;
+    PlatformOptions options_;
+    TableClient table_;
+};
+
+} // namespace mulberrywall::platform
