--- /dev/null
+++ b/lib/Membership/Codec.cpp
@@ -0,0 +1,305 @@
+#include "Codec.h"
+
+#include <algorithm>
+#include <concepts>
+
+namespace mulberrywall::membership
+{
+
+namespace
+{
+
+constexpr std::uint8_t protocolVersion = 1;
+
+class Writer
+{
+public:
+    explicit Writer(std::vector<std::uint8_t> &bytes)
+        : bytes_(bytes)
+    {
+    }
+
+    template <std::unsigned_integral Number>
+    void number(Number value)
+    {
+        for (std::size_t index = 0; index < sizeof(Number); ++index) {
+            bytes_.push_back(static_cast<std::uint8_t>(value >> (8 * index)));
+        }
+    }
+    void name(std::string_view text)
+    {
+        const std::string_view bounded = text.substr(0, maxNameBytes);
+        number(static_cast<std::uint8_t>(bounded.size()));
+        bytes_.insert(bytes_.end(), bounded.begin(), bounded.end());
+    }
+    void address(const Address &value)
+    {
+        bytes_.insert(bytes_.end(), value.ip.begin(), value.ip.end());
+        number(value.port);
+    }
+
+private:
+    std::vector<std::uint8_t> &bytes_;
+};
+
+/// Reads fields one after the other; after the first one that does not fit, good() is false and all values are 0.
+class Reader
+{
+public:
+    explicit Reader(std::span<const std::uint8_t> bytes)
+        : bytes_(bytes)
+    {
+    }
+
+    template <std::unsigned_integral Number>
+    Number number()
+    {
+        Number value = 0;
+        const auto field = take(sizeof(Number));
+        for (std::size_t index = 0; index < field.size(); ++index) {
+            value = static_cast<Number>(value | static_cast<Number>(field[index]) << (8 * index));
+        }
+        return value;
+    }
+    std::string name()
+    {
+        const auto size = number<std::uint8_t>();
+        if (size > maxNameBytes) {
+            good_ = false;
+        }
+        const auto field = take(size);
+        return {field.begin(), field.end()};
+    }
+    Address address()
+    {
+        Address value;
+        const auto field = take(value.ip.size());
+        std::copy(field.begin(), field.end(), value.ip.begin());
+        value.port = number<std::uint16_t>();
+        return value;
+    }
+    void fail()
+    {
+        good_ = false;
+    }
+    [[nodiscard]] bool good() const
+    {
+        return good_;
+    }
+    [[nodiscard]] bool atEnd() const
+    {
+        return bytes_.empty();
+    }
+
+private:
+    std::span<const std::uint8_t> take(std::size_t size)
+    {
+        if (!good_ || bytes_.size() < size) {
+            good_ = false;
+            return {};
+        }
+        const auto field = bytes_.first(size);
+        bytes_ = bytes_.subspan(size);
+        return field;
+    }
+
+    std::span<const std::uint8_t> bytes_;
+    bool good_ = true;
+};
+
+void write(Writer &writer, const Member &member)
+{
+    writer.name(member.instance.value());
+    writer.name(member.dataCentre.value());
+    writer.address(member.address);
+    writer.address(member.peerAddress);
+    writer.number(member.incarnation);
+    writer.number(static_cast<std::uint8_t>(member.state));
+}
+
+void write(Writer &writer, const ConfigurationRevision &item)
+{
+    writer.number(item.revision);
+}
+
+void write(Writer &writer, const LeavingEndpoint &item)
+{
+    writer.name(item.endpoint.value());
+    writer.number(item.incarnation);
+    writer.number(static_cast<std::uint32_t>(item.timeToLive.count()));
+}
+
+void write(Writer &writer, const CrashSuspect &item)
+{
+    writer.number(item.fingerprint);
+    writer.number(item.crashes);
+    writer.number(static_cast<std::uint32_t>(item.timeToLive.count()));
+}
+
+void write(Writer &writer, const PoolLoad &item)
+{
+    writer.name(item.dataCentre.value());
+    writer.name(item.pool.value());
+    writer.number(item.version);
+    writer.number(item.waiting);
+    writer.number(item.running);
+    writer.number(item.freeSlots);
+    writer.number(item.endpoints);
+}
+
+Member readMember(Reader &reader)
+{
+    Member member;
+    member.instance = support::InstanceId(reader.name());
+    member.dataCentre = support::DataCentreId(reader.name());
+    member.address = reader.address();
+    member.peerAddress = reader.address();
+    member.incarnation = reader.number<std::uint64_t>();
+    const auto state = reader.number<std::uint8_t>();
+    if (state > static_cast<std::uint8_t>(MemberState::Left) || member.instance.empty()) {
+        reader.fail();
+        return member;
+    }
+    member.state = static_cast<MemberState>(state);
+    return member;
+}
+
+LeavingEndpoint readLeavingEndpoint(Reader &reader)
+{
+    LeavingEndpoint item;
+    item.endpoint = support::EndpointId(reader.name());
+    item.incarnation = reader.number<std::uint64_t>();
+    item.timeToLive = std::chrono::seconds(reader.number<std::uint32_t>());
+    return item;
+}
+
+CrashSuspect readCrashSuspect(Reader &reader)
+{
+    CrashSuspect item;
+    item.fingerprint = reader.number<std::uint64_t>();
+    item.crashes = reader.number<std::uint32_t>();
+    item.timeToLive = std::chrono::seconds(reader.number<std::uint32_t>());
+    return item;
+}
+
+PoolLoad readPoolLoad(Reader &reader)
+{
+    PoolLoad item;
+    item.dataCentre = support::DataCentreId(reader.name());
+    item.pool = support::PoolId(reader.name());
+    item.version = reader.number<std::uint64_t>();
+    item.waiting = reader.number<std::uint32_t>();
+    item.running = reader.number<std::uint32_t>();
+    item.freeSlots = reader.number<std::uint32_t>();
+    item.endpoints = reader.number<std::uint32_t>();
+    return item;
+}
+
+std::optional<Item> readItem(Reader &reader)
+{
+    switch (reader.number<std::uint8_t>()) {
+    case 0:
+        return readMember(reader);
+    case 1:
+        return ConfigurationRevision {reader.number<std::uint64_t>()};
+    case 2:
+        return readLeavingEndpoint(reader);
+    case 3:
+        return readCrashSuspect(reader);
+    case 4:
+        return readPoolLoad(reader);
+    default:
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+std::vector<std::uint8_t> encodeMessage(const Message &message)
+{
+    std::vector<std::uint8_t> payload;
+    Writer writer(payload);
+    writer.number(protocolVersion);
+    writer.number(static_cast<std::uint8_t>(message.type));
+    writer.name(message.sender.value());
+    switch (message.type) {
+    case MessageType::ProbeRequest:
+        writer.address(message.targetAddress);
+        [[fallthrough]];
+    case MessageType::Probe:
+    case MessageType::Acknowledgement:
+        writer.number(message.sequence);
+        writer.name(message.target.value());
+        break;
+    case MessageType::Digest:
+    case MessageType::DigestResponse:
+        for (const std::uint64_t bucket : message.digest) {
+            writer.number(bucket);
+        }
+        break;
+    case MessageType::Gossip:
+    case MessageType::Items:
+        break;
+    }
+    return payload;
+}
+
+bool appendItem(std::vector<std::uint8_t> &payload, const Item &item, std::size_t maxBytes)
+{
+    const std::size_t before = payload.size();
+    Writer writer(payload);
+    writer.number(static_cast<std::uint8_t>(item.index()));
+    std::visit([&writer](const auto &value) { write(writer, value); }, item);
+    if (payload.size() <= maxBytes) {
+        return true;
+    }
+    payload.resize(before);
+    return false;
+}
+
+std::optional<Message> decodeMessage(std::span<const std::uint8_t> payload)
+{
+    Reader reader(payload);
+    if (reader.number<std::uint8_t>() != protocolVersion) {
+        return std::nullopt;
+    }
+    const auto type = reader.number<std::uint8_t>();
+    if (type < static_cast<std::uint8_t>(MessageType::Probe) || type > static_cast<std::uint8_t>(MessageType::Items)) {
+        return std::nullopt;
+    }
+    Message message;
+    message.type = static_cast<MessageType>(type);
+    message.sender = support::InstanceId(reader.name());
+    switch (message.type) {
+    case MessageType::ProbeRequest:
+        message.targetAddress = reader.address();
+        [[fallthrough]];
+    case MessageType::Probe:
+    case MessageType::Acknowledgement:
+        message.sequence = reader.number<std::uint32_t>();
+        message.target = support::InstanceId(reader.name());
+        break;
+    case MessageType::Digest:
+    case MessageType::DigestResponse:
+        for (std::uint64_t &bucket : message.digest) {
+            bucket = reader.number<std::uint64_t>();
+        }
+        break;
+    case MessageType::Gossip:
+    case MessageType::Items:
+        break;
+    }
+    while (reader.good() && !reader.atEnd()) {
+        auto item = readItem(reader);
+        if (!item) {
+            return std::nullopt;
+        }
+        message.items.push_back(std::move(*item));
+    }
+    if (!reader.good()) {
+        return std::nullopt;
+    }
+    return message;
+}
+
+} // namespace mulberrywall::membership
--- /dev/null
+++ b/lib/Membership/Commands.cpp
@@ -0,0 +1,326 @@
+#include "Tables.h"
+
+#include <algorithm>
+
+namespace mulberrywall::membership
+{
+
+namespace
+{
+
+constexpr std::size_t maxJoinAttemptsAtOnce = 3;
+constexpr std::size_t membersToldOfLeaving = 8;
+
+bool hasUrgentItems(const State &state)
+{
+    return !isSpread(state);
+}
+
+/// Returns up to the given number of random live members without the excluded one.
+std::vector<Member> pickLiveMembers(const State &state, std::size_t count, const support::InstanceId &excluded, Random &random)
+{
+    std::vector<Member> live;
+    for (const auto &[instance, record] : state.members) {
+        if (isLive(record.member.state) && instance != excluded) {
+            live.push_back(record.member);
+        }
+    }
+    std::vector<Member> picked;
+    std::sample(live.begin(), live.end(), std::back_inserter(picked), count, random);
+    return picked;
+}
+
+/// Addresses at which nobody is known to be alive: seeds of a new member, and members lost in a partition.
+std::vector<Address> lostAddresses(const State &state)
+{
+    std::vector<Address> addresses = state.options.seeds;
+    for (const auto &[instance, record] : state.members) {
+        if (record.member.state == MemberState::Dead) {
+            addresses.push_back(record.member.address);
+        }
+    }
+    std::erase_if(addresses, [&state](const Address &address) {
+        return address == state.self.address || std::any_of(state.members.begin(), state.members.end(), [&address](const auto &entry) {
+            return isLive(entry.second.member.state) && entry.second.member.address == address;
+        });
+    });
+    return addresses;
+}
+
+void sendDigest(State &state, const Address &to, const support::InstanceId &receiver, MessageType type, Output &output)
+{
+    const Item self = state.self;
+    sendMessage(state, to, receiver, {.type = type, .digest = makeDigest(state)}, std::span(&self, 1), output);
+}
+
+void startExchange(State &state, TimePoint now, Random &random, Output &output)
+{
+    const std::vector<Member> live = pickLiveMembers(state, 1, state.self.instance, random);
+    for (const Member &member : live) {
+        sendDigest(state, member.address, member.instance, MessageType::Digest, output);
+    }
+    const std::vector<Address> lost = lostAddresses(state);
+    std::vector<Address> contacted;
+    std::sample(lost.begin(), lost.end(), std::back_inserter(contacted), live.empty() ? maxJoinAttemptsAtOnce : 1, random);
+    for (const Address &address : contacted) {
+        const auto dead = std::find_if(state.members.begin(), state.members.end(), [&address](const auto &entry) {
+            return entry.second.member.state == MemberState::Dead && entry.second.member.address == address;
+        });
+        sendDigest(state, address, dead == state.members.end() ? support::InstanceId() : dead->first, MessageType::Digest, output);
+    }
+    const auto interval = state.differed || live.empty() ? state.options.differingExchangeInterval : state.options.exchangeInterval;
+    state.differed = false;
+    state.nextExchange = now + interval + interval * static_cast<int>(random() % 21) / 100;
+}
+
+/// Returns the next live member in a random order that visits each one once per round.
+const Member *nextProbeTarget(State &state, Random &random)
+{
+    for (int round = 0; round < 2; ++round) {
+        while (!state.probeOrder.empty()) {
+            const auto found = state.members.find(state.probeOrder.back());
+            state.probeOrder.pop_back();
+            if (found != state.members.end() && isLive(found->second.member.state)) {
+                return &found->second.member;
+            }
+        }
+        for (const auto &[instance, record] : state.members) {
+            if (isLive(record.member.state)) {
+                state.probeOrder.push_back(instance);
+            }
+        }
+        std::shuffle(state.probeOrder.begin(), state.probeOrder.end(), random);
+    }
+    return nullptr;
+}
+
+void sendProbe(State &state, const Address &to, const support::InstanceId &target, std::uint32_t sequence, Output &output)
+{
+    sendMessage(state, to, target, {.type = MessageType::Probe, .sequence = sequence, .target = target}, {}, output);
+}
+
+void endProbe(State &state, TimePoint now, Output &output)
+{
+    if (!state.probe) {
+        return;
+    }
+    const auto found = state.members.find(state.probe->target);
+    state.probe.reset();
+    if (found != state.members.end() && found->second.member.state == MemberState::Alive) {
+        setMemberState(state, found->second, MemberState::Suspect, now, output);
+    }
+}
+
+void startProbe(State &state, TimePoint now, Random &random, Output &output)
+{
+    const Member *target = nextProbeTarget(state, random);
+    if (target == nullptr) {
+        return;
+    }
+    state.probe = State::PendingProbe {.sequence = ++state.lastSequence, .target = target->instance, .sentAt = now};
+    sendProbe(state, target->address, target->instance, state.lastSequence, output);
+}
+
+void requestIndirectProbes(State &state, Random &random, Output &output)
+{
+    state.probe->indirectSent = true;
+    const auto target = state.members.find(state.probe->target);
+    if (target == state.members.end()) {
+        return;
+    }
+    const Message request {
+        .type = MessageType::ProbeRequest, .sequence = state.probe->sequence, .target = target->first, .targetAddress = target->second.member.address};
+    for (const Member &helper : pickLiveMembers(state, state.options.indirectProbes, target->first, random)) {
+        sendMessage(state, helper.address, helper.instance, request, {}, output);
+    }
+}
+
+void endSuspicions(State &state, TimePoint now, Output &output)
+{
+    const auto duration = state.options.probeInterval * state.options.suspicionPeriods;
+    for (auto &[instance, record] : state.members) {
+        if (record.member.state == MemberState::Suspect && record.changedAt + duration <= now) {
+            setMemberState(state, record, MemberState::Dead, now, output);
+        }
+    }
+}
+
+/// A process that was paused has missed answers and refutations, so what it holds against others does not count.
+void forgiveAfterPause(State &state, TimePoint now)
+{
+    state.probe.reset();
+    state.relayedProbes.clear();
+    for (auto &[instance, record] : state.members) {
+        if (record.member.state == MemberState::Suspect) {
+            record.changedAt = now;
+        }
+    }
+}
+
+void acknowledge(
+    State &state, const Address &to, const support::InstanceId &receiver, std::uint32_t sequence, const support::InstanceId &target, Output &output)
+{
+    sendMessage(state, to, receiver, {.type = MessageType::Acknowledgement, .sequence = sequence, .target = target}, {}, output);
+}
+
+void relayProbe(State &state, const Address &from, const Message &message, TimePoint now, Output &output)
+{
+    state.relayedProbes.push_back({.sequence = ++state.lastSequence,
+        .requesterSequence = message.sequence,
+        .requester = from,
+        .target = message.target,
+        .expiresAt = now + state.options.probeInterval});
+    sendProbe(state, message.targetAddress, message.target, state.lastSequence, output);
+}
+
+void takeAcknowledgement(State &state, const Message &message, Output &output)
+{
+    if (state.probe && state.probe->sequence == message.sequence && state.probe->target == message.target) {
+        state.probe.reset();
+        return;
+    }
+    const auto relayed = std::find_if(state.relayedProbes.begin(), state.relayedProbes.end(), [&message](const State::RelayedProbe &probe) {
+        return probe.sequence == message.sequence && probe.target == message.target;
+    });
+    if (relayed == state.relayedProbes.end()) {
+        return;
+    }
+    const State::RelayedProbe probe = *relayed;
+    state.relayedProbes.erase(relayed);
+    acknowledge(state, probe.requester, support::InstanceId(), probe.requesterSequence, probe.target, output);
+}
+
+void answerDigest(State &state, const Address &from, const Message &message, TimePoint now, Random &random, Output &output)
+{
+    const Digest own = makeDigest(state);
+    if (own == message.digest) {
+        return;
+    }
+    ++state.counters.differingExchanges;
+    sendDifferingItems(state, from, own, message.digest, now, random, output);
+    if (message.type == MessageType::Digest) {
+        sendDigest(state, from, message.sender, MessageType::DigestResponse, output);
+        return;
+    }
+    state.differed = true;
+}
+
+} // namespace
+
+State createState(const Options &options, TimePoint now, Random &random)
+{
+    State state;
+    state.options = options;
+    state.self = options.self;
+    state.self.state = MemberState::Alive;
+    // A random phase keeps members that start together from sending together.
+    state.nextProbe = now + options.probeInterval * static_cast<int>(random() % 100) / 100;
+    state.nextGossip = now;
+    state.nextExchange = now;
+    state.lastAdvance = now;
+    enqueue(state, state.self);
+    return state;
+}
+
+Output advance(State &state, TimePoint now, Random &random)
+{
+    Output output;
+    state.now = now;
+    if (now - state.lastAdvance > 2 * state.options.probeInterval) {
+        forgiveAfterPause(state, now);
+    }
+    state.lastAdvance = now;
+    expireItems(state, now);
+    endSuspicions(state, now, output);
+    std::erase_if(state.relayedProbes, [now](const State::RelayedProbe &probe) { return probe.expiresAt <= now; });
+    if (now >= state.nextProbe) {
+        endProbe(state, now, output);
+        state.nextProbe = std::max(state.nextProbe + state.options.probeInterval, now + state.options.probeInterval / 2);
+        startProbe(state, now, random, output);
+    }
+    if (state.probe && !state.probe->indirectSent && now >= state.probe->sentAt + state.options.probeTimeout) {
+        requestIndirectProbes(state, random, output);
+    }
+    if (now >= state.nextGossip && hasUrgentItems(state)) {
+        state.nextGossip = now + state.options.gossipInterval;
+        for (const Member &member : pickLiveMembers(state, state.options.gossipFanout, state.self.instance, random)) {
+            sendMessage(state, member.address, member.instance, {.type = MessageType::Gossip}, {}, output);
+        }
+    }
+    if (now >= state.nextExchange) {
+        startExchange(state, now, random, output);
+    }
+    return output;
+}
+
+Output receive(State &state, const Address &from, std::span<const std::uint8_t> payload, TimePoint now, Random &random)
+{
+    Output output;
+    state.now = now;
+    ++state.counters.datagramsReceived;
+    state.counters.bytesReceived += payload.size();
+    const auto message = decodeMessage(payload);
+    if (!message) {
+        ++state.counters.malformed;
+        return output;
+    }
+    const ItemSource source = message->type == MessageType::Items ? ItemSource::Exchange : ItemSource::Gossip;
+    for (const Item &item : message->items) {
+        applyItem(state, item, source, now, output);
+    }
+    switch (message->type) {
+    case MessageType::Probe:
+        // An address may belong to another router by now.
+        if (message->target == state.self.instance) {
+            acknowledge(state, from, message->sender, message->sequence, state.self.instance, output);
+        }
+        break;
+    case MessageType::Acknowledgement:
+        takeAcknowledgement(state, *message, output);
+        break;
+    case MessageType::ProbeRequest:
+        relayProbe(state, from, *message, now, output);
+        break;
+    case MessageType::Digest:
+    case MessageType::DigestResponse:
+        answerDigest(state, from, *message, now, random, output);
+        break;
+    case MessageType::Gossip:
+    case MessageType::Items:
+        break;
+    }
+    return output;
+}
+
+Output announce(State &state, Item item, TimePoint now)
+{
+    Output output;
+    state.now = now;
+    if (auto *load = std::get_if<PoolLoad>(&item)) {
+        const auto known = state.poolLoads.find({load->dataCentre, load->pool});
+        if (known != state.poolLoads.end()) {
+            load->version = std::max(load->version, known->second.load.version + 1);
+        }
+    }
+    applyItem(state, item, ItemSource::Gossip, now, output);
+    return output;
+}
+
+Output leave(State &state, TimePoint now, Random &random)
+{
+    Output output;
+    state.now = now;
+    if (state.self.state == MemberState::Left) {
+        return output;
+    }
+    state.self.state = MemberState::Left;
+    enqueue(state, state.self);
+    output.events.emplace_back(state.self);
+    for (const Member &member : pickLiveMembers(state, membersToldOfLeaving, state.self.instance, random)) {
+        sendMessage(state, member.address, member.instance, {.type = MessageType::Gossip}, {}, output);
+    }
+    state.nextGossip = now + state.options.gossipInterval;
+    return output;
+}
+
+} // namespace mulberrywall::membership
--- /dev/null
+++ b/lib/Membership/Queries.cpp
@@ -0,0 +1,69 @@
+#include "mulberrywall/Membership/StateMachine.h"
+
+#include <algorithm>
+
+namespace mulberrywall::membership
+{
+
+TimePoint nextWakeUp(const State &state)
+{
+    TimePoint next = std::min(state.nextProbe, state.nextExchange);
+    if (!isSpread(state)) {
+        next = std::min(next, state.nextGossip);
+    }
+    if (state.probe && !state.probe->indirectSent) {
+        next = std::min(next, state.probe->sentAt + state.options.probeTimeout);
+    }
+    for (const auto &[instance, record] : state.members) {
+        if (record.member.state == MemberState::Suspect) {
+            next = std::min(next, record.changedAt + state.options.probeInterval * state.options.suspicionPeriods);
+        }
+    }
+    return next;
+}
+
+std::vector<Member> liveMembers(const State &state)
+{
+    std::vector<Member> live;
+    if (isLive(state.self.state)) {
+        live.push_back(state.self);
+    }
+    for (const auto &[instance, record] : state.members) {
+        if (isLive(record.member.state)) {
+            live.push_back(record.member);
+        }
+    }
+    std::sort(live.begin(), live.end(), [](const Member &left, const Member &right) { return left.instance < right.instance; });
+    return live;
+}
+
+std::vector<Member> liveMembers(const State &state, const support::DataCentreId &dataCentre)
+{
+    std::vector<Member> live = liveMembers(state);
+    std::erase_if(live, [&dataCentre](const Member &member) { return member.dataCentre != dataCentre; });
+    return live;
+}
+
+bool isLeaving(const State &state, const support::EndpointId &endpoint, std::uint64_t incarnation)
+{
+    const auto found = state.leavingEndpoints.find(endpoint);
+    return found != state.leavingEndpoints.end() && incarnation <= found->second.version;
+}
+
+std::vector<PoolLoad> poolLoads(const State &state, const support::PoolId &pool)
+{
+    std::vector<PoolLoad> loads;
+    for (const auto &[key, record] : state.poolLoads) {
+        if (key.second == pool) {
+            loads.push_back(record.load);
+        }
+    }
+    return loads;
+}
+
+bool isSpread(const State &state)
+{
+    return std::all_of(state.queue.begin(), state.queue.end(), [](const State::QueuedItem &queued) { return std::holds_alternative<PoolLoad>(queued.item); });
+}
+
+} // namespace mulberrywall::membership
--- /dev/null
+++ b/lib/Membership/Tables.cpp
@@ -0,0 +1,386 @@
+#include "Tables.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <bit>
+#include <string>
+#include <tuple>
+
+namespace mulberrywall::membership
+{
+
+namespace
+{
+
+/// A repeated announcement counts as news only when it prolongs the item by more than this.
+constexpr std::chrono::seconds significantExtension {60};
+
+bool isUrgent(const Item &item)
+{
+    return !std::holds_alternative<PoolLoad>(item);
+}
+
+bool sameSubject(const Member &left, const Member &right)
+{
+    return left.instance == right.instance;
+}
+
+bool sameSubject(const ConfigurationRevision &, const ConfigurationRevision &)
+{
+    return true;
+}
+
+bool sameSubject(const LeavingEndpoint &left, const LeavingEndpoint &right)
+{
+    return left.endpoint == right.endpoint;
+}
+
+bool sameSubject(const CrashSuspect &left, const CrashSuspect &right)
+{
+    return left.fingerprint == right.fingerprint;
+}
+
+bool sameSubject(const PoolLoad &left, const PoolLoad &right)
+{
+    return left.dataCentre == right.dataCentre && left.pool == right.pool;
+}
+
+bool sameSubject(const Item &left, const Item &right)
+{
+    return left.index() == right.index()
+        && std::visit([&right](const auto &value) { return sameSubject(value, std::get<std::decay_t<decltype(value)>>(right)); }, left);
+}
+
+unsigned transmissionLimit(const State &state)
+{
+    const auto live = std::count_if(state.members.begin(), state.members.end(), [](const auto &entry) { return isLive(entry.second.member.state); });
+    return 3U * static_cast<unsigned>(std::bit_width(static_cast<std::size_t>(live) + 1));
+}
+
+void report(State &state, const Item &item, Output &output)
+{
+    output.events.push_back(item);
+    enqueue(state, item);
+}
+
+void applySelf(State &state, const Member &claim, Output &output)
+{
+    if (state.self.state == MemberState::Left || claim.incarnation < state.self.incarnation
+        || (claim.incarnation == state.self.incarnation && claim.state == MemberState::Alive)) {
+        return;
+    }
+    state.self.incarnation = claim.incarnation + 1;
+    ++state.counters.refutations;
+    report(state, state.self, output);
+}
+
+void addMember(State &state, const Member &member, TimePoint now, Output &output)
+{
+    // The death of a member that was never known here concerns nobody; keeping it would spread old deaths for ever.
+    if (!isLive(member.state) || state.members.size() >= state.options.maxMembers) {
+        return;
+    }
+    state.members.emplace(member.instance, State::MemberRecord {.member = member, .changedAt = now});
+    state.probeOrder.push_back(member.instance);
+    report(state, member, output);
+}
+
+/// After a partition each side holds the other one for dead. Believing that would mark live members dead everywhere,
+/// so the member is told, which makes it refute, and is probed next.
+void verifyDeath(State &state, const Member &claim, const Member &known, Output &output)
+{
+    const Item item = claim;
+    sendMessage(state, known.address, support::InstanceId(), {.type = MessageType::Gossip}, std::span(&item, 1), output);
+    state.probeOrder.push_back(known.instance);
+}
+
+void apply(State &state, const Member &claim, ItemSource source, TimePoint now, Output &output)
+{
+    if (claim.instance == state.self.instance) {
+        applySelf(state, claim, output);
+        return;
+    }
+    const auto found = state.members.find(claim.instance);
+    if (found == state.members.end()) {
+        addMember(state, claim, now, output);
+        return;
+    }
+    Member &known = found->second.member;
+    if (std::tie(claim.incarnation, claim.state) <= std::tie(known.incarnation, known.state)) {
+        return;
+    }
+    if (source == ItemSource::Exchange && claim.state == MemberState::Dead && isLive(known.state)) {
+        verifyDeath(state, claim, known, output);
+        return;
+    }
+    if (!isLive(known.state) && isLive(claim.state)) {
+        state.probeOrder.push_back(claim.instance);
+    }
+    known = claim;
+    found->second.changedAt = now;
+    report(state, known, output);
+}
+
+void apply(State &state, const ConfigurationRevision &item, ItemSource, TimePoint, Output &output)
+{
+    if (item.revision <= state.configurationRevision) {
+        return;
+    }
+    state.configurationRevision = item.revision;
+    report(state, item, output);
+}
+
+/// Returns whether the item is news.
+template <typename Key>
+bool applyExpiring(
+    const State &state, std::map<Key, State::ExpiringItem> &items, const Key &key, std::uint64_t version, std::chrono::seconds timeToLive, TimePoint now)
+{
+    if (timeToLive <= std::chrono::seconds(0)) {
+        return false;
+    }
+    const State::ExpiringItem item {.version = version, .expiresAt = now + timeToLive};
+    const auto found = items.find(key);
+    if (found == items.end()) {
+        return items.size() < state.options.maxItemsOfAType && items.emplace(key, item).second;
+    }
+    State::ExpiringItem &known = found->second;
+    if (version > known.version || (version == known.version && item.expiresAt > known.expiresAt + significantExtension)) {
+        known = item;
+        return true;
+    }
+    return false;
+}
+
+void apply(State &state, const LeavingEndpoint &item, ItemSource, TimePoint now, Output &output)
+{
+    if (applyExpiring(state, state.leavingEndpoints, item.endpoint, item.incarnation, item.timeToLive, now)) {
+        report(state, item, output);
+    }
+}
+
+void apply(State &state, const CrashSuspect &item, ItemSource, TimePoint now, Output &output)
+{
+    if (applyExpiring(state, state.crashSuspects, item.fingerprint, item.crashes, item.timeToLive, now)) {
+        report(state, item, output);
+    }
+}
+
+void apply(State &state, const PoolLoad &item, ItemSource, TimePoint now, Output &output)
+{
+    const auto key = std::pair(item.dataCentre, item.pool);
+    const auto found = state.poolLoads.find(key);
+    const bool known = found != state.poolLoads.end();
+    if (known ? found->second.load.version >= item.version : state.poolLoads.size() >= state.options.maxItemsOfAType) {
+        return;
+    }
+    state.poolLoads[key] = {.load = item, .receivedAt = now};
+    report(state, item, output);
+}
+
+std::uint64_t hashOf(std::string_view subject, std::uint64_t version, std::uint64_t seed)
+{
+    return XXH64(subject.data(), subject.size(), seed * 0x9e3779b97f4a7c15ULL + version);
+}
+
+std::size_t bucketOf(std::string_view subject)
+{
+    return XXH64(subject.data(), subject.size(), 0) % digestBuckets;
+}
+
+std::chrono::seconds remaining(const State::ExpiringItem &item, TimePoint now)
+{
+    // Rounds down, so that an item that is passed around cannot live for ever. One that has expired and is not yet
+    // removed has no time left; a negative time would be read as a very long one.
+    return std::max(std::chrono::floor<std::chrono::seconds>(item.expiresAt - now), std::chrono::seconds(0));
+}
+
+std::vector<Item> itemsOfBucket(const State &state, std::size_t bucket, TimePoint now)
+{
+    std::vector<Item> items;
+    if (bucketOf(state.self.instance.value()) == bucket) {
+        items.emplace_back(state.self);
+    }
+    for (const auto &[instance, record] : state.members) {
+        if (bucketOf(instance.value()) == bucket) {
+            items.emplace_back(record.member);
+        }
+    }
+    if (bucket == 0 && state.configurationRevision != 0) {
+        items.emplace_back(ConfigurationRevision {state.configurationRevision});
+    }
+    for (const auto &[endpoint, item] : state.leavingEndpoints) {
+        if (bucketOf(endpoint.value()) == bucket) {
+            items.emplace_back(LeavingEndpoint {.endpoint = endpoint, .incarnation = item.version, .timeToLive = remaining(item, now)});
+        }
+    }
+    for (const auto &[fingerprint, item] : state.crashSuspects) {
+        if (fingerprint % digestBuckets == bucket) {
+            items.emplace_back(
+                CrashSuspect {.fingerprint = fingerprint, .crashes = static_cast<std::uint32_t>(item.version), .timeToLive = remaining(item, now)});
+        }
+    }
+    return items;
+}
+
+void finishDatagram(State &state, const Address &to, std::vector<std::uint8_t> payload, Output &output)
+{
+    ++state.counters.datagramsSent;
+    state.counters.bytesSent += payload.size();
+    output.datagrams.push_back({.to = to, .payload = std::move(payload)});
+}
+
+/// Returns the item with the time that is left for it, or nothing when it has expired.
+std::optional<Item> withRemainingTime(const State &state, const Item &item)
+{
+    if (const auto *leaving = std::get_if<LeavingEndpoint>(&item)) {
+        const auto known = state.leavingEndpoints.find(leaving->endpoint);
+        if (known == state.leavingEndpoints.end()) {
+            return std::nullopt;
+        }
+        return LeavingEndpoint {.endpoint = leaving->endpoint, .incarnation = known->second.version, .timeToLive = remaining(known->second, state.now)};
+    }
+    if (const auto *suspect = std::get_if<CrashSuspect>(&item)) {
+        const auto known = state.crashSuspects.find(suspect->fingerprint);
+        if (known == state.crashSuspects.end()) {
+            return std::nullopt;
+        }
+        return CrashSuspect {.fingerprint = suspect->fingerprint,
+            .crashes = static_cast<std::uint32_t>(known->second.version),
+            .timeToLive = remaining(known->second, state.now)};
+    }
+    return item;
+}
+
+/// Fills the rest of a datagram with queued items: urgent ones first, then those that were sent least often.
+void appendQueued(State &state, std::vector<std::uint8_t> &payload)
+{
+    if (state.queue.empty()) {
+        return;
+    }
+    std::stable_sort(state.queue.begin(), state.queue.end(), [](const State::QueuedItem &left, const State::QueuedItem &right) {
+        return std::pair(!isUrgent(left.item), left.transmissions) < std::pair(!isUrgent(right.item), right.transmissions);
+    });
+    const unsigned limit = transmissionLimit(state);
+    for (State::QueuedItem &queued : state.queue) {
+        const auto item = withRemainingTime(state, queued.item);
+        if (!item) {
+            queued.transmissions = limit;
+            continue;
+        }
+        if (!appendItem(payload, *item, state.options.maxDatagramBytes)) {
+            break;
+        }
+        ++queued.transmissions;
+    }
+    std::erase_if(state.queue, [limit](const State::QueuedItem &queued) { return queued.transmissions >= limit; });
+}
+
+} // namespace
+
+void enqueue(State &state, const Item &item)
+{
+    const auto found
+        = std::find_if(state.queue.begin(), state.queue.end(), [&item](const State::QueuedItem &queued) { return sameSubject(queued.item, item); });
+    if (found == state.queue.end()) {
+        state.queue.push_back({.item = item});
+        return;
+    }
+    *found = {.item = item};
+}
+
+void applyItem(State &state, const Item &item, ItemSource source, TimePoint now, Output &output)
+{
+    std::visit([&](const auto &value) { apply(state, value, source, now, output); }, item);
+}
+
+void setMemberState(State &state, State::MemberRecord &record, MemberState memberState, TimePoint now, Output &output)
+{
+    record.member.state = memberState;
+    record.changedAt = now;
+    report(state, record.member, output);
+}
+
+void expireItems(State &state, TimePoint now)
+{
+    const auto expired = [now](const auto &entry) {
+        return entry.second.expiresAt <= now;
+    };
+    std::erase_if(state.leavingEndpoints, expired);
+    std::erase_if(state.crashSuspects, expired);
+    std::erase_if(state.poolLoads, [&](const auto &entry) { return entry.second.receivedAt + state.options.loadLifetime <= now; });
+    std::erase_if(
+        state.members, [&](const auto &entry) { return !isLive(entry.second.member.state) && entry.second.changedAt + state.options.deadRetention <= now; });
+}
+
+Digest makeDigest(const State &state)
+{
+    Digest digest {};
+    const auto add = [&digest](std::string_view subject, std::uint64_t version, const auto &kind) {
+        digest[bucketOf(subject)] ^= hashOf(subject, version, kind);
+    };
+    if (isLive(state.self.state)) {
+        add(state.self.instance.value(), state.self.incarnation, 1U);
+    }
+    for (const auto &[instance, record] : state.members) {
+        if (isLive(record.member.state)) {
+            add(instance.value(), record.member.incarnation, 1U);
+        }
+    }
+    for (const auto &[endpoint, item] : state.leavingEndpoints) {
+        add(endpoint.value(), item.version, 2U);
+    }
+    for (const auto &[fingerprint, item] : state.crashSuspects) {
+        digest[fingerprint % digestBuckets] ^= hashOf(std::to_string(fingerprint), item.version, 3U);
+    }
+    digest[0] ^= hashOf("revision", state.configurationRevision, 4U);
+    return digest;
+}
+
+void sendDifferingItems(State &state, const Address &to, const Digest &own, const Digest &other, TimePoint now, Random &random, Output &output)
+{
+    const auto newPayload = [&state] {
+        return encodeMessage({.type = MessageType::Items, .sender = state.self.instance});
+    };
+    // Starts at a random bucket, so that a bounded exchange reaches all buckets in the end.
+    const std::size_t start = random() % digestBuckets;
+    std::vector<std::uint8_t> payload = newPayload();
+    unsigned datagrams = 1;
+    bool empty = true;
+    for (std::size_t offset = 0; offset < digestBuckets && datagrams <= state.options.maxExchangeDatagrams; ++offset) {
+        const std::size_t bucket = (start + offset) % digestBuckets;
+        if (own[bucket] == other[bucket]) {
+            continue;
+        }
+        for (const Item &item : itemsOfBucket(state, bucket, now)) {
+            if (!appendItem(payload, item, state.options.maxDatagramBytes)) {
+                finishDatagram(state, to, std::move(payload), output);
+                payload = newPayload();
+                ++datagrams;
+                appendItem(payload, item, state.options.maxDatagramBytes);
+            }
+            empty = false;
+        }
+    }
+    if (!empty) {
+        finishDatagram(state, to, std::move(payload), output);
+    }
+}
+
+void sendMessage(State &state, const Address &to, const support::InstanceId &receiver, const Message &message, std::span<const Item> first, Output &output)
+{
+    Message complete = message;
+    complete.sender = state.self.instance;
+    std::vector<std::uint8_t> payload = encodeMessage(complete);
+    for (const Item &item : first) {
+        appendItem(payload, item, state.options.maxDatagramBytes);
+    }
+    const auto record = state.members.find(receiver);
+    if (record != state.members.end() && record->second.member.state != MemberState::Alive) {
+        appendItem(payload, record->second.member, state.options.maxDatagramBytes);
+    }
+    appendQueued(state, payload);
+    finishDatagram(state, to, std::move(payload), output);
+}
+
+} // namespace mulberrywall::membership
--- /dev/null
+++ b/unittests/Membership/CodecTest.cpp
@@ -0,0 +1,101 @@
+#include "Codec.h"
+#include "Authenticator.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace mulberrywall::membership
+{
+
+namespace
+{
+
+Message sampleMessage()
+{
+    return {.type = MessageType::ProbeRequest,
+        .sender = support::InstanceId("router-1"),
+        .sequence = 7,
+        .target = support::InstanceId("router-2"),
+        .targetAddress = {.ip = {1, 2, 3}, .port = 4}};
+}
+
+std::vector<Item> sampleItems()
+{
+    return {Member {.instance = support::InstanceId("router-3"), .dataCentre = support::DataCentreId("a"), .incarnation = 5, .state = MemberState::Dead},
+        ConfigurationRevision {12},
+        LeavingEndpoint {.endpoint = support::EndpointId("runner-1"), .incarnation = 3, .timeToLive = std::chrono::seconds(9)},
+        CrashSuspect {.fingerprint = 77, .crashes = 2, .timeToLive = std::chrono::seconds(600)},
+        PoolLoad {.dataCentre = support::DataCentreId("b"),
+            .pool = support::PoolId("model"),
+            .version = 8,
+            .waiting = 1,
+            .running = 2,
+            .freeSlots = 3,
+            .endpoints = 4}};
+}
+
+std::vector<std::uint8_t> encodedSample()
+{
+    std::vector<std::uint8_t> payload = encodeMessage(sampleMessage());
+    for (const Item &item : sampleItems()) {
+        appendItem(payload, item, 1'200);
+    }
+    return payload;
+}
+
+} // namespace
+
+// Guards against a field that is lost or altered between two routers.
+TEST(CodecTest, DecodesWhatWasEncoded)
+{
+    const auto message = decodeMessage(encodedSample());
+    ASSERT_TRUE(message);
+    EXPECT_EQ(message->sender, sampleMessage().sender);
+    EXPECT_EQ(message->sequence, 7U);
+    EXPECT_EQ(message->target, sampleMessage().target);
+    EXPECT_EQ(message->targetAddress, sampleMessage().targetAddress);
+    EXPECT_EQ(message->items, sampleItems());
+}
+
+// Guards against reading past the end of a datagram and against accepting half an item.
+TEST(CodecTest, RejectsTruncatedAndRandomDatagrams)
+{
+    const std::vector<std::uint8_t> payload = encodedSample();
+    const std::size_t bareSize = encodeMessage(sampleMessage()).size();
+    for (std::size_t size = 0; size < bareSize; ++size) {
+        EXPECT_FALSE(decodeMessage(std::span(payload).first(size))) << size;
+    }
+    std::mt19937_64 random(1);
+    for (int round = 0; round < 20'000; ++round) {
+        std::vector<std::uint8_t> damaged = payload;
+        damaged.resize(random() % payload.size());
+        for (int change = 0; change < 3 && !damaged.empty(); ++change) {
+            damaged[random() % damaged.size()] = static_cast<std::uint8_t>(random());
+        }
+        static_cast<void>(decodeMessage(damaged));
+    }
+}
+
+// Guards against a datagram that grows beyond its bound.
+TEST(CodecTest, DropsItemThatDoesNotFit)
+{
+    std::vector<std::uint8_t> payload = encodeMessage(sampleMessage());
+    const std::vector<std::uint8_t> before = payload;
+    EXPECT_FALSE(appendItem(payload, sampleItems().front(), payload.size() + 10));
+    EXPECT_EQ(payload, before);
+}
+
+// Guards against accepting a datagram that was altered or signed with another secret.
+TEST(CodecTest, TagDependsOnSecretAndPayload)
+{
+    std::vector<std::uint8_t> datagram = encodedSample();
+    appendTag(datagram, "secret");
+    EXPECT_TRUE(verifyTag(datagram, "secret"));
+    EXPECT_FALSE(verifyTag(datagram, "other"));
+    EXPECT_FALSE(verifyTag(std::span(datagram).first(5), "secret"));
+    datagram[3] ^= 1;
+    EXPECT_FALSE(verifyTag(datagram, "secret"));
+}
+
+} // namespace mulberrywall::membership
--- /dev/null
+++ b/unittests/Membership/StateMachineTest.cpp
@@ -0,0 +1,397 @@
+#include "mulberrywall/Membership/StateMachine.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <queue>
+
+namespace mulberrywall::membership
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Many state machines in one process, with a simulated clock and a network that can lose datagrams.
+class Network
+{
+public:
+    explicit Network(std::size_t size, std::uint64_t seed = 1)
+        : random_(seed)
+    {
+        for (std::size_t index = 0; index < size; ++index) {
+            nodes_.push_back({});
+            restart(index, 1);
+        }
+    }
+
+    void restart(std::size_t index, std::uint64_t incarnation)
+    {
+        Options options;
+        options.self = {.instance = instanceOf(index),
+            .dataCentre = support::DataCentreId(index % 2 == 0 ? "even" : "odd"),
+            .address = addressOf(index),
+            .incarnation = incarnation};
+        options.seeds = {addressOf(0), addressOf(1)};
+        nodes_[index] = {.state = createState(options, now_, random_), .running = true};
+    }
+    void stop(std::size_t index)
+    {
+        nodes_[index].running = false;
+    }
+    void resume(std::size_t index)
+    {
+        nodes_[index].running = true;
+    }
+    void announce(std::size_t index, const Item &item)
+    {
+        deliver(index, membership::announce(nodes_[index].state, item, now_));
+    }
+    void leave(std::size_t index)
+    {
+        deliver(index, membership::leave(nodes_[index].state, now_, random_));
+    }
+
+    /// Lets time pass until the condition holds; returns the time it took, or nothing after the limit.
+    std::optional<milliseconds> runUntil(const std::function<bool()> &condition, milliseconds limit)
+    {
+        const TimePoint start = now_;
+        while (now_ < start + limit) {
+            if (condition()) {
+                return std::chrono::duration_cast<milliseconds>(now_ - start);
+            }
+            step();
+        }
+        return condition() ? std::optional(limit) : std::nullopt;
+    }
+    void runFor(milliseconds duration)
+    {
+        runUntil([] { return false; }, duration);
+    }
+
+    [[nodiscard]] const State &state(std::size_t index) const
+    {
+        return nodes_[index].state;
+    }
+    [[nodiscard]] bool allRunning(const std::function<bool(const State &)> &condition) const
+    {
+        return std::all_of(nodes_.begin(), nodes_.end(), [&condition](const Node &node) { return !node.running || condition(node.state); });
+    }
+    [[nodiscard]] bool allSee(std::size_t live) const
+    {
+        return allRunning([live](const State &state) { return liveMembers(state).size() == live; });
+    }
+    [[nodiscard]] std::size_t deathsSeen() const
+    {
+        return deathsSeen_;
+    }
+    [[nodiscard]] std::size_t largestDatagram() const
+    {
+        return largestDatagram_;
+    }
+
+    static support::InstanceId instanceOf(std::size_t index)
+    {
+        return support::InstanceId("router-" + std::to_string(index));
+    }
+    static Address addressOf(std::size_t index)
+    {
+        return {.port = static_cast<std::uint16_t>(index + 1)};
+    }
+
+    double loss = 0.0;
+    /// Says whether a datagram between the two nodes gets through.
+    std::function<bool(std::size_t, std::size_t)> connected = [](std::size_t, std::size_t) {
+        return true;
+    };
+
+private:
+    struct Node
+    {
+        State state;
+        bool running = false;
+    };
+    struct InFlight
+    {
+        TimePoint at;
+        std::uint64_t order;
+        std::size_t from;
+        Datagram datagram;
+
+        bool operator<(const InFlight &other) const
+        {
+            return std::tie(at, order) > std::tie(other.at, other.order);
+        }
+    };
+
+    void step()
+    {
+        now_ += milliseconds(10);
+        while (!inFlight_.empty() && inFlight_.top().at <= now_) {
+            const InFlight next = inFlight_.top();
+            inFlight_.pop();
+            const std::size_t to = next.datagram.to.port - 1U;
+            if (nodes_[to].running) {
+                deliver(to, receive(nodes_[to].state, addressOf(next.from), next.datagram.payload, now_, random_));
+            }
+        }
+        for (std::size_t index = 0; index < nodes_.size(); ++index) {
+            if (nodes_[index].running && nextWakeUp(nodes_[index].state) <= now_) {
+                deliver(index, advance(nodes_[index].state, now_, random_));
+            }
+        }
+    }
+
+    void deliver(std::size_t from, Output output)
+    {
+        for (const Item &item : output.events) {
+            const auto *member = std::get_if<Member>(&item);
+            deathsSeen_ += member != nullptr && member->state == MemberState::Dead ? 1 : 0;
+        }
+        for (Datagram &datagram : output.datagrams) {
+            largestDatagram_ = std::max(largestDatagram_, datagram.payload.size());
+            const std::size_t to = datagram.to.port - 1U;
+            const bool lost = std::uniform_real_distribution<>(0.0, 1.0)(random_) < loss;
+            if (to < nodes_.size() && connected(from, to) && !lost) {
+                inFlight_.push({.at = now_ + milliseconds(1 + random_() % 20), .order = ++order_, .from = from, .datagram = std::move(datagram)});
+            }
+        }
+    }
+
+    Random random_;
+    TimePoint now_ {seconds(1'000)};
+    std::vector<Node> nodes_;
+    std::priority_queue<InFlight> inFlight_;
+    std::uint64_t order_ = 0;
+    std::size_t deathsSeen_ = 0;
+    std::size_t largestDatagram_ = 0;
+};
+
+std::optional<Member> memberOf(const State &state, std::size_t index)
+{
+    const auto found = state.members.find(Network::instanceOf(index));
+    return found == state.members.end() ? std::nullopt : std::optional(found->second.member);
+}
+
+} // namespace
+
+// Guards against a member that never learns of the others, and against false deaths on a network without loss.
+TEST(StateMachineTest, FiftyMembersJoinWithoutFalseDeaths)
+{
+    Network network(50);
+    EXPECT_TRUE(network.runUntil([&] { return network.allSee(50); }, seconds(15)));
+    network.runFor(seconds(60));
+    EXPECT_TRUE(network.allSee(50));
+    EXPECT_EQ(network.deathsSeen(), 0U);
+    EXPECT_EQ(liveMembers(network.state(0), support::DataCentreId("odd")).size(), 25U);
+    EXPECT_LE(network.largestDatagram(), Options {}.maxDatagramBytes);
+}
+
+// Guards against a death that goes unnoticed on a lossy network; several seeds, since it depends on chance.
+TEST(StateMachineTest, DetectsEveryDeathInSpiteOfLoss)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        Network network(50, seed);
+        ASSERT_TRUE(network.runUntil([&] { return network.allSee(50); }, seconds(15)));
+        network.loss = 0.1;
+        const std::vector<std::size_t> victims {3, 17, 31, 44};
+        for (const std::size_t victim : victims) {
+            network.stop(victim);
+        }
+        const auto allDetected = [&] {
+            return network.allRunning([&](const State &state) {
+                return std::all_of(victims.begin(), victims.end(), [&](std::size_t victim) { return memberOf(state, victim)->state == MemberState::Dead; });
+            });
+        };
+        EXPECT_TRUE(network.runUntil(allDetected, seconds(15))) << "seed " << seed;
+        network.loss = 0.0;
+        EXPECT_TRUE(network.runUntil([&] { return network.allSee(46); }, seconds(30))) << "seed " << seed;
+    }
+}
+
+// Guards against a death that takes longer than a probe, the suspicion and the spreading of both.
+TEST(StateMachineTest, DetectsDeathWithinFiveSeconds)
+{
+    Network network(50);
+    ASSERT_TRUE(network.runUntil([&] { return network.allSee(50); }, seconds(15)));
+    network.stop(7);
+    EXPECT_TRUE(network.runUntil([&] { return network.allSee(49); }, seconds(5)));
+}
+
+// Guards against a partition that never heals, and against members that hold live ones for dead afterwards.
+TEST(StateMachineTest, HealsAfterPartition)
+{
+    Network network(30);
+    ASSERT_TRUE(network.runUntil([&] { return network.allSee(30); }, seconds(15)));
+    network.connected = [](std::size_t from, std::size_t to) {
+        return (from < 12) == (to < 12);
+    };
+    const auto split = [&] {
+        return network.allRunning([](const State &state) {
+            const bool lower = state.self.address.port <= 12;
+            return liveMembers(state).size() == (lower ? 12U : 18U);
+        });
+    };
+    ASSERT_TRUE(network.runUntil(split, seconds(60)));
+    network.announce(2, LeavingEndpoint {.endpoint = support::EndpointId("runner"), .incarnation = 4, .timeToLive = seconds(3'600)});
+    network.announce(20, ConfigurationRevision {9});
+    network.runFor(seconds(60));
+    EXPECT_TRUE(split());
+    network.connected = [](std::size_t, std::size_t) {
+        return true;
+    };
+    EXPECT_TRUE(network.runUntil([&] { return network.allSee(30); }, seconds(30)));
+    EXPECT_TRUE(network.runUntil(
+        [&] {
+            return network.allRunning(
+                [](const State &state) { return isLeaving(state, support::EndpointId("runner"), 4) && state.configurationRevision == 9; });
+        },
+        seconds(30)));
+}
+
+// Guards against believing, after a partition, the other side's view that live members are dead.
+TEST(StateMachineTest, HealingCausesNoNewDeaths)
+{
+    Network network(30);
+    ASSERT_TRUE(network.runUntil([&] { return network.allSee(30); }, seconds(15)));
+    network.connected = [](std::size_t from, std::size_t to) {
+        return (from < 12) == (to < 12);
+    };
+    network.runFor(seconds(60));
+    const std::size_t before = network.deathsSeen();
+    network.connected = [](std::size_t, std::size_t) {
+        return true;
+    };
+    ASSERT_TRUE(network.runUntil([&] { return network.allSee(30); }, seconds(30)));
+    EXPECT_EQ(network.deathsSeen(), before);
+}
+
+// Guards against a suspected but live member that cannot clear itself.
+TEST(StateMachineTest, RefutesSuspicion)
+{
+    Network network(10);
+    ASSERT_TRUE(network.runUntil([&] { return network.allSee(10); }, seconds(15)));
+    Member claim = *memberOf(network.state(0), 4);
+    claim.state = MemberState::Suspect;
+    network.announce(0, claim);
+    EXPECT_TRUE(network.runUntil(
+        [&] {
+            return network.allRunning([&](const State &state) {
+                return state.self.instance == claim.instance ? state.self.incarnation > claim.incarnation : memberOf(state, 4)->incarnation > claim.incarnation;
+            });
+        },
+        seconds(5)));
+    EXPECT_EQ(network.deathsSeen(), 0U);
+}
+
+// Guards against a paused process that holds the others for dead when it goes on.
+TEST(StateMachineTest, PausedMemberBlamesNobody)
+{
+    Network network(10);
+    ASSERT_TRUE(network.runUntil([&] { return network.allSee(10); }, seconds(15)));
+    network.stop(3);
+    ASSERT_TRUE(network.runUntil([&] { return network.allSee(9); }, seconds(10)));
+    const std::size_t before = network.deathsSeen();
+    network.resume(3);
+    EXPECT_TRUE(network.runUntil([&] { return network.allSee(10); }, seconds(10)));
+    EXPECT_EQ(network.deathsSeen(), before);
+}
+
+// Guards against a restarted process that is taken for its dead predecessor.
+TEST(StateMachineTest, RestartedMemberReplacesItsPredecessor)
+{
+    Network network(10);
+    ASSERT_TRUE(network.runUntil([&] { return network.allSee(10); }, seconds(15)));
+    network.stop(5);
+    ASSERT_TRUE(network.runUntil([&] { return network.allSee(9); }, seconds(10)));
+    network.restart(5, 2);
+    EXPECT_TRUE(network.runUntil([&] { return network.allSee(10); }, seconds(10)));
+}
+
+// Guards against a graceful leave that others take for a crash or learn of late.
+TEST(StateMachineTest, LeaveSpreadsWithoutSuspicion)
+{
+    Network network(50);
+    ASSERT_TRUE(network.runUntil([&] { return network.allSee(50); }, seconds(15)));
+    network.leave(9);
+    EXPECT_TRUE(network.runUntil([&] { return network.allSee(49); }, seconds(2)));
+    EXPECT_EQ(memberOf(network.state(0), 9)->state, MemberState::Left);
+    EXPECT_EQ(network.deathsSeen(), 0U);
+}
+
+// Guards against items that reach only some members or reach them late, and against a stale one that wins.
+TEST(StateMachineTest, SpreadsItemsToAllMembers)
+{
+    Network network(50);
+    ASSERT_TRUE(network.runUntil([&] { return network.allSee(50); }, seconds(15)));
+    network.announce(1, ConfigurationRevision {41});
+    network.announce(2, ConfigurationRevision {40});
+    network.announce(3, LeavingEndpoint {.endpoint = support::EndpointId("runner"), .incarnation = 4, .timeToLive = seconds(60)});
+    network.announce(4, CrashSuspect {.fingerprint = 99, .crashes = 2, .timeToLive = seconds(60)});
+    network.announce(5, CrashSuspect {.fingerprint = 99, .crashes = 1, .timeToLive = seconds(60)});
+    const auto spread = network.runUntil(
+        [&] {
+            return network.allRunning([](const State &state) {
+                const auto suspect = state.crashSuspects.find(99);
+                return state.configurationRevision == 41 && isLeaving(state, support::EndpointId("runner"), 4) && suspect != state.crashSuspects.end()
+                    && suspect->second.version == 2;
+            });
+        },
+        seconds(10));
+    ASSERT_TRUE(spread);
+    EXPECT_LE(*spread, seconds(3));
+    EXPECT_FALSE(isLeaving(network.state(9), support::EndpointId("runner"), 5)) << "a restarted endpoint is not leaving";
+    network.runFor(seconds(70));
+    EXPECT_TRUE(network.allRunning([](const State &state) { return state.leavingEndpoints.empty() && state.crashSuspects.empty(); }))
+        << "items that members pass on must not outlive their time";
+}
+
+// Guards against an old pool load that replaces a newer one, also after the owner changed.
+TEST(StateMachineTest, NewestPoolLoadWins)
+{
+    Network network(10);
+    ASSERT_TRUE(network.runUntil([&] { return network.allSee(10); }, seconds(15)));
+    PoolLoad load {.dataCentre = support::DataCentreId("even"), .pool = support::PoolId("model"), .version = 100, .freeSlots = 1};
+    network.announce(1, load);
+    const auto sees = [&network](std::uint32_t freeSlots) {
+        return network.allRunning([freeSlots](const State &state) {
+            const auto loads = poolLoads(state, support::PoolId("model"));
+            return loads.size() == 1 && loads[0].freeSlots == freeSlots;
+        });
+    };
+    ASSERT_TRUE(network.runUntil([&] { return sees(1); }, seconds(10)));
+    load.version = 50;
+    load.freeSlots = 2;
+    network.announce(2, load);
+    EXPECT_TRUE(network.runUntil([&] { return sees(2); }, seconds(10)));
+}
+
+// Guards against gossip that never ends: the traffic of an idle group must fall back to probes and digests.
+TEST(StateMachineTest, TrafficIsBounded)
+{
+    Network network(50);
+    ASSERT_TRUE(network.runUntil([&] { return network.allSee(50); }, seconds(15)));
+    network.runFor(seconds(60));
+    const Counters before = network.state(10).counters;
+    network.runFor(seconds(60));
+    const Counters after = network.state(10).counters;
+    EXPECT_LT(after.datagramsSent - before.datagramsSent, 60U * 6U);
+    EXPECT_LT(after.bytesSent - before.bytesSent, 60U * 1'000U);
+}
+
+// Guards against a malformed datagram that changes the state or goes uncounted.
+TEST(StateMachineTest, CountsMalformedDatagram)
+{
+    Random random(1);
+    const TimePoint now {seconds(1)};
+    State state = createState({.self = {.instance = support::InstanceId("a")}}, now, random);
+    const std::vector<std::uint8_t> garbage(100, 0xff);
+    EXPECT_TRUE(receive(state, {}, garbage, now, random).datagrams.empty());
+    EXPECT_EQ(state.counters.malformed, 1U);
+    EXPECT_TRUE(state.members.empty());
+}
+
+} // namespace mulberrywall::membership
