test: add the process-test harness

Promise tests need real processes, faults between them and evidence that is independent of the router. mulberrywallHarness starts children with posix_spawn, waits for their JSON log lines or for a condition with a deadline, and ends them with the test, also when the test is ended by a signal. Its HTTP and SSE client does not use mulberrywallHttp. Deployment writes base and overlay files and starts endpoints, optionally behind fault-proxy, and routers.

--- /dev/null
+++ b/test/Standins/StandinsTest.cpp
@@ -0,0 +1,126 @@
+#include "Engine/EngineAnswers.h"
+#include "Harness/Deployment.h"
+
+#include <boost/json/serialize.hpp>
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+
+/// The promise tests rely on what stand-ins answer, count and inject.
+namespace mulberrywall::harness
+{
+
+namespace
+{
+
+/// Endpoints behind a fault proxy, without a router.
+DeploymentOptions endpointsOnly()
+{
+    return {.routers = 0, .engines = 1, .services = 1, .proxies = ProxyUse::Endpoints};
+}
+
+Call direct(std::uint16_t port, std::string_view prompt, std::size_t tokens)
+{
+    const boost::json::object body {{"model", "m"}, {"prompt", prompt}, {"max_tokens", tokens}, {"stream", true}};
+    return {.port = port, .target = "/v1/completions", .body = boost::json::serialize(body), .headers = {{"X-Request-Id", "r"}}};
+}
+
+} // namespace
+
+// Guards against a stand-in whose streams differ from what tests compute, also after a resume.
+TEST(Standins, EngineAnswersAsComputed)
+{
+    Deployment deployment(endpointsOnly());
+    Call call = direct(deployment.engine(0).port, "hello", 20);
+    const Reply whole = send(call);
+    EXPECT_EQ(whole.text(), standin::answerFor("hello", 20));
+    EXPECT_TRUE(whole.done());
+    call.headers.emplace_back("X-Resume-From", "7");
+    EXPECT_EQ(send(call).text(), standin::answerFor("hello", 20, 7));
+    EXPECT_EQ(countOf(deployment.engine(0), "tokens", "r"), 33U);
+}
+
+// Guards against cancelled requests that keep their slot, which would hide slot leaks in the router.
+TEST(Standins, EngineStopsWhenTheClientLeaves)
+{
+    Deployment deployment(endpointsOnly());
+    Call call = direct(deployment.engine(0).port, "hello", 100'000);
+    call.onEvent = [](const ServerSentEvent &) {
+        return Continue::No;
+    };
+    send(call);
+    waitUntil("the engine is idle", [&] { return countOf(deployment.engine(0), "running") == 0; });
+    EXPECT_EQ(countOf(deployment.engine(0), "cancelled", "r"), 1U);
+}
+
+// Guards against lost evidence: the log of a crashed engine must still tell what ran.
+TEST(Standins, CrashedEngineLeavesItsLog)
+{
+    Deployment deployment(endpointsOnly());
+    postJson(deployment.engine(0).port, "/control", {{"crashMarker", "poison"}});
+    EXPECT_FALSE(send(direct(deployment.engine(0).port, "poison", 5)).complete());
+    EXPECT_EQ(deployment.engine(0).process->waitForEnd(), 70);
+    EXPECT_EQ(deployment.engine(0).process->countLines("run started"), 1U);
+    deployment.restart(deployment.engine(0));
+    EXPECT_EQ(send(direct(deployment.engine(0).port, "x", 2)).text(), standin::answerFor("x", 2));
+}
+
+// Guards against a service that refuses with "not run" although it ran, and against uncounted runs.
+TEST(Standins, ServiceCountsRuns)
+{
+    Deployment deployment(endpointsOnly());
+    const Node &service = deployment.service(0);
+    const Call call {.port = service.port, .target = "/pay", .body = "b", .headers = {{"X-Request-Id", "r"}}};
+    EXPECT_EQ(send(call).status, 200U);
+    postJson(service.port, "/control", {{"refuse", true}});
+    EXPECT_EQ(send(call).header("x-not-run"), "1");
+    postJson(service.port, "/control", {{"refuse", false}, {"fault", "drop-after-run"}});
+    EXPECT_FALSE(send(call).complete());
+    EXPECT_EQ(countOf(service, "runs", "r"), 2U);
+}
+
+// Guards against proxy faults that do nothing: a promise test would then pass without a fault.
+TEST(Standins, ProxyInjectsFaults)
+{
+    Deployment deployment(endpointsOnly());
+    const auto faultyCall = [&](const boost::json::object &faults) {
+        deployment.setFaults("service-0", faults);
+        Call call {.port = deployment.proxiedPort("service-0"), .target = "/pay", .body = std::string(1'000, 'b'), .timeout = std::chrono::milliseconds(300)};
+        return send(call);
+    };
+    const Node &service = deployment.service(0);
+    EXPECT_EQ(faultyCall({{"cut", true}}).error, "Connection refused");
+    EXPECT_FALSE(faultyCall({{"resetAfterBytesToTarget", 500}}).complete());
+    EXPECT_FALSE(faultyCall({{"swallowToTarget", true}}).complete());
+    EXPECT_EQ(countOf(service, "runs"), 0U);
+    EXPECT_FALSE(faultyCall({{"resetAfterBytesToClient", 0}}).complete());
+    EXPECT_FALSE(faultyCall({{"swallowToClient", true}}).complete());
+    EXPECT_EQ(countOf(service, "runs"), 2U);
+    EXPECT_TRUE(faultyCall({}).complete());
+    EXPECT_EQ(countOf(service, "runs"), 3U);
+    // The request waits in the backlog and runs later, although its client has left.
+    EXPECT_FALSE(faultyCall({{"pauseAccept", true}}).complete());
+    EXPECT_EQ(countOf(service, "runs"), 3U);
+    deployment.setFaults("service-0", {});
+    waitUntil("the delayed request has run", [&] { return countOf(service, "runs") == 4; });
+}
+
+// Guards against a harness that leaves processes behind or misreports how they ended.
+TEST(Standins, SignalsReachTheProcess)
+{
+    Deployment deployment(endpointsOnly());
+    ChildProcess &engine = *deployment.engine(0).process;
+    engine.sendSignal(SIGSTOP);
+    Call call = direct(deployment.engine(0).port, "hello", 1);
+    call.timeout = std::chrono::milliseconds(200);
+    EXPECT_FALSE(send(call).complete());
+    engine.sendSignal(SIGCONT);
+    EXPECT_TRUE(send(direct(deployment.engine(0).port, "hello", 1)).done());
+    engine.sendSignal(SIGTERM);
+    EXPECT_EQ(engine.waitForEnd(), 0);
+    deployment.service(0).process->sendSignal(SIGKILL);
+    EXPECT_EQ(deployment.service(0).process->waitForEnd(), -SIGKILL);
+}
+
+} // namespace mulberrywall::harness
--- /dev/null
+++ b/test/Support/Harness/Deployment.cpp
@@ -0,0 +1,247 @@
+#include "Harness/Deployment.h"
+
+#include <boost/json/serialize.hpp>
+
+#include <cstdlib>
+#include <fstream>
+
+namespace mulberrywall::harness
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+/// SHA-256 of acmeKey and zenithKey.
+constexpr std::string_view acmeKeyHash = "afacab3575137afa4e00d9cbcafcb14c9ae25f779d964eb0ea5b2c4eb5dfd163";
+constexpr std::string_view zenithKeyHash = "96a6b655d9b2b9aa14629885ea94c579f53086a3253cd41bbf1fc4356425be08";
+
+std::string binaryOf(const std::string &kind)
+{
+    if (kind == "engine") {
+        return ENGINE_STANDIN_BINARY;
+    }
+    if (kind == "service") {
+        return SERVICE_STANDIN_BINARY;
+    }
+    if (kind == "fault-proxy") {
+        return FAULT_PROXY_BINARY;
+    }
+    return MULBERRYWALL_ROUTER_BINARY;
+}
+
+/// Returns the names of the tables [classes.<name>] as a TOML array.
+std::string classNames(const std::string &classes)
+{
+    constexpr std::string_view start = "[classes.";
+    std::string names;
+    for (std::size_t at = classes.find(start); at != std::string::npos; at = classes.find(start, at + 1)) {
+        const std::size_t from = at + start.size();
+        names += names.empty() ? "[\"" : ", \"";
+        names += classes.substr(from, classes.find(']', from) - from) + "\"";
+    }
+    return names + "]";
+}
+
+std::string organisation(std::string_view id, std::string_view keyHash, const std::string &classes)
+{
+    return "\n[organisations." + std::string(id) + "]\nkey-hashes = [\"" + std::string(keyHash) + "\"]\nallowed-classes = " + classNames(classes) + "\n";
+}
+
+std::string pool(std::string_view id, std::string_view kind, unsigned queueLimit)
+{
+    return "\n[pools." + std::string(id) + "]\nkind = \"" + std::string(kind) + "\"\nqueue-limit = " + std::to_string(queueLimit) + "\n";
+}
+
+std::string baseFile(const DeploymentOptions &options)
+{
+    return options.classes + organisation("acme", acmeKeyHash, options.classes) + organisation("zenith", zenithKeyHash, options.classes)
+        + pool("m", "model-engine", options.queueLimit) + pool("ledger", "plain-service", options.queueLimit) + options.furtherBase;
+}
+
+} // namespace
+
+std::string standardClasses()
+{
+    return R"(
+[classes.interactive]
+tier = 0
+first-token = "30s"
+between-tokens = "1s"
+
+[classes.summary]
+tier = 1
+first-token = "30s"
+between-tokens = "1s"
+
+[classes.report]
+tier = 2
+first-token = "60s"
+between-tokens = "1s"
+
+[classes.payment]
+tier = 0
+completion = "30s"
+idempotency = "non-idempotent"
+
+[classes.lookup]
+tier = 1
+completion = "30s"
+)";
+}
+
+Deployment::Deployment(DeploymentOptions options)
+    : options_(std::move(options))
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "mulberrywall-test-XXXXXX").string();
+    if (::mkdtemp(pattern.data()) == nullptr) {
+        throw std::runtime_error("could not make a temporary directory");
+    }
+    directory_ = pattern;
+    if (options_.proxies != ProxyUse::None) {
+        proxy_ = std::make_unique<Node>(Node {.id = "fault-proxy", .arguments = {"--seed", "1"}});
+        start(*proxy_);
+    }
+    writeFile("base.toml", baseFile(options_));
+    for (const std::string &dataCentre : options_.dataCentres) {
+        writeFile(dataCentre + ".toml", overlay(dataCentre));
+    }
+    for (const std::string &dataCentre : options_.dataCentres) {
+        for (unsigned index = 0; index < options_.routers; ++index) {
+            startRouter(dataCentre);
+        }
+    }
+}
+
+Deployment::~Deployment()
+{
+    routers_.clear();
+    std::error_code ignored;
+    std::filesystem::remove_all(directory_, ignored);
+}
+
+void Deployment::start(Node &node)
+{
+    const std::string kind = node.id.substr(0, node.id.rfind('-'));
+    node.process = std::make_unique<ChildProcess>(
+        ChildOptions {.name = node.id, .binary = binaryOf(node.id == "fault-proxy" ? node.id : kind), .arguments = node.arguments});
+    node.port = node.process->waitForPort(kind == "router" ? "caller" : "");
+    if (kind == "router") {
+        node.adminPort = node.process->waitForPort("admin");
+        waitUntil(node.id + " is ready", [&node] { return send({.port = node.adminPort, .method = "GET", .target = "/readyz"}).status == 200; });
+    }
+}
+
+void Deployment::restart(Node &node)
+{
+    node.process->waitForEnd();
+    if (node.id.starts_with("router")) {
+        node.arguments.insert(node.arguments.end(),
+            {"--caller-listen", "127.0.0.1:" + std::to_string(node.port), "--admin-listen", "127.0.0.1:" + std::to_string(node.adminPort)});
+    } else {
+        node.arguments.insert(node.arguments.end(), {"--port", std::to_string(node.port)});
+    }
+    start(node);
+}
+
+Node &Deployment::startStandin(std::vector<std::unique_ptr<Node>> &nodes, const std::string &kind, const std::string &dataCentre)
+{
+    auto node = std::make_unique<Node>(Node {.id = kind + "-" + std::to_string(nodes.size()), .dataCentre = dataCentre});
+    if (kind == "engine") {
+        node->arguments = options_.engineArguments;
+    }
+    start(*node);
+    nodes.push_back(std::move(node));
+    return *nodes.back();
+}
+
+void Deployment::startRouter(const std::string &dataCentre)
+{
+    auto node = std::make_unique<Node>(Node {.id = "router-" + std::to_string(routers_.size()), .dataCentre = dataCentre});
+    node->arguments = {"--instance",
+        node->id,
+        "--base",
+        (directory_ / "base.toml").string(),
+        "--overlay",
+        (directory_ / (dataCentre + ".toml")).string(),
+        "--caller-listen",
+        "127.0.0.1:0",
+        "--admin-listen",
+        "127.0.0.1:0"};
+    node->arguments.insert(node->arguments.end(), options_.routerArguments.begin(), options_.routerArguments.end());
+    start(*node);
+    routers_.push_back(std::move(node));
+}
+
+std::uint16_t Deployment::reachablePort(const Node &endpoint)
+{
+    if (options_.proxies == ProxyUse::None) {
+        return endpoint.port;
+    }
+    const Reply reply
+        = send({.port = proxy_->port, .method = "PUT", .target = "/routes/" + endpoint.id, .body = json::serialize(json::object {{"target", endpoint.port}})});
+    return proxiedPorts_[endpoint.id] = reply.json().at("port").to_number<std::uint16_t>();
+}
+
+std::string Deployment::overlay(const std::string &dataCentre)
+{
+    std::string text = "data-centre = \"" + dataCentre + "\"\n";
+    const auto add = [&](const Node &node, const std::string &pool, const std::string &supports) {
+        text += "\n[endpoints." + node.id + "]\naddress = \"127.0.0.1\"\nport = " + std::to_string(reachablePort(node)) + "\npools = [\"" + pool
+            + "\"]\nmaximum-concurrency = " + std::to_string(options_.maximumConcurrency) + "\nsupports = [" + supports + "]\n";
+    };
+    for (unsigned index = 0; index < options_.engines; ++index) {
+        add(startStandin(engines_, "engine", dataCentre), "m", options_.engineSupports);
+    }
+    for (unsigned index = 0; index < options_.services; ++index) {
+        add(startStandin(services_, "service", dataCentre), "ledger", "");
+    }
+    return text;
+}
+
+void Deployment::writeFile(const std::string &name, const std::string &text) const
+{
+    std::ofstream(directory_ / name) << text;
+}
+
+void Deployment::setFaults(const std::string &endpoint, const json::object &faults)
+{
+    postJson(proxy_->port, "/routes/" + endpoint + "/faults", faults);
+}
+
+json::object Deployment::proxyCounts() const
+{
+    return getJson(proxy_->port, "/counts");
+}
+
+Call Deployment::completion(std::size_t router, std::string_view requestClass, std::string_view prompt, std::size_t tokens) const
+{
+    const json::object body {{"model", "m"}, {"prompt", prompt}, {"max_tokens", tokens}, {"stream", true}};
+    return {.port = routers_.at(router)->port,
+        .target = "/v1/completions",
+        .body = json::serialize(body),
+        .headers = {{"Authorization", "Bearer " + std::string(acmeKey)}, {"Mulberrywall-Class", std::string(requestClass)}}};
+}
+
+Call Deployment::serviceCall(std::size_t router, std::string_view requestClass, std::string_view body) const
+{
+    return {.port = routers_.at(router)->port,
+        .target = "/services/ledger/entries",
+        .body = std::string(body),
+        .headers = {{"Authorization", "Bearer " + std::string(acmeKey)}, {"Mulberrywall-Class", std::string(requestClass)}}};
+}
+
+std::uint64_t countOf(const Node &endpoint, std::string_view name, const std::string &requestId)
+{
+    const json::object counts = getJson(endpoint.port, "/counts");
+    const json::value *value = counts.if_contains(name);
+    if (!requestId.empty()) {
+        const json::value *request = counts.at("requests").as_object().if_contains(requestId);
+        // A plain service counts runs only; an engine has an object per request.
+        value = request == nullptr || !request->is_object() ? request : request->get_object().if_contains(name);
+    }
+    return value == nullptr ? 0 : value->to_number<std::uint64_t>();
+}
+
+} // namespace mulberrywall::harness
--- /dev/null
+++ b/test/Support/Harness/Deployment.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "Harness/ChildProcess.h"
+#include "Harness/TestClient.h"
+
+#include <cstdint>
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace mulberrywall::harness
+{
+
+/// Bearer keys of the two organisations in the standard base file.
+inline constexpr std::string_view acmeKey = "acme-key";
+inline constexpr std::string_view zenithKey = "zenith-key";
+
+/// Classes with targets that a test machine meets: "interactive" (tier 0), "summary" (tier 1) and "report" (tier 2) for
+/// models, "payment" (non-idempotent) and "lookup" for plain services.
+std::string standardClasses();
+
+enum class ProxyUse : std::uint8_t {
+    None,
+    /// Each endpoint is reached through a route of fault-proxy that bears the endpoint's id.
+    Endpoints,
+};
+
+struct DeploymentOptions
+{
+    std::vector<std::string> dataCentres {"dc-a"};
+    /// Numbers per data centre.
+    unsigned routers = 1;
+    unsigned engines = 2;
+    unsigned services = 0;
+    /// Concurrency limit of each endpoint.
+    unsigned maximumConcurrency = 8;
+    /// Waiting requests that a pool accepts.
+    unsigned queueLimit = 4096;
+    std::string engineSupports = R"("resume", "priorities", "prefix-cache", "checks-fencing")";
+    ProxyUse proxies = ProxyUse::None;
+    /// TOML tables of the classes.
+    std::string classes = standardClasses();
+    /// More TOML for the base file.
+    std::string furtherBase;
+    std::vector<std::string> engineArguments;
+    std::vector<std::string> routerArguments;
+};
+
+/// A process of a deployment with its ports.
+struct Node
+{
+    std::string id;
+    std::string dataCentre;
+    std::uint16_t port = 0;
+    /// Port of a router's admin listener.
+    std::uint16_t adminPort = 0;
+    std::vector<std::string> arguments;
+    std::unique_ptr<ChildProcess> process;
+};
+
+/// Engines, services and routers of a test, with their configuration files in a temporary directory.
+///
+/// The pool of the engines is "m", that of the services is "ledger". Ids are "engine-0", "service-0", "router-0" and so on,
+/// counted over all data centres.
+class Deployment
+{
+public:
+    /// Returns when all routers are ready. Throws std::runtime_error when one does not become ready.
+    explicit Deployment(DeploymentOptions options);
+    Deployment(const Deployment &) = delete;
+    Deployment &operator=(const Deployment &) = delete;
+    Deployment(Deployment &&) = delete;
+    Deployment &operator=(Deployment &&) = delete;
+    ~Deployment();
+
+    [[nodiscard]] Node &engine(std::size_t index)
+    {
+        return *engines_.at(index);
+    }
+    [[nodiscard]] Node &service(std::size_t index)
+    {
+        return *services_.at(index);
+    }
+    [[nodiscard]] Node &router(std::size_t index)
+    {
+        return *routers_.at(index);
+    }
+    [[nodiscard]] std::size_t routerCount() const
+    {
+        return routers_.size();
+    }
+    [[nodiscard]] std::size_t engineCount() const
+    {
+        return engines_.size();
+    }
+    /// Starts the process again, after its end, on the same ports.
+    void restart(Node &node);
+    /// Sets the faults of an endpoint's route; members left out are reset to "no fault".
+    void setFaults(const std::string &endpoint, const boost::json::object &faults);
+    [[nodiscard]] boost::json::object proxyCounts() const;
+    /// Returns the port on which the proxy takes the endpoint's connections.
+    [[nodiscard]] std::uint16_t proxiedPort(const std::string &endpoint) const
+    {
+        return proxiedPorts_.at(endpoint);
+    }
+
+    /// Makes a completion call to the router with the key of "acme"; change its members as needed.
+    [[nodiscard]] Call completion(std::size_t router, std::string_view requestClass, std::string_view prompt, std::size_t tokens) const;
+    /// Makes a call of the plain service "ledger" to the router.
+    [[nodiscard]] Call serviceCall(std::size_t router, std::string_view requestClass, std::string_view body) const;
+
+private:
+    Node &startStandin(std::vector<std::unique_ptr<Node>> &nodes, const std::string &kind, const std::string &dataCentre);
+    void startRouter(const std::string &dataCentre);
+    [[nodiscard]] std::uint16_t reachablePort(const Node &endpoint);
+    [[nodiscard]] std::string overlay(const std::string &dataCentre);
+    void writeFile(const std::string &name, const std::string &text) const;
+    static void start(Node &node);
+
+    DeploymentOptions options_;
+    std::filesystem::path directory_;
+    std::unique_ptr<Node> proxy_;
+    std::map<std::string, std::uint16_t> proxiedPorts_;
+    std::vector<std::unique_ptr<Node>> engines_;
+    std::vector<std::unique_ptr<Node>> services_;
+    std::vector<std::unique_ptr<Node>> routers_;
+};
+
+/// Returns the member "name" of the endpoint's counts, or of one request's counts when an id is given; 0 when absent.
+std::uint64_t countOf(const Node &endpoint, std::string_view name, const std::string &requestId = {});
+
+} // namespace mulberrywall::harness
--- /dev/null
+++ b/test/Support/Harness/TestClient.cpp
@@ -0,0 +1,261 @@
+#include "Harness/TestClient.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <stdexcept>
+
+namespace mulberrywall::harness
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace json = boost::json;
+using boost::system::error_code;
+
+namespace
+{
+
+constexpr std::string_view streamEnd = "[DONE]";
+
+json::object parseObject(std::string_view text)
+{
+    json::error_code error;
+    const json::value value = json::parse(text, error);
+    return !error && value.is_object() ? value.get_object() : json::object();
+}
+
+/// Runs one asynchronous step to its end.
+template <typename Start>
+error_code runStep(asio::io_context &context, Start start)
+{
+    error_code result;
+    start([&result](const error_code &error, auto &&...) { result = error; });
+    context.restart();
+    context.run();
+    return result;
+}
+
+/// Takes the complete events off the front of the text.
+std::vector<ServerSentEvent> takeEvents(std::string &text)
+{
+    std::vector<ServerSentEvent> events;
+    for (std::size_t end = text.find("\n\n"); end != std::string::npos; end = text.find("\n\n")) {
+        ServerSentEvent event {.time = Clock::now()};
+        std::size_t start = 0;
+        while (start < end) {
+            const std::size_t lineEnd = std::min(text.find('\n', start), end);
+            const std::string line = text.substr(start, lineEnd - start);
+            if (line.starts_with("data: ")) {
+                event.data += line.substr(6);
+            } else if (line.starts_with("event: ")) {
+                event.name = line.substr(7);
+            }
+            start = lineEnd + 1;
+        }
+        events.push_back(std::move(event));
+        text.erase(0, end + 2);
+    }
+    return events;
+}
+
+std::string textOfChoice(const json::object &document)
+{
+    const json::value *choices = document.if_contains("choices");
+    if (choices == nullptr || !choices->is_array() || choices->get_array().empty()) {
+        return {};
+    }
+    const json::object &choice = choices->get_array().front().as_object();
+    for (const char *member : {"message", "delta"}) {
+        if (const json::value *message = choice.if_contains(member); message != nullptr && message->as_object().contains("content")) {
+            return std::string(message->as_object().at("content").as_string());
+        }
+    }
+    const json::value *text = choice.if_contains("text");
+    return text != nullptr ? std::string(text->as_string()) : std::string();
+}
+
+class Exchange
+{
+public:
+    explicit Exchange(const Call &call)
+        : call_(call)
+    {
+    }
+
+    Reply run()
+    {
+        const error_code error = exchange();
+        if (error) {
+            reply_.error = error.message();
+        }
+        return std::move(reply_);
+    }
+
+private:
+    error_code exchange()
+    {
+        const asio::ip::tcp::endpoint peer(asio::ip::address_v4::loopback(), call_.port);
+        stream_.expires_after(call_.timeout);
+        if (const error_code error = runStep(context_, [&](auto handler) { stream_.async_connect(peer, handler); })) {
+            return error;
+        }
+        beast::http::request<beast::http::string_body> request(beast::http::string_to_verb(call_.method), call_.target, 11);
+        request.set(beast::http::field::host, "127.0.0.1");
+        request.set(beast::http::field::connection, "close");
+        for (const auto &[name, value] : call_.headers) {
+            request.set(name, value);
+        }
+        request.body() = call_.body;
+        request.prepare_payload();
+        // A peer may answer before it has read everything, so that a failed write is no reason to stop.
+        runStep(context_, [&](auto handler) { beast::http::async_write(stream_, request, handler); });
+        parser_.body_limit(boost::none);
+        if (const error_code error = runStep(context_, [&](auto handler) { beast::http::async_read_header(stream_, buffer_, parser_, handler); })) {
+            return error;
+        }
+        readHeader();
+        return readBody();
+    }
+
+    void readHeader()
+    {
+        reply_.status = parser_.get().result_int();
+        for (const auto &field : parser_.get()) {
+            std::string name(field.name_string());
+            std::transform(name.begin(), name.end(), name.begin(), [](unsigned char character) { return static_cast<char>(std::tolower(character)); });
+            reply_.headers[name] = std::string(field.value());
+        }
+    }
+
+    error_code readBody()
+    {
+        std::array<char, 16 * 1024> piece {};
+        std::string unparsed;
+        while (!parser_.is_done()) {
+            parser_.get().body().data = piece.data();
+            parser_.get().body().size = piece.size();
+            error_code error = runStep(context_, [&](auto handler) { beast::http::async_read_some(stream_, buffer_, parser_, handler); });
+            if (error == beast::http::error::need_buffer) {
+                error = {};
+            }
+            const std::size_t size = piece.size() - parser_.get().body().size;
+            reply_.body.append(piece.data(), size);
+            unparsed.append(piece.data(), size);
+            if (reply_.header("content-type") == "text/event-stream" && deliver(unparsed) == Continue::No) {
+                return asio::error::operation_aborted;
+            }
+            if (error) {
+                return error;
+            }
+        }
+        return {};
+    }
+
+    Continue deliver(std::string &unparsed)
+    {
+        for (ServerSentEvent &event : takeEvents(unparsed)) {
+            reply_.events.push_back(std::move(event));
+            if (call_.onEvent && call_.onEvent(reply_.events.back()) == Continue::No) {
+                return Continue::No;
+            }
+        }
+        return Continue::Yes;
+    }
+
+    const Call &call_;
+    asio::io_context context_ {1};
+    beast::tcp_stream stream_ {context_};
+    beast::flat_buffer buffer_;
+    beast::http::response_parser<beast::http::buffer_body> parser_;
+    Reply reply_;
+};
+
+json::object requireOk(const Reply &reply, const std::string &target)
+{
+    if (!reply.complete() || reply.status != 200) {
+        throw std::runtime_error("call of " + target + " failed: status " + std::to_string(reply.status) + " " + reply.error + " " + reply.body);
+    }
+    return reply.json();
+}
+
+} // namespace
+
+std::string Reply::header(const std::string &lowerCaseName) const
+{
+    const auto found = headers.find(lowerCaseName);
+    return found == headers.end() ? std::string() : found->second;
+}
+
+json::object Reply::json() const
+{
+    return parseObject(body);
+}
+
+std::string Reply::text() const
+{
+    if (events.empty()) {
+        return textOfChoice(json());
+    }
+    std::string text;
+    for (const ServerSentEvent &event : events) {
+        if (event.name.empty() && event.data != streamEnd) {
+            text += textOfChoice(parseObject(event.data));
+        }
+    }
+    return text;
+}
+
+bool Reply::done() const
+{
+    return !events.empty() && events.back().data == streamEnd;
+}
+
+json::object Reply::problem() const
+{
+    for (const ServerSentEvent &event : events) {
+        if (event.name == "error") {
+            return parseObject(event.data);
+        }
+    }
+    return header("content-type") == "application/problem+json" ? json() : json::object();
+}
+
+std::string Reply::outcome() const
+{
+    const json::object document = problem();
+    const json::value *outcome = document.if_contains("outcome");
+    return outcome != nullptr && outcome->is_string() ? std::string(outcome->get_string()) : header("mulberrywall-outcome");
+}
+
+Reply send(const Call &call)
+{
+    return Exchange(call).run();
+}
+
+json::object getJson(std::uint16_t port, const std::string &target)
+{
+    return requireOk(send({.port = port, .method = "GET", .target = target}), target);
+}
+
+json::object postJson(std::uint16_t port, const std::string &target, const json::object &body)
+{
+    return requireOk(send({.port = port, .target = target, .body = json::serialize(body)}), target);
+}
+
+} // namespace mulberrywall::harness
