--- a/test/Support/Harness/Deployment.cpp
+++ b/test/Support/Harness/Deployment.cpp
@@ -2,8 +2,10 @@
 
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
+#include <iterator>
 
 namespace mulberrywall::harness
 {
@@ -136,11 +138,19 @@
 void Deployment::restart(Node &node)
 {
     node.process->waitForEnd();
+    const auto set = [&node](const std::string &flag, const std::string &value) {
+        const auto found = std::find(node.arguments.begin(), node.arguments.end(), flag);
+        if (found == node.arguments.end()) {
+            node.arguments.insert(node.arguments.end(), {flag, value});
+            return;
+        }
+        *std::next(found) = value;
+    };
     if (node.id.starts_with("router")) {
-        node.arguments.insert(node.arguments.end(),
-            {"--caller-listen", "127.0.0.1:" + std::to_string(node.port), "--admin-listen", "127.0.0.1:" + std::to_string(node.adminPort)});
+        set("--caller-listen", "127.0.0.1:" + std::to_string(node.port));
+        set("--admin-listen", "127.0.0.1:" + std::to_string(node.adminPort));
     } else {
-        node.arguments.insert(node.arguments.end(), {"--port", std::to_string(node.port)});
+        set("--port", std::to_string(node.port));
     }
     start(node);
 }
--- /dev/null
+++ b/test/Support/Harness/ParallelCalls.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "Harness/TestClient.h"
+
+#include <atomic>
+#include <cstddef>
+#include <thread>
+#include <vector>
+
+namespace mulberrywall::harness
+{
+
+/// Makes calls at the same time, each on its own thread.
+class ParallelCalls
+{
+public:
+    explicit ParallelCalls(std::vector<Call> calls)
+        : calls_(std::move(calls)),
+          replies_(calls_.size())
+    {
+        for (std::size_t index = 0; index < calls_.size(); ++index) {
+            threads_.emplace_back([this, index] { run(index); });
+        }
+    }
+    ParallelCalls(const ParallelCalls &) = delete;
+    ParallelCalls &operator=(const ParallelCalls &) = delete;
+    ParallelCalls(ParallelCalls &&) = delete;
+    ParallelCalls &operator=(ParallelCalls &&) = delete;
+    ~ParallelCalls()
+    {
+        wait();
+    }
+
+    /// Number of calls that have received a server-sent event.
+    [[nodiscard]] std::size_t streaming() const
+    {
+        return streaming_;
+    }
+    [[nodiscard]] std::size_t ended() const
+    {
+        return ended_;
+    }
+
+    /// Returns the replies in the order of the calls.
+    const std::vector<Reply> &wait()
+    {
+        for (std::thread &thread : threads_) {
+            if (thread.joinable()) {
+                thread.join();
+            }
+        }
+        return replies_;
+    }
+
+private:
+    void run(std::size_t index)
+    {
+        Call &call = calls_[index];
+        call.onEvent = [this, first = true, inner = call.onEvent](const ServerSentEvent &event) mutable {
+            streaming_ += first ? 1 : 0;
+            first = false;
+            return inner ? inner(event) : Continue::Yes;
+        };
+        replies_[index] = send(call);
+        ++ended_;
+    }
+
+    std::vector<Call> calls_;
+    std::vector<Reply> replies_;
+    std::atomic<std::size_t> streaming_ {0};
+    std::atomic<std::size_t> ended_ {0};
+    std::vector<std::thread> threads_;
+};
+
+} // namespace mulberrywall::harness
