policy: hedge within a budget and start carefully after a takeover

Cause: hedged attempts had no budget, and a new owner could fill slots that requests of the former owner still held. Ruled out: hedging that queues (it would delay others for a copy); waiting for the full bound when endpoints report nothing unknown. Change: classes earn hedging credit per first attempt; a hedged attempt needs credit, a short class, an empty queue and spare slots. hedgeDelay recommends the 95% quantile of first-token latency. After a takeover endpoints use half their slots until 2 s have passed, finishTakeover is called, or the endpoint's own report shows no unknown requests.

--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -21,6 +21,9 @@
     Average holdSeconds;
     /// Time from grant to the first progress, or to completion where there is no progress.
     Average firstTokenSeconds;
+    QuantileEstimate lateFirstTokenSeconds {.probability = 0.95};
+    /// Hedged attempts that the class may start; the first one needs no savings.
+    double hedgeCredit = 1.0;
 };
 
 /// Pause in new work after failed or refused attempts.
@@ -61,6 +64,8 @@
     /// Until then the endpoint takes no requests beside the suspect that runs on it.
     TimePoint exclusiveUntil;
     std::optional<LoadReport> report;
+    /// No requests that a former owner granted are missing.
+    bool adoptionComplete = false;
 };
 
 /// A request that holds a slot.
@@ -136,6 +141,15 @@
     bool changed = false;
 };
 
+/// Reduced limit of an owner that does not know yet what a former owner granted.
+struct Takeover
+{
+    /// Starts with the next command.
+    bool pending = false;
+    TimePoint startedAt;
+    TimePoint until;
+};
+
 /// State of one pool at its owner.
 struct Pool
 {
@@ -152,6 +166,7 @@
     /// Sum over active requests of their start times in seconds.
     double startSecondsSum = 0.0;
     CrashSuspects suspects;
+    Takeover takeover;
     LengthEstimates lengths;
     /// Time from grant to completion over all classes.
     Average holdSeconds;
--- a/include/mulberrywall/Policy/SlowEndpoints.h
+++ b/include/mulberrywall/Policy/SlowEndpoints.h
@@ -19,7 +19,7 @@
 
 /// Returns whether the request may serve as a probe of the endpoint, which is on probation and due for a probe.
 ///
-/// Probes are short requests of the lowest tier, unless none came for a while, because a probe is likely to be slow.
+/// Probes are short first attempts of the lowest tier, unless none came for a while, because a probe is likely to be slow.
 bool maySendProbe(const Pool &pool, const EndpointState &endpoint, const WaitingRequest &request, TimePoint now);
 
 /// Judges a probe that made progress.
--- a/lib/Policy/ActiveRequests.cpp
+++ b/lib/Policy/ActiveRequests.cpp
@@ -18,7 +18,9 @@
 void observeFirstToken(Pool &pool, const ActiveRequest &request, TimePoint now)
 {
     if (ClassState *requestClass = findClass(pool, request.submission.requestClass); requestClass != nullptr && !request.adopted) {
-        observe(requestClass->firstTokenSeconds, secondsBetween(request.startedAt, now), now);
+        const double seconds = secondsBetween(request.startedAt, now);
+        observe(requestClass->firstTokenSeconds, seconds, now);
+        observe(requestClass->lateFirstTokenSeconds, seconds);
     }
 }
 
--- a/lib/Policy/EndpointSelection.cpp
+++ b/lib/Policy/EndpointSelection.cpp
@@ -3,6 +3,7 @@
 #include "mulberrywall/Policy/CrashSuspects.h"
 #include "mulberrywall/Policy/LongRequests.h"
 #include "mulberrywall/Policy/SlowEndpoints.h"
+#include "mulberrywall/Policy/Takeover.h"
 
 #include <algorithm>
 #include <functional>
@@ -142,7 +143,7 @@
         return 0;
     }
     const unsigned slots = currentLimit(endpoint.concurrency, endpoint.spec.maximumConcurrency);
-    return slotsByHealth(pool, endpoint, slots, now);
+    return slotsByHealth(pool, endpoint, slotsDuringTakeover(pool, endpoint, slots, now), now);
 }
 
 unsigned freeSlots(const Pool &pool, const EndpointState &endpoint, TimePoint now)
@@ -174,6 +175,7 @@
     }
     known = report;
     known->measuredAt = std::min(report.measuredAt, now);
+    noteReportDuringTakeover(pool, found->second, *known);
 }
 
 EndpointState *selectEndpoint(Pool &pool, const WaitingRequest &request, TimePoint now)
--- a/lib/Policy/SlowEndpoints.cpp
+++ b/lib/Policy/SlowEndpoints.cpp
@@ -208,7 +208,7 @@
 
 bool maySendProbe(const Pool &pool, const EndpointState &endpoint, const WaitingRequest &request, TimePoint now)
 {
-    if (request.lane != Lane::Normal) {
+    if (request.lane != Lane::Normal || request.submission.purpose != AttemptPurpose::First) {
         return false;
     }
     if (now >= endpoint.slow.nextProbeAt + pool.options.tuning.slowEndpoints.probePatience) {
--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -4,12 +4,14 @@
 #include "mulberrywall/Policy/EndpointSelection.h"
 #include "mulberrywall/Policy/FailureBackoff.h"
 #include "mulberrywall/Policy/FairShare.h"
+#include "mulberrywall/Policy/Hedging.h"
 #include "mulberrywall/Policy/LongRequests.h"
 #include "mulberrywall/Policy/MinimumShare.h"
 #include "mulberrywall/Policy/PolicyFunctions.h"
 #include "mulberrywall/Policy/Pool.h"
 #include "mulberrywall/Policy/Scheduling.h"
 #include "mulberrywall/Policy/SlowEndpoints.h"
+#include "mulberrywall/Policy/Takeover.h"
 
 #include <algorithm>
 
@@ -36,6 +38,7 @@
 {
     Pool &pool = asPool(handle);
     pool.now = std::max(pool.now, now);
+    startTakeover(pool, now);
     accrueMinimumShares(pool, now);
     for (auto &[id, endpoint] : pool.endpoints) {
         noteRunning(endpoint.concurrency, endpoint.running);
@@ -72,6 +75,7 @@
 {
     auto pool = std::make_shared<Pool>();
     configure(pool.get(), options);
+    pool->takeover.pending = options.start == PoolStart::TakenOver;
     return pool;
 }
 
@@ -146,7 +150,7 @@
     }
     if (submission.purpose == AttemptPurpose::Hedge) {
         const WaitingRequest attempt = makeWaiting(pool, submission, requestClass->spec, now);
-        if (!pool.queue.requests.empty() || selectEndpoint(pool, attempt, now) == nullptr) {
+        if (!mayHedge(pool, *requestClass, attempt, now) || selectEndpoint(pool, attempt, now) == nullptr) {
             return RefusalReason::HedgeDenied;
         }
     }
@@ -174,19 +178,37 @@
     }
 }
 
+void accountHedging(Pool &pool, ClassState &requestClass, AttemptPurpose purpose)
+{
+    switch (purpose) {
+    case AttemptPurpose::First:
+        earnHedgeCredit(requestClass, pool.options.tuning.hedging);
+        return;
+    case AttemptPurpose::Hedge:
+        spendHedgeCredit(requestClass);
+        ++pool.statistics.hedgesGranted;
+        return;
+    case AttemptPurpose::Retry:
+    case AttemptPurpose::Resume:
+        return;
+    }
+}
+
 Decisions submit(void *handle, const Submission &submission, TimePoint now)
 {
     Pool &pool = beginCommand(handle, now);
     Decisions decisions;
     if (const auto reason = immediateRefusal(pool, submission, now)) {
+        pool.statistics.hedgesDenied += *reason == RefusalReason::HedgeDenied ? 1 : 0;
         const bool crashed = *reason == RefusalReason::CrashSuspect;
         refuse(decisions, submission.permit, *reason, crashed ? suspicionLeft(pool, submission.fingerprint, now) : defaultRetryAfter);
         scheduleAll(pool, now, decisions);
         return decisions;
     }
-    const ClassSpec &spec = findClass(pool, submission.requestClass)->spec;
-    activateOrganisation(pool, spec.tier, submission.organisation);
-    enqueue(pool.queue, makeWaiting(pool, submission, spec, now));
+    ClassState &requestClass = *findClass(pool, submission.requestClass);
+    accountHedging(pool, requestClass, submission.purpose);
+    activateOrganisation(pool, requestClass.spec.tier, submission.organisation);
+    enqueue(pool.queue, makeWaiting(pool, submission, requestClass.spec, now));
     scheduleAll(pool, now, decisions);
     refuseIfUnreachable(pool, submission.permit, now, decisions);
     shedExcess(pool, now, decisions);
@@ -317,6 +339,12 @@
     learnSuspect(beginCommand(handle, now), fingerprint, crashes, now);
 }
 
+Decisions finishTakeover(void *handle, TimePoint now)
+{
+    endTakeover(beginCommand(handle, now), now);
+    return advance(handle, now);
+}
+
 std::optional<TimePoint> nextWakeUp(const void *handle)
 {
     const Pool &pool = asPool(handle);
@@ -326,6 +354,7 @@
     std::optional<TimePoint> wakeUp = earliestDeadline(pool.queue);
     if (!pool.queue.requests.empty()) {
         wakeUp = earlier(wakeUp, nextBackoffEnd(pool, pool.now));
+        wakeUp = earlier(wakeUp, takeoverEnd(pool, pool.now));
         wakeUp = earlier(wakeUp, nextProbe(pool, pool.now));
         wakeUp = earlier(wakeUp, nextSuspectChange(pool, pool.now));
         if (pool.suspects.changed) {
@@ -361,9 +390,11 @@
     return result;
 }
 
-std::optional<std::chrono::milliseconds> hedgeDelay(const void * /*handle*/, const support::ClassId & /*requestClass*/)
+std::optional<std::chrono::milliseconds> hedgeDelay(const void *handle, const support::ClassId &requestClass)
 {
-    return std::nullopt;
+    const Pool &pool = asPool(handle);
+    const ClassState *state = findClass(pool, requestClass);
+    return state == nullptr ? std::nullopt : recommendedHedgeDelay(pool, *state);
 }
 
 std::vector<EndpointStatus> endpointStatus(const void *handle)
@@ -397,7 +428,7 @@
     .adopt = adopt,
     .recordSuspect = recordSuspect,
     .advance = advance,
-    .finishTakeover = advance,
+    .finishTakeover = finishTakeover,
     .nextWakeUp = nextWakeUp,
     .summarize = summarize,
     .suspects = suspects,
