policy: add property tests on random traces

Cause: unit tests cover single decisions but not their interplay. Change: a pure simulation loop replays random traces with overload, withdrawals, deadlines, refusals, crashes and leaving endpoints against both policies: one outcome per submission, slots, tier order of shedding, service of every tier, deterministic replay, and the same grants as the naive policy under low load.

--- /dev/null
+++ b/unittests/Policy/Simulation.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "mulberrywall/Policy/PolicyFunctions.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace mulberrywall::policy
+{
+
+/// A random trace: what arrives and what goes wrong.
+struct TraceOptions
+{
+    std::uint64_t seed = 1;
+    std::chrono::milliseconds duration {60'000};
+    /// Arrivals per second by tier; the classes are "tier0" to "tier2".
+    std::array<double, 3> arrivalsPerSecond {};
+    unsigned endpoints = 4;
+    unsigned slotsPerEndpoint = 4;
+    std::size_t queueLimit = 64;
+    double meanTokens = 50.0;
+    std::chrono::milliseconds tokenInterval {20};
+    /// Probabilities by request.
+    double withdrawn = 0.0;
+    double withDeadline = 0.0;
+    double refusedByEndpoint = 0.0;
+    double endpointCrash = 0.0;
+    /// Every second one random endpoint leaves, and those that left before come back.
+    enum class Churn : std::uint8_t {
+        None,
+        Leaving,
+    } churn = Churn::None;
+};
+
+/// What became of a trace.
+struct TraceResult
+{
+    /// Violations of what any policy must guarantee; empty when all is well.
+    std::vector<std::string> violations;
+    /// Requests shed while a request of a lower tier was waiting.
+    unsigned tierOrderViolations = 0;
+    std::array<unsigned, 3> submitted {};
+    std::array<unsigned, 3> granted {};
+    std::array<unsigned, 3> withinTarget {};
+    /// Longest time without a grant by tier, start and end of the trace included.
+    std::array<std::chrono::milliseconds, 3> longestPause {};
+    /// All decisions in order, for comparisons.
+    std::string log;
+    std::map<PermitId, bool> grantedByPermit;
+};
+
+/// Classes with targets of 2 s, minimum shares of 5% and a maximum wait of 5 s in three tiers.
+std::vector<ClassSpec> traceClasses();
+
+/// Replays a random trace in steps of 10 ms until every request has ended.
+TraceResult runTrace(const PolicyFunctions &functions, const TraceOptions &options);
+
+} // namespace mulberrywall::policy
