--- a/include/mulberrywall/Policy/Queue.h
+++ b/include/mulberrywall/Policy/Queue.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -47,7 +48,10 @@
     std::uint64_t sequence = 0;
     PermitId permit = 0;
 
-    friend auto operator<=>(const WaitingKey &, const WaitingKey &) = default;
+    friend bool operator<(const WaitingKey &left, const WaitingKey &right) noexcept
+    {
+        return std::tie(left.time, left.sequence) < std::tie(right.time, right.sequence);
+    }
 };
 
 /// Waiting requests of one organisation in one lane of a tier, earliest target first.
--- a/unittests/Policy/CrashSuspectsTest.cpp
+++ b/unittests/Policy/CrashSuspectsTest.cpp
@@ -16,7 +16,7 @@
     }
 
     /// Crashes the endpoint of the given running requests.
-    Decisions crash(std::vector<PermitId> permits, std::chrono::milliseconds time)
+    Decisions crash(const std::vector<PermitId> &permits, std::chrono::milliseconds time)
     {
         Decisions all;
         for (const PermitId permit : permits) {
