policy: steady the admission estimate

Ruled out: a shorter bound alone, which refuses more without steadier estimates. Change: three quarters of the queueing budget are used, holding times are averaged over more requests, the load of higher tiers is averaged over 3 s, and the request's own turn counts. The admission test expects the exact number that follows from this; the property test now also asserts that at least 70% of the granted requests of the overloaded tier meet the target.

--- a/include/mulberrywall/Policy/Admission.h
+++ b/include/mulberrywall/Policy/Admission.h
@@ -5,6 +5,9 @@
 namespace mulberrywall::policy
 {
 
+/// Averages the slots that each tier uses up to now.
+void averageTierLoads(Pool &pool, TimePoint now);
+
 /// Returns the estimated time until a waiting request gets a slot.
 ///
 /// Only requests that go before it count: its own tier's and higher ones, and of its own tier no more than fair
--- a/include/mulberrywall/Policy/Estimates.h
+++ b/include/mulberrywall/Policy/Estimates.h
@@ -15,7 +15,9 @@
     TimePoint observedAt;
 };
 
-void observe(Average &average, double value, TimePoint now);
+/// Adds a value. The first values are averaged evenly; later ones count with at least the minimum weight, so a
+/// smaller one gives a steadier mean and a larger one a fresher mean.
+void observe(Average &average, double value, TimePoint now, double minimumWeight = 0.1);
 
 /// Returns whether the mean has enough samples and the last one is recent enough.
 bool isFresh(const Average &average, std::uint64_t minimumSamples, std::chrono::milliseconds lifetime, TimePoint now);
--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -33,6 +33,14 @@
     TimePoint until;
 };
 
+/// Slots that a tier uses.
+struct TierLoad
+{
+    unsigned running = 0;
+    /// Average over the last seconds.
+    double averageRunning = 0.0;
+};
+
 /// Slowness of an endpoint against the pool, see evaluateEndpoints.
 struct SlowState
 {
@@ -162,7 +170,8 @@
     std::map<support::Tier, FairShares> fairShares;
     std::map<support::Tier, MinimumShareUse> minimumShares;
     TimePoint minimumSharesAccruedAt;
-    std::map<support::Tier, unsigned> runningByTier;
+    std::map<support::Tier, TierLoad> loadByTier;
+    TimePoint loadAveragedAt;
     /// Sum over active requests of their start times in seconds.
     double startSecondsSum = 0.0;
     CrashSuspects suspects;
--- a/include/mulberrywall/Policy/Tuning.h
+++ b/include/mulberrywall/Policy/Tuning.h
@@ -11,7 +11,13 @@
 struct AdmissionTuning
 {
     /// A request is refused when its estimated wait exceeds this multiple of what its target leaves for queueing.
-    double slack = 1.0;
+    /// Under overload all waits are near the bound; with 1.0 half of them miss the target by a little.
+    double slack = 0.75;
+    /// Weight of one request in the mean holding time. Holding times vary about as much as their mean, so a weight
+    /// of 0.1 makes the estimate vary by a quarter.
+    double holdWeight = 0.03;
+    /// Time constant over which the slots used by higher tiers are averaged.
+    std::chrono::milliseconds loadAveraging {3'000};
     /// Queueing may use at least this share of the target, however long the first token takes on the endpoint.
     double minimumQueueingShare = 0.5;
     /// Holding times that were observed longer ago give way to the age of running requests.
--- a/lib/Policy/ActiveRequests.cpp
+++ b/lib/Policy/ActiveRequests.cpp
@@ -52,9 +52,10 @@
 void observeHold(Pool &pool, const ActiveRequest &request, TimePoint now)
 {
     const double seconds = secondsBetween(request.startedAt, now);
-    observe(pool.holdSeconds, seconds, now);
+    const double weight = pool.options.tuning.admission.holdWeight;
+    observe(pool.holdSeconds, seconds, now, weight);
     if (ClassState *requestClass = findClass(pool, request.submission.requestClass)) {
-        observe(requestClass->holdSeconds, seconds, now);
+        observe(requestClass->holdSeconds, seconds, now, weight);
     }
 }
 
@@ -65,7 +66,7 @@
     const PermitId permit = request.submission.permit;
     ++endpoint.running;
     noteRunning(endpoint.concurrency, endpoint.running);
-    ++pool.runningByTier[request.tier];
+    ++pool.loadByTier[request.tier].running;
     pool.startSecondsSum += secondsBetween(TimePoint {}, now);
     ++pool.grants;
     endpoint.lastGrant = pool.grants;
@@ -142,7 +143,7 @@
     EndpointState &endpoint = *found->second.endpoint;
     const bool wasLong = found->second.isLong;
     setWork(found->second, 0.0);
-    --pool.runningByTier.at(found->second.tier);
+    --pool.loadByTier.at(found->second.tier).running;
     pool.startSecondsSum -= secondsBetween(TimePoint {}, found->second.startedAt);
     pool.active.erase(found);
     --endpoint.running;
--- a/lib/Policy/Admission.cpp
+++ b/lib/Policy/Admission.cpp
@@ -5,6 +5,7 @@
 #include "mulberrywall/Policy/MinimumShare.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace mulberrywall::policy
 {
@@ -65,8 +66,8 @@
 {
     const double slots = slotsOfPool(pool, now);
     double higher = 0.0;
-    for (const auto &[number, running] : pool.runningByTier) {
-        higher += number < tier ? running : 0;
+    for (const auto &[number, load] : pool.loadByTier) {
+        higher += number < tier ? load.averageRunning : 0.0;
     }
     return std::max({slots - higher, minimumShareOf(pool, tier) * slots, leastSlotShare * slots});
 }
@@ -140,11 +141,26 @@
 
 } // namespace
 
+void averageTierLoads(Pool &pool, TimePoint now)
+{
+    const double seconds = secondsBetween(pool.loadAveragedAt, now);
+    if (seconds <= 0.0) {
+        return;
+    }
+    pool.loadAveragedAt = now;
+    const double weight = 1.0 - std::exp(-seconds / Seconds(pool.options.tuning.admission.loadAveraging).count());
+    for (auto &[tier, load] : pool.loadByTier) {
+        load.averageRunning += weight * (load.running - load.averageRunning);
+    }
+}
+
 Seconds estimatedWait(const Pool &pool, const WaitingRequest &request, TimePoint now)
 {
     const TierQueue &queue = pool.queue.tiers.at(request.tier);
     const double own = std::min(slotSecondsByTarget(pool, request, queue, now), slotSecondsByShare(pool, request, queue, now));
-    return Seconds((slotSecondsOfHigherTiers(pool, request.tier, now) + own) / slotsForTier(pool, request.tier, now));
+    // The request itself gets the slot after those ahead of it.
+    const double next = holdSecondsOf(pool, request.submission.requestClass, now);
+    return Seconds((slotSecondsOfHigherTiers(pool, request.tier, now) + own + next) / slotsForTier(pool, request.tier, now));
 }
 
 std::optional<std::chrono::milliseconds> unreachableTarget(const Pool &pool, const WaitingRequest &request, TimePoint now)
--- a/lib/Policy/Estimates.cpp
+++ b/lib/Policy/Estimates.cpp
@@ -9,8 +9,6 @@
 namespace
 {
 
-/// The first samples are averaged evenly; later ones count with at least this weight.
-constexpr double minimumWeight = 0.1;
 /// Step of the quantile estimate on the logarithmic scale once it has settled.
 constexpr double minimumStep = 0.05;
 constexpr double smallestValue = 1e-6;
@@ -22,7 +20,7 @@
 
 } // namespace
 
-void observe(Average &average, double value, TimePoint now)
+void observe(Average &average, double value, TimePoint now, double minimumWeight)
 {
     ++average.samples;
     const double weight = std::max(minimumWeight, 1.0 / static_cast<double>(average.samples));
--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -39,6 +39,7 @@
     Pool &pool = asPool(handle);
     pool.now = std::max(pool.now, now);
     startTakeover(pool, now);
+    averageTierLoads(pool, now);
     accrueMinimumShares(pool, now);
     for (auto &[id, endpoint] : pool.endpoints) {
         noteRunning(endpoint.concurrency, endpoint.running);
--- a/unittests/Policy/AdmissionTest.cpp
+++ b/unittests/Policy/AdmissionTest.cpp
@@ -42,7 +42,8 @@
         ++unreachable;
     }
     // The slot turns over once a second and the first token takes a second, which leaves five seconds for queueing.
-    EXPECT_NEAR(admitted, 7, 2);
+    // Three quarters of that are used: one request runs and three wait.
+    EXPECT_EQ(admitted, 4U);
     EXPECT_EQ(admitted + unreachable, 20U);
 }
 
--- a/unittests/Policy/PolicyPropertyTest.cpp
+++ b/unittests/Policy/PolicyPropertyTest.cpp
@@ -86,6 +86,7 @@
     for (std::size_t tier = 0; tier < 3; ++tier) {
         EXPECT_LT(result.longestPause.at(tier), 20s) << "tier " << tier;
     }
+    EXPECT_GT(result.withinTarget[0], 7 * result.granted[0] / 10) << "what is admitted mostly meets its target";
     EXPECT_GT(result.granted[0], 10 * (result.granted[1] + result.granted[2]) / 3) << "the minimum shares are bounded";
 }
 
