policy: keep the pause after refusals and lower the limit gently

Cause: progress of older requests ended the pause of an endpoint that refuses new ones, and one refusal at low load took nearly the whole concurrency limit, since the decrease started from the few requests running then. Ruled out: ignoring refusals below half of the limit, which never finds the limit of an endpoint whose configured concurrency is far too high. Change: success resets the failure count only after the pause; a refusal lowers the limit by a fifth of the limit itself. Conclusion: one refusal costs a fifth of the limit, lasting ones find the limit.

--- a/lib/Policy/ActiveRequests.cpp
+++ b/lib/Policy/ActiveRequests.cpp
@@ -1,5 +1,7 @@
 #include "mulberrywall/Policy/ActiveRequests.h"
 
+#include "mulberrywall/Policy/FailureBackoff.h"
+
 #include <algorithm>
 #include <cassert>
 
@@ -110,7 +112,7 @@
     }
     request.outputTokens = outputTokens;
     request.progressAt = now;
-    request.endpoint->backoff = {};
+    noteSuccess(*request.endpoint, now);
     recordRunningLength(pool.lengths, request.submission, outputTokens, request.lengthObservation, tuning);
     setWork(request, expectedRemainingTokens(lengthEstimate(pool.lengths, request.submission, tuning), outputTokens, tuning));
 }
@@ -125,7 +127,7 @@
         pool.statistics.wastedTokens += request.outputTokens;
         return;
     }
-    request.endpoint->backoff = {};
+    noteSuccess(*request.endpoint, now);
     recordFinalLength(pool.lengths, request.submission, request.outputTokens, request.lengthObservation, pool.options.tuning.length, now);
     if (request.adopted) {
         return;
--- a/lib/Policy/ConcurrencyLimit.cpp
+++ b/lib/Policy/ConcurrencyLimit.cpp
@@ -18,10 +18,10 @@
     return limit.tokens >= tuning.minimumTokens && static_cast<double>(limit.lateTokens) > tuning.lateShare * static_cast<double>(limit.tokens);
 }
 
-double lowered(const ConcurrencyLimit &limit, double known, double maximum, const ConcurrencyTuning &tuning)
+double lowered(double from, double maximum, const ConcurrencyTuning &tuning)
 {
     const double floor = std::max(1.0, tuning.floorShare * maximum);
-    return std::max(floor, tuning.decreaseFactor * std::min(known, static_cast<double>(limit.peakRunning)));
+    return std::max(floor, tuning.decreaseFactor * from);
 }
 
 void respondToLateTokens(ConcurrencyLimit &limit, double known, double maximum, const ConcurrencyTuning &tuning, std::chrono::steady_clock::time_point now)
@@ -38,7 +38,7 @@
         return;
     }
     limit.decrease = ConcurrencyDecrease {.limit = known, .meanSeconds = mean};
-    limit.limit = lowered(limit, known, maximum, tuning);
+    limit.limit = lowered(std::min(known, static_cast<double>(limit.peakRunning)), maximum, tuning);
 }
 
 } // namespace
@@ -75,7 +75,8 @@
     const double maximum = maximumConcurrency;
     const double known = std::min(limit.limit, maximum);
     if (limit.refused > 0) {
-        limit.limit = lowered(limit, known, maximum, tuning);
+        // Not relative to the requests that run: a single refusal at low load would take most of the limit.
+        limit.limit = lowered(known, maximum, tuning);
     } else if (isLate(limit, tuning)) {
         respondToLateTokens(limit, known, maximum, tuning, now);
     } else {
--- a/lib/Policy/FailureBackoff.cpp
+++ b/lib/Policy/FailureBackoff.cpp
@@ -17,6 +17,13 @@
     ++endpoint.backoff.failures;
 }
 
+void noteSuccess(EndpointState &endpoint, TimePoint now)
+{
+    if (now >= endpoint.backoff.until) {
+        endpoint.backoff = {};
+    }
+}
+
 std::optional<TimePoint> nextBackoffEnd(const Pool &pool, TimePoint now)
 {
     std::optional<TimePoint> earliest;
--- a/unittests/Policy/EndpointSelectionTest.cpp
+++ b/unittests/Policy/EndpointSelectionTest.cpp
@@ -97,4 +97,16 @@
     EXPECT_GE(*wakeUp, at(101ms));
 }
 
+// Guards against ending the pause of an endpoint that refuses new requests because older ones make progress there.
+TEST_F(EndpointSelectionTest, ProgressOfOlderRequestsDoesNotEndThePause)
+{
+    start({}, {endpointSpec("a", 2)});
+    submit(submissionOf(1, "tier0"), 0ms);
+    submit(submissionOf(2, "tier0"), 0ms);
+    complete(1, 1ms, {.outcome = AttemptOutcome::NotRun});
+    progress(2, 1, 2ms);
+    EXPECT_TRUE(submit(submissionOf(3, "tier0"), 3ms).grants.empty());
+    EXPECT_EQ(functions.advance(pool.get(), at(101ms)).grants.size(), 1U);
+}
+
 } // namespace mulberrywall::policy
