--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -21,6 +21,9 @@
     Average holdSeconds;
     /// Time from grant to the first progress, or to completion where there is no progress.
     Average firstTokenSeconds;
+    QuantileEstimate lateFirstTokenSeconds {.probability = 0.95};
+    /// Hedged attempts that the class may start; the first one needs no savings.
+    double hedgeCredit = 1.0;
 };
 
 /// Pause in new work after failed or refused attempts.
@@ -30,6 +33,14 @@
     TimePoint until;
 };
 
+/// Slots that a tier uses.
+struct TierLoad
+{
+    unsigned running = 0;
+    /// Average over the last seconds.
+    double averageRunning = 0.0;
+};
+
 /// Slowness of an endpoint against the pool, see evaluateEndpoints.
 struct SlowState
 {
@@ -61,6 +72,8 @@
     /// Until then the endpoint takes no requests beside the suspect that runs on it.
     TimePoint exclusiveUntil;
     std::optional<LoadReport> report;
+    /// No requests that a former owner granted are missing.
+    bool adoptionComplete = false;
 };
 
 /// A request that holds a slot.
@@ -136,6 +149,15 @@
     bool changed = false;
 };
 
+/// Reduced limit of an owner that does not know yet what a former owner granted.
+struct Takeover
+{
+    /// Starts with the next command.
+    bool pending = false;
+    TimePoint startedAt;
+    TimePoint until;
+};
+
 /// State of one pool at its owner.
 struct Pool
 {
@@ -148,10 +170,12 @@
     std::map<support::Tier, FairShares> fairShares;
     std::map<support::Tier, MinimumShareUse> minimumShares;
     TimePoint minimumSharesAccruedAt;
-    std::map<support::Tier, unsigned> runningByTier;
+    std::map<support::Tier, TierLoad> loadByTier;
+    TimePoint loadAveragedAt;
     /// Sum over active requests of their start times in seconds.
     double startSecondsSum = 0.0;
     CrashSuspects suspects;
+    Takeover takeover;
     LengthEstimates lengths;
     /// Time from grant to completion over all classes.
     Average holdSeconds;
