--- a/include/mulberrywall/Platform/TableClient.h
+++ b/include/mulberrywall/Platform/TableClient.h
@@ -94,7 +94,7 @@
     TableClient(boost::asio::any_io_executor executor, const PlatformOptions &options);
 
     /// Applies all operations in one transaction or none.
-    void commit(std::string_view table, std::vector<Operation> operations, std::function<void(CommitResult)> handler) const;
+    void commit(std::string_view table, const std::vector<Operation> &operations, std::function<void(CommitResult)> handler) const;
     void read(std::string_view table, std::string_view key, std::function<void(ReadResult)> handler) const;
     /// Reads the rows whose keys start with the prefix.
     void scan(std::string_view table, std::string_view prefix, std::function<void(ScanResult)> handler) const;
--- a/lib/Configuration/Diff.cpp
+++ b/lib/Configuration/Diff.cpp
@@ -45,7 +45,7 @@
 {
     std::string text;
     for (const auto &[name, value] : renderFields(item)) {
-        text += " " + std::string(name) + "=" + value;
+        text.append(" ").append(name).append("=").append(value);
     }
     return text;
 }
@@ -127,7 +127,7 @@
             continue;
         }
         for (const std::string &dataCentre : dataCentres) {
-            text += dataCentre + ": " + line + "\n";
+            text.append(dataCentre).append(": ").append(line).append("\n");
         }
     }
     return text;
--- a/lib/Configuration/Values.h
+++ b/lib/Configuration/Values.h
@@ -68,6 +68,7 @@
 boost::json::value render(const std::vector<support::Identifier<Tag>> &input)
 {
     std::vector<std::string> texts;
+    texts.reserve(input.size());
     for (const auto &id : input) {
         texts.push_back(id.value());
     }
--- a/lib/Platform/ClaimBatch.cpp
+++ b/lib/Platform/ClaimBatch.cpp
@@ -68,7 +68,7 @@
         entry->operation.value = encodeClaim({.attemptId = request.attemptId, .bodyHash = request.bodyHash});
         entry->request = std::move(request);
         entry->onClaim = std::move(handler);
-        submit(std::move(entry));
+        submit(entry);
     }
 
     void completeClaim(const ClaimRequest &request, std::uint64_t version, StoredResponse response, std::function<void(ClaimUpdate)> handler) override
@@ -81,7 +81,7 @@
         entry->operation.value = encodeClaim({.attemptId = request.attemptId, .bodyHash = request.bodyHash, .response = std::move(response)});
         entry->request = request;
         entry->onUpdate = std::move(handler);
-        submit(std::move(entry));
+        submit(entry);
     }
 
     void releaseClaim(const ClaimRequest &request, std::uint64_t version, std::function<void(ClaimUpdate)> handler) override
@@ -102,7 +102,7 @@
         return entry;
     }
 
-    void submit(EntryPtr entry)
+    void submit(const EntryPtr &entry)
     {
         entry->deadline = Clock::now() + options_.timeout;
         bool isFull = false;
@@ -203,9 +203,8 @@
         for (const EntryPtr &entry : batch) {
             operations.push_back(entry->operation);
         }
-        table_.commit(claimTable, std::move(operations), [self = shared_from_this(), batch = std::move(batch)](const CommitResult &result) {
-            self->onCommit(batch, result);
-        });
+        table_.commit(
+            claimTable, operations, [self = shared_from_this(), batch = std::move(batch)](const CommitResult &result) { self->onCommit(batch, result); });
     }
 
     void onCommit(const std::vector<EntryPtr> &batch, const CommitResult &result)
--- a/lib/Platform/TableClient.cpp
+++ b/lib/Platform/TableClient.cpp
@@ -141,7 +141,7 @@
 {
 }
 
-void TableClient::commit(std::string_view table, std::vector<Operation> operations, std::function<void(CommitResult)> handler) const
+void TableClient::commit(std::string_view table, const std::vector<Operation> &operations, std::function<void(CommitResult)> handler) const
 {
     http::Request request(Verb::post, tablePath(table) + "/commit", 11);
     request.set(http::Field::content_type, "application/json");
--- a/test/Support/Platform/PlatformStandin.cpp
+++ b/test/Support/Platform/PlatformStandin.cpp
@@ -219,32 +219,40 @@
         }
         for (const auto &[key, value] : message.get_object()) {
             const bool isNumber = value.is_int64() && value.get_int64() >= 0;
-            const auto number = isNumber ? static_cast<unsigned>(value.get_int64()) : 0;
             if (key == "outage" && value.is_string()) {
                 outage_ = std::string(value.get_string());
             } else if (key == "instances" && value.is_array()) {
                 instanceChanges_.push_back({.visibleFrom = Clock::now() + options_.instanceLag, .list = value.get_array()});
-            } else if (!isNumber) {
-                return false;
-            } else if (key == "latencyMs") {
-                options_.latency = std::chrono::milliseconds(number);
-            } else if (key == "loseAnswers") {
-                answersToLose_ = number;
-            } else if (key == "instanceLagMs") {
-                options_.instanceLag = std::chrono::milliseconds(number);
-            } else if (key == "writesPerSecond") {
-                options_.writesPerSecond = number;
-            } else if (key == "readsPerSecond") {
-                options_.readsPerSecond = number;
-            } else if (key == "weightsPerSecond") {
-                options_.weightsPerSecond = number;
-            } else {
+            } else if (!isNumber || !applyNumber(key, static_cast<unsigned>(value.get_int64()))) {
                 return false;
             }
         }
         return true;
     }
 
+    bool applyNumber(std::string_view key, unsigned number)
+    {
+        const std::map<std::string_view, unsigned *> counts {
+            {"loseAnswers", &answersToLose_},
+            {"writesPerSecond", &options_.writesPerSecond},
+            {"readsPerSecond", &options_.readsPerSecond},
+            {"weightsPerSecond", &options_.weightsPerSecond},
+        };
+        const std::map<std::string_view, std::chrono::milliseconds *> durations {
+            {"latencyMs", &options_.latency},
+            {"instanceLagMs", &options_.instanceLag},
+        };
+        if (const auto count = counts.find(key); count != counts.end()) {
+            *count->second = number;
+            return true;
+        }
+        if (const auto duration = durations.find(key); duration != durations.end()) {
+            *duration->second = std::chrono::milliseconds(number);
+            return true;
+        }
+        return false;
+    }
+
     Reply handleTable(const http::Request &request, const std::string &target, const std::string &rest)
     {
         const std::size_t separator = rest.find('/');
--- a/unittests/Platform/PlatformFixture.h
+++ b/unittests/Platform/PlatformFixture.h
@@ -35,9 +35,9 @@
         return promise->get_future().get();
     }
 
-    CommitResult commit(std::vector<Operation> operations)
+    CommitResult commit(const std::vector<Operation> &operations)
     {
-        return await<CommitResult>([&](auto handler) { table_.commit("test", std::move(operations), std::move(handler)); });
+        return await<CommitResult>([&](auto handler) { table_.commit("test", operations, std::move(handler)); });
     }
 
     ReadResult read(const std::string &key)
