--- /dev/null
+++ b/lib/Control/ConfigurationCommands.cpp
@@ -0,0 +1,197 @@
+#include "mulberrywall/Control/Commands.h"
+
+#include "Blocking.h"
+
+#include "mulberrywall/Configuration/Diff.h"
+#include "mulberrywall/Configuration/Reader.h"
+#include "mulberrywall/Configuration/RevisionStore.h"
+#include "mulberrywall/Support/Ids.h"
+#include "mulberrywall/Support/WorkerPool.h"
+
+#include <algorithm>
+
+namespace mulberrywall::control
+{
+
+namespace leaf = support::leaf;
+using configuration::HeadResult;
+using configuration::PushResult;
+using configuration::PushStatus;
+using configuration::Revision;
+using configuration::RevisionResult;
+using configuration::RevisionStore;
+using configuration::SiteConfiguration;
+using platform::ReadStatus;
+using support::ExitCode;
+
+namespace
+{
+
+/// Prints the error and returns nothing when the files are not valid.
+std::optional<std::vector<SiteConfiguration>> readFiles(const ConfigurationFiles &files, const Console &console)
+{
+    using Sites = std::optional<std::vector<SiteConfiguration>>;
+    return leaf::try_handle_all(
+        [&]() -> support::Result<Sites> {
+            BOOST_LEAF_AUTO(sites, configuration::readSites(files.basePath, files.overlayPaths));
+            return Sites(std::move(sites));
+        },
+        [&](const support::ErrorMessage &message, const support::ErrorLocation &location) {
+            if (!location.file.empty()) {
+                console.errors << location.file << (location.line == 0 ? std::string() : ":" + std::to_string(location.line)) << ": ";
+            }
+            console.errors << message.text << '\n';
+            return Sites();
+        },
+        [&] {
+            console.errors << "the configuration cannot be read\n";
+            return Sites();
+        });
+}
+
+/// The head and its revision; the revision is null when none was ever accepted.
+struct InForce
+{
+    std::uint64_t number = 0;
+    std::shared_ptr<const Revision> revision;
+
+    [[nodiscard]] std::vector<SiteConfiguration> sites() const
+    {
+        return revision == nullptr ? std::vector<SiteConfiguration>() : revision->sites;
+    }
+};
+
+/// Prints the error and returns nothing when the platform does not answer.
+std::optional<InForce> fetchInForce(const RevisionStore &store, const Console &console)
+{
+    const auto head = await<HeadResult>([&store](auto handler) { store.fetchHead(std::move(handler)); });
+    if (head.status == ReadStatus::Unavailable) {
+        console.errors << "cannot read the head from the platform: " << head.detail << "; check --platform and try again\n";
+        return std::nullopt;
+    }
+    if (head.status == ReadStatus::Absent) {
+        return InForce {};
+    }
+    const std::uint64_t number = head.head.revision;
+    auto revision = await<RevisionResult>([&store, number](auto handler) { store.fetchRevision(number, std::move(handler)); });
+    if (revision.status != ReadStatus::Found) {
+        console.errors << "cannot read revision " << number << " from the platform: " << revision.detail << "; try again\n";
+        return std::nullopt;
+    }
+    return InForce {.number = number, .revision = std::move(revision.revision)};
+}
+
+/// Returns the data centre of a site that is in force and that the files lack, or an empty text.
+std::string findRemovedSite(const InForce &inForce, const std::vector<SiteConfiguration> &sites)
+{
+    for (const SiteConfiguration &old : inForce.sites()) {
+        const bool isKept = std::any_of(sites.begin(), sites.end(), [&old](const SiteConfiguration &site) { return site.dataCentre == old.dataCentre; });
+        if (!isKept) {
+            return old.dataCentre.value();
+        }
+    }
+    return {};
+}
+
+ExitCode reportConflict(const InForce &inForce, std::uint64_t basedOn, const std::vector<SiteConfiguration> &sites, const Console &console)
+{
+    console.errors << "conflict: the files are based on revision " << basedOn << " and revision " << inForce.number
+                   << " is in force; merge its changes and apply with --based-on " << inForce.number << '\n';
+    console.errors << "changes that your files would make to revision " << inForce.number << ":\n";
+    console.errors << configuration::diffSites(inForce.sites(), sites);
+    return ExitCode::Conflict;
+}
+
+ExitCode reportPush(const PushResult &result, const std::string &pushId, const Console &console)
+{
+    switch (result.status) {
+    case PushStatus::Applied:
+        console.output << "revision " << result.revision << " applied\n";
+        return ExitCode::Success;
+    case PushStatus::NotApplied:
+        console.errors << "not applied: " << result.detail << "; check the platform and apply again\n";
+        return ExitCode::Unreachable;
+    case PushStatus::Unknown:
+        console.errors << "outcome unknown: " << result.detail << "; apply again with --push-id " << pushId << " to settle it\n";
+        return ExitCode::Failure;
+    case PushStatus::Conflict:
+        return ExitCode::Conflict;
+    }
+    return ExitCode::Failure;
+}
+
+} // namespace
+
+ExitCode validate(const ConfigurationFiles &files, const Console &console)
+{
+    const auto sites = readFiles(files, console);
+    if (!sites) {
+        return ExitCode::InvalidConfiguration;
+    }
+    for (const SiteConfiguration &site : *sites) {
+        console.output << site.dataCentre << ": valid, " << site.classes.size() << " classes, " << site.organisations.size() << " organisations, "
+                       << site.pools.size() << " pools, " << site.endpoints.size() << " endpoints\n";
+    }
+    return ExitCode::Success;
+}
+
+ExitCode diff(const DiffOptions &options, const Console &console)
+{
+    const auto sites = readFiles(options.files, console);
+    if (!sites) {
+        return ExitCode::InvalidConfiguration;
+    }
+    support::WorkerPool pool(1);
+    const RevisionStore store(pool.context().get_executor(), options.platform);
+    const auto inForce = fetchInForce(store, console);
+    if (!inForce) {
+        return ExitCode::Unreachable;
+    }
+    const std::string changes = configuration::diffSites(inForce->sites(), *sites);
+    console.output << "changes to revision " << inForce->number << (changes.empty() ? ": none\n" : ":\n") << changes;
+    return ExitCode::Success;
+}
+
+ExitCode apply(const ApplyOptions &options, const Console &console)
+{
+    const auto sites = readFiles(options.files, console);
+    if (!sites) {
+        return ExitCode::InvalidConfiguration;
+    }
+    support::WorkerPool pool(1);
+    const RevisionStore store(pool.context().get_executor(), options.platform);
+    const auto inForce = fetchInForce(store, console);
+    if (!inForce) {
+        return ExitCode::Unreachable;
+    }
+    // The head's push id settles the common case; an older revision of this push is found by push itself.
+    const bool isOwnInForce = inForce->revision != nullptr && !options.pushId.empty() && inForce->revision->pushId == options.pushId;
+    if (isOwnInForce) {
+        console.output << "revision " << inForce->number << " applied\n";
+        return ExitCode::Success;
+    }
+    const std::uint64_t basedOn = options.basedOn.value_or(inForce->number);
+    const std::string changes = configuration::diffSites(inForce->sites(), *sites);
+    if (basedOn == inForce->number && changes.empty()) {
+        console.output << "revision " << inForce->number << " has no differences; nothing applied\n";
+        return ExitCode::Success;
+    }
+    const std::string removedSite = findRemovedSite(*inForce, *sites);
+    if (!removedSite.empty() && options.siteRemoval == SiteRemoval::Refuse) {
+        console.errors << "the files lack data centre \"" << removedSite << "\", which is in force; add its overlay or pass --allow-site-removal\n";
+        return ExitCode::InvalidConfiguration;
+    }
+    const std::string pushId = options.pushId.empty() ? support::makeRandomId() : options.pushId;
+    const auto result = await<PushResult>(
+        [&](auto handler) { store.push({.basedOn = basedOn, .pushId = pushId, .sites = *sites, .timeout = options.timeout}, std::move(handler)); });
+    if (result.status == PushStatus::Conflict) {
+        const auto winner = fetchInForce(store, console);
+        return winner ? reportConflict(*winner, basedOn, *sites, console) : ExitCode::Conflict;
+    }
+    if (result.status == PushStatus::Applied) {
+        console.output << changes;
+    }
+    return reportPush(result, pushId, console);
+}
+
+} // namespace mulberrywall::control
--- a/test/Support/Platform/PlatformStandin.cpp
+++ b/test/Support/Platform/PlatformStandin.cpp
@@ -234,6 +234,7 @@
     {
         const std::map<std::string_view, unsigned *> counts {
             {"loseAnswers", &answersToLose_},
+            {"outageAfterLostAnswer", &outageAfterLostAnswer_},
             {"writesPerSecond", &options_.writesPerSecond},
             {"readsPerSecond", &options_.readsPerSecond},
             {"weightsPerSecond", &options_.weightsPerSecond},
@@ -356,6 +357,7 @@
             --answersToLose_;
             ++counters_["answersLost"];
             result.isLost = true;
+            outage_ = outageAfterLostAnswer_ == 0 ? outage_ : "drop";
         }
         return result;
     }
@@ -419,6 +421,7 @@
     PlatformOptions options_;
     std::string outage_ = "none";
     unsigned answersToLose_ = 0;
+    unsigned outageAfterLostAnswer_ = 0;
     std::uint64_t lastVersion_ = 0;
     std::map<std::string, Table> tables_;
     std::map<std::string, std::string> objects_;
--- a/test/Support/Platform/PlatformStandin.h
+++ b/test/Support/Platform/PlatformStandin.h
@@ -33,6 +33,7 @@
 /// - "outage": "none", "refuse" (503 with X-Not-Run) or "drop" (connections are closed without a response),
 /// - "latencyMs": time added to every response,
 /// - "loseAnswers": number of coming commits that are applied while the connection is dropped,
+/// - "outageAfterLostAnswer": 1 starts the outage "drop" with the next lost answer,
 /// - "instances": new instance list, visible after the lag,
 /// - "instanceLagMs", "writesPerSecond", "readsPerSecond", "weightsPerSecond".
 /// GET /control returns the counters of what ran.
