--- a/include/mulberrywall/Permits/PoolOwner.h
+++ b/include/mulberrywall/Permits/PoolOwner.h
@@ -14,11 +14,30 @@
 #include <set>
 #include <string_view>
 #include <unordered_map>
+#include <variant>
 #include <vector>
 
 namespace mulberrywall::permits
 {
 
+/// Another router owns the pool by now; the request has not run. The owner is empty when it is not known.
+struct PermitMoved
+{
+    support::InstanceId owner;
+};
+
+using OwnerAnswer = std::variant<std::shared_ptr<Permit>, PermitRefusal, PermitMoved>;
+using OwnerHandler = std::function<void(OwnerAnswer)>;
+
+/// How much of its endpoints a router may use as the owner of a pool.
+enum class OwnershipState : std::uint8_t {
+    /// Another router owns the pool: no grants; running requests are kept until they end.
+    Released,
+    /// Newly taken over: half of the slots, until the running requests are known.
+    Recovering,
+    Owned,
+};
+
 /// One pool that this router owns: the policy's state with its lock, its waiting handlers and its timer.
 ///
 /// Thread-safe. After PoolTable in the lock order; handlers are posted to the context and never called under the lock.
@@ -31,28 +50,37 @@
     void configure(const policy::PoolOptions &options);
     /// Takes the complete set of endpoints; requests running on a missing one go on.
     void setEndpoints(std::vector<configuration::Endpoint> endpoints, const std::set<support::EndpointId> &leaving);
-    AcquireTicket acquire(PermitRequest request, PermitHandler handler);
+    /// Calls the handler once, from any worker thread and never inside the call, unless the ticket is dropped first.
+    AcquireTicket acquire(PermitRequest request, OwnerHandler handler);
+    /// Takes over a running request and gives its holder a permit of this owner.
+    std::shared_ptr<Permit> adopt(policy::RunningRequest running);
+    /// Released tells all waiting requests that the pool has moved to the given router.
+    void setOwnership(OwnershipState ownership, const support::InstanceId &newOwner);
     void recordLoadReport(const policy::LoadReport &report);
+    void recordSuspect(policy::Fingerprint fingerprint, unsigned crashes);
 
     // Queries
+    [[nodiscard]] OwnershipState ownership() const;
     [[nodiscard]] policy::PoolSummary summarize() const;
 
 private:
     struct Waiter
     {
-        PermitHandler handler;
+        OwnerHandler handler;
     };
     struct Notification
     {
-        PermitHandler handler;
-        PermitResult result;
+        OwnerHandler handler;
+        OwnerAnswer result;
     };
 
     void withdraw(policy::PermitId permit);
     void recordProgress(policy::PermitId permit, const policy::Progress &progress);
     void finish(policy::PermitId permit, const policy::Completion &completion);
     std::vector<Notification> takeNotifications(const policy::Decisions &decisions);
-    PermitResult makePermit(const policy::Grant &grant);
+    std::shared_ptr<Permit> makePermit(policy::PermitId permit, const support::EndpointId &endpoint, std::uint8_t enginePriority);
+    policy::Decisions applyEndpoints();
+    void moveWaiters(const support::InstanceId &newOwner, std::vector<Notification> &notifications);
     void deliver(std::vector<Notification> notifications);
     void armTimer();
     void onTimer();
@@ -62,7 +90,11 @@
     mutable std::mutex mutex_;
     policy::PoolHandle pool_;
     std::unordered_map<policy::PermitId, Waiter> waiters_;
+    /// Descriptions of all endpoints that requests may still run on.
     std::map<support::EndpointId, configuration::Endpoint> endpoints_;
+    std::vector<policy::EndpointSpec> specs_;
+    OwnershipState ownership_ = OwnershipState::Owned;
+    support::InstanceId newOwner_;
     policy::PermitId nextPermit_ = 1;
     boost::asio::steady_timer timer_;
     std::optional<policy::TimePoint> armedFor_;
@@ -85,6 +117,7 @@
     /// Returns nullptr for a pool that the configuration does not have.
     [[nodiscard]] std::shared_ptr<OwnedPool> find(const support::PoolId &pool) const;
     [[nodiscard]] std::map<support::PoolId, policy::PoolSummary> summarize() const;
+    [[nodiscard]] std::map<support::PoolId, std::shared_ptr<OwnedPool>> pools() const;
 
 private:
     void updateEndpoints();
--- /dev/null
+++ b/include/mulberrywall/Permits/RoutedPermits.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "mulberrywall/Permits/Ownership.h"
+#include "mulberrywall/Permits/PeerNetwork.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <unordered_map>
+
+namespace mulberrywall::permits
+{
+
+struct RoutedOptions
+{
+    OwnershipOptions ownership;
+    PeerOptions peers;
+    /// Progress of a permit is reported to the owner at most this often.
+    std::chrono::milliseconds progressInterval {500};
+    /// Interval at which owners are compared with the membership, besides each change.
+    std::chrono::milliseconds reviewInterval {250};
+    /// A peer that could not be reached is left out for this long.
+    std::chrono::milliseconds unreachableTime {3'000};
+    /// Wait before an owner is looked for again when two routers point at each other.
+    std::chrono::milliseconds retryDelay {50};
+};
+
+/// Gives permits for the pools of all data centres and answers other routers as an owner. Thread-safe.
+class RoutedPermits : public std::enable_shared_from_this<RoutedPermits>
+{
+public:
+    using ConfigurationProvider = std::function<std::optional<ConfigurationDocument>(std::uint64_t minimumRevision)>;
+
+    /// Listens for peers at once. Throws boost::system::system_error when the address is taken.
+    static std::shared_ptr<RoutedPermits> create(
+        boost::asio::io_context &context, PoolTable &pools, MembershipView membership, RoutedOptions options, ConfigurationProvider provideConfiguration);
+
+    RoutedPermits(boost::asio::io_context &context, PoolTable &pools, MembershipView membership, RoutedOptions options);
+
+    // Commands
+    /// Starts the regular comparison of owners with the membership.
+    void start();
+    /// Call it whenever a member has joined, left or died, or the configuration has changed.
+    void membershipChanged();
+    /// Gives up all pools; waiting requests ask the new owners and running ones are registered there. For a shutdown.
+    void releaseOwnership();
+    /// Closes the connections to peers, which frees what is held there.
+    void stop();
+
+    // Queries
+    /// The source keeps this object alive.
+    [[nodiscard]] PermitSource source();
+    [[nodiscard]] PeerNetwork &peers();
+    [[nodiscard]] PoolOwnership &ownership();
+
+private:
+    friend class RoutedRequest;
+
+    /// A permit in use, which must be known to the current owner of its pool.
+    struct TrackedPermit
+    {
+        std::uint64_t number = 0;
+        support::DataCentreId dataCentre;
+        PermitRequest request;
+        support::EndpointId endpoint;
+
+        std::mutex mutex;
+        /// The owner's permit; empty after the owner was lost.
+        std::shared_ptr<Permit> granted;
+        support::InstanceId owner;
+        policy::Progress progress;
+        policy::TimePoint reportedAt;
+        /// Set at the end, for an owner that is just about to take the permit over.
+        std::optional<policy::Completion> completion;
+        bool adopting = false;
+    };
+    using TrackedPermitPtr = std::shared_ptr<TrackedPermit>;
+    using PoolKey = std::pair<support::DataCentreId, support::PoolId>;
+    /// What has to be registered with one owner, by pool.
+    using PendingAdoptions = std::map<PoolKey, std::vector<TrackedPermitPtr>>;
+
+    AcquireTicket acquire(PermitRequest request, PermitHandler handler);
+    std::shared_ptr<Permit> track(
+        const support::DataCentreId &dataCentre, const support::InstanceId &owner, const PermitRequest &request, const std::shared_ptr<Permit> &granted);
+    void reportProgress(TrackedPermit &permit, const policy::Progress &progress) const;
+    void finish(TrackedPermit &permit, const policy::Completion &completion);
+    void markUnreachable(const support::InstanceId &instance);
+    void peerLost(const support::InstanceId &instance);
+    void review();
+    void collectPermits(const std::vector<membership::Member> &reachable, std::map<support::InstanceId, PendingAdoptions> &pending);
+    void collectReports(const std::vector<membership::Member> &reachable, std::map<support::InstanceId, PendingAdoptions> &pending);
+    void adoptAt(const membership::Member &owner, const PendingAdoptions &pending);
+    void adopted(const support::InstanceId &owner, const PoolKey &pool, const std::vector<TrackedPermitPtr> &permits, AdoptedPool result);
+    void reviewLater();
+    [[nodiscard]] bool isReportedTo(const support::InstanceId &owner, const support::PoolId &pool) const;
+    [[nodiscard]] std::vector<support::InstanceId> unreachable() const;
+    [[nodiscard]] std::vector<membership::Member> reachableMembers() const;
+
+    boost::asio::io_context &context_;
+    boost::asio::strand<boost::asio::io_context::executor_type> strand_;
+    boost::asio::steady_timer timer_;
+    PoolTable &pools_;
+    MembershipView membership_;
+    RoutedOptions options_;
+    PoolOwnership ownership_;
+    std::shared_ptr<PeerNetwork> peers_;
+
+    /// Guards what follows; before the mutex of a tracked permit, and no other lock is taken under either.
+    mutable std::mutex mutex_;
+    std::uint64_t lastNumber_ = 0;
+    std::unordered_map<std::uint64_t, TrackedPermitPtr> tracked_;
+    std::map<support::InstanceId, policy::TimePoint> unreachableUntil_;
+    /// Owners that know what this ingress runs in the pools of its data centre.
+    std::map<support::PoolId, support::InstanceId> reportedTo_;
+    bool stopped_ = false;
+};
+
+} // namespace mulberrywall::permits
--- /dev/null
+++ b/lib/Permits/PeerClient.cpp
@@ -0,0 +1,333 @@
+#include "PeerClient.h"
+
+#include "PeerCodec.h"
+#include "SocketTraffic.h"
+
+#include "mulberrywall/Support/Log.h"
+
+#include <boost/asio/post.hpp>
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/debug.h>
+
+#include <chrono>
+
+namespace mulberrywall::permits
+{
+
+using std::chrono::steady_clock;
+
+static kj::Duration toKj(std::chrono::milliseconds duration)
+{
+    return duration.count() * kj::MILLISECONDS;
+}
+
+struct PeerClient::Connection
+{
+    Peer peer;
+    kj::Own<kj::AsyncIoStream> stream;
+    kj::Own<capnp::TwoPartyVatNetwork> network;
+    kj::Own<capnp::RpcSystem<capnp::rpc::twoparty::VatId>> rpcSystem;
+    /// Usable from the start; calls wait until the login has succeeded.
+    rpc::Peer::Client service = nullptr;
+    /// Calls under way and permits held.
+    unsigned atStake = 0;
+    steady_clock::time_point lastUsed = steady_clock::now();
+
+    [[nodiscard]] ConnectionKey key() const
+    {
+        return {peer.instance, peer.address};
+    }
+};
+
+struct PeerClient::Call
+{
+    Connection *connection;
+    kj::Promise<void> answer;
+    std::function<void(PeerFailure)> fail;
+    bool answered = false;
+};
+
+struct PeerClient::HeldPermit
+{
+    Connection *connection;
+    rpc::Permit::Client service;
+};
+
+PeerClient::PeerClient(RpcLoop &loop, boost::asio::io_context &context, const PeerOptions &options, const PeerHandlers &handlers, PermitMaker makePermit)
+    : loop_(loop),
+      context_(context),
+      options_(options),
+      handlers_(handlers),
+      makePermit_(std::move(makePermit)),
+      tasks_(*this)
+{
+}
+
+PeerClient::~PeerClient() noexcept(false) = default;
+
+void PeerClient::taskFailed(kj::Exception &&exception)
+{
+    support::log(support::Severity::Debug, "a call to a peer failed", {{"error", exception.getDescription().cStr()}});
+}
+
+PeerClient::Connection &PeerClient::connectionTo(const Peer &peer)
+{
+    const ConnectionKey key {peer.instance, peer.address};
+    const auto found = connections_.find(key);
+    if (found != connections_.end()) {
+        found->second->lastUsed = steady_clock::now();
+        return *found->second;
+    }
+    auto created = kj::heap<Connection>();
+    Connection &connection = *created;
+    connection.peer = peer;
+    connections_.emplace(key, kj::mv(created));
+    auto connected = connect(connection).fork();
+    connection.service = rpc::Peer::Client(connected.addBranch().then([&connection] { return connection.service; }));
+    // Ends with the connection; everything it refers to is removed in a later event, after its own has ended.
+    auto ended = connected.addBranch().then([this, &connection] { return connection.network->onDisconnect().exclusiveJoin(pingWhileNeeded(connection)); });
+    tasks_.add(ended
+                   .then([] { return std::string("the peer has closed the connection"); },
+                       [](kj::Exception &&exception) { return std::string(exception.getDescription().cStr()); })
+                   .then([this, key](std::string detail) { tasks_.add(kj::evalLater([this, key, detail = std::move(detail)] { lose(key, detail); })); }));
+    return connection;
+}
+
+kj::Promise<void> PeerClient::connect(Connection &connection)
+{
+    kj::Timer &timer = loop_.io().provider->getTimer();
+    const auto &address = connection.peer.address;
+    auto resolved = loop_.io().provider->getNetwork().getSockaddr(address.data(), static_cast<unsigned>(address.size()));
+    auto connected = resolved->connect().attach(kj::mv(resolved)).then([this, &connection](kj::Own<kj::AsyncIoStream> stream) {
+        capnp::ReaderOptions options;
+        options.traversalLimitInWords = options_.maxAnswerBytes / sizeof(capnp::word);
+        connection.stream = kj::mv(stream);
+        connection.network = kj::heap<capnp::TwoPartyVatNetwork>(*connection.stream, capnp::rpc::twoparty::Side::CLIENT, options);
+        connection.rpcSystem = kj::heap<capnp::RpcSystem<capnp::rpc::twoparty::VatId>>(capnp::makeRpcClient(*connection.network));
+        capnp::MallocMessageBuilder vatMessage;
+        auto vat = vatMessage.initRoot<capnp::rpc::twoparty::VatId>();
+        vat.setSide(capnp::rpc::twoparty::Side::SERVER);
+        auto request = connection.rpcSystem->bootstrap(vat).castAs<rpc::Login>().loginRequest();
+        request.setSecret(options_.secret.c_str());
+        request.setInstance(options_.instance.value().c_str());
+        request.setIncarnation(options_.incarnation);
+        return request.send();
+    });
+    return timer.timeoutAfter(toKj(options_.pingTimeout), kj::mv(connected)).then([&connection](capnp::Response<rpc::Login::LoginResults> &&response) {
+        connection.service = response.getPeer();
+    });
+}
+
+kj::Promise<void> PeerClient::pingWhileNeeded(Connection &connection)
+{
+    kj::Timer &timer = loop_.io().provider->getTimer();
+    return timer.afterDelay(toKj(options_.pingInterval)).then([this, &connection, &timer]() -> kj::Promise<void> {
+        if (connection.atStake > 0) {
+            connection.lastUsed = steady_clock::now();
+            return timer.timeoutAfter(toKj(options_.pingTimeout), connection.service.pingRequest().send().ignoreResult()).then([this, &connection] {
+                return pingWhileNeeded(connection);
+            });
+        }
+        // Closes before the peer does, so that no call meets a connection that is about to close.
+        if (steady_clock::now() - connection.lastUsed > options_.idleLimit / 2) {
+            return kj::READY_NOW;
+        }
+        return pingWhileNeeded(connection);
+    });
+}
+
+void PeerClient::lose(const ConnectionKey &key, const std::string &detail)
+{
+    const auto found = connections_.find(key);
+    if (found == connections_.end()) {
+        return;
+    }
+    const kj::Own<Connection> connection = kj::mv(found->second);
+    connections_.erase(found);
+    const std::string text = "router '" + key.first.value() + "' cannot be reached: " + detail;
+    std::erase_if(permits_, [&connection](const auto &entry) { return entry.second.connection == connection.get(); });
+    for (auto &[number, call] : calls_) {
+        if (call.connection == connection.get() && !call.answered) {
+            call.answered = true;
+            call.fail({text});
+        }
+    }
+    std::erase_if(calls_, [&connection](const auto &entry) { return entry.second.connection == connection.get(); });
+    if (connection->atStake > 0) {
+        support::log(support::Severity::Warning, "lost a peer", {{"peer", key.first.value()}, {"error", detail}});
+    }
+    boost::asio::post(context_, [handler = handlers_.peerLost, instance = key.first] {
+        if (handler) {
+            handler(instance);
+        }
+    });
+}
+
+template <typename Answer, typename Request, typename Decode>
+void PeerClient::start(std::uint64_t call, Connection &connection, Request request, Decode decodeAnswer, std::function<void(PeerResult<Answer>)> handler)
+{
+    const auto reply = [this, handler](PeerResult<Answer> result) {
+        boost::asio::post(context_, [handler, result = std::move(result)]() mutable { handler(std::move(result)); });
+    };
+    auto answer = request.send().then(
+        [this, call, decodeAnswer, reply](auto &&response) mutable {
+            const auto found = calls_.find(call);
+            if (found == calls_.end() || found->second.answered) {
+                return;
+            }
+            found->second.answered = true;
+            reply(decodeAnswer(response));
+            tasks_.add(kj::evalLater([this, call] { end(call); }));
+        },
+        [this, call, reply](kj::Exception &&exception) {
+            const auto found = calls_.find(call);
+            if (found == calls_.end() || found->second.answered) {
+                return;
+            }
+            found->second.answered = true;
+            reply(PeerFailure {exception.getDescription().cStr()});
+            tasks_.add(kj::evalLater([this, call] { end(call); }));
+        });
+    ++connection.atStake;
+    calls_.emplace(call, Call {.connection = &connection, .answer = answer.eagerlyEvaluate(nullptr), .fail = [reply](PeerFailure failure) {
+                                   reply(std::move(failure));
+                               }});
+}
+
+void PeerClient::end(std::uint64_t call)
+{
+    const auto found = calls_.find(call);
+    if (found == calls_.end()) {
+        return;
+    }
+    --found->second.connection->atStake;
+    calls_.erase(found);
+}
+
+template <typename Reader>
+std::shared_ptr<Permit> PeerClient::hold(Connection &connection, Reader permit, configuration::Endpoint endpoint, std::uint8_t enginePriority)
+{
+    const std::uint64_t number = ++lastPermit_;
+    permits_.emplace(number, HeldPermit {.connection = &connection, .service = permit});
+    ++connection.atStake;
+    return makePermit_(number, std::move(endpoint), enginePriority);
+}
+
+void PeerClient::acquire(std::uint64_t call,
+    const Peer &peer,
+    const PermitRequest &request,
+    const std::vector<support::InstanceId> &unreachable,
+    std::function<void(PeerResult<OwnerAnswer>)> handler)
+{
+    Connection &connection = connectionTo(peer);
+    auto message = connection.service.acquireRequest();
+    encode(request, unreachable, message.initRequest());
+    const auto decodeAnswer = [this, &connection](const capnp::Response<rpc::Peer::AcquireResults> &response) -> OwnerAnswer {
+        const auto answer = response.getAnswer();
+        switch (answer.which()) {
+        case rpc::Answer::GRANTED: {
+            const auto granted = answer.getGranted();
+            return hold(connection, granted.getPermit(), decode(granted.getEndpoint()), granted.getEnginePriority());
+        }
+        case rpc::Answer::REFUSED: {
+            const auto refused = answer.getRefused();
+            return PermitRefusal {.reason = fromWire(refused.getReason()),
+                .retryAfter = std::chrono::milliseconds(refused.getRetryAfterMs()),
+                .detail = refused.getDetail().cStr()};
+        }
+        case rpc::Answer::MOVED:
+            return PermitMoved {support::InstanceId(answer.getMoved().cStr())};
+        }
+        return PermitMoved {};
+    };
+    start<OwnerAnswer>(call, connection, kj::mv(message), decodeAnswer, std::move(handler));
+}
+
+void PeerClient::withdraw(std::uint64_t call)
+{
+    end(call);
+}
+
+void PeerClient::adopt(
+    std::uint64_t call, const Peer &peer, const std::vector<Adoption> &pools, std::function<void(PeerResult<std::vector<AdoptedPool>>)> handler)
+{
+    Connection &connection = connectionTo(peer);
+    auto message = connection.service.adoptRequest();
+    auto list = message.initPools(pools.size());
+    std::vector<std::vector<support::EndpointId>> endpoints;
+    for (unsigned index = 0; index < list.size(); ++index) {
+        encode(pools[index], list[index]);
+        endpoints.emplace_back();
+        for (const Adoption::Running &running : pools[index].requests) {
+            endpoints.back().push_back(running.endpoint);
+        }
+    }
+    const auto decodeAnswer = [this, &connection, endpoints = std::move(endpoints)](const capnp::Response<rpc::Peer::AdoptResults> &response) {
+        std::vector<AdoptedPool> adopted(endpoints.size());
+        const auto answers = response.getAdopted();
+        for (unsigned index = 0; index < std::min<std::size_t>(answers.size(), adopted.size()); ++index) {
+            const auto permits = answers[index].getPermits();
+            if (!answers[index].getAccepted() || permits.size() != endpoints[index].size()) {
+                continue;
+            }
+            adopted[index].emplace();
+            for (unsigned position = 0; position < permits.size(); ++position) {
+                adopted[index]->push_back(hold(connection, rpc::Permit::Client(permits[position]), {.id = endpoints[index][position]}, 0));
+            }
+        }
+        return adopted;
+    };
+    start<std::vector<AdoptedPool>>(call, connection, kj::mv(message), decodeAnswer, std::move(handler));
+}
+
+void PeerClient::fetchConfiguration(
+    std::uint64_t call, const Peer &peer, std::uint64_t minimumRevision, std::function<void(PeerResult<ConfigurationDocument>)> handler)
+{
+    Connection &connection = connectionTo(peer);
+    auto message = connection.service.fetchConfigurationRequest();
+    message.setMinimumRevision(minimumRevision);
+    const auto decodeAnswer = [](const capnp::Response<rpc::Peer::FetchConfigurationResults> &response) {
+        return ConfigurationDocument {.revision = response.getRevision(), .json = response.getJson().cStr()};
+    };
+    start<ConfigurationDocument>(call, connection, kj::mv(message), decodeAnswer, std::move(handler));
+}
+
+void PeerClient::recordProgress(std::uint64_t permit, const policy::Progress &progress)
+{
+    const auto found = permits_.find(permit);
+    if (found == permits_.end()) {
+        return;
+    }
+    auto message = found->second.service.progressRequest();
+    message.setOutputTokens(progress.outputTokens);
+    tasks_.add(message.send().ignoreResult());
+}
+
+void PeerClient::finish(std::uint64_t permit, const policy::Completion &completion)
+{
+    const auto found = permits_.find(permit);
+    if (found == permits_.end()) {
+        return;
+    }
+    auto message = found->second.service.finishRequest();
+    message.setOutcome(toWire(completion.outcome));
+    message.setOutputTokens(completion.outputTokens);
+    tasks_.add(message.send().ignoreResult());
+    --found->second.connection->atStake;
+    permits_.erase(found);
+}
+
+void PeerClient::addTraffic(PeerCounters &counters)
+{
+    for (auto &[key, connection] : connections_) {
+        if (connection->stream.get() == nullptr) {
+            continue;
+        }
+        const SocketTraffic traffic = trafficOf(*connection->stream);
+        counters.clientBytesSent += traffic.bytesSent;
+        counters.clientBytesReceived += traffic.bytesReceived;
+    }
+}
+
+} // namespace mulberrywall::permits
--- /dev/null
+++ b/lib/Permits/PeerCodec.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "generated/Peer.capnp.h"
+
+#include "mulberrywall/Permits/PeerNetwork.h"
+
+namespace mulberrywall::permits
+{
+
+// Conversions between the messages and the types of this library. Values that this version does not know, which only
+// a newer peer can send, become the most careful known one.
+
+void encode(const PermitRequest &request, const std::vector<support::InstanceId> &unreachable, rpc::Request::Builder builder);
+PermitRequest decode(rpc::Request::Reader reader);
+std::vector<support::InstanceId> decodeUnreachable(rpc::Request::Reader reader);
+
+void encode(const configuration::Endpoint &endpoint, rpc::Endpoint::Builder builder);
+configuration::Endpoint decode(rpc::Endpoint::Reader reader);
+
+rpc::Outcome toWire(policy::AttemptOutcome outcome);
+policy::AttemptOutcome fromWire(rpc::Outcome outcome);
+rpc::RefusalReason toWire(policy::RefusalReason reason);
+policy::RefusalReason fromWire(rpc::RefusalReason reason);
+
+void encode(const Adoption &adoption, rpc::Adoption::Builder builder);
+Adoption decode(rpc::Adoption::Reader reader);
+
+} // namespace mulberrywall::permits
--- /dev/null
+++ b/lib/Permits/PeerNetwork.cpp
@@ -0,0 +1,181 @@
+#include "mulberrywall/Permits/PeerNetwork.h"
+
+#include "PeerClient.h"
+#include "PeerServer.h"
+
+#include <boost/system/system_error.hpp>
+
+#include <atomic>
+
+namespace mulberrywall::permits
+{
+
+namespace
+{
+
+class PeerNetworkImplementation : public PeerNetwork, public std::enable_shared_from_this<PeerNetworkImplementation>
+{
+public:
+    PeerNetworkImplementation(boost::asio::io_context &context, const PeerOptions &options, PeerHandlers handlers)
+        : context_(context),
+          options_(options),
+          handlers_(std::move(handlers))
+    {
+    }
+    PeerNetworkImplementation(const PeerNetworkImplementation &) = delete;
+    PeerNetworkImplementation &operator=(const PeerNetworkImplementation &) = delete;
+    PeerNetworkImplementation(PeerNetworkImplementation &&) = delete;
+    PeerNetworkImplementation &operator=(PeerNetworkImplementation &&) = delete;
+    ~PeerNetworkImplementation() noexcept override
+    {
+        stop();
+    }
+
+    void listen()
+    {
+        std::uint16_t port = 0;
+        std::string failure;
+        loop_.runAndWait([&] {
+            KJ_IF_MAYBE (exception, kj::runCatchingExceptions([&] { port = startInLoop(); })) {
+                failure = exception->getDescription().cStr();
+            }
+        });
+        if (!failure.empty()) {
+            throw boost::system::system_error(make_error_code(boost::system::errc::address_in_use), "cannot listen for peers: " + failure);
+        }
+        localEndpoint_ = {options_.listen.address(), port};
+    }
+
+    AcquireTicket acquire(
+        const Peer &peer, PermitRequest request, std::vector<support::InstanceId> unreachable, std::function<void(PeerResult<OwnerAnswer>)> handler) override
+    {
+        const std::uint64_t call = ++lastCall_;
+        inClient([=, request = std::move(request), unreachable = std::move(unreachable), handler = std::move(handler)](
+                     PeerClient &client) mutable { client.acquire(call, peer, request, unreachable, std::move(handler)); });
+        return {this, [weak = weak_from_this(), call](void *) {
+                    if (const auto self = weak.lock()) {
+                        self->inClient([call](PeerClient &client) { client.withdraw(call); });
+                    }
+                }};
+    }
+
+    void adopt(const Peer &peer, std::vector<Adoption> pools, std::function<void(PeerResult<std::vector<AdoptedPool>>)> handler) override
+    {
+        inClient([call = ++lastCall_, peer, pools = std::move(pools), handler = std::move(handler)](
+                     PeerClient &client) mutable { client.adopt(call, peer, pools, std::move(handler)); });
+    }
+
+    void fetchConfiguration(const Peer &peer, std::uint64_t minimumRevision, std::function<void(PeerResult<ConfigurationDocument>)> handler) override
+    {
+        inClient([call = ++lastCall_, peer, minimumRevision, handler = std::move(handler)](
+                     PeerClient &client) mutable { client.fetchConfiguration(call, peer, minimumRevision, std::move(handler)); });
+    }
+
+    void stop() override
+    {
+        loop_.runAndWait([this] {
+            client_ = nullptr;
+            server_ = nullptr;
+        });
+    }
+
+    void post(std::function<void()> task) override
+    {
+        loop_.post([task = std::move(task)] { task(); });
+    }
+
+    boost::asio::ip::tcp::endpoint localEndpoint() const override
+    {
+        return localEndpoint_;
+    }
+
+    PeerCounters counters() override
+    {
+        PeerCounters counters;
+        loop_.runAndWait([&] {
+            if (server_.get() != nullptr) {
+                counters = server_->counters();
+                client_->addTraffic(counters);
+            }
+        });
+        return counters;
+    }
+
+private:
+    std::uint16_t startInLoop()
+    {
+        client_ = kj::heap<PeerClient>(loop_,
+            context_,
+            options_,
+            handlers_,
+            [weak = weak_from_this()](std::uint64_t permit, configuration::Endpoint endpoint, std::uint8_t enginePriority) {
+                return makePermit(weak, permit, std::move(endpoint), enginePriority);
+            });
+        server_ = kj::heap<PeerServer>(loop_, options_, handlers_, [weak = weak_from_this()](std::uint64_t call, OwnerAnswer answer) {
+            if (const auto self = weak.lock()) {
+                self->deliver(call, std::move(answer));
+            }
+        });
+        return server_->listen();
+    }
+
+    void deliver(std::uint64_t call, OwnerAnswer answer)
+    {
+        loop_.post([this, call, answer = std::move(answer)]() mutable {
+            if (server_.get() != nullptr) {
+                server_->deliver(call, std::move(answer));
+            }
+        });
+    }
+
+    static std::shared_ptr<Permit> makePermit(
+        const std::weak_ptr<PeerNetworkImplementation> &weak, std::uint64_t permit, configuration::Endpoint endpoint, std::uint8_t enginePriority)
+    {
+        Permit::Operations operations {
+            .recordProgress =
+                [weak, permit](const policy::Progress &progress) {
+                    if (const auto self = weak.lock()) {
+                        self->inClient([permit, progress](PeerClient &client) { client.recordProgress(permit, progress); });
+                    }
+                },
+            .finish =
+                [weak, permit](const policy::Completion &completion) {
+                    if (const auto self = weak.lock()) {
+                        self->inClient([permit, completion](PeerClient &client) { client.finish(permit, completion); });
+                    }
+                },
+        };
+        return std::make_shared<Permit>(std::move(endpoint), enginePriority, std::move(operations));
+    }
+
+    template <typename Task>
+    void inClient(Task task)
+    {
+        loop_.post([this, task = std::move(task)]() mutable {
+            if (client_.get() != nullptr) {
+                task(*client_);
+            }
+        });
+    }
+
+    boost::asio::io_context &context_;
+    PeerOptions options_;
+    PeerHandlers handlers_;
+    boost::asio::ip::tcp::endpoint localEndpoint_;
+    std::atomic<std::uint64_t> lastCall_ {0};
+    kj::Own<PeerClient> client_;
+    kj::Own<PeerServer> server_;
+    /// Last, so that its thread ends before what it uses.
+    RpcLoop loop_;
+};
+
+} // namespace
+
+std::shared_ptr<PeerNetwork> PeerNetwork::create(boost::asio::io_context &context, const PeerOptions &options, PeerHandlers handlers)
+{
+    auto network = std::make_shared<PeerNetworkImplementation>(context, options, std::move(handlers));
+    network->listen();
+    return network;
+}
+
+} // namespace mulberrywall::permits
--- /dev/null
+++ b/lib/Permits/PeerServer.cpp
@@ -0,0 +1,307 @@
+#include "PeerServer.h"
+
+#include "PeerCodec.h"
+
+#include "mulberrywall/Support/Log.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/debug.h>
+#include <openssl/crypto.h>
+
+#include <chrono>
+
+namespace mulberrywall::permits
+{
+
+using std::chrono::steady_clock;
+
+static kj::Duration toKj(std::chrono::milliseconds duration)
+{
+    return duration.count() * kj::MILLISECONDS;
+}
+
+static bool isSecret(capnp::Text::Reader given, const std::string &secret)
+{
+    return given.size() == secret.size() && CRYPTO_memcmp(given.begin(), secret.data(), secret.size()) == 0;
+}
+
+/// What is known of the router at the other end of a connection.
+struct PeerServer::Session
+{
+    support::InstanceId instance;
+    steady_clock::time_point lastHeard = steady_clock::now();
+    bool loggedIn = false;
+    bool refused = false;
+    /// Waiting calls and permits; silence matters only while there are any.
+    unsigned atStake = 0;
+};
+
+struct PeerServer::Connection
+{
+    Connection(PeerServer &server, kj::Own<kj::AsyncIoStream> acceptedStream, capnp::Capability::Client bootstrap, const capnp::ReaderOptions &options)
+        : owner(server),
+          stream(kj::mv(acceptedStream)),
+          network(*stream, capnp::rpc::twoparty::Side::SERVER, options),
+          rpcSystem(capnp::makeRpcServer(network, kj::mv(bootstrap)))
+    {
+        ++owner.connections_;
+    }
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+    Connection(Connection &&) = delete;
+    Connection &operator=(Connection &&) = delete;
+    ~Connection()
+    {
+        --owner.connections_;
+    }
+
+    PeerServer &owner;
+    kj::Own<kj::AsyncIoStream> stream;
+    capnp::TwoPartyVatNetwork network;
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpcSystem;
+};
+
+class PeerServer::PermitService final : public rpc::Permit::Server
+{
+public:
+    PermitService(PeerServer &server, std::shared_ptr<Session> session, std::shared_ptr<Permit> permit)
+        : server_(server),
+          session_(std::move(session)),
+          permit_(std::move(permit))
+    {
+        ++session_->atStake;
+        ++server_.counters_.permitsHeld;
+    }
+    PermitService(const PermitService &) = delete;
+    PermitService &operator=(const PermitService &) = delete;
+    PermitService(PermitService &&) = delete;
+    PermitService &operator=(PermitService &&) = delete;
+    ~PermitService() noexcept(false)
+    {
+        --session_->atStake;
+        --server_.counters_.permitsHeld;
+    }
+
+    kj::Promise<void> progress(ProgressContext context) override
+    {
+        session_->lastHeard = steady_clock::now();
+        permit_->recordProgress({.outputTokens = context.getParams().getOutputTokens()});
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> finish(FinishContext context) override
+    {
+        session_->lastHeard = steady_clock::now();
+        const auto params = context.getParams();
+        permit_->finish({.outcome = fromWire(params.getOutcome()), .outputTokens = params.getOutputTokens()});
+        return kj::READY_NOW;
+    }
+
+private:
+    PeerServer &server_;
+    std::shared_ptr<Session> session_;
+    std::shared_ptr<Permit> permit_;
+};
+
+class PeerServer::PeerService final : public rpc::Peer::Server
+{
+public:
+    PeerService(PeerServer &server, std::shared_ptr<Session> session)
+        : server_(server),
+          session_(std::move(session))
+    {
+    }
+
+    kj::Promise<void> acquire(AcquireContext context) override
+    {
+        session_->lastHeard = steady_clock::now();
+        context.allowCancellation();
+        const auto request = context.getParams().getRequest();
+        const std::uint64_t call = ++server_.lastCall_;
+        auto answer = kj::newPromiseAndFulfiller<kj::Own<OwnerAnswer>>();
+        server_.calls_.emplace(call, kj::mv(answer.fulfiller));
+        ++session_->atStake;
+        ++server_.counters_.callsWaiting;
+        auto cleanUp = kj::defer([&server = server_, session = session_, call] {
+            server.calls_.erase(call);
+            --session->atStake;
+            --server.counters_.callsWaiting;
+        });
+        // The handler may run in any thread and outlive the server; it must not own anything of the event loop.
+        AcquireTicket ticket = server_.handlers_.acquire(
+            decode(request), decodeUnreachable(request), [route = server_.route_, call](OwnerAnswer result) { route(call, std::move(result)); });
+        return answer.promise
+            .then([this, context](kj::Own<OwnerAnswer> result) mutable { encodeAnswer(std::move(*result), context.getResults().initAnswer()); })
+            .attach(kj::mv(ticket), kj::mv(cleanUp));
+    }
+
+    kj::Promise<void> adopt(AdoptContext context) override
+    {
+        session_->lastHeard = steady_clock::now();
+        std::vector<Adoption> pools;
+        for (const auto adoption : context.getParams().getPools()) {
+            pools.push_back(decode(adoption));
+        }
+        const std::vector<AdoptedPool> adopted = server_.handlers_.adopt(session_->instance, std::move(pools));
+        auto results = context.getResults().initAdopted(adopted.size());
+        for (unsigned index = 0; index < results.size(); ++index) {
+            if (!adopted[index]) {
+                continue;
+            }
+            results[index].setAccepted(true);
+            auto permits = results[index].initPermits(adopted[index]->size());
+            for (unsigned position = 0; position < permits.size(); ++position) {
+                permits.set(position, kj::heap<PermitService>(server_, session_, (*adopted[index])[position]));
+            }
+        }
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> fetchConfiguration(FetchConfigurationContext context) override
+    {
+        session_->lastHeard = steady_clock::now();
+        const auto document = server_.handlers_.fetchConfiguration(context.getParams().getMinimumRevision());
+        if (document) {
+            context.getResults().setRevision(document->revision);
+            context.getResults().setJson(document->json.c_str());
+        }
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> ping(PingContext) override
+    {
+        session_->lastHeard = steady_clock::now();
+        return kj::READY_NOW;
+    }
+
+private:
+    void encodeAnswer(OwnerAnswer result, rpc::Answer::Builder builder)
+    {
+        if (auto *permit = std::get_if<std::shared_ptr<Permit>>(&result)) {
+            auto granted = builder.initGranted();
+            encode((*permit)->endpoint(), granted.initEndpoint());
+            granted.setEnginePriority((*permit)->enginePriority());
+            granted.setPermit(kj::heap<PermitService>(server_, session_, std::move(*permit)));
+            return;
+        }
+        if (const auto *refusal = std::get_if<PermitRefusal>(&result)) {
+            auto refused = builder.initRefused();
+            refused.setReason(toWire(refusal->reason));
+            refused.setRetryAfterMs(static_cast<std::uint32_t>(refusal->retryAfter.count()));
+            refused.setDetail(refusal->detail.c_str());
+            return;
+        }
+        builder.setMoved(std::get<PermitMoved>(result).owner.value().c_str());
+    }
+
+    PeerServer &server_;
+    std::shared_ptr<Session> session_;
+};
+
+class PeerServer::LoginService final : public rpc::Login::Server
+{
+public:
+    LoginService(PeerServer &server, std::shared_ptr<Session> session)
+        : server_(server),
+          session_(std::move(session))
+    {
+    }
+
+    kj::Promise<void> login(LoginContext context) override
+    {
+        const auto params = context.getParams();
+        session_->lastHeard = steady_clock::now();
+        if (!isSecret(params.getSecret(), server_.options_.secret)) {
+            session_->refused = true;
+            ++server_.counters_.loginsRefused;
+            support::log(support::Severity::Warning, "refused a peer with a wrong secret; give all routers the same --peer-secret");
+            return KJ_EXCEPTION(FAILED, "the secret is wrong; give all routers the same secret");
+        }
+        session_->loggedIn = true;
+        session_->instance = support::InstanceId(params.getInstance().cStr());
+        context.getResults().setPeer(kj::heap<PeerService>(server_, session_));
+        return kj::READY_NOW;
+    }
+
+private:
+    PeerServer &server_;
+    std::shared_ptr<Session> session_;
+};
+
+PeerServer::PeerServer(RpcLoop &loop, const PeerOptions &options, const PeerHandlers &handlers, AnswerRoute route)
+    : loop_(loop),
+      options_(options),
+      handlers_(handlers),
+      route_(std::move(route)),
+      tasks_(*this)
+{
+}
+
+std::uint16_t PeerServer::listen()
+{
+    receiver_ = loop_.io().provider->getNetwork().getSockaddr(options_.listen.data(), static_cast<unsigned>(options_.listen.size()))->listen();
+    tasks_.add(acceptNext());
+    return static_cast<std::uint16_t>(receiver_->getPort());
+}
+
+void PeerServer::deliver(std::uint64_t call, OwnerAnswer answer)
+{
+    const auto found = calls_.find(call);
+    if (found != calls_.end()) {
+        found->second->fulfill(kj::heap<OwnerAnswer>(std::move(answer)));
+    }
+}
+
+void PeerServer::taskFailed(kj::Exception &&exception)
+{
+    support::log(support::Severity::Info, "a peer connection ended", {{"error", exception.getDescription().cStr()}});
+}
+
+kj::Promise<void> PeerServer::acceptNext()
+{
+    return receiver_->accept().then([this](kj::Own<kj::AsyncIoStream> stream) {
+        serve(kj::mv(stream));
+        return acceptNext();
+    });
+}
+
+void PeerServer::serve(kj::Own<kj::AsyncIoStream> stream)
+{
+    if (connections_ >= options_.maxConnections) {
+        support::log(support::Severity::Warning, "closed a peer connection because there are too many", {{"limit", options_.maxConnections}});
+        return;
+    }
+    ++counters_.connectionsAccepted;
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = options_.maxRequestBytes / sizeof(capnp::word);
+    auto session = std::make_shared<Session>();
+    auto connection = kj::heap<Connection>(*this, kj::mv(stream), kj::heap<LoginService>(*this, session), options);
+    auto ended = connection->network.onDisconnect().exclusiveJoin(watch(session));
+    tasks_.add(ended.attach(kj::mv(connection)));
+}
+
+kj::Promise<void> PeerServer::watch(const std::shared_ptr<Session> &session)
+{
+    return loop_.io().provider->getTimer().afterDelay(toKj(options_.checkInterval)).then([this, session]() -> kj::Promise<void> {
+        if (mustClose(*session)) {
+            return kj::READY_NOW;
+        }
+        return watch(session);
+    });
+}
+
+bool PeerServer::mustClose(const Session &session)
+{
+    const auto silence = steady_clock::now() - session.lastHeard;
+    if (session.refused) {
+        return true;
+    }
+    if (silence > options_.silenceLimit && (session.atStake > 0 || !session.loggedIn)) {
+        ++counters_.silentPeersClosed;
+        support::log(support::Severity::Warning, "a peer is silent; its permits are freed", {{"peer", session.instance.value()}});
+        return true;
+    }
+    return silence > options_.idleLimit;
+}
+
+} // namespace mulberrywall::permits
--- a/lib/Permits/PoolOwner.cpp
+++ b/lib/Permits/PoolOwner.cpp
@@ -16,10 +16,10 @@
 }
 
 OwnedPool::OwnedPool(boost::asio::io_context &context, const policy::PolicyFunctions &functions, const policy::PoolOptions &options)
-    : context_(context)
-    , functions_(functions)
-    , pool_(functions.create(options))
-    , timer_(context)
+    : context_(context),
+      functions_(functions),
+      pool_(functions.create(options)),
+      timer_(context)
 {
 }
 
@@ -32,11 +32,12 @@
 void OwnedPool::setEndpoints(std::vector<configuration::Endpoint> endpoints, const std::set<support::EndpointId> &leaving)
 {
     std::vector<policy::EndpointSpec> specs;
+    specs.reserve(endpoints.size());
     for (const configuration::Endpoint &endpoint : endpoints) {
         specs.push_back({.id = endpoint.id,
-                         .maximumConcurrency = endpoint.maximumConcurrency,
-                         .prefixCache = endpoint.support.prefixCache,
-                         .leaving = leaving.contains(endpoint.id)});
+            .maximumConcurrency = endpoint.maximumConcurrency,
+            .prefixCache = endpoint.support.prefixCache,
+            .leaving = leaving.contains(endpoint.id)});
     }
     std::vector<Notification> notifications;
     {
@@ -45,18 +46,100 @@
             const support::EndpointId id = endpoint.id;
             endpoints_.insert_or_assign(id, std::move(endpoint));
         }
-        notifications = takeNotifications(functions_.setEndpoints(pool_.get(), specs, now()));
+        specs_ = std::move(specs);
+        notifications = takeNotifications(applyEndpoints());
         armTimer();
     }
     deliver(std::move(notifications));
 }
 
-AcquireTicket OwnedPool::acquire(PermitRequest request, PermitHandler handler)
+policy::Decisions OwnedPool::applyEndpoints()
+{
+    std::vector<policy::EndpointSpec> specs;
+    switch (ownership_) {
+    case OwnershipState::Released:
+        break;
+    case OwnershipState::Recovering:
+        specs = specs_;
+        for (policy::EndpointSpec &spec : specs) {
+            spec.maximumConcurrency = std::max(1U, spec.maximumConcurrency / 2);
+        }
+        break;
+    case OwnershipState::Owned:
+        specs = specs_;
+        break;
+    }
+    return functions_.setEndpoints(pool_.get(), specs, now());
+}
+
+void OwnedPool::setOwnership(OwnershipState ownership, const support::InstanceId &newOwner)
+{
+    std::vector<Notification> notifications;
+    {
+        const std::scoped_lock lock(mutex_);
+        newOwner_ = newOwner;
+        if (ownership == ownership_) {
+            return;
+        }
+        ownership_ = ownership;
+        const policy::Decisions decisions = applyEndpoints();
+        if (ownership == OwnershipState::Released) {
+            moveWaiters(newOwner, notifications);
+        } else {
+            notifications = takeNotifications(decisions);
+        }
+        armTimer();
+    }
+    deliver(std::move(notifications));
+}
+
+void OwnedPool::moveWaiters(const support::InstanceId &newOwner, std::vector<Notification> &notifications)
+{
+    // Without endpoints nothing is granted meanwhile, and a request that the policy has refused already is unknown to it.
+    for (auto &[permit, waiter] : waiters_) {
+        functions_.withdraw(pool_.get(), permit, now());
+        notifications.push_back({.handler = std::move(waiter.handler), .result = PermitMoved {newOwner}});
+    }
+    waiters_.clear();
+}
+
+OwnershipState OwnedPool::ownership() const
+{
+    const std::scoped_lock lock(mutex_);
+    return ownership_;
+}
+
+std::shared_ptr<Permit> OwnedPool::adopt(policy::RunningRequest running)
+{
+    std::vector<Notification> notifications;
+    std::shared_ptr<Permit> permit;
+    {
+        const std::scoped_lock lock(mutex_);
+        running.submission.permit = nextPermit_++;
+        notifications = takeNotifications(functions_.adopt(pool_.get(), running, now()));
+        permit = makePermit(running.submission.permit, running.endpoint, 0);
+        armTimer();
+    }
+    deliver(std::move(notifications));
+    return permit;
+}
+
+void OwnedPool::recordSuspect(policy::Fingerprint fingerprint, unsigned crashes)
+{
+    const std::scoped_lock lock(mutex_);
+    functions_.recordSuspect(pool_.get(), fingerprint, crashes, now());
+}
+
+AcquireTicket OwnedPool::acquire(PermitRequest request, OwnerHandler handler)
 {
     std::vector<Notification> notifications;
     policy::PermitId permit = 0;
     {
         const std::scoped_lock lock(mutex_);
+        if (ownership_ == OwnershipState::Released) {
+            boost::asio::post(context_, [handler = std::move(handler), owner = newOwner_] { handler(PermitMoved {owner}); });
+            return nullptr;
+        }
         permit = nextPermit_++;
         request.submission.permit = permit;
         waiters_.emplace(permit, Waiter {.handler = std::move(handler)});
@@ -130,7 +213,7 @@
     for (const policy::Grant &grant : decisions.grants) {
         auto waiter = waiters_.extract(grant.permit);
         if (!waiter.empty()) {
-            notifications.push_back({.handler = std::move(waiter.mapped().handler), .result = makePermit(grant)});
+            notifications.push_back({.handler = std::move(waiter.mapped().handler), .result = makePermit(grant.permit, grant.endpoint, grant.enginePriority)});
         }
     }
     for (const policy::Refusal &refusal : decisions.refusals) {
@@ -143,23 +226,25 @@
     return notifications;
 }
 
-PermitResult OwnedPool::makePermit(const policy::Grant &grant)
+std::shared_ptr<Permit> OwnedPool::makePermit(policy::PermitId permit, const support::EndpointId &endpoint, std::uint8_t enginePriority)
 {
+    const auto known = endpoints_.find(endpoint);
+    const configuration::Endpoint description = known == endpoints_.end() ? configuration::Endpoint {.id = endpoint} : known->second;
     Permit::Operations operations {
         .recordProgress =
-            [weak = weak_from_this(), permit = grant.permit](const policy::Progress &progress) {
+            [weak = weak_from_this(), permit](const policy::Progress &progress) {
                 if (const auto self = weak.lock()) {
                     self->recordProgress(permit, progress);
                 }
             },
         .finish =
-            [weak = weak_from_this(), permit = grant.permit](const policy::Completion &completion) {
+            [weak = weak_from_this(), permit](const policy::Completion &completion) {
                 if (const auto self = weak.lock()) {
                     self->finish(permit, completion);
                 }
             },
     };
-    return std::make_shared<Permit>(endpoints_.at(grant.endpoint), grant.enginePriority, std::move(operations));
+    return std::make_shared<Permit>(description, enginePriority, std::move(operations));
 }
 
 void OwnedPool::deliver(std::vector<Notification> notifications)
@@ -198,8 +283,8 @@
 }
 
 PoolTable::PoolTable(boost::asio::io_context &context, const policy::PolicyFunctions &functions)
-    : context_(context)
-    , functions_(functions)
+    : context_(context),
+      functions_(functions)
 {
 }
 
@@ -208,10 +293,10 @@
     policy::PoolOptions options {.queueLimit = pool.queueLimit};
     for (const configuration::RequestClass &requestClass : configuration.classes) {
         policy::ClassSpec spec {.id = requestClass.id,
-                                .tier = requestClass.tier,
-                                .minimumShare = requestClass.minimumShare,
-                                .maximumWait = requestClass.maximumWait,
-                                .hedgeBudgetPercent = requestClass.hedgeBudgetPercent};
+            .tier = requestClass.tier,
+            .minimumShare = requestClass.minimumShare,
+            .maximumWait = requestClass.maximumWait,
+            .hedgeBudgetPercent = requestClass.hedgeBudgetPercent};
         spec.firstTokenTarget = requestClass.targets.firstToken.value_or(requestClass.targets.completion.value_or(spec.firstTokenTarget));
         spec.betweenTokensTarget = requestClass.targets.betweenTokens.value_or(spec.betweenTokensTarget);
         options.classes.push_back(spec);
@@ -265,7 +350,14 @@
         boost::asio::post(context_, [handler = std::move(handler), refusal = std::move(refusal)] { handler(refusal); });
         return nullptr;
     }
-    return pool->acquire(std::move(request), std::move(handler));
+    return pool->acquire(std::move(request), [handler = std::move(handler)](OwnerAnswer answer) {
+        if (auto *permit = std::get_if<std::shared_ptr<Permit>>(&answer)) {
+            handler(std::move(*permit));
+            return;
+        }
+        const auto *refusal = std::get_if<PermitRefusal>(&answer);
+        handler(refusal != nullptr ? *refusal : PermitRefusal {.reason = policy::RefusalReason::NoEndpoint, .detail = "the pool has moved to another router"});
+    });
 }
 
 std::shared_ptr<OwnedPool> PoolTable::find(const support::PoolId &pool) const
@@ -285,9 +377,17 @@
     return summaries;
 }
 
+std::map<support::PoolId, std::shared_ptr<OwnedPool>> PoolTable::pools() const
+{
+    const std::scoped_lock lock(mutex_);
+    return pools_;
+}
+
 PermitSource makeLocalSource(PoolTable &pools)
 {
-    return {.acquire = [&pools](PermitRequest request, PermitHandler handler) { return pools.acquire(std::move(request), std::move(handler)); }};
+    return {.acquire = [&pools](PermitRequest request, PermitHandler handler) {
+        return pools.acquire(std::move(request), std::move(handler));
+    }};
 }
 
 } // namespace mulberrywall::permits
--- /dev/null
+++ b/lib/Permits/RoutedPermits.cpp
@@ -0,0 +1,370 @@
+#include "mulberrywall/Permits/RoutedPermits.h"
+
+#include "RoutedRequest.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace mulberrywall::permits
+{
+
+using std::chrono::steady_clock;
+
+static policy::RunningRequest toRunning(const Adoption::Running &running)
+{
+    return {.submission = running.request.submission, .endpoint = running.endpoint, .progress = running.progress};
+}
+
+static std::vector<AdoptedPool> adoptAll(PoolOwnership &ownership, const support::InstanceId &ingress, const std::vector<Adoption> &pools)
+{
+    std::vector<AdoptedPool> adopted;
+    for (const Adoption &pool : pools) {
+        std::vector<policy::RunningRequest> requests;
+        std::transform(pool.requests.begin(), pool.requests.end(), std::back_inserter(requests), toRunning);
+        adopted.push_back(ownership.adopt(pool.pool, ingress, std::move(requests)));
+    }
+    return adopted;
+}
+
+std::shared_ptr<RoutedPermits> RoutedPermits::create(
+    boost::asio::io_context &context, PoolTable &pools, MembershipView membership, RoutedOptions options, ConfigurationProvider provideConfiguration)
+{
+    auto permits = std::make_shared<RoutedPermits>(context, pools, std::move(membership), std::move(options));
+    const std::weak_ptr<RoutedPermits> weak = permits;
+    PeerHandlers handlers {
+        .acquire = [weak](PermitRequest request, const std::vector<support::InstanceId> &unreachable, OwnerHandler handler) -> AcquireTicket {
+            const auto self = weak.lock();
+            return self ? self->ownership_.acquire(std::move(request), unreachable, std::move(handler)) : nullptr;
+        },
+        .adopt =
+            [weak](const support::InstanceId &ingress, const std::vector<Adoption> &pools) {
+                const auto self = weak.lock();
+                return self ? adoptAll(self->ownership_, ingress, pools) : std::vector<AdoptedPool>(pools.size());
+            },
+        .fetchConfiguration = [provide = std::move(provideConfiguration)](std::uint64_t minimumRevision) -> std::optional<ConfigurationDocument> {
+            return provide ? provide(minimumRevision) : std::nullopt;
+        },
+        .peerLost =
+            [weak](const support::InstanceId &instance) {
+                if (const auto self = weak.lock()) {
+                    self->peerLost(instance);
+                }
+            },
+    };
+    permits->peers_ = PeerNetwork::create(context, permits->options_.peers, std::move(handlers));
+    return permits;
+}
+
+RoutedPermits::RoutedPermits(boost::asio::io_context &context, PoolTable &pools, MembershipView membership, RoutedOptions options)
+    : context_(context),
+      strand_(boost::asio::make_strand(context)),
+      timer_(strand_),
+      pools_(pools),
+      membership_(std::move(membership)),
+      options_(std::move(options)),
+      ownership_(context, pools_, membership_, options_.ownership)
+{
+}
+
+void RoutedPermits::start()
+{
+    boost::asio::post(strand_, [self = shared_from_this()] {
+        self->review();
+        self->reviewLater();
+    });
+}
+
+void RoutedPermits::reviewLater()
+{
+    timer_.expires_after(options_.reviewInterval);
+    timer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        if (error || !self) {
+            return;
+        }
+        self->review();
+        self->reviewLater();
+    });
+}
+
+void RoutedPermits::membershipChanged()
+{
+    boost::asio::post(strand_, [self = shared_from_this()] { self->review(); });
+}
+
+void RoutedPermits::releaseOwnership()
+{
+    ownership_.releaseAll();
+    membershipChanged();
+}
+
+void RoutedPermits::stop()
+{
+    {
+        const std::scoped_lock lock(mutex_);
+        stopped_ = true;
+    }
+    boost::asio::post(strand_, [self = shared_from_this()] { self->timer_.cancel(); });
+    peers_->stop();
+}
+
+PermitSource RoutedPermits::source()
+{
+    return {.acquire = [self = shared_from_this()](PermitRequest request, PermitHandler handler) {
+        return self->acquire(std::move(request), std::move(handler));
+    }};
+}
+
+PeerNetwork &RoutedPermits::peers()
+{
+    return *peers_;
+}
+
+PoolOwnership &RoutedPermits::ownership()
+{
+    return ownership_;
+}
+
+AcquireTicket RoutedPermits::acquire(PermitRequest request, PermitHandler handler)
+{
+    const auto routed = std::make_shared<RoutedRequest>(shared_from_this(), std::move(request), std::move(handler));
+    routed->start();
+    return {routed.get(), [routed](void *) {
+                routed->cancel();
+            }};
+}
+
+std::shared_ptr<Permit> RoutedPermits::track(
+    const support::DataCentreId &dataCentre, const support::InstanceId &owner, const PermitRequest &request, const std::shared_ptr<Permit> &granted)
+{
+    const auto tracked = std::make_shared<TrackedPermit>();
+    tracked->dataCentre = dataCentre;
+    tracked->request = request;
+    tracked->endpoint = granted->endpoint().id;
+    tracked->granted = granted;
+    tracked->owner = owner;
+    {
+        const std::scoped_lock lock(mutex_);
+        tracked->number = ++lastNumber_;
+        tracked_.emplace(tracked->number, tracked);
+    }
+    Permit::Operations operations {
+        .recordProgress = [self = shared_from_this(), tracked](const policy::Progress &progress) { self->reportProgress(*tracked, progress); },
+        .finish = [self = shared_from_this(), tracked](const policy::Completion &completion) { self->finish(*tracked, completion); },
+    };
+    return std::make_shared<Permit>(granted->endpoint(), granted->enginePriority(), std::move(operations));
+}
+
+void RoutedPermits::reportProgress(TrackedPermit &permit, const policy::Progress &progress) const
+{
+    std::shared_ptr<Permit> granted;
+    {
+        const std::scoped_lock lock(permit.mutex);
+        permit.progress = progress;
+        const auto now = steady_clock::now();
+        if (now < permit.reportedAt + options_.progressInterval) {
+            return;
+        }
+        permit.reportedAt = now;
+        granted = permit.granted;
+    }
+    if (granted) {
+        granted->recordProgress(progress);
+    }
+}
+
+void RoutedPermits::finish(TrackedPermit &permit, const policy::Completion &completion)
+{
+    std::shared_ptr<Permit> granted;
+    {
+        const std::scoped_lock lock(permit.mutex);
+        permit.completion = completion;
+        granted = std::move(permit.granted);
+    }
+    {
+        const std::scoped_lock lock(mutex_);
+        tracked_.erase(permit.number);
+    }
+    if (granted) {
+        granted->finish(completion);
+    }
+}
+
+void RoutedPermits::markUnreachable(const support::InstanceId &instance)
+{
+    const std::scoped_lock lock(mutex_);
+    unreachableUntil_[instance] = steady_clock::now() + options_.unreachableTime;
+}
+
+std::vector<support::InstanceId> RoutedPermits::unreachable() const
+{
+    const std::scoped_lock lock(mutex_);
+    const auto now = steady_clock::now();
+    std::vector<support::InstanceId> instances;
+    for (const auto &[instance, until] : unreachableUntil_) {
+        if (until > now) {
+            instances.push_back(instance);
+        }
+    }
+    return instances;
+}
+
+bool RoutedPermits::isReportedTo(const support::InstanceId &owner, const support::PoolId &pool) const
+{
+    if (!pools_.find(pool)) {
+        return true;
+    }
+    const std::scoped_lock lock(mutex_);
+    const auto found = reportedTo_.find(pool);
+    return found != reportedTo_.end() && found->second == owner;
+}
+
+std::vector<membership::Member> RoutedPermits::reachableMembers() const
+{
+    const std::vector<support::InstanceId> lost = unreachable();
+    std::vector<membership::Member> members = membership_.liveMembers();
+    std::erase_if(members, [&lost](const membership::Member &member) { return std::find(lost.begin(), lost.end(), member.instance) != lost.end(); });
+    return members;
+}
+
+void RoutedPermits::peerLost(const support::InstanceId &instance)
+{
+    // The owner has freed the slots with the connection; these permits have no effect any more.
+    std::vector<std::shared_ptr<Permit>> lost;
+    {
+        const std::scoped_lock lock(mutex_);
+        for (const auto &[number, permit] : tracked_) {
+            const std::scoped_lock permitLock(permit->mutex);
+            if (permit->owner == instance) {
+                lost.push_back(std::move(permit->granted));
+                permit->owner = support::InstanceId();
+            }
+        }
+        std::erase_if(reportedTo_, [&instance](const auto &entry) { return entry.second == instance; });
+    }
+    membershipChanged();
+}
+
+void RoutedPermits::review()
+{
+    {
+        const std::scoped_lock lock(mutex_);
+        if (stopped_) {
+            return;
+        }
+        const auto now = steady_clock::now();
+        std::erase_if(unreachableUntil_, [now](const auto &entry) { return entry.second <= now; });
+    }
+    ownership_.review();
+    const std::vector<membership::Member> reachable = reachableMembers();
+    std::map<support::InstanceId, PendingAdoptions> pending;
+    collectPermits(reachable, pending);
+    collectReports(reachable, pending);
+    for (const auto &[instance, adoptions] : pending) {
+        const auto owner = std::find_if(
+            reachable.begin(), reachable.end(), [&instance = instance](const membership::Member &member) { return member.instance == instance; });
+        adoptAt(*owner, adoptions);
+    }
+}
+
+void RoutedPermits::collectPermits(const std::vector<membership::Member> &reachable, std::map<support::InstanceId, PendingAdoptions> &pending)
+{
+    std::map<PoolKey, const membership::Member *> owners;
+    const std::scoped_lock lock(mutex_);
+    for (const auto &[number, permit] : tracked_) {
+        const PoolKey key {permit->dataCentre, permit->request.pool};
+        auto owner = owners.find(key);
+        if (owner == owners.end()) {
+            owner = owners.emplace(key, ownerOf(reachable, key.first, key.second)).first;
+        }
+        const std::scoped_lock permitLock(permit->mutex);
+        if (owner->second == nullptr || permit->adopting || permit->owner == owner->second->instance) {
+            continue;
+        }
+        permit->adopting = true;
+        pending[owner->second->instance][key].push_back(permit);
+    }
+}
+
+void RoutedPermits::collectReports(const std::vector<membership::Member> &reachable, std::map<support::InstanceId, PendingAdoptions> &pending)
+{
+    const support::DataCentreId &dataCentre = options_.ownership.dataCentre;
+    const auto pools = pools_.pools();
+    const std::scoped_lock lock(mutex_);
+    for (const auto &[id, pool] : pools) {
+        const membership::Member *owner = ownerOf(reachable, dataCentre, id);
+        if (owner == nullptr || reportedTo_[id] == owner->instance) {
+            continue;
+        }
+        // Set before the answer, so that one report is under way at a time; a failure clears it.
+        reportedTo_[id] = owner->instance;
+        pending[owner->instance].try_emplace({dataCentre, id});
+    }
+}
+
+void RoutedPermits::adoptAt(const membership::Member &owner, const PendingAdoptions &pending)
+{
+    std::vector<Adoption> adoptions;
+    for (const auto &[key, permits] : pending) {
+        Adoption adoption {.pool = key.second};
+        for (const TrackedPermitPtr &permit : permits) {
+            const std::scoped_lock lock(permit->mutex);
+            adoption.requests.push_back({.request = permit->request, .endpoint = permit->endpoint, .progress = permit->progress});
+        }
+        adoptions.push_back(std::move(adoption));
+    }
+    const auto apply = [self = shared_from_this(), instance = owner.instance, pending](std::vector<AdoptedPool> results) {
+        std::size_t index = 0;
+        for (const auto &[key, permits] : pending) {
+            self->adopted(instance, key, permits, index < results.size() ? std::move(results[index]) : std::nullopt);
+            ++index;
+        }
+    };
+    if (owner.instance == options_.ownership.instance) {
+        apply(adoptAll(ownership_, owner.instance, adoptions));
+        return;
+    }
+    const Peer peer {.instance = owner.instance, .address = membership::toTcpEndpoint(owner.peerAddress)};
+    peers_->adopt(peer, std::move(adoptions), [self = shared_from_this(), instance = owner.instance, apply](PeerResult<std::vector<AdoptedPool>> result) {
+        if (auto *results = std::get_if<std::vector<AdoptedPool>>(&result)) {
+            apply(std::move(*results));
+            return;
+        }
+        self->markUnreachable(instance);
+        apply({});
+    });
+}
+
+void RoutedPermits::adopted(const support::InstanceId &owner, const PoolKey &pool, const std::vector<TrackedPermitPtr> &permits, AdoptedPool result)
+{
+    if (!result) {
+        const std::scoped_lock lock(mutex_);
+        if (pool.first == options_.ownership.dataCentre && reportedTo_[pool.second] == owner) {
+            reportedTo_.erase(pool.second);
+        }
+    }
+    for (std::size_t index = 0; index < permits.size(); ++index) {
+        std::shared_ptr<Permit> previous;
+        std::optional<policy::Completion> completion;
+        {
+            TrackedPermit &permit = *permits[index];
+            const std::scoped_lock lock(permit.mutex);
+            permit.adopting = false;
+            if (!result) {
+                continue;
+            }
+            completion = permit.completion;
+            if (!completion) {
+                previous = std::exchange(permit.granted, (*result)[index]);
+                permit.owner = owner;
+            }
+        }
+        if (completion) {
+            (*result)[index]->finish(*completion);
+        }
+        // Dropping the previous owner's permit frees its slot there.
+    }
+}
+
+} // namespace mulberrywall::permits
--- /dev/null
+++ b/lib/Permits/RpcLoop.cpp
@@ -0,0 +1,87 @@
+#include "RpcLoop.h"
+
+#include "mulberrywall/Support/Log.h"
+
+#include <kj/debug.h>
+
+#include <future>
+
+namespace mulberrywall::permits
+{
+
+RpcLoop::RpcLoop()
+    : thread_([this] { run(); })
+{
+    runAndWait([] {});
+}
+
+RpcLoop::~RpcLoop()
+{
+    {
+        const std::scoped_lock lock(mutex_);
+        stopping_ = true;
+    }
+    post([] {});
+    thread_.join();
+}
+
+void RpcLoop::post(kj::Function<void()> task)
+{
+    // kj::Executor's own calls either wait for the loop, which would let a slow loop hold up the workers, or need an
+    // event loop in the calling thread. A fulfiller across threads uses the same executor and does neither.
+    const std::scoped_lock lock(mutex_);
+    tasks_.push_back(kj::mv(task));
+    if (wake_.get() != nullptr) {
+        const auto wake = kj::mv(wake_);
+        wake->fulfill();
+    }
+}
+
+void RpcLoop::runAndWait(kj::Function<void()> task)
+{
+    std::promise<void> done;
+    post([&] {
+        task();
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+std::vector<kj::Function<void()>> RpcLoop::takeTasks(kj::Own<kj::CrossThreadPromiseFulfiller<void>> wake)
+{
+    const std::scoped_lock lock(mutex_);
+    if (tasks_.empty()) {
+        wake_ = kj::mv(wake);
+    }
+    return std::move(tasks_);
+}
+
+void RpcLoop::run()
+{
+    kj::AsyncIoContext io = kj::setupAsyncIo();
+    io_ = &io;
+    while (true) {
+        auto wake = kj::newPromiseAndCrossThreadFulfiller<void>();
+        std::vector<kj::Function<void()>> tasks = takeTasks(kj::mv(wake.fulfiller));
+        for (kj::Function<void()> &task : tasks) {
+            KJ_IF_MAYBE (exception, kj::runCatchingExceptions([&task] { task(); })) {
+                support::log(support::Severity::Error, "a task of the peer protocol failed", {{"error", exception->getDescription().cStr()}});
+            }
+        }
+        if (!tasks.empty()) {
+            // Lets the loop work off its events before it takes the next tasks.
+            io.waitScope.poll();
+            continue;
+        }
+        {
+            const std::scoped_lock lock(mutex_);
+            if (stopping_) {
+                wake_ = nullptr;
+                return;
+            }
+        }
+        wake.promise.wait(io.waitScope);
+    }
+}
+
+} // namespace mulberrywall::permits
--- /dev/null
+++ b/lib/Permits/RpcLoop.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <kj/async-io.h>
+#include <kj/function.h>
+
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace mulberrywall::permits
+{
+
+/// A thread with Cap'n Proto's event loop, which cannot share a thread with Asio's.
+class RpcLoop
+{
+public:
+    /// Starts the thread and waits until its loop runs.
+    RpcLoop();
+    RpcLoop(const RpcLoop &) = delete;
+    RpcLoop &operator=(const RpcLoop &) = delete;
+    RpcLoop(RpcLoop &&) = delete;
+    RpcLoop &operator=(RpcLoop &&) = delete;
+    /// Runs what was posted and ends the thread.
+    ~RpcLoop();
+
+    /// Runs the task in the loop's thread. Thread-safe; never waits for the loop.
+    void post(kj::Function<void()> task);
+    /// Runs the task in the loop's thread and waits for it.
+    void runAndWait(kj::Function<void()> task);
+    /// For use in the loop's thread only.
+    [[nodiscard]] kj::AsyncIoContext &io()
+    {
+        return *io_;
+    }
+
+private:
+    void run();
+    std::vector<kj::Function<void()>> takeTasks(kj::Own<kj::CrossThreadPromiseFulfiller<void>> wake);
+
+    std::mutex mutex_;
+    std::vector<kj::Function<void()>> tasks_;
+    kj::Own<kj::CrossThreadPromiseFulfiller<void>> wake_;
+    bool stopping_ = false;
+    kj::AsyncIoContext *io_ = nullptr;
+    std::thread thread_;
+};
+
+} // namespace mulberrywall::permits
--- /dev/null
+++ b/unittests/Permits/PeerNetworkTest.cpp
@@ -0,0 +1,106 @@
+#include "PermitsFixture.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+namespace mulberrywall::permits
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+class PeerNetworkTest : public PermitsFixture
+{
+protected:
+    std::shared_ptr<PeerNetwork> makeClient(const std::string &secret)
+    {
+        return PeerNetwork::create(
+            workers_.context(), {.listen = {asio::ip::address_v4::loopback(), 0}, .secret = secret, .instance = support::InstanceId("client")}, {});
+    }
+    static Peer peerOf(TestRouter &router)
+    {
+        return {.instance = support::InstanceId(router.name), .address = router.permits->peers().localEndpoint()};
+    }
+    static PeerResult<ConfigurationDocument> fetch(PeerNetwork &client, TestRouter &router, std::uint64_t minimumRevision)
+    {
+        std::promise<PeerResult<ConfigurationDocument>> promise;
+        client.fetchConfiguration(
+            peerOf(router), minimumRevision, [&promise](PeerResult<ConfigurationDocument> result) { promise.set_value(std::move(result)); });
+        return promise.get_future().get();
+    }
+    /// Sends bytes to the peer port and waits until the router closes the connection.
+    void sendUntilClosed(TestRouter &router, std::string_view bytes)
+    {
+        tcp::socket socket(workers_.context());
+        socket.connect(router.permits->peers().localEndpoint());
+        boost::system::error_code error;
+        asio::write(socket, asio::buffer(bytes), error);
+        std::string ignored;
+        asio::read(socket, asio::dynamic_buffer(ignored), error);
+        EXPECT_TRUE(error);
+    }
+};
+
+} // namespace
+
+// Guards against a peer that cannot get the configuration, or gets one that is too old.
+TEST_F(PeerNetworkTest, FetchesConfiguration)
+{
+    TestRouter &router = addRouter("one");
+    const auto client = makeClient("secret");
+    const auto found = fetch(*client, router, 5);
+    ASSERT_TRUE(std::holds_alternative<ConfigurationDocument>(found)) << std::get<PeerFailure>(found).detail;
+    EXPECT_EQ(std::get<ConfigurationDocument>(found).revision, 7U);
+    EXPECT_EQ(std::get<ConfigurationDocument>(found).json, "{}");
+    EXPECT_EQ(std::get<ConfigurationDocument>(fetch(*client, router, 8)).revision, 0U);
+    client->stop();
+}
+
+// Guards against a peer without the secret that is let in or is not told why it is not.
+TEST_F(PeerNetworkTest, RefusesWrongSecret)
+{
+    TestRouter &router = addRouter("one");
+    const auto client = makeClient("wrong");
+    const auto result = fetch(*client, router, 0);
+    ASSERT_TRUE(std::holds_alternative<PeerFailure>(result));
+    EXPECT_NE(std::get<PeerFailure>(result).detail.find("secret is wrong"), std::string::npos) << std::get<PeerFailure>(result).detail;
+    EXPECT_EQ(router.permits->peers().counters().loginsRefused, 1U);
+    client->stop();
+}
+
+// Guards against a damaged, oversized or missing message that harms more than its own connection.
+TEST_F(PeerNetworkTest, MalformedMessageClosesOnlyItsConnection)
+{
+    TestRouter &router = addRouter("one");
+    const auto client = makeClient("secret");
+    ASSERT_TRUE(std::holds_alternative<ConfigurationDocument>(fetch(*client, router, 0)));
+    sendUntilClosed(router, std::string(64, '\xff'));
+    // One segment of 256 MiB.
+    sendUntilClosed(router, std::string("\0\0\0\0\0\0\0\x02", 8));
+    {
+        // One segment of eight words, cut off in the middle.
+        tcp::socket socket(workers_.context());
+        socket.connect(router.permits->peers().localEndpoint());
+        asio::write(socket, asio::buffer(std::string("\0\0\0\0\x08\0\0\0abcdefgh", 16)));
+    }
+    sendUntilClosed(router, "");
+    EXPECT_TRUE(std::holds_alternative<ConfigurationDocument>(fetch(*client, router, 0)));
+    EXPECT_EQ(router.permits->peers().counters().connectionsAccepted, 5U);
+    client->stop();
+}
+
+// Guards against a call that hangs because nobody listens at the peer's address.
+TEST_F(PeerNetworkTest, ReportsUnreachablePeer)
+{
+    TestRouter &router = addRouter("one");
+    const auto client = makeClient("secret");
+    router.permits->stop();
+    EXPECT_TRUE(std::holds_alternative<PeerFailure>(fetch(*client, router, 0)));
+    client->stop();
+}
+
+} // namespace mulberrywall::permits
