router: resume broken streams behind the last delivered token

Cause: a stream that broke after its first event ended with an error although another engine could continue it, and a stream whose HTTP framing ended cleanly counted as complete without its end event.

Change: an attempt checks each event (own id, JSON, no error) before it is passed on and is complete only with the end event; the session resumes with X-Resume-From and purpose Resume when both endpoints support it and the class is idempotent. StreamRelay serialises the writes to the caller. The header reaches the caller with the first event, so that a stream without output can still be retried. The deadline is sent to endpoints and ends the request. Stalled, rejected and cancelled attempts are followed by DELETE /v1/requests/<id>. A response that is not streamed has a timeout of its own, since it shows no sign of life before its end.

Ruled out: charging resumes to the retry budget, since one crash breaks all streams of an engine at once.

--- a/include/mulberrywall/Http/Message.h
+++ b/include/mulberrywall/Http/Message.h
@@ -28,6 +28,10 @@
 inline constexpr std::string_view requestId = "X-Request-Id";
 inline constexpr std::string_view priority = "X-Priority";
 inline constexpr std::string_view resumeFrom = "X-Resume-From";
+/// Number of the attempt of a request, from 1; the request id stays the same over all attempts.
+inline constexpr std::string_view attempt = "X-Attempt";
+/// An endpoint sets it to "1" on a refusal to state that it accepts no new work.
+inline constexpr std::string_view leaving = "X-Leaving";
 /// An endpoint sets it to "1" on a refusal to state that the request has not run.
 inline constexpr std::string_view notRun = "X-Not-Run";
 inline constexpr std::string_view idempotencyKey = "Idempotency-Key";
--- a/include/mulberrywall/Router/Attempt.h
+++ b/include/mulberrywall/Router/Attempt.h
@@ -2,6 +2,7 @@
 
 #include "mulberrywall/Http/ClientCall.h"
 #include "mulberrywall/Permits/Permit.h"
+#include "mulberrywall/Router/CallerRequest.h"
 #include "mulberrywall/Router/ServerSentEvents.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -9,8 +10,10 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace mulberrywall::router
 {
@@ -18,7 +21,14 @@
 struct AttemptOptions
 {
     std::chrono::milliseconds connectTimeout {1'000};
+    /// Longest silence of an endpoint that streams.
     std::chrono::milliseconds stallTimeout {30'000};
+    /// Longest wait for the header of a response that is not streamed.
+    std::chrono::milliseconds responseTimeout {120'000};
+    /// From 1.
+    unsigned number = 1;
+    /// Tokens that the caller has already received from earlier attempts.
+    std::uint64_t resumeFrom = 0;
 };
 
 /// How an attempt ended.
@@ -28,36 +38,52 @@
     policy::AttemptOutcome outcome = policy::AttemptOutcome::EndpointFailed;
     /// Why the attempt failed; empty when it completed.
     std::string reason;
+    /// The complete response when the endpoint did not stream; also set for a server error.
+    std::optional<http::Response> response;
+    /// The endpoint stated that it accepts no new work.
+    bool leaving = false;
+};
+
+/// One event of a completion stream that was checked to belong to the request.
+struct StreamEvent
+{
+    /// Whole event including the empty line that ends it.
+    std::string raw;
+    bool isToken = false;
+    /// Tokens of the attempt up to and including this event.
+    std::uint64_t attemptTokens = 0;
 };
 
 /// Handlers of an attempt; all run on the attempt's executor, and onEnd is the last.
 struct AttemptHandlers
 {
-    /// Called for every response but an authoritative refusal. Reading goes on after Attempt::readMore.
-    std::function<void(const http::ResponseHeader &)> onHeader;
-    /// Called for each piece of the body. Reading goes on after Attempt::readMore.
-    std::function<void(std::string_view)> onBody;
-    std::function<void(const AttemptEnd &)> onEnd;
+    /// Called with at least one event. Reading goes on after Attempt::readMore.
+    std::function<void(const std::vector<StreamEvent> &)> onEvents;
+    std::function<void(AttemptEnd)> onEnd;
 };
 
 /// Runs one request on the endpoint of a permit and gives the permit back when it ends.
+///
+/// A streamed attempt is complete only when the engine has sent its end event; an incomplete event is dropped.
 class Attempt : public std::enable_shared_from_this<Attempt>
 {
 public:
-    Attempt(boost::asio::any_io_executor executor, const AttemptOptions &options, std::shared_ptr<permits::Permit> permit, AttemptHandlers handlers);
+    Attempt(boost::asio::any_io_executor executor, const AttemptOptions &options, std::shared_ptr<permits::Permit> permit);
 
-    /// Sends the request with the permit's priority.
-    void start(http::Request request);
+    /// Sends the request with the permit's priority and the time that is left until its deadline.
+    void start(const CallerRequest &request, AttemptHandlers handlers);
+    /// Asks for more events; call it once after each onEvents.
     void readMore();
-    /// Closes the connection, which makes the endpoint stop; no handler is called afterwards.
-    void cancel();
-    /// Tells the owner how many tokens the endpoint has produced.
-    void recordProgress(std::uint64_t outputTokens);
+    /// Closes the connection and asks the endpoint to stop; no handler is called afterwards.
+    ///
+    /// Returns NotRun when nothing was written yet, otherwise MayHaveRun.
+    support::Verdict cancel();
 
     [[nodiscard]] const configuration::Endpoint &endpoint() const noexcept
     {
         return permit_->endpoint();
     }
+    /// Tokens of this attempt alone.
     [[nodiscard]] std::uint64_t outputTokens() const noexcept
     {
         return outputTokens_;
@@ -65,14 +91,25 @@
 
 private:
     void onHeader(const http::ResponseHeader &responseHeader);
+    void onBody(std::string_view data);
+    void onStreamPiece(std::string_view data);
     void onCallEnd(const http::CallResult &result);
-    void end(const AttemptEnd &attemptEnd);
+    void onWholeResponse();
+    void end(AttemptEnd attemptEnd);
+    void requestCancellation();
 
     boost::asio::any_io_executor executor_;
     AttemptOptions options_;
     std::shared_ptr<permits::Permit> permit_;
-    AttemptHandlers handlers_;
+    /// Shared so that a handler that cancels the attempt does not destroy itself while it runs.
+    std::shared_ptr<const AttemptHandlers> handlers_;
     std::shared_ptr<http::ClientCall> call_;
+    support::RequestId request_;
+    configuration::PoolKind poolKind_ = configuration::PoolKind::ModelEngine;
+    ResponseMode responseMode_ = ResponseMode::Whole;
+    bool streaming_ = false;
+    http::Response response_;
+    ServerSentEventParser events_;
     std::uint64_t outputTokens_ = 0;
 };
 
--- a/include/mulberrywall/Router/CallerSession.h
+++ b/include/mulberrywall/Router/CallerSession.h
@@ -3,11 +3,15 @@
 #include "mulberrywall/Http/Server.h"
 #include "mulberrywall/Router/Attempt.h"
 #include "mulberrywall/Router/CallerRequest.h"
+#include "mulberrywall/Router/RetryDecision.h"
 #include "mulberrywall/Router/RouterState.h"
+#include "mulberrywall/Router/StreamRelay.h"
+
+#include <boost/asio/steady_timer.hpp>
 
-#include <deque>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace mulberrywall::router
 {
@@ -28,37 +32,42 @@
     void start();
 
 private:
+    using AttemptPtr = std::shared_ptr<Attempt>;
+
+    void armDeadline();
+    void onDeadline();
     void acquirePermit(policy::AttemptPurpose purpose);
-    void onPermitResult(permits::PermitResult result);
+    void onPermitResult(policy::AttemptPurpose purpose, permits::PermitResult result);
     void startAttempt(std::shared_ptr<permits::Permit> permit);
-    void onHeader(const http::ResponseHeader &responseHeader);
-    void onBody(std::string_view data);
-    void onAttemptEnd(const AttemptEnd &attemptEnd);
-    [[nodiscard]] bool mayRetry(const AttemptEnd &attemptEnd) const;
-    void startStream(const http::ResponseHeader &responseHeader);
-    void writeNext();
-    void finishStream();
-    void finishWhole();
-    void fail(const http::Problem &problem);
+    void onEvents(const AttemptPtr &attempt, const std::vector<StreamEvent> &events);
+    void onAttemptEnd(const AttemptPtr &attempt, AttemptEnd attemptEnd);
+    void onAttemptFailed(const AttemptPtr &attempt, AttemptEnd attemptEnd);
+    void continueAfter(const AttemptPtr &attempt, AttemptEnd attemptEnd);
+    [[nodiscard]] std::vector<support::EndpointId> excludedEndpoints(policy::AttemptPurpose purpose) const;
+    [[nodiscard]] http::ResponseHeader streamHeader() const;
+    void complete(AttemptEnd attemptEnd);
+    void fail(http::Problem problem, std::chrono::milliseconds retryAfter = {});
+    void failWith(http::Response response);
     void onCallerGone();
-    void recordEnd(support::Verdict verdict, std::string_view result);
+    /// Cancels everything that runs for the request; the verdict takes in what was cancelled.
+    void stopWork();
+    void recordEnd(std::string_view result);
 
     RouterState &state_;
     http::ExchangePtr exchange_;
     CallerRequest request_;
+    boost::asio::steady_timer deadlineTimer_;
+    std::shared_ptr<StreamRelay> relay_;
     permits::AcquireTicket ticket_;
-    std::shared_ptr<Attempt> attempt_;
+    std::vector<AttemptPtr> running_;
+    /// The attempt whose events reach the caller.
+    AttemptPtr source_;
     std::vector<support::EndpointId> failedEndpoints_;
     unsigned attempts_ = 0;
+    unsigned attemptsWithoutToken_ = 0;
+    std::uint64_t deliveredTokens_ = 0;
     support::Verdict verdict_ = support::Verdict::NotRun;
-    http::Response wholeResponse_;
-    ServerSentEventParser events_;
-    std::string unwritten_;
-    bool streaming_ = false;
-    bool writing_ = false;
-    bool upstreamEnded_ = false;
     bool ended_ = false;
-    std::uint64_t outputTokens_ = 0;
     policy::TimePoint startedAt_;
 };
 
--- a/include/mulberrywall/Router/RouterState.h
+++ b/include/mulberrywall/Router/RouterState.h
@@ -18,6 +18,8 @@
     std::chrono::milliseconds connectTimeout {1'000};
     /// Longest silence of an endpoint before its attempt counts as stalled.
     std::chrono::milliseconds stallTimeout {30'000};
+    /// Longest wait for a response that is not streamed, which arrives only when the whole answer has been generated.
+    std::chrono::milliseconds responseTimeout {120'000};
     /// Attempts for one request, the first included.
     unsigned maximumAttempts = 3;
 };
--- a/lib/Router/CallerSession.cpp
+++ b/lib/Router/CallerSession.cpp
@@ -4,18 +4,22 @@
 
 #include <boost/asio/dispatch.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace mulberrywall::router
 {
 
-using configuration::Idempotency;
+using policy::AttemptPurpose;
 using support::Verdict;
 
+static constexpr std::string_view endEvent = "data: [DONE]\n\n";
+
 CallerSession::CallerSession(RouterState &state, http::ExchangePtr exchange, CallerRequest request)
     : state_(state),
       exchange_(std::move(exchange)),
       request_(std::move(request)),
+      deadlineTimer_(exchange_->executor()),
       startedAt_(std::chrono::steady_clock::now())
 {
     ++state_.activeRequests;
@@ -28,15 +32,71 @@
 
 void CallerSession::start()
 {
+    relay_ = std::make_shared<StreamRelay>(exchange_,
+        StreamRelay::Handlers {.onDrained =
+                                   [weak = weak_from_this()] {
+                                       const auto self = weak.lock();
+                                       if (self && self->source_) {
+                                           self->source_->readMore();
+                                       }
+                                   },
+            .onCallerGone =
+                [weak = weak_from_this()] {
+                    if (const auto self = weak.lock()) {
+                        self->onCallerGone();
+                    }
+                }});
     exchange_->onCallerGone([weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->onCallerGone();
         }
     });
-    acquirePermit(policy::AttemptPurpose::First);
+    armDeadline();
+    acquirePermit(AttemptPurpose::First);
+}
+
+void CallerSession::armDeadline()
+{
+    if (request_.deadline == policy::TimePoint::max()) {
+        return;
+    }
+    deadlineTimer_.expires_at(request_.deadline);
+    deadlineTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self) {
+            self->onDeadline();
+        }
+    });
+}
+
+void CallerSession::onDeadline()
+{
+    if (ended_) {
+        return;
+    }
+    stopWork();
+    fail({.status = http::Status::gateway_timeout,
+        .title = "deadline expired",
+        .detail = "the request did not end within the caller's Mulberrywall-Timeout-Ms; allow more time or send a shorter request",
+        .verdict = verdict_});
+}
+
+std::vector<support::EndpointId> CallerSession::excludedEndpoints(AttemptPurpose purpose) const
+{
+    std::vector<support::EndpointId> excluded = failedEndpoints_;
+    const ConfigurationSnapshot configuration = state_.configuration.current();
+    if (purpose != AttemptPurpose::Resume || configuration == nullptr) {
+        return excluded;
+    }
+    for (const configuration::Endpoint &endpoint : configuration->endpoints) {
+        if (!endpoint.support.resume) {
+            excluded.push_back(endpoint.id);
+        }
+    }
+    return excluded;
 }
 
-void CallerSession::acquirePermit(policy::AttemptPurpose purpose)
+void CallerSession::acquirePermit(AttemptPurpose purpose)
 {
     permits::PermitRequest permitRequest {.request = request_.id,
         .pool = request_.pool,
@@ -46,187 +106,202 @@
             .prefixHash = request_.prefixHash,
             .promptTokens = request_.promptTokens,
             .purpose = purpose,
-            .excludedEndpoints = failedEndpoints_,
+            .excludedEndpoints = excludedEndpoints(purpose),
             .deadline = request_.deadline}};
-    ticket_ = state_.permits.acquire(std::move(permitRequest), [self = shared_from_this()](permits::PermitResult result) {
-        boost::asio::dispatch(self->exchange_->executor(), [self, result = std::move(result)]() mutable { self->onPermitResult(std::move(result)); });
+    ticket_ = state_.permits.acquire(std::move(permitRequest), [self = shared_from_this(), purpose](permits::PermitResult result) {
+        boost::asio::dispatch(
+            self->exchange_->executor(), [self, purpose, result = std::move(result)]() mutable { self->onPermitResult(purpose, std::move(result)); });
     });
 }
 
-void CallerSession::onPermitResult(permits::PermitResult result)
+static http::Problem makeRefusalProblem(const permits::PermitRefusal &refusal, Verdict verdict)
+{
+    std::string detail = "no capacity: " + std::string(policy::toString(refusal.reason)) + "; send the request again later";
+    if (!refusal.detail.empty()) {
+        detail += " (" + refusal.detail + ")";
+    }
+    const bool expired = refusal.reason == policy::RefusalReason::DeadlineExpired;
+    return {.status = expired ? http::Status::gateway_timeout : http::Status::service_unavailable,
+        .title = "refused",
+        .detail = std::move(detail),
+        .verdict = verdict};
+}
+
+void CallerSession::onPermitResult(AttemptPurpose purpose, permits::PermitResult result)
 {
     ticket_ = nullptr;
     if (ended_) {
         return;
     }
-    if (auto *permit = std::get_if<std::shared_ptr<permits::Permit>>(&result)) {
-        startAttempt(std::move(*permit));
+    if (const auto *refusal = std::get_if<permits::PermitRefusal>(&result)) {
+        fail(makeRefusalProblem(*refusal, verdict_), refusal->retryAfter);
         return;
     }
-    const auto &refusal = std::get<permits::PermitRefusal>(result);
-    std::string detail = "no capacity: " + std::string(policy::toString(refusal.reason)) + "; send the request again later";
-    if (!refusal.detail.empty()) {
-        detail += " (" + refusal.detail + ")";
+    auto &permit = std::get<std::shared_ptr<permits::Permit>>(result);
+    if (purpose == AttemptPurpose::Resume && !permit->endpoint().support.resume) {
+        // The configuration changed while the request waited.
+        failedEndpoints_.push_back(permit->endpoint().id);
+        permit->finish({.outcome = policy::AttemptOutcome::Cancelled});
+        acquirePermit(purpose);
+        return;
     }
-    fail({.status = http::Status::service_unavailable, .title = "refused", .detail = std::move(detail), .verdict = verdict_});
+    startAttempt(std::move(permit));
 }
 
 void CallerSession::startAttempt(std::shared_ptr<permits::Permit> permit)
 {
     ++attempts_;
+    ++attemptsWithoutToken_;
+    const AttemptOptions options {.connectTimeout = state_.options.connectTimeout,
+        .stallTimeout = state_.options.stallTimeout,
+        .responseTimeout = state_.options.responseTimeout,
+        .number = attempts_,
+        .resumeFrom = deliveredTokens_};
+    const auto attempt = std::make_shared<Attempt>(exchange_->executor(), options, std::move(permit));
+    running_.push_back(attempt);
     const auto self = shared_from_this();
-    attempt_ = std::make_shared<Attempt>(exchange_->executor(),
-        AttemptOptions {.connectTimeout = state_.options.connectTimeout, .stallTimeout = state_.options.stallTimeout},
-        std::move(permit),
-        AttemptHandlers {.onHeader = [self](const http::ResponseHeader &responseHeader) { self->onHeader(responseHeader); },
-            .onBody = [self](std::string_view data) { self->onBody(data); },
+    attempt->start(request_,
+        {.onEvents = [self, attempt](const std::vector<StreamEvent> &events) { self->onEvents(attempt, events); },
             .onEnd =
-                [self](const AttemptEnd &attemptEnd) {
-                    self->onAttemptEnd(attemptEnd);
+                [self, attempt](AttemptEnd attemptEnd) {
+                    self->onAttemptEnd(attempt, std::move(attemptEnd));
                 }});
-    attempt_->start(request_.upstream);
 }
 
-void CallerSession::onHeader(const http::ResponseHeader &responseHeader)
+http::ResponseHeader CallerSession::streamHeader() const
 {
-    const bool streamed = request_.responseMode == ResponseMode::Stream && responseHeader.result() == http::Status::ok;
-    if (streamed) {
-        startStream(responseHeader);
-        return;
-    }
-    wholeResponse_ = http::Response(responseHeader.result(), 11);
-    wholeResponse_.set(http::Field::content_type, http::fieldValue(responseHeader, "Content-Type"));
-    attempt_->readMore();
+    http::ResponseHeader responseHeader;
+    responseHeader.result(http::Status::ok);
+    responseHeader.set(http::Field::content_type, "text/event-stream");
+    responseHeader.set(http::Field::cache_control, "no-store");
+    responseHeader.set(http::header::requestId, request_.id.value());
+    return responseHeader;
 }
 
-void CallerSession::startStream(const http::ResponseHeader &responseHeader)
+void CallerSession::onEvents(const AttemptPtr &attempt, const std::vector<StreamEvent> &events)
 {
-    streaming_ = true;
-    http::ResponseHeader callerHeader;
-    callerHeader.result(responseHeader.result());
-    callerHeader.set(http::Field::content_type, "text/event-stream");
-    callerHeader.set(http::Field::cache_control, "no-store");
-    callerHeader.set(http::header::requestId, request_.id.value());
-    writing_ = true;
-    exchange_->startStream(std::move(callerHeader), [self = shared_from_this()](const boost::system::error_code &error) {
-        self->writing_ = false;
-        if (error) {
-            self->onCallerGone();
-            return;
+    source_ = attempt;
+    std::string text;
+    for (const StreamEvent &event : events) {
+        // A resumed engine announces the stream again; the caller has had these events already.
+        if (event.attemptTokens == 0 && deliveredTokens_ > 0) {
+            continue;
         }
-        self->writeNext();
-    });
+        text += event.raw;
+        deliveredTokens_ += event.isToken ? 1 : 0;
+    }
+    if (attempt->outputTokens() > 0) {
+        attemptsWithoutToken_ = 0;
+    }
+    relay_->write(text, streamHeader());
 }
 
-void CallerSession::onBody(std::string_view data)
+void CallerSession::onAttemptEnd(const AttemptPtr &attempt, AttemptEnd attemptEnd)
 {
-    if (!streaming_) {
-        wholeResponse_.body() += data;
-        attempt_->readMore();
+    std::erase(running_, attempt);
+    verdict_ = support::combine(verdict_, attemptEnd.verdict);
+    if (attemptEnd.verdict == Verdict::Completed) {
+        complete(std::move(attemptEnd));
         return;
     }
-    for (const ServerSentEvent &event : events_.feed(data)) {
-        if (event.data != streamEndData) {
-            ++outputTokens_;
-        }
-        unwritten_ += event.raw;
-    }
-    attempt_->recordProgress(outputTokens_);
-    writeNext();
+    onAttemptFailed(attempt, std::move(attemptEnd));
 }
 
-/// Writes what has arrived, then asks the endpoint for more; a slow caller thereby slows the endpoint's stream.
-void CallerSession::writeNext()
+void CallerSession::onAttemptFailed(const AttemptPtr &attempt, AttemptEnd attemptEnd)
 {
-    if (writing_ || ended_) {
-        return;
-    }
-    if (unwritten_.empty()) {
-        if (upstreamEnded_) {
-            finishStream();
-            return;
-        }
-        attempt_->readMore();
-        return;
+    const support::EndpointId endpoint = attempt->endpoint().id;
+    support::log(support::Severity::Warning,
+        "attempt failed",
+        {{"request", request_.id.value()},
+            {"endpoint", endpoint.value()},
+            {"reason", attemptEnd.reason},
+            {"verdict", support::toString(attemptEnd.verdict)},
+            {"deliveredTokens", deliveredTokens_}});
+    // An endpoint that failed earlier may be back by the time a long stream breaks again.
+    if (attempt->outputTokens() > 0) {
+        failedEndpoints_.clear();
     }
-    writing_ = true;
-    exchange_->writeChunk(std::exchange(unwritten_, {}), [self = shared_from_this()](const boost::system::error_code &error) {
-        self->writing_ = false;
-        if (error) {
-            self->onCallerGone();
-            return;
-        }
-        self->writeNext();
-    });
+    failedEndpoints_.push_back(endpoint);
+    source_ = nullptr;
+    continueAfter(attempt, std::move(attemptEnd));
 }
 
-void CallerSession::onAttemptEnd(const AttemptEnd &attemptEnd)
+void CallerSession::continueAfter(const AttemptPtr &attempt, AttemptEnd attemptEnd)
 {
-    verdict_ = support::combine(verdict_, attemptEnd.verdict);
-    const support::EndpointId endpoint = attempt_->endpoint().id;
-    if (attemptEnd.verdict == Verdict::Completed) {
-        upstreamEnded_ = true;
-        if (streaming_) {
-            writeNext();
-            return;
-        }
-        finishWhole();
+    const NextStep next = decideNextStep({.verdict = attemptEnd.verdict,
+        .idempotency = request_.requestClass.idempotency,
+        .deliveredTokens = deliveredTokens_,
+        .endpointResumes = attempt->endpoint().support.resume,
+        .attemptsWithoutToken = attemptsWithoutToken_,
+        .maximumAttempts = state_.options.maximumAttempts});
+    switch (next) {
+    case NextStep::Retry:
+        acquirePermit(AttemptPurpose::Retry);
+        return;
+    case NextStep::Resume:
+        state_.metrics.increment("mulberrywall_resumes_total", {{"class", request_.requestClass.id.value()}});
+        acquirePermit(AttemptPurpose::Resume);
         return;
+    case NextStep::Fail:
+        break;
     }
-    support::log(support::Severity::Warning,
-        "attempt failed",
-        {{"request", request_.id.value()}, {"endpoint", endpoint.value()}, {"reason", attemptEnd.reason}, {"verdict", support::toString(attemptEnd.verdict)}});
-    attempt_ = nullptr;
-    failedEndpoints_.push_back(endpoint);
-    if (mayRetry(attemptEnd)) {
-        acquirePermit(policy::AttemptPurpose::Retry);
+    if (attemptEnd.response && !relay_->isStarted()) {
+        failWith(std::move(*attemptEnd.response));
         return;
     }
-    fail({.status = http::Status::bad_gateway, .title = "endpoint failed", .detail = "the endpoint failed: " + attemptEnd.reason, .verdict = verdict_});
+    const std::string title = relay_->isStarted() ? "stream broken" : "endpoint failed";
+    fail({.status = http::Status::bad_gateway, .title = title, .detail = "the attempt failed: " + attemptEnd.reason, .verdict = verdict_});
 }
 
-bool CallerSession::mayRetry(const AttemptEnd &attemptEnd) const
+void CallerSession::complete(AttemptEnd attemptEnd)
 {
-    if (streaming_ || attempts_ >= state_.options.maximumAttempts) {
-        return false;
+    stopWork();
+    ended_ = true;
+    verdict_ = Verdict::Completed;
+    recordEnd("completed");
+    if (!attemptEnd.response) {
+        relay_->finish(endEvent, streamHeader());
+        return;
     }
-    return attemptEnd.verdict == Verdict::NotRun || request_.requestClass.idempotency == Idempotency::Idempotent;
+    http::Response response = std::move(*attemptEnd.response);
+    response.set(http::header::outcome, support::toString(verdict_));
+    response.set(http::header::requestId, request_.id.value());
+    exchange_->respond(std::move(response));
 }
 
-void CallerSession::finishStream()
+void CallerSession::failWith(http::Response response)
 {
     ended_ = true;
-    recordEnd(Verdict::Completed, "completed");
-    exchange_->finishStream();
+    recordEnd("failed");
+    response.set(http::header::outcome, support::toString(verdict_));
+    response.set(http::header::requestId, request_.id.value());
+    exchange_->respond(std::move(response));
 }
 
-void CallerSession::finishWhole()
+void CallerSession::fail(http::Problem problem, std::chrono::milliseconds retryAfter)
 {
     ended_ = true;
-    wholeResponse_.set(http::header::outcome, support::toString(Verdict::Completed));
-    wholeResponse_.set(http::header::requestId, request_.id.value());
-    recordEnd(Verdict::Completed, "completed");
-    exchange_->respond(std::move(wholeResponse_));
+    problem.requestId = request_.id.value();
+    recordEnd("failed");
+    if (relay_->isStarted()) {
+        relay_->finish(renderEvent("error", http::renderProblem(problem)), streamHeader());
+        return;
+    }
+    http::Response response = http::makeProblemResponse(problem);
+    if (retryAfter.count() > 0) {
+        response.set(http::Field::retry_after, std::to_string(std::chrono::ceil<std::chrono::seconds>(retryAfter).count()));
+    }
+    exchange_->respond(std::move(response));
 }
 
-void CallerSession::fail(const http::Problem &problem)
+void CallerSession::stopWork()
 {
-    ended_ = true;
-    http::Problem named = problem;
-    named.requestId = request_.id.value();
-    recordEnd(problem.verdict, "failed");
-    if (!streaming_) {
-        exchange_->respond(http::makeProblemResponse(named));
-        return;
+    deadlineTimer_.cancel();
+    ticket_ = nullptr;
+    source_ = nullptr;
+    for (const AttemptPtr &attempt : std::exchange(running_, {})) {
+        verdict_ = support::combine(verdict_, attempt->cancel());
     }
-    const std::string event = unwritten_ + renderEvent("error", http::renderProblem(named));
-    exchange_->writeChunk(event, [self = shared_from_this()](const boost::system::error_code &error) {
-        if (error) {
-            self->exchange_->abortStream();
-            return;
-        }
-        self->exchange_->finishStream();
-    });
 }
 
 void CallerSession::onCallerGone()
@@ -235,19 +310,16 @@
         return;
     }
     ended_ = true;
-    ticket_ = nullptr;
-    if (attempt_) {
-        attempt_->cancel();
-    }
-    recordEnd(attempt_ ? Verdict::MayHaveRun : verdict_, "caller-gone");
-    exchange_->abortStream();
+    stopWork();
+    recordEnd("caller-gone");
+    relay_->abort();
 }
 
-void CallerSession::recordEnd(Verdict verdict, std::string_view result)
+void CallerSession::recordEnd(std::string_view result)
 {
     const std::chrono::duration<double> duration = std::chrono::steady_clock::now() - startedAt_;
     const std::string &requestClass = request_.requestClass.id.value();
-    state_.metrics.increment("mulberrywall_requests_total", {{"class", requestClass}, {"result", result}, {"outcome", support::toString(verdict)}});
+    state_.metrics.increment("mulberrywall_requests_total", {{"class", requestClass}, {"result", result}, {"outcome", support::toString(verdict_)}});
     state_.metrics.observe("mulberrywall_request_seconds", duration.count(), {{"class", requestClass}});
     support::log(support::Severity::Info,
         "request ended",
@@ -256,9 +328,9 @@
             {"organisation", request_.organisation.id.value()},
             {"pool", request_.pool.value()},
             {"result", result},
-            {"outcome", support::toString(verdict)},
+            {"outcome", support::toString(verdict_)},
             {"attempts", attempts_},
-            {"outputTokens", outputTokens_},
+            {"outputTokens", deliveredTokens_},
             {"seconds", duration.count()}});
 }
 
--- /dev/null
+++ b/lib/Router/RetryDecision.cpp
@@ -0,0 +1,25 @@
+#include "mulberrywall/Router/RetryDecision.h"
+
+namespace mulberrywall::router
+{
+
+using configuration::Idempotency;
+using support::Verdict;
+
+NextStep decideNextStep(const FailedAttempt &attempt)
+{
+    if (attempt.attemptsWithoutToken >= attempt.maximumAttempts) {
+        return NextStep::Fail;
+    }
+    const bool mayRunAgain = attempt.verdict == Verdict::NotRun || attempt.idempotency == Idempotency::Idempotent;
+    if (!mayRunAgain) {
+        return NextStep::Fail;
+    }
+    if (attempt.deliveredTokens == 0) {
+        return NextStep::Retry;
+    }
+    // A refused resume says nothing about the endpoint that produced the tokens so far, which was checked before.
+    return attempt.endpointResumes || attempt.verdict == Verdict::NotRun ? NextStep::Resume : NextStep::Fail;
+}
+
+} // namespace mulberrywall::router
--- a/tools/mulberrywall-router/main.cpp
+++ b/tools/mulberrywall-router/main.cpp
@@ -17,6 +17,9 @@
 
 using namespace mulberrywall;
 
+/// An answer that is not streamed shows no sign of life before its end, so that it needs more patience than a stream.
+constexpr int responseStallFactor = 4;
+
 struct Settings
 {
     std::string instance;
@@ -29,6 +32,7 @@
     std::size_t maxBodyBytes = 4 * 1024 * 1024;
     unsigned readTimeoutMs = 30'000;
     unsigned stallTimeoutMs = 30'000;
+    unsigned responseTimeoutMs = 0;
 };
 
 std::optional<boost::asio::ip::tcp::endpoint> parseAddress(const std::string &text)
@@ -63,6 +67,10 @@
     support::addSetting(app, "--max-body-bytes", settings.maxBodyBytes, "largest request body")->check(CLI::PositiveNumber);
     support::addSetting(app, "--read-timeout-ms", settings.readTimeoutMs, "time a caller has to send a request, in ms")->check(CLI::PositiveNumber);
     support::addSetting(app, "--stall-timeout-ms", settings.stallTimeoutMs, "longest silence of an endpoint, in ms")->check(CLI::PositiveNumber);
+    support::addSetting(app,
+        "--response-timeout-ms",
+        settings.responseTimeoutMs,
+        "longest wait for a response that is not streamed, in ms; 0 means four times the stall timeout");
 }
 
 std::optional<configuration::SiteConfiguration> readConfiguration(const Settings &settings)
@@ -94,6 +102,8 @@
     options.adminServer.listen = *parseAddress(settings.adminListen);
     options.operatorKey = settings.operatorKey;
     options.router.stallTimeout = std::chrono::milliseconds(settings.stallTimeoutMs);
+    options.router.responseTimeout
+        = settings.responseTimeoutMs == 0 ? options.router.stallTimeout * responseStallFactor : std::chrono::milliseconds(settings.responseTimeoutMs);
     return options;
 }
 
--- /dev/null
+++ b/unittests/Router/RouterFixture.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "mulberrywall/Http/ClientCall.h"
+#include "mulberrywall/Router/RouterService.h"
+#include "mulberrywall/Router/ServerSentEvents.h"
+#include "mulberrywall/Support/WorkerPool.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace mulberrywall::router
+{
+
+inline constexpr std::string_view testKey = "test-key";
+
+/// What a scripted endpoint does after the tokens that it was told to send.
+enum class StreamEnd : std::uint8_t {
+    Done,
+    /// Ends the HTTP response without the end event.
+    CleanWithoutDone,
+    Break,
+    /// Leaves the connection open and silent.
+    Hang,
+    /// Sends the beginning of another event and then breaks.
+    BreakInsideEvent,
+};
+
+/// An endpoint of the router under test; the script answers every request.
+class ScriptedEndpoint
+{
+public:
+    using Script = std::function<void(const http::ExchangePtr &)>;
+
+    ScriptedEndpoint(boost::asio::io_context &context, Script script);
+
+    [[nodiscard]] std::uint16_t port() const
+    {
+        return server_->localEndpoint().port();
+    }
+    [[nodiscard]] std::size_t requests() const
+    {
+        return requests_;
+    }
+    /// Number of DELETE /v1/requests/<id>.
+    [[nodiscard]] std::size_t cancellations() const
+    {
+        return cancellations_;
+    }
+    /// Field of the last request that was no cancellation.
+    [[nodiscard]] std::string lastField(std::string_view name) const;
+    /// Keeps the connection open until the endpoint is destroyed.
+    void hold(const http::ExchangePtr &exchange);
+
+private:
+    void handle(const http::ExchangePtr &exchange);
+
+    Script script_;
+    mutable std::mutex mutex_;
+    http::Request last_;
+    std::vector<http::ExchangePtr> held_;
+    std::atomic<std::size_t> requests_ {0};
+    std::atomic<std::size_t> cancellations_ {0};
+    std::shared_ptr<http::Server> server_;
+};
+
+/// Streams the tokens "t<n> " from X-Resume-From, or 0, up to but not including the last one.
+void streamTokens(const http::ExchangePtr &exchange, std::uint64_t last, StreamEnd streamEnd, const std::string &idPrefix = {});
+
+/// Answers with a whole completion or the given status.
+void answer(const http::ExchangePtr &exchange, http::Status status, const std::string &body, bool notRun = false);
+
+/// Text that streamTokens sends for a complete answer, without framing.
+std::string tokenText(std::uint64_t last);
+
+/// A router in this process with scripted endpoints for the pools "m" and "ledger".
+class RouterTest : public testing::Test
+{
+protected:
+    struct Reply
+    {
+        http::WholeResponse response;
+        /// Data of each event, joined text of the tokens and the name of the outcome.
+        std::vector<std::string> events;
+        std::string text;
+        std::string outcome;
+    };
+
+    ~RouterTest() override;
+
+    ScriptedEndpoint &addEngine(ScriptedEndpoint::Script script);
+    ScriptedEndpoint &addService(ScriptedEndpoint::Script script);
+    void startRouter(RouterOptions options = {});
+    configuration::RequestClass &requestClass(std::string_view id);
+    Reply send(http::Request request);
+    Reply stream(std::string_view className = "interactive");
+    Reply call(std::string_view className, std::string_view body, const std::map<std::string, std::string> &fields = {});
+    http::Request makeRequest(std::string_view target, std::string_view className, std::string body) const;
+    std::string getAdmin(const std::string &target);
+    /// Polls until the condition holds; fails the test after 10 s.
+    static void waitUntil(const std::string &what, const std::function<bool()> &condition);
+
+    support::WorkerPool workers_ {2};
+    configuration::SiteConfiguration configuration_ = makeConfiguration();
+    std::vector<std::unique_ptr<ScriptedEndpoint>> endpoints_;
+    std::unique_ptr<RouterService> service_;
+
+private:
+    static configuration::SiteConfiguration makeConfiguration();
+    ScriptedEndpoint &addEndpoint(const std::string &pool, ScriptedEndpoint::Script script);
+};
+
+} // namespace mulberrywall::router
--- /dev/null
+++ b/unittests/Router/StreamTest.cpp
@@ -0,0 +1,108 @@
+#include "RouterFixture.h"
+
+namespace mulberrywall::router
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds shortStall {200};
+
+struct BrokenCase
+{
+    std::string name;
+    StreamEnd streamEnd;
+};
+
+class BrokenStreamTest : public RouterTest, public testing::WithParamInterface<BrokenCase>
+{
+};
+
+/// The endpoint that gets the first attempt fails after three tokens; the other one sends six.
+ScriptedEndpoint::Script firstFails(const std::shared_ptr<std::atomic<int>> &attempts, StreamEnd streamEnd)
+{
+    return [attempts, streamEnd](const http::ExchangePtr &exchange) {
+        const bool first = attempts->fetch_add(1) == 0;
+        streamTokens(exchange, first ? 3 : 6, first ? streamEnd : StreamEnd::Done);
+    };
+}
+
+// Guards against tokens that are lost, repeated or torn when a stream continues on another engine.
+TEST_P(BrokenStreamTest, ResumesBehindLastToken)
+{
+    const auto attempts = std::make_shared<std::atomic<int>>(0);
+    addEngine(firstFails(attempts, GetParam().streamEnd));
+    addEngine(firstFails(attempts, GetParam().streamEnd));
+    startRouter({.stallTimeout = shortStall});
+    const Reply reply = stream();
+    EXPECT_EQ(reply.text, tokenText(6));
+    // The role, six tokens and the end event, each once.
+    EXPECT_EQ(reply.events.size(), 8U);
+    EXPECT_EQ(reply.events.back(), streamEndData);
+    EXPECT_EQ(attempts->load(), 2);
+    EXPECT_EQ(endpoints_[0]->requests(), 1U) << "the stream was resumed on the engine that had failed";
+    const bool secondResumed = endpoints_[1]->lastField("X-Resume-From") == "3" && endpoints_[1]->lastField("X-Attempt") == "2";
+    const bool firstResumed = endpoints_[0]->lastField("X-Resume-From") == "3" && endpoints_[0]->lastField("X-Attempt") == "2";
+    EXPECT_NE(secondResumed, firstResumed);
+    EXPECT_EQ(endpoints_[0]->lastField("X-Request-Id"), endpoints_[1]->lastField("X-Request-Id"));
+}
+
+// Guards against a partial answer that looks complete when the engines cannot resume.
+TEST_P(BrokenStreamTest, WithoutResumeSupportEndsWithError)
+{
+    const auto attempts = std::make_shared<std::atomic<int>>(0);
+    addEngine(firstFails(attempts, GetParam().streamEnd));
+    addEngine(firstFails(attempts, GetParam().streamEnd));
+    for (configuration::Endpoint &endpoint : configuration_.endpoints) {
+        endpoint.support.resume = false;
+    }
+    startRouter({.stallTimeout = shortStall});
+    const Reply reply = stream();
+    EXPECT_EQ(reply.text, tokenText(3));
+    EXPECT_EQ(reply.outcome, "may-have-run");
+    EXPECT_NE(reply.events.back(), streamEndData);
+    EXPECT_EQ(attempts->load(), 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(Faults,
+    BrokenStreamTest,
+    testing::Values(BrokenCase {"Break", StreamEnd::Break},
+        BrokenCase {"InsideEvent", StreamEnd::BreakInsideEvent},
+        BrokenCase {"CleanWithoutDone", StreamEnd::CleanWithoutDone},
+        BrokenCase {"Stall", StreamEnd::Hang}),
+    [](const testing::TestParamInfo<BrokenCase> &info) { return info.param.name; });
+
+// Guards against a non-idempotent request that runs twice because its stream was resumed.
+TEST_F(RouterTest, NonIdempotentStreamIsNotResumed)
+{
+    requestClass("interactive").idempotency = configuration::Idempotency::NonIdempotent;
+    const auto attempts = std::make_shared<std::atomic<int>>(0);
+    addEngine(firstFails(attempts, StreamEnd::Break));
+    addEngine(firstFails(attempts, StreamEnd::Break));
+    startRouter();
+    EXPECT_EQ(stream().outcome, "may-have-run");
+    EXPECT_EQ(attempts->load(), 1);
+}
+
+// Guards against another request's answer that reaches this caller.
+TEST_F(RouterTest, RejectsEventsOfAnotherRequest)
+{
+    addEngine([](const http::ExchangePtr &exchange) { streamTokens(exchange, 3, StreamEnd::Done, "another"); });
+    startRouter();
+    const Reply reply = stream();
+    EXPECT_EQ(reply.text, "");
+    EXPECT_EQ(reply.outcome, "may-have-run");
+}
+
+// Guards against an engine that goes on for a caller who has left or whose stream was given up.
+TEST_F(RouterTest, StalledEngineIsToldToStop)
+{
+    ScriptedEndpoint &engine = addEngine([](const http::ExchangePtr &exchange) { streamTokens(exchange, 3, StreamEnd::Hang); });
+    startRouter({.stallTimeout = shortStall});
+    EXPECT_EQ(stream().text, tokenText(3));
+    waitUntil("the engine is told to cancel", [&engine] { return engine.cancellations() == 1; });
+}
+
+} // namespace
+
+} // namespace mulberrywall::router
