router: test verdicts, deadline and cancellation of attempts

Cause: at-most-once and the caller's verdict had no tests at the level of the router.

Change: add tests with scripted endpoints for refusals, server errors without proof, deadlines and callers that leave.

--- /dev/null
+++ b/unittests/Router/VerdictTest.cpp
@@ -0,0 +1,96 @@
+#include "RouterFixture.h"
+
+#include "mulberrywall/Router/RetryDecision.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+
+namespace mulberrywall::router
+{
+
+namespace
+{
+
+using configuration::Idempotency;
+using support::Verdict;
+
+// Guards against a second run of a non-idempotent request and against a retry loop without end.
+TEST(RetryDecision, RepeatsOnlyWhatMayRunAgain)
+{
+    EXPECT_EQ(decideNextStep({.verdict = Verdict::NotRun, .idempotency = Idempotency::NonIdempotent}), NextStep::Retry);
+    EXPECT_EQ(decideNextStep({.verdict = Verdict::MayHaveRun, .idempotency = Idempotency::NonIdempotent}), NextStep::Fail);
+    EXPECT_EQ(decideNextStep({.verdict = Verdict::MayHaveRun}), NextStep::Retry);
+    EXPECT_EQ(decideNextStep({.attemptsWithoutToken = 3, .maximumAttempts = 3}), NextStep::Fail);
+    EXPECT_EQ(decideNextStep({.deliveredTokens = 5, .endpointResumes = true}), NextStep::Resume);
+    EXPECT_EQ(decideNextStep({.deliveredTokens = 5, .endpointResumes = false}), NextStep::Fail);
+}
+
+// Guards against an authoritative refusal that ends a request although another endpoint would take it.
+TEST_F(RouterTest, RefusedNonIdempotentCallRunsElsewhere)
+{
+    const auto attempts = std::make_shared<std::atomic<int>>(0);
+    const auto script = [attempts](const http::ExchangePtr &exchange) {
+        const bool first = attempts->fetch_add(1) == 0;
+        answer(exchange, first ? http::Status::service_unavailable : http::Status::ok, "{}", first);
+    };
+    addService(script);
+    addService(script);
+    startRouter();
+    const Reply reply = call("payment", "pay");
+    EXPECT_EQ(reply.response.status, http::Status::ok);
+    EXPECT_EQ(reply.outcome, "completed");
+}
+
+// Guards against a repeated payment after an answer that leaves open whether it ran.
+TEST_F(RouterTest, NonIdempotentServerErrorIsNotRepeated)
+{
+    const auto fails = [](const http::ExchangePtr &exchange) {
+        answer(exchange, http::Status::service_unavailable, "overloaded");
+    };
+    addService(fails);
+    addService(fails);
+    startRouter();
+    const Reply reply = call("payment", "pay");
+    EXPECT_EQ(reply.outcome, "may-have-run");
+    EXPECT_EQ(endpoints_[0]->requests() + endpoints_[1]->requests(), 1U);
+}
+
+// Guards against a deadline that the endpoint is not told, and that does not end the request when it hangs.
+TEST_F(RouterTest, DeadlineIsPropagatedAndEnds)
+{
+    ScriptedEndpoint &service = addService([this](const http::ExchangePtr &exchange) { endpoints_[0]->hold(exchange); });
+    startRouter();
+    const Reply reply = call("payment", "pay", {{"Mulberrywall-Timeout-Ms", "300"}});
+    EXPECT_EQ(reply.response.status, http::Status::gateway_timeout);
+    EXPECT_EQ(reply.outcome, "may-have-run");
+    const int told = std::stoi(service.lastField("Mulberrywall-Timeout-Ms"));
+    EXPECT_GT(told, 0);
+    EXPECT_LE(told, 300);
+}
+
+// Guards against work that goes on after its caller has left.
+TEST_F(RouterTest, CallerDisconnectCancels)
+{
+    ScriptedEndpoint &engine = addEngine([](const http::ExchangePtr &exchange) { streamTokens(exchange, 3, StreamEnd::Hang); });
+    startRouter();
+    const auto strand = boost::asio::make_strand(workers_.context());
+    const auto call = http::ClientCall::start(strand,
+        {.peer = service_->callerEndpoint()},
+        makeRequest("/v1/chat/completions", "interactive", R"({"model":"m","stream":true})"),
+        {.onBody = [](std::string_view) {},
+            .onEnd =
+                [](const http::CallResult &) {
+                }});
+    waitUntil("the engine runs the request", [&engine] { return engine.requests() == 1; });
+    std::promise<void> cancelled;
+    boost::asio::post(strand, [&] {
+        call->cancel();
+        cancelled.set_value();
+    });
+    cancelled.get_future().wait();
+    waitUntil("the engine is told to cancel", [&engine] { return engine.cancellations() == 1; });
+}
+
+} // namespace
+
+} // namespace mulberrywall::router
