--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -1,7 +1,15 @@
+#include "mulberrywall/Policy/ActiveRequests.h"
+#include "mulberrywall/Policy/Admission.h"
+#include "mulberrywall/Policy/CrashSuspects.h"
 #include "mulberrywall/Policy/EndpointSelection.h"
+#include "mulberrywall/Policy/FailureBackoff.h"
+#include "mulberrywall/Policy/FairShare.h"
+#include "mulberrywall/Policy/LongRequests.h"
+#include "mulberrywall/Policy/MinimumShare.h"
 #include "mulberrywall/Policy/PolicyFunctions.h"
 #include "mulberrywall/Policy/Pool.h"
 #include "mulberrywall/Policy/Scheduling.h"
+#include "mulberrywall/Policy/SlowEndpoints.h"
 
 #include <algorithm>
 
@@ -23,9 +31,23 @@
     return *static_cast<const Pool *>(pool);
 }
 
-void refuse(Decisions &decisions, PermitId permit, RefusalReason reason)
+/// Does what is due before any command and returns the pool.
+Pool &beginCommand(void *handle, TimePoint now)
 {
-    decisions.refusals.push_back({.permit = permit, .reason = reason, .retryAfter = defaultRetryAfter});
+    Pool &pool = asPool(handle);
+    pool.now = std::max(pool.now, now);
+    accrueMinimumShares(pool, now);
+    for (auto &[id, endpoint] : pool.endpoints) {
+        noteRunning(endpoint.concurrency, endpoint.running);
+        adjustLimit(endpoint.concurrency, endpoint.spec.maximumConcurrency, pool.options.tuning.concurrency, now);
+    }
+    evaluateEndpoints(pool, now);
+    return pool;
+}
+
+void refuse(Decisions &decisions, PermitId permit, RefusalReason reason, std::chrono::milliseconds retryAfter = defaultRetryAfter)
+{
+    decisions.refusals.push_back({.permit = permit, .reason = reason, .retryAfter = retryAfter});
 }
 
 void configure(void *handle, const PoolOptions &options)
@@ -40,6 +62,10 @@
         classes.emplace(spec.id, std::move(state));
     }
     pool.classes = std::move(classes);
+    pool.weights.clear();
+    for (const OrganisationSpec &spec : options.organisations) {
+        pool.weights[spec.id] = spec.weight;
+    }
 }
 
 PoolHandle create(const PoolOptions &options)
@@ -49,89 +75,190 @@
     return pool;
 }
 
-Decisions submit(void *handle, const Submission &submission, TimePoint now)
+Lane laneOf(const Pool &pool, const Submission &submission, double work, TimePoint now)
 {
-    Pool &pool = asPool(handle);
-    Decisions decisions;
-    const auto requestClass = pool.classes.find(submission.requestClass);
-    if (requestClass == pool.classes.end()) {
-        refuse(decisions, submission.permit, RefusalReason::UnknownClass);
-        return decisions;
+    if (suspectedCrashes(pool, submission.fingerprint, now) > 0) {
+        return Lane::Suspect;
+    }
+    if (submission.purpose == AttemptPurpose::Resume) {
+        return Lane::Resume;
+    }
+    return isExpectedLong(pool, work) ? Lane::Long : Lane::Normal;
+}
+
+WaitingRequest makeWaiting(const Pool &pool, const Submission &submission, const ClassSpec &spec, TimePoint now)
+{
+    const double work = estimatedWork(pool.lengths, submission, pool.options.tuning.length);
+    return {.submission = submission,
+        .tier = spec.tier,
+        .lane = laneOf(pool, submission, work, now),
+        .submittedAt = now,
+        .targetAt = now + spec.firstTokenTarget,
+        .entitledAt = now + spec.maximumWait,
+        .work = work};
+}
+
+/// Applies a changed list of crash suspects to the waiting requests.
+void updateWaitingSuspects(Pool &pool, TimePoint now, Decisions &decisions)
+{
+    if (!pool.suspects.changed) {
+        return;
+    }
+    pool.suspects.changed = false;
+    std::vector<PermitId> waiting;
+    for (const auto &[permit, request] : pool.queue.requests) {
+        waiting.push_back(permit);
+    }
+    std::sort(waiting.begin(), waiting.end());
+    for (const PermitId permit : waiting) {
+        const WaitingRequest &request = pool.queue.requests.at(permit);
+        const Fingerprint fingerprint = request.submission.fingerprint;
+        if (isRefusedForCrashes(pool, fingerprint, now)) {
+            removeWaiting(pool.queue, permit);
+            refuse(decisions, permit, RefusalReason::CrashSuspect, suspicionLeft(pool, fingerprint, now));
+            continue;
+        }
+        changeLane(pool.queue, permit, laneOf(pool, request.submission, request.work, now));
+    }
+}
+
+void scheduleAll(Pool &pool, TimePoint now, Decisions &decisions)
+{
+    updateWaitingSuspects(pool, now, decisions);
+    schedule(pool, now, decisions);
+}
+
+/// Returns why the submission cannot even wait, if it cannot.
+std::optional<RefusalReason> immediateRefusal(Pool &pool, const Submission &submission, TimePoint now)
+{
+    const ClassState *requestClass = findClass(pool, submission.requestClass);
+    if (requestClass == nullptr) {
+        return RefusalReason::UnknownClass;
     }
     if (submission.deadline <= now) {
-        refuse(decisions, submission.permit, RefusalReason::DeadlineExpired);
-        return decisions;
+        return RefusalReason::DeadlineExpired;
+    }
+    if (isRefusedForCrashes(pool, submission.fingerprint, now)) {
+        return RefusalReason::CrashSuspect;
     }
     if (!hasUsableEndpoint(pool, submission)) {
-        refuse(decisions, submission.permit, RefusalReason::NoEndpoint);
-        return decisions;
+        return RefusalReason::NoEndpoint;
     }
-    const ClassSpec &spec = requestClass->second.spec;
     if (submission.purpose == AttemptPurpose::Hedge) {
-        const WaitingRequest attempt {.submission = submission, .tier = spec.tier};
+        const WaitingRequest attempt = makeWaiting(pool, submission, requestClass->spec, now);
         if (!pool.queue.requests.empty() || selectEndpoint(pool, attempt, now) == nullptr) {
-            refuse(decisions, submission.permit, RefusalReason::HedgeDenied);
-            return decisions;
+            return RefusalReason::HedgeDenied;
         }
     }
-    enqueue(pool.queue,
-        {.submission = submission,
-            .tier = spec.tier,
-            .lane = submission.purpose == AttemptPurpose::Resume ? Lane::Resume : Lane::Normal,
-            .submittedAt = now,
-            .targetAt = now + spec.firstTokenTarget,
-            .entitledAt = now + spec.maximumWait});
-    schedule(pool, now, decisions);
+    return std::nullopt;
+}
+
+void refuseIfUnreachable(Pool &pool, PermitId permit, TimePoint now, Decisions &decisions)
+{
+    const auto waiting = pool.queue.requests.find(permit);
+    if (waiting == pool.queue.requests.end()) {
+        return;
+    }
+    if (const auto retryAfter = unreachableTarget(pool, waiting->second, now)) {
+        removeWaiting(pool.queue, permit);
+        refuse(decisions, permit, RefusalReason::TargetUnreachable, *retryAfter);
+    }
+}
+
+void shedExcess(Pool &pool, TimePoint now, Decisions &decisions)
+{
     while (pool.queue.requests.size() > pool.options.queueLimit) {
         const PermitId victim = *sheddingCandidate(pool.queue);
         removeWaiting(pool.queue, victim);
-        refuse(decisions, victim, RefusalReason::Shed);
+        refuse(decisions, victim, RefusalReason::Shed, retryDelay(pool, now));
     }
+}
+
+Decisions submit(void *handle, const Submission &submission, TimePoint now)
+{
+    Pool &pool = beginCommand(handle, now);
+    Decisions decisions;
+    if (const auto reason = immediateRefusal(pool, submission, now)) {
+        const bool crashed = *reason == RefusalReason::CrashSuspect;
+        refuse(decisions, submission.permit, *reason, crashed ? suspicionLeft(pool, submission.fingerprint, now) : defaultRetryAfter);
+        scheduleAll(pool, now, decisions);
+        return decisions;
+    }
+    const ClassSpec &spec = findClass(pool, submission.requestClass)->spec;
+    activateOrganisation(pool, spec.tier, submission.organisation);
+    enqueue(pool.queue, makeWaiting(pool, submission, spec, now));
+    scheduleAll(pool, now, decisions);
+    refuseIfUnreachable(pool, submission.permit, now, decisions);
+    shedExcess(pool, now, decisions);
     return decisions;
 }
 
 Decisions advance(void *handle, TimePoint now)
 {
     Decisions decisions;
-    schedule(asPool(handle), now, decisions);
+    scheduleAll(beginCommand(handle, now), now, decisions);
     return decisions;
 }
 
 Decisions withdraw(void *handle, PermitId permit, TimePoint now)
 {
-    removeWaiting(asPool(handle).queue, permit);
+    removeWaiting(beginCommand(handle, now).queue, permit);
     return advance(handle, now);
 }
 
 Decisions recordProgress(void *handle, PermitId permit, const Progress &progress, TimePoint now)
 {
-    Pool &pool = asPool(handle);
+    Pool &pool = beginCommand(handle, now);
+    Decisions decisions;
     const auto found = pool.active.find(permit);
     if (found != pool.active.end()) {
-        found->second.outputTokens = std::max(found->second.outputTokens, progress.outputTokens);
+        observeProgress(pool, found->second, progress.outputTokens, now);
+        noteProbeProgress(pool, found->second, now);
+        noteSuspectProgress(pool, found->second, now);
+        if (markLongIfExceeded(pool, found->second)) {
+            decisions.priorityChanges.push_back({.permit = permit, .enginePriority = enginePriority(found->second.tier, Lane::Long)});
+        }
     }
-    return advance(handle, now);
+    scheduleAll(pool, now, decisions);
+    return decisions;
 }
 
-void removeEndpointIfGone(Pool &pool, const support::EndpointId &id)
+void learnFromOutcome(Pool &pool, ActiveRequest &request, AttemptOutcome outcome, TimePoint now, Decisions &decisions)
 {
-    const auto found = pool.endpoints.find(id);
-    if (found != pool.endpoints.end() && found->second.spec.leaving && found->second.running == 0) {
-        pool.endpoints.erase(found);
+    noteProbeEnd(pool, request, outcome, now);
+    switch (outcome) {
+    case AttemptOutcome::Completed:
+        noteSuspectCompleted(pool, request);
+        return;
+    case AttemptOutcome::NotRun:
+        noteFailure(*request.endpoint, pool.options.tuning.selection, now);
+        return;
+    case AttemptOutcome::EndpointFailed:
+        noteFailure(*request.endpoint, pool.options.tuning.selection, now);
+        noteEndpointCrash(pool, request, now, decisions);
+        return;
+    case AttemptOutcome::Cancelled:
+    case AttemptOutcome::Stalled:
+        return;
     }
 }
 
-Decisions complete(void *handle, PermitId permit, const Completion & /*completion*/, TimePoint now)
+Decisions complete(void *handle, PermitId permit, const Completion &completion, TimePoint now)
 {
-    Pool &pool = asPool(handle);
+    Pool &pool = beginCommand(handle, now);
+    Decisions decisions;
     const auto found = pool.active.find(permit);
     if (found != pool.active.end()) {
-        const support::EndpointId endpoint = found->second.endpoint;
-        pool.active.erase(found);
-        --pool.endpoints.at(endpoint).running;
-        removeEndpointIfGone(pool, endpoint);
+        ActiveRequest &request = found->second;
+        observeCompletion(pool, request, completion, now);
+        learnFromOutcome(pool, request, completion.outcome, now, decisions);
+        settleCharge(pool, request);
+        endMinimumShareUse(pool, request);
+        endTrial(pool, request);
+        endRequest(pool, permit);
     }
-    return advance(handle, now);
+    scheduleAll(pool, now, decisions);
+    return decisions;
 }
 
 void refuseWithoutEndpoint(Pool &pool, Decisions &decisions)
@@ -151,7 +278,7 @@
 
 Decisions setEndpoints(void *handle, std::span<const EndpointSpec> endpoints, TimePoint now)
 {
-    Pool &pool = asPool(handle);
+    Pool &pool = beginCommand(handle, now);
     for (auto &[id, endpoint] : pool.endpoints) {
         endpoint.spec.leaving = true;
     }
@@ -159,45 +286,56 @@
         pool.endpoints[spec.id].spec = spec;
     }
     std::erase_if(pool.endpoints, [](const auto &entry) { return entry.second.spec.leaving && entry.second.running == 0; });
+    enforceSlowBound(pool);
     Decisions decisions;
     refuseWithoutEndpoint(pool, decisions);
-    schedule(pool, now, decisions);
+    scheduleAll(pool, now, decisions);
     return decisions;
 }
 
-Decisions recordLoadReport(void *handle, const LoadReport & /*report*/, TimePoint now)
+Decisions recordLoadReport(void *handle, const LoadReport &report, TimePoint now)
 {
+    storeLoadReport(beginCommand(handle, now), report, now);
     return advance(handle, now);
 }
 
 Decisions adopt(void *handle, const RunningRequest &running, TimePoint now)
 {
-    Pool &pool = asPool(handle);
+    Pool &pool = beginCommand(handle, now);
     if (!pool.active.contains(running.submission.permit)) {
         removeWaiting(pool.queue, running.submission.permit);
-        EndpointState &endpoint = pool.endpoints[running.endpoint];
-        if (endpoint.spec.id.empty()) {
-            endpoint.spec = {.id = running.endpoint, .leaving = true};
+        ActiveRequest &request = adoptRequest(pool, running, now);
+        if (suspectedCrashes(pool, request.submission.fingerprint, now) > 0) {
+            pool.suspects.onTrial.insert(request.submission.permit);
         }
-        ++endpoint.running;
-        const auto requestClass = pool.classes.find(running.submission.requestClass);
-        pool.active.emplace(running.submission.permit,
-            ActiveRequest {.submission = running.submission,
-                .tier = requestClass == pool.classes.end() ? support::Tier {0} : requestClass->second.spec.tier,
-                .endpoint = running.endpoint,
-                .startedAt = now,
-                .outputTokens = running.progress.outputTokens});
     }
     return advance(handle, now);
 }
 
-void recordSuspect(void * /*handle*/, Fingerprint /*fingerprint*/, unsigned /*crashes*/, TimePoint /*now*/)
+void recordSuspect(void *handle, Fingerprint fingerprint, unsigned crashes, TimePoint now)
 {
+    learnSuspect(beginCommand(handle, now), fingerprint, crashes, now);
 }
 
 std::optional<TimePoint> nextWakeUp(const void *handle)
 {
-    return earliestDeadline(asPool(handle).queue);
+    const Pool &pool = asPool(handle);
+    const auto earlier = [](std::optional<TimePoint> left, std::optional<TimePoint> right) {
+        return left && right ? std::min(left, right) : left ? left : right;
+    };
+    std::optional<TimePoint> wakeUp = earliestDeadline(pool.queue);
+    if (!pool.queue.requests.empty()) {
+        wakeUp = earlier(wakeUp, nextBackoffEnd(pool, pool.now));
+        wakeUp = earlier(wakeUp, nextProbe(pool, pool.now));
+        wakeUp = earlier(wakeUp, nextSuspectChange(pool, pool.now));
+        if (pool.suspects.changed) {
+            wakeUp = earlier(wakeUp, pool.now);
+        }
+    }
+    if (!pool.active.empty()) {
+        wakeUp = earlier(wakeUp, pool.nextHealthEvaluation);
+    }
+    return wakeUp;
 }
 
 PoolSummary summarize(const void *handle)
@@ -205,12 +343,49 @@
     const Pool &pool = asPool(handle);
     PoolSummary summary {.waiting = static_cast<std::uint32_t>(pool.queue.requests.size()), .running = static_cast<std::uint32_t>(pool.active.size())};
     for (const auto &[id, endpoint] : pool.endpoints) {
-        summary.freeSlots += freeSlots(pool, endpoint, TimePoint::max());
+        summary.freeSlots += freeSlots(pool, endpoint, pool.now);
         summary.endpoints += endpoint.spec.leaving ? 0 : 1;
     }
     return summary;
 }
 
+std::vector<SuspectEntry> suspects(const void *handle)
+{
+    const Pool &pool = asPool(handle);
+    std::vector<SuspectEntry> result;
+    for (const auto &[fingerprint, suspect] : pool.suspects.byFingerprint) {
+        if (const unsigned crashes = suspectedCrashes(pool, fingerprint, pool.now); crashes > 0) {
+            result.push_back({.fingerprint = fingerprint, .crashes = crashes, .expiresAt = suspect.lastCrashAt + pool.options.tuning.crashes.expiry});
+        }
+    }
+    return result;
+}
+
+std::optional<std::chrono::milliseconds> hedgeDelay(const void * /*handle*/, const support::ClassId & /*requestClass*/)
+{
+    return std::nullopt;
+}
+
+std::vector<EndpointStatus> endpointStatus(const void *handle)
+{
+    std::vector<EndpointStatus> result;
+    const Pool &pool = asPool(handle);
+    for (const auto &[id, endpoint] : pool.endpoints) {
+        result.push_back({.id = id,
+            .health = endpoint.slow.health,
+            .running = endpoint.running,
+            .runningLong = endpoint.runningLong,
+            .slots = slotLimit(pool, endpoint, pool.now),
+            .leaving = endpoint.spec.leaving});
+    }
+    return result;
+}
+
+PoolStatistics statistics(const void *handle)
+{
+    return asPool(handle).statistics;
+}
+
 constexpr PolicyFunctions standardFunctions {.create = create,
     .configure = configure,
     .submit = submit,
@@ -222,8 +397,13 @@
     .adopt = adopt,
     .recordSuspect = recordSuspect,
     .advance = advance,
+    .finishTakeover = advance,
     .nextWakeUp = nextWakeUp,
-    .summarize = summarize};
+    .summarize = summarize,
+    .suspects = suspects,
+    .hedgeDelay = hedgeDelay,
+    .endpointStatus = endpointStatus,
+    .statistics = statistics};
 
 } // namespace
 
