router: bound retries, hedge slow first tokens and limit organisations

Cause: retries were bounded per request only, so that a failing endpoint could multiply the load; a silent endpoint held up short requests until the stall timeout; the limits of an organisation were read and not enforced.

Change: a token bucket per class pays for retries (resumes are not charged); classes with a hedge budget start a second attempt on another endpoint after the 95th percentile of the time to the first token, at most half of the target, and the first attempt with an event answers; requests per second and concurrent requests of an organisation are answered with 429, not run, and Retry-After.

--- a/include/mulberrywall/Router/CallerRequest.h
+++ b/include/mulberrywall/Router/CallerRequest.h
@@ -44,6 +44,9 @@
 std::variant<CallerRequest, http::Problem> parseCallerRequest(
     const http::Request &request, const configuration::SiteConfiguration &configuration, policy::TimePoint now);
 
+/// Builds the response for a problem, with a Retry-After field in whole seconds unless the time is 0.
+http::Response makeRetryLaterResponse(const http::Problem &problem, std::chrono::milliseconds retryAfter);
+
 /// Returns the SHA-256 of a bearer key in lower-case hexadecimal, as the configuration stores it.
 std::string hashKey(std::string_view key);
 
--- a/include/mulberrywall/Router/CallerSession.h
+++ b/include/mulberrywall/Router/CallerSession.h
@@ -22,7 +22,8 @@
 class CallerSession : public std::enable_shared_from_this<CallerSession>
 {
 public:
-    CallerSession(RouterState &state, http::ExchangePtr exchange, CallerRequest request);
+    /// The ticket counts the request for its organisation as long as the session lives.
+    CallerSession(RouterState &state, http::ExchangePtr exchange, CallerRequest request, RunningTicket runningTicket);
     CallerSession(const CallerSession &) = delete;
     CallerSession &operator=(const CallerSession &) = delete;
     CallerSession(CallerSession &&) = delete;
@@ -37,9 +38,16 @@
     void armDeadline();
     void onDeadline();
     void acquirePermit(policy::AttemptPurpose purpose);
+    void armHedge();
+    void onHedgeDue();
+    /// Makes the attempt the one that answers; all others are cancelled.
+    void choose(const AttemptPtr &attempt);
+    void cancelAttempt(const AttemptPtr &attempt);
     void onPermitResult(policy::AttemptPurpose purpose, permits::PermitResult result);
-    void startAttempt(std::shared_ptr<permits::Permit> permit);
+    void onHedgePermit(permits::PermitResult result);
+    void startAttempt(policy::AttemptPurpose purpose, std::shared_ptr<permits::Permit> permit);
     void onEvents(const AttemptPtr &attempt, const std::vector<StreamEvent> &events);
+    void recordFirstToken();
     void onAttemptEnd(const AttemptPtr &attempt, AttemptEnd attemptEnd);
     void onAttemptFailed(const AttemptPtr &attempt, AttemptEnd attemptEnd);
     void continueAfter(const AttemptPtr &attempt, AttemptEnd attemptEnd);
@@ -56,14 +64,19 @@
     RouterState &state_;
     http::ExchangePtr exchange_;
     CallerRequest request_;
+    RunningTicket runningTicket_;
     boost::asio::steady_timer deadlineTimer_;
+    boost::asio::steady_timer hedgeTimer_;
     std::shared_ptr<StreamRelay> relay_;
     permits::AcquireTicket ticket_;
+    permits::AcquireTicket hedgeTicket_;
     std::vector<AttemptPtr> running_;
     /// The attempt whose events reach the caller.
     AttemptPtr source_;
     std::vector<support::EndpointId> failedEndpoints_;
     unsigned attempts_ = 0;
+    bool hedged_ = false;
+    policy::TimePoint attemptStartedAt_;
     unsigned attemptsWithoutToken_ = 0;
     std::uint64_t deliveredTokens_ = 0;
     support::Verdict verdict_ = support::Verdict::NotRun;
--- a/include/mulberrywall/Router/RouterState.h
+++ b/include/mulberrywall/Router/RouterState.h
@@ -2,6 +2,9 @@
 
 #include "mulberrywall/Permits/Permit.h"
 #include "mulberrywall/Router/ActiveConfiguration.h"
+#include "mulberrywall/Router/HedgeDelay.h"
+#include "mulberrywall/Router/OrganisationLimits.h"
+#include "mulberrywall/Router/RetryBudget.h"
 #include "mulberrywall/Support/Metrics.h"
 
 #include <boost/asio/io_context.hpp>
@@ -32,6 +35,9 @@
     permits::PermitSource permits;
     ActiveConfiguration configuration;
     support::MetricsRegistry metrics;
+    RetryBudgets retryBudgets;
+    HedgeDelays hedgeDelays;
+    OrganisationLimits organisationLimits;
     std::atomic<std::size_t> activeRequests {0};
     /// Set at shutdown: new requests are refused, running ones end normally.
     std::atomic<bool> draining {false};
--- a/lib/Router/CallerRequest.cpp
+++ b/lib/Router/CallerRequest.cpp
@@ -29,6 +29,15 @@
     return {.status = status, .title = std::move(title), .detail = std::move(detail), .verdict = support::Verdict::NotRun};
 }
 
+http::Response makeRetryLaterResponse(const http::Problem &problem, std::chrono::milliseconds retryAfter)
+{
+    http::Response response = http::makeProblemResponse(problem);
+    if (retryAfter.count() > 0) {
+        response.set(http::Field::retry_after, std::to_string(std::chrono::ceil<std::chrono::seconds>(retryAfter).count()));
+    }
+    return response;
+}
+
 std::string hashKey(std::string_view key)
 {
     std::array<unsigned char, SHA256_DIGEST_LENGTH> digest {};
--- a/lib/Router/CallerSession.cpp
+++ b/lib/Router/CallerSession.cpp
@@ -15,11 +15,13 @@
 
 static constexpr std::string_view endEvent = "data: [DONE]\n\n";
 
-CallerSession::CallerSession(RouterState &state, http::ExchangePtr exchange, CallerRequest request)
+CallerSession::CallerSession(RouterState &state, http::ExchangePtr exchange, CallerRequest request, RunningTicket runningTicket)
     : state_(state),
       exchange_(std::move(exchange)),
       request_(std::move(request)),
+      runningTicket_(std::move(runningTicket)),
       deadlineTimer_(exchange_->executor()),
+      hedgeTimer_(exchange_->executor()),
       startedAt_(std::chrono::steady_clock::now())
 {
     ++state_.activeRequests;
@@ -51,6 +53,7 @@
             self->onCallerGone();
         }
     });
+    state_.retryBudgets.recordRequest(request_.requestClass);
     armDeadline();
     acquirePermit(AttemptPurpose::First);
 }
@@ -84,6 +87,9 @@
 std::vector<support::EndpointId> CallerSession::excludedEndpoints(AttemptPurpose purpose) const
 {
     std::vector<support::EndpointId> excluded = failedEndpoints_;
+    for (const AttemptPtr &attempt : running_) {
+        excluded.push_back(attempt->endpoint().id);
+    }
     const ConfigurationSnapshot configuration = state_.configuration.current();
     if (purpose != AttemptPurpose::Resume || configuration == nullptr) {
         return excluded;
@@ -108,7 +114,8 @@
             .purpose = purpose,
             .excludedEndpoints = excludedEndpoints(purpose),
             .deadline = request_.deadline}};
-    ticket_ = state_.permits.acquire(std::move(permitRequest), [self = shared_from_this(), purpose](permits::PermitResult result) {
+    permits::AcquireTicket &ticket = purpose == AttemptPurpose::Hedge ? hedgeTicket_ : ticket_;
+    ticket = state_.permits.acquire(std::move(permitRequest), [self = shared_from_this(), purpose](permits::PermitResult result) {
         boost::asio::dispatch(
             self->exchange_->executor(), [self, purpose, result = std::move(result)]() mutable { self->onPermitResult(purpose, std::move(result)); });
     });
@@ -129,6 +136,10 @@
 
 void CallerSession::onPermitResult(AttemptPurpose purpose, permits::PermitResult result)
 {
+    if (purpose == AttemptPurpose::Hedge) {
+        onHedgePermit(std::move(result));
+        return;
+    }
     ticket_ = nullptr;
     if (ended_) {
         return;
@@ -145,10 +156,72 @@
         acquirePermit(purpose);
         return;
     }
-    startAttempt(std::move(permit));
+    startAttempt(purpose, std::move(permit));
+}
+
+void CallerSession::armHedge()
+{
+    const configuration::RequestClass &requestClass = request_.requestClass;
+    if (requestClass.hedgeBudgetPercent == 0 || requestClass.idempotency != configuration::Idempotency::Idempotent) {
+        return;
+    }
+    hedgeTimer_.expires_after(state_.hedgeDelays.delay(requestClass, request_.responseMode));
+    hedgeTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self) {
+            self->onHedgeDue();
+        }
+    });
+}
+
+void CallerSession::onHedgeDue()
+{
+    if (ended_ || hedged_ || source_ || running_.size() != 1) {
+        return;
+    }
+    hedged_ = true;
+    acquirePermit(AttemptPurpose::Hedge);
+}
+
+void CallerSession::onHedgePermit(permits::PermitResult result)
+{
+    hedgeTicket_ = nullptr;
+    auto *permit = std::get_if<std::shared_ptr<permits::Permit>>(&result);
+    const std::string &requestClass = request_.requestClass.id.value();
+    if (permit == nullptr) {
+        state_.metrics.increment("mulberrywall_hedges_total", {{"class", requestClass}, {"result", "denied"}});
+        return;
+    }
+    // The first attempt may have answered or failed while the permit was on its way; dropping the permit frees its slot.
+    if (ended_ || source_ || running_.size() != 1) {
+        return;
+    }
+    state_.metrics.increment("mulberrywall_hedges_total", {{"class", requestClass}, {"result", "started"}});
+    startAttempt(AttemptPurpose::Hedge, std::move(*permit));
+}
+
+void CallerSession::choose(const AttemptPtr &attempt)
+{
+    hedgeTimer_.cancel();
+    hedgeTicket_ = nullptr;
+    source_ = attempt;
+    const std::vector<AttemptPtr> others = running_;
+    for (const AttemptPtr &other : others) {
+        if (other != attempt) {
+            cancelAttempt(other);
+        }
+    }
 }
 
-void CallerSession::startAttempt(std::shared_ptr<permits::Permit> permit)
+void CallerSession::cancelAttempt(const AttemptPtr &attempt)
+{
+    std::erase(running_, attempt);
+    verdict_ = support::combine(verdict_, attempt->cancel());
+    state_.metrics.increment(
+        "mulberrywall_wasted_tokens_total", {{"class", request_.requestClass.id.value()}, {"reason", "cancelled"}}, attempt->outputTokens());
+}
+
+void CallerSession::startAttempt(AttemptPurpose purpose, std::shared_ptr<permits::Permit> permit)
 {
     ++attempts_;
     ++attemptsWithoutToken_;
@@ -159,6 +232,13 @@
         .resumeFrom = deliveredTokens_};
     const auto attempt = std::make_shared<Attempt>(exchange_->executor(), options, std::move(permit));
     running_.push_back(attempt);
+    // A hedged attempt is measured from the start of the first one, so that hedging does not shorten its own delay.
+    if (purpose != AttemptPurpose::Hedge) {
+        attemptStartedAt_ = std::chrono::steady_clock::now();
+    }
+    if (purpose == AttemptPurpose::First) {
+        armHedge();
+    }
     const auto self = shared_from_this();
     attempt->start(request_,
         {.onEvents = [self, attempt](const std::vector<StreamEvent> &events) { self->onEvents(attempt, events); },
@@ -180,7 +260,10 @@
 
 void CallerSession::onEvents(const AttemptPtr &attempt, const std::vector<StreamEvent> &events)
 {
-    source_ = attempt;
+    if (!source_) {
+        choose(attempt);
+        recordFirstToken();
+    }
     std::string text;
     for (const StreamEvent &event : events) {
         // A resumed engine announces the stream again; the caller has had these events already.
@@ -196,11 +279,18 @@
     relay_->write(text, streamHeader());
 }
 
+void CallerSession::recordFirstToken()
+{
+    const auto time = std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - attemptStartedAt_);
+    state_.hedgeDelays.record(request_.requestClass.id, request_.responseMode, time);
+}
+
 void CallerSession::onAttemptEnd(const AttemptPtr &attempt, AttemptEnd attemptEnd)
 {
     std::erase(running_, attempt);
     verdict_ = support::combine(verdict_, attemptEnd.verdict);
     if (attemptEnd.verdict == Verdict::Completed) {
+        choose(attempt);
         complete(std::move(attemptEnd));
         return;
     }
@@ -223,6 +313,9 @@
     }
     failedEndpoints_.push_back(endpoint);
     source_ = nullptr;
+    if (!running_.empty()) {
+        return;
+    }
     continueAfter(attempt, std::move(attemptEnd));
 }
 
@@ -236,8 +329,12 @@
         .maximumAttempts = state_.options.maximumAttempts});
     switch (next) {
     case NextStep::Retry:
-        acquirePermit(AttemptPurpose::Retry);
-        return;
+        if (state_.retryBudgets.takeRetry(request_.requestClass)) {
+            acquirePermit(AttemptPurpose::Retry);
+            return;
+        }
+        state_.metrics.increment("mulberrywall_retries_denied_total", {{"class", request_.requestClass.id.value()}});
+        break;
     case NextStep::Resume:
         state_.metrics.increment("mulberrywall_resumes_total", {{"class", request_.requestClass.id.value()}});
         acquirePermit(AttemptPurpose::Resume);
@@ -250,11 +347,15 @@
         return;
     }
     const std::string title = relay_->isStarted() ? "stream broken" : "endpoint failed";
-    fail({.status = http::Status::bad_gateway, .title = title, .detail = "the attempt failed: " + attemptEnd.reason, .verdict = verdict_});
+    const http::Status status = verdict_ == Verdict::NotRun ? http::Status::service_unavailable : http::Status::bad_gateway;
+    fail({.status = status, .title = title, .detail = "the attempt failed: " + attemptEnd.reason, .verdict = verdict_});
 }
 
 void CallerSession::complete(AttemptEnd attemptEnd)
 {
+    if (!relay_->isStarted()) {
+        recordFirstToken();
+    }
     stopWork();
     ended_ = true;
     verdict_ = Verdict::Completed;
@@ -287,21 +388,14 @@
         relay_->finish(renderEvent("error", http::renderProblem(problem)), streamHeader());
         return;
     }
-    http::Response response = http::makeProblemResponse(problem);
-    if (retryAfter.count() > 0) {
-        response.set(http::Field::retry_after, std::to_string(std::chrono::ceil<std::chrono::seconds>(retryAfter).count()));
-    }
-    exchange_->respond(std::move(response));
+    exchange_->respond(makeRetryLaterResponse(problem, retryAfter));
 }
 
 void CallerSession::stopWork()
 {
     deadlineTimer_.cancel();
     ticket_ = nullptr;
-    source_ = nullptr;
-    for (const AttemptPtr &attempt : std::exchange(running_, {})) {
-        verdict_ = support::combine(verdict_, attempt->cancel());
-    }
+    choose(nullptr);
 }
 
 void CallerSession::onCallerGone()
--- a/lib/Router/RouterService.cpp
+++ b/lib/Router/RouterService.cpp
@@ -118,7 +118,16 @@
         exchange->respond(http::makeProblemResponse(*problem));
         return;
     }
-    std::make_shared<CallerSession>(state_, exchange, std::get<CallerRequest>(std::move(parsed)))->start();
+    auto callerRequest = std::get<CallerRequest>(std::move(parsed));
+    auto admission = state_.organisationLimits.admit(callerRequest.organisation, std::chrono::steady_clock::now());
+    if (const auto *limit = std::get_if<LimitReached>(&admission)) {
+        state_.metrics.increment("mulberrywall_rejected_total", {{"reason", "organisation limit"}});
+        exchange->respond(makeRetryLaterResponse(
+            {.status = http::Status::too_many_requests, .title = "organisation limit", .detail = limit->detail, .requestId = callerRequest.id.value()},
+            limit->retryAfter));
+        return;
+    }
+    std::make_shared<CallerSession>(state_, exchange, std::move(callerRequest), std::get<RunningTicket>(std::move(admission)))->start();
 }
 
 void RouterService::handleAdmin(const http::ExchangePtr &exchange)
--- /dev/null
+++ b/unittests/Router/LimitsTest.cpp
@@ -0,0 +1,97 @@
+#include "RouterFixture.h"
+
+namespace mulberrywall::router
+{
+
+namespace
+{
+
+using std::chrono_literals::operator""ms;
+
+// Guards against retries that multiply the load while endpoints fail, and against a class that must not be retried.
+TEST(RetryBudget, EndsAndRefills)
+{
+    RetryBudget budget;
+    unsigned retries = 0;
+    while (takeRetry(budget, 10)) {
+        ++retries;
+    }
+    EXPECT_EQ(retries, RetryBudget::capacity);
+    for (int request = 0; request < 11; ++request) {
+        recordRequest(budget, 10);
+    }
+    EXPECT_TRUE(takeRetry(budget, 10));
+    EXPECT_FALSE(takeRetry(budget, 10));
+    RetryBudget full;
+    EXPECT_FALSE(takeRetry(full, 0));
+}
+
+// Guards against a hedging delay that follows one outlier or exceeds what the target leaves.
+TEST(HedgeDelay, FollowsQuantileWithinTarget)
+{
+    FirstTokenSamples samples;
+    EXPECT_EQ(hedgeDelay(samples, 1'000ms), 500ms);
+    for (int sample = 1; sample <= 100; ++sample) {
+        addSample(samples, std::chrono::milliseconds(sample));
+    }
+    EXPECT_EQ(hedgeDelay(samples, 1'000ms), 96ms);
+    EXPECT_EQ(hedgeDelay(samples, 100ms), 50ms);
+}
+
+// Guards against an organisation that exceeds its rate, or waits longer than the advice it was given.
+TEST(RequestRate, TakesAtMostItsRate)
+{
+    RequestRate rate;
+    const policy::TimePoint start {};
+    EXPECT_EQ(takeRequest(rate, 2, start), 0ms);
+    EXPECT_EQ(takeRequest(rate, 2, start), 0ms);
+    EXPECT_EQ(takeRequest(rate, 2, start), 500ms);
+    EXPECT_EQ(takeRequest(rate, 2, start + 500ms), 0ms);
+}
+
+// Guards against a limit that is refused in a way that leaves open whether the request ran or when to come back.
+TEST_F(RouterTest, ConcurrentRequestsOfOrganisationAreLimited)
+{
+    configuration_.organisations.front().concurrentRequests = 1;
+    ScriptedEndpoint &service = addService([this](const http::ExchangePtr &exchange) { endpoints_[0]->hold(exchange); });
+    startRouter();
+    auto first = std::async(std::launch::async, [this] { return call("lookup", "first", {{"Mulberrywall-Timeout-Ms", "1000"}}); });
+    waitUntil("the first call runs", [&service] { return service.requests() == 1; });
+    const Reply second = call("lookup", "second");
+    EXPECT_EQ(second.response.status, http::Status::too_many_requests);
+    EXPECT_EQ(second.outcome, "not-run");
+    EXPECT_EQ(http::fieldValue(second.response.header, "Retry-After"), "1");
+    first.wait();
+    waitUntil("the ended call frees its place", [this] {
+        return call("lookup", "third", {{"Mulberrywall-Timeout-Ms", "1"}}).response.status != http::Status::too_many_requests;
+    });
+}
+
+// Guards against a slow endpoint that holds up a short request, and against a loser that keeps running.
+TEST_F(RouterTest, HedgeAnswersForSilentEndpoint)
+{
+    requestClass("interactive").hedgeBudgetPercent = 100;
+    requestClass("interactive").targets.firstToken = 100ms;
+    const auto attempts = std::make_shared<std::atomic<int>>(0);
+    const auto script = [this, attempts](std::size_t index) {
+        return [this, attempts, index](const http::ExchangePtr &exchange) {
+            if (attempts->fetch_add(1) == 0) {
+                endpoints_[index]->hold(exchange);
+                return;
+            }
+            streamTokens(exchange, 4, StreamEnd::Done);
+        };
+    };
+    addEngine(script(0));
+    addEngine(script(1));
+    startRouter();
+    const Reply reply = stream();
+    EXPECT_EQ(reply.text, tokenText(4));
+    EXPECT_EQ(reply.events.back(), streamEndData);
+    EXPECT_EQ(attempts->load(), 2);
+    waitUntil("the loser is told to stop", [this] { return endpoints_[0]->cancellations() + endpoints_[1]->cancellations() == 1; });
+}
+
+} // namespace
+
+} // namespace mulberrywall::router
