http: never block a worker thread when looking for a closed connection

Cause: a readiness event can belong to data that an earlier read has consumed; the peek that followed then waited inside the kernel, and with it the worker thread and every session bound to it. Ruled out: the pool owner's timer and the permit handlers (the hung requests had no response header and their worker threads stood in the peek's poll). Change: accepted sockets are in non-blocking mode, so the peek returns would-block and the watch goes on. Conclusion: no synchronous call on a socket that could be in blocking mode.

--- a/lib/Http/Server.cpp
+++ b/lib/Http/Server.cpp
@@ -411,6 +411,8 @@
         }
         error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
+        // The look for a closed connection must not block: a readiness event can belong to data that was read already.
+        socket.non_blocking(true, ignored);
         auto connection = std::make_shared<Connection>(std::move(socket), shared_);
         asio::dispatch(connection->executor(), [connection] { connection->readRequest(); });
     }
