policy: keep durations of plain calls out of token speeds

Cause: a response without a token count in a model pool was learnt as a speed in the unit of plain service calls, about thirty times slower than its endpoint. Ruled out: a pool kind in the options, which the owner can tell by itself. Change: the first output token makes a pool one of tokens; speeds learnt before are dropped, and a completion without tokens teaches neither speed nor length. Conclusion: speeds of one pool are in one unit.

--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -177,6 +177,9 @@
     CrashSuspects suspects;
     Takeover takeover;
     LengthEstimates lengths;
+    /// Set with the first output token. Until then requests count as calls of a plain service, whose speeds are in
+    /// another unit.
+    bool producesTokens = false;
     /// Time from grant to completion over all classes.
     Average holdSeconds;
     std::uint64_t grants = 0;
--- a/lib/Policy/ActiveRequests.cpp
+++ b/lib/Policy/ActiveRequests.cpp
@@ -17,6 +17,18 @@
     request.work = work;
 }
 
+/// Forgets speeds that were learnt in the unit of plain service calls.
+void startTokenUnits(Pool &pool)
+{
+    if (pool.producesTokens) {
+        return;
+    }
+    pool.producesTokens = true;
+    for (auto &[id, endpoint] : pool.endpoints) {
+        endpoint.secondsPerUnit = {};
+    }
+}
+
 void observeFirstToken(Pool &pool, const ActiveRequest &request, TimePoint now)
 {
     if (ClassState *requestClass = findClass(pool, request.submission.requestClass); requestClass != nullptr && !request.adopted) {
@@ -103,6 +115,7 @@
         return;
     }
     const LengthTuning &tuning = pool.options.tuning.length;
+    startTokenUnits(pool);
     if (request.outputTokens == 0) {
         observeFirstToken(pool, request, now);
         request.firstTokens = outputTokens;
@@ -128,11 +141,15 @@
         return;
     }
     noteSuccess(*request.endpoint, now);
-    recordFinalLength(pool.lengths, request.submission, request.outputTokens, request.lengthObservation, pool.options.tuning.length, now);
+    // In a pool that produces tokens, none means that their number is unknown.
+    const bool measured = request.outputTokens > 0 || !pool.producesTokens;
+    if (measured) {
+        recordFinalLength(pool.lengths, request.submission, request.outputTokens, request.lengthObservation, pool.options.tuning.length, now);
+    }
     if (request.adopted) {
         return;
     }
-    if (request.outputTokens == 0) {
+    if (!pool.producesTokens) {
         observeCall(pool, request, now);
     }
     observeHold(pool, request, now);
--- a/unittests/Policy/EndpointSelectionTest.cpp
+++ b/unittests/Policy/EndpointSelectionTest.cpp
@@ -37,6 +37,19 @@
     EXPECT_LT(onFast, 6U) << "the slow endpoint has capacity too";
 }
 
+// Guards against comparing the duration of a response without a token count with seconds per token.
+TEST_F(EndpointSelectionTest, ResponseWithoutTokenCountDoesNotChangeTheSpeed)
+{
+    start({}, {endpointSpec("a", 8), endpointSpec("b", 8)});
+    const support::EndpointId fast = run(1, 100, 10ms, 0ms);
+    const support::EndpointId slow = run(2, 100, 50ms, 1s);
+    complete(1, 7s, {.outputTokens = 100});
+    complete(2, 7s, {.outputTokens = 100});
+    ASSERT_EQ(submit(submissionOf(3, "tier0"), 8s).grants.at(0).endpoint, fast);
+    complete(3, 12s);
+    EXPECT_NE(submit(submissionOf(4, "tier0"), 13s).grants.at(0).endpoint, slow);
+}
+
 // Guards against spreading a shared prefix over all caches, and against overloading the endpoint that has it.
 TEST_F(EndpointSelectionTest, PrefixStaysTogetherWithinTheLoadBound)
 {
--- a/unittests/Policy/OrderingTest.cpp
+++ b/unittests/Policy/OrderingTest.cpp
@@ -10,15 +10,29 @@
 class OrderingTest : public PolicyFixture
 {
 protected:
+    /// Submits requests of one organisation to class "c", whose target and maximum wait never matter.
+    void submitMany(const std::string &organisation, PermitId first, PermitId last)
+    {
+        for (PermitId permit = first; permit <= last; ++permit) {
+            Submission submission = submissionOf(permit, "c");
+            submission.organisation = support::OrganisationId(organisation);
+            submit(submission, time);
+        }
+    }
+
+    static PoolOptions patientOptions()
+    {
+        return {.classes = {{.id = support::ClassId("c"), .firstTokenTarget = 1h, .maximumWait = 1h}}};
+    }
+
     /// Runs the only slot's requests one after another for the given number of requests of 100 ms each, and returns
-    /// the order of grants. Running starts with permit 1.
-    std::vector<PermitId> drain(std::size_t count)
+    /// the order of grants. Running starts with permit 1; permits from 100 on produce the second number of tokens.
+    std::vector<PermitId> drain(std::size_t count, std::uint64_t tokens = 100, std::uint64_t tokensFrom100 = 100)
     {
         std::vector<PermitId> order;
-        PermitId running = 1;
         for (std::size_t i = 0; i < count; ++i) {
             time += 100ms;
-            const Decisions decisions = complete(running, time, {.outputTokens = 100});
+            const Decisions decisions = complete(running, time, {.outputTokens = running < 100 ? tokens : tokensFrom100});
             if (decisions.grants.empty()) {
                 break;
             }
@@ -29,6 +43,7 @@
     }
 
     std::chrono::milliseconds time {0};
+    PermitId running = 1;
 };
 
 // Guards against first come, first served across classes with different targets.
@@ -46,20 +61,11 @@
 // Guards against one organisation that takes a tier for itself by sending first, and against ignoring weights.
 TEST_F(OrderingTest, OrganisationsShareATierByWeight)
 {
-    start({.classes = {{.id = support::ClassId("c"), .firstTokenTarget = 1h, .maximumWait = 1h}},
-              .organisations = {{.id = support::OrganisationId("large"), .weight = 3.0}, {.id = support::OrganisationId("small"), .weight = 1.0}}},
-        {endpointSpec("a", 1)});
-    Submission submission = submissionOf(1, "c");
-    for (PermitId permit = 1; permit <= 100; ++permit) {
-        submission.permit = permit;
-        submission.organisation = support::OrganisationId("large");
-        submit(submission);
-    }
-    for (PermitId permit = 101; permit <= 200; ++permit) {
-        submission.permit = permit;
-        submission.organisation = support::OrganisationId("small");
-        submit(submission);
-    }
+    PoolOptions options = patientOptions();
+    options.organisations = {{.id = support::OrganisationId("large"), .weight = 3.0}, {.id = support::OrganisationId("small"), .weight = 1.0}};
+    start(options, {endpointSpec("a", 1)});
+    submitMany("large", 1, 100);
+    submitMany("small", 101, 200);
     unsigned small = 0;
     for (const PermitId permit : drain(80)) {
         small += permit > 100 ? 1 : 0;
@@ -67,6 +73,36 @@
     EXPECT_NEAR(small, 20, 5);
 }
 
+// Guards against an organisation that saves up the service it did not ask for and then takes the tier for itself.
+TEST_F(OrderingTest, IdleTimeGivesNoClaim)
+{
+    start(patientOptions(), {endpointSpec("a", 1)});
+    submitMany("late", 1, 1);
+    submitMany("steady", 100, 160);
+    submitMany("other", 200, 260);
+    drain(60);
+    submitMany("late", 2, 60);
+    unsigned late = 0;
+    for (const PermitId permit : drain(30)) {
+        late += permit < 100 ? 1 : 0;
+    }
+    EXPECT_NEAR(late, 10, 5);
+}
+
+// Guards against counting requests alike when one organisation's are several times longer than estimated.
+TEST_F(OrderingTest, ChargesTheWorkThatRequestsTook)
+{
+    start(patientOptions(), {endpointSpec("a", 1)});
+    submitMany("brief", 1, 60);
+    submitMany("verbose", 100, 160);
+    unsigned verbose = 0;
+    for (const PermitId permit : drain(18, 100, 1'000)) {
+        verbose += permit >= 100 ? 1 : 0;
+    }
+    EXPECT_GE(verbose, 1U);
+    EXPECT_LE(verbose, 5U);
+}
+
 // Guards against a resumed stream that waits behind new work of its tier.
 TEST_F(OrderingTest, ResumeGoesBeforeNewWorkOfItsTier)
 {
