policy: test exact wake-ups and echoes of suspicions

Cause: mutations without the wake-ups for takeover and for emptied endpoints, and one that lets gossip prolong a suspicion, survived the tests: the periodic evaluation hid the first two within 500 ms. Change: the tests follow the wake-ups and expect the decision at the exact time, at times on which no evaluation falls; a repeated suspicion must not extend it.

--- a/unittests/Policy/CrashSuspectsTest.cpp
+++ b/unittests/Policy/CrashSuspectsTest.cpp
@@ -49,7 +49,8 @@
     const Decisions refused = submit(submissionWith(3, 77), 400ms);
     ASSERT_EQ(refused.refusals.size(), 1U);
     EXPECT_EQ(refused.refusals[0].reason, RefusalReason::CrashSuspect);
-    EXPECT_EQ(submit(submissionWith(4, 77), 300ms + 10min).grants.size(), 1U);
+    functions.recordSuspect(pool.get(), 77, 2, at(5min));
+    EXPECT_EQ(submit(submissionWith(4, 77), 300ms + 10min).grants.size(), 1U) << "an echo of the suspicion must not prolong it";
 }
 
 // Guards against a crash being counted once for each request that reports it.
@@ -120,13 +121,7 @@
     }
     functions.recordSuspect(pool.get(), 77, 1, at(1ms));
     submit(submissionWith(8, 77), 2ms);
-    std::optional<TimePoint> wakeUp = functions.nextWakeUp(pool.get());
-    Decisions decisions;
-    while (wakeUp && *wakeUp <= at(10s) && decisions.grants.empty()) {
-        const TimePoint now = *wakeUp;
-        decisions = functions.advance(pool.get(), now);
-        wakeUp = functions.nextWakeUp(pool.get());
-    }
+    const Decisions decisions = followWakeUps(2ms + CrashTuning {}.isolationWait);
     ASSERT_EQ(decisions.grants.size(), 1U);
     EXPECT_EQ(decisions.grants[0].permit, 8U);
 }
--- a/unittests/Policy/PolicyFixture.h
+++ b/unittests/Policy/PolicyFixture.h
@@ -63,6 +63,17 @@
         return functions.recordProgress(pool.get(), permit, {.outputTokens = outputTokens}, at(time));
     }
 
+    /// Advances the pool at each of its wake-ups up to the given time and returns the decisions made exactly then.
+    Decisions followWakeUps(std::chrono::milliseconds until)
+    {
+        Decisions last;
+        for (auto wakeUp = functions.nextWakeUp(pool.get()); wakeUp && *wakeUp <= at(until); wakeUp = functions.nextWakeUp(pool.get())) {
+            const Decisions decisions = functions.advance(pool.get(), *wakeUp);
+            last = *wakeUp == at(until) ? decisions : Decisions {};
+        }
+        return last;
+    }
+
     const PolicyFunctions &functions = standardPolicy();
     PoolHandle pool;
 };
--- a/unittests/Policy/TakeoverTest.cpp
+++ b/unittests/Policy/TakeoverTest.cpp
@@ -24,13 +24,11 @@
 // Guards against filling slots that requests of the former owner still hold.
 TEST_F(TakeoverTest, LimitIsReducedUntilTheBound)
 {
-    start({.start = PoolStart::TakenOver}, {endpointSpec("a", 4), endpointSpec("b", 4)});
+    // An odd bound, so that no other wake-up falls on it.
+    start({.start = PoolStart::TakenOver, .tuning = {.takeover = {.bound = 1'999ms}}}, {endpointSpec("a", 4), endpointSpec("b", 4)});
     EXPECT_EQ(grantsOf(8, 10ms), 4U);
-    const auto wakeUp = functions.nextWakeUp(pool.get());
-    ASSERT_TRUE(wakeUp.has_value());
-    EXPECT_LE(*wakeUp, at(2s));
-    EXPECT_TRUE(functions.advance(pool.get(), at(1'999ms)).grants.empty());
-    EXPECT_EQ(functions.advance(pool.get(), at(2s)).grants.size(), 4U);
+    EXPECT_TRUE(followWakeUps(1'998ms).grants.empty());
+    EXPECT_EQ(followWakeUps(1'999ms).grants.size(), 4U);
 }
 
 // Guards against waiting for the bound when nothing is missing, and against counting adopted requests twice.
