policy: probe a slow endpoint less often while it stays slow

Ruled out: no probes by requests at all, since synthetic probes would need an operation that every engine offers. Change: the interval between probes doubles up to 4 s while they show no recovery. Longer intervals would delay the return of a recovered endpoint beyond the 12 s that the test allows.

--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -50,6 +50,7 @@
     /// The fields below are used on probation only.
     TimePoint nextProbeAt;
     unsigned goodProbes = 0;
+    unsigned badProbes = 0;
     std::optional<PermitId> probe;
 };
 
--- a/include/mulberrywall/Policy/Tuning.h
+++ b/include/mulberrywall/Policy/Tuning.h
@@ -103,7 +103,9 @@
     double recoverAbove = 0.7;
     /// Bound on the part of the pool that is reduced or on probation at once.
     double maximumPoolShare = 1.0 / 3.0;
+    /// Doubles with each probe that shows no recovery, up to the maximum: each one slows down a request.
     std::chrono::milliseconds probeInterval {1'000};
+    std::chrono::milliseconds maximumProbeInterval {4'000};
     /// Probes go to the lowest tier unless none of its requests came for this long.
     std::chrono::milliseconds probePatience {3'000};
     unsigned probesToRecover = 3;
--- a/lib/Policy/SlowEndpoints.cpp
+++ b/lib/Policy/SlowEndpoints.cpp
@@ -114,9 +114,13 @@
     slow.probe.reset();
     slow.nextProbeAt = now + tuning.probeInterval;
     if (secondsPerUnit <= 0.0 || pool.medianSecondsPerUnit < tuning.recoverAbove * secondsPerUnit) {
+        constexpr unsigned maximumDoublings = 16;
+        slow.nextProbeAt = now + std::min(tuning.maximumProbeInterval, tuning.probeInterval * (1U << std::min(slow.badProbes, maximumDoublings)));
         slow.goodProbes = 0;
+        ++slow.badProbes;
         return;
     }
+    slow.badProbes = 0;
     ++slow.goodProbes;
     if (slow.goodProbes >= tuning.probesToRecover) {
         request.endpoint->secondsPerUnit = {.value = secondsPerUnit, .samples = tuning.minimumSamples, .observedAt = now};
