policy: let the affinity test tell the load bound from the slots

Cause: a mutation without the bound survived because the slots of the endpoint bounded it as well. Change: 32 slots and still at most 16 of 32 requests with one prefix on one of four endpoints.

--- a/unittests/Policy/EndpointSelectionTest.cpp
+++ b/unittests/Policy/EndpointSelectionTest.cpp
@@ -13,7 +13,7 @@
     /// Runs one request of the given tokens at a fixed inter-token latency on whatever endpoint it gets.
     support::EndpointId run(PermitId permit, std::uint64_t tokens, std::chrono::milliseconds interval, std::chrono::milliseconds time)
     {
-        const support::EndpointId endpoint = submit(submissionOf(permit, "tier0"), time).grants.at(0).endpoint;
+        support::EndpointId endpoint = submit(submissionOf(permit, "tier0"), time).grants.at(0).endpoint;
         progress(permit, 1, time + 10ms);
         progress(permit, tokens, time + 10ms + interval * (tokens - 1));
         return endpoint;
@@ -55,7 +55,7 @@
 {
     std::vector<EndpointSpec> endpoints;
     for (const char *name : {"a", "b", "c", "d"}) {
-        endpoints.push_back({.id = support::EndpointId(name), .maximumConcurrency = 16, .prefixCache = true});
+        endpoints.push_back({.id = support::EndpointId(name), .maximumConcurrency = 32, .prefixCache = true});
     }
     start({}, endpoints);
     Submission document = submissionOf(1, "tier0");
