policy: add resends and poisonous requests to the random traces

Cause: the traces had no retries, resumes or requests that crash each endpoint, so the crash rules were tested one at a time only. Change: a crash fails all requests on the endpoint, each is sent again, and some requests crash every endpoint. A property test asserts at most two crashes for each of them and no refusal of requests that ran beside them; the naive policy lets them crash more than two. A test for the slots that hedging leaves free.

--- a/unittests/Policy/HedgingTest.cpp
+++ b/unittests/Policy/HedgingTest.cpp
@@ -61,6 +61,19 @@
     EXPECT_EQ(functions.summarize(pool.get()).waiting, 0U) << "a hedged attempt never waits";
 }
 
+// Guards against hedged attempts that take the last slots, which the next burst needs.
+TEST_F(HedgingTest, LeavesSomeSlotsFree)
+{
+    startPool(10);
+    const Grant first = submit(submissionOf(1, "tier0"), 0ms).grants.at(0);
+    for (PermitId permit = 2; permit <= 18; ++permit) {
+        submit(submissionOf(permit, "tier0"), 1ms);
+    }
+    EXPECT_TRUE(hedge(100, first, 2ms).grants.empty());
+    complete(18, 3ms, {.outputTokens = 10});
+    EXPECT_EQ(hedge(101, first, 4ms).grants.size(), 1U);
+}
+
 // Guards against a recommended delay that is far from the late first tokens of the class.
 TEST_F(HedgingTest, DelayFollowsLateFirstTokens)
 {
--- a/unittests/Policy/PolicyPropertyTest.cpp
+++ b/unittests/Policy/PolicyPropertyTest.cpp
@@ -27,6 +27,8 @@
     options.withDeadline = 0.3;
     options.refusedByEndpoint = 0.03;
     options.endpointCrash = 0.01;
+    options.poisonous = 0.002;
+    options.resends = 3;
     options.queueLimit = 24;
     options.churn = TraceOptions::Churn::Leaving;
     return options;
@@ -90,6 +92,18 @@
     EXPECT_GT(result.granted[0], 10 * (result.granted[1] + result.granted[2]) / 3) << "the minimum shares are bounded";
 }
 
+// Guards against a request that crashes one endpoint after another, as it does with the naive policy, and against
+// refusing requests that only happened to run beside it.
+TEST_P(PolicyPropertyTest, PoisonousRequestCrashesTwoEndpointsAtMost)
+{
+    const TraceOptions options {.seed = GetParam(), .arrivalsPerSecond = {4.0, 4.0, 2.0}, .endpoints = 6, .poisonous = 0.005, .resends = 5};
+    const TraceResult standard = runTrace(standardPolicy(), options);
+    expectSound(standard);
+    EXPECT_LE(standard.mostCrashes, 2U);
+    EXPECT_EQ(standard.innocentRefusals, 0U);
+    EXPECT_GT(runTrace(naive::naivePolicy(), options).mostCrashes, 2U);
+}
+
 // Guards against decisions that depend on anything but the calls, such as addresses or hash order.
 TEST_P(PolicyPropertyTest, ReplayIsDeterministic)
 {
--- a/unittests/Policy/Simulation.cpp
+++ b/unittests/Policy/Simulation.cpp
@@ -31,6 +31,8 @@
     std::uint64_t reported = 0;
     std::optional<TimePoint> withdrawAt;
     AttemptOutcome outcome = AttemptOutcome::Completed;
+    bool poisonous = false;
+    unsigned attempt = 0;
 };
 
 class Trace
@@ -120,20 +122,63 @@
         if (uniform() < options_.withdrawn) {
             request.withdrawAt = now_ + std::chrono::milliseconds(random_() % 2'000);
         }
+        request.poisonous = uniform() < options_.poisonous;
         const double fault = uniform();
         if (fault < options_.refusedByEndpoint) {
             request.outcome = AttemptOutcome::NotRun;
         } else if (fault < options_.refusedByEndpoint + options_.endpointCrash) {
             request.outcome = AttemptOutcome::EndpointFailed;
         }
+        if (request.poisonous) {
+            request.outcome = AttemptOutcome::EndpointFailed;
+        }
         ++result_.submitted.at(tier);
-        open_.push_back(nextPermit_);
-        const Submission submission = request.submission;
-        requests_.emplace(nextPermit_, std::move(request));
+        send(std::move(request));
+    }
+
+    void send(Request request)
+    {
+        const PermitId permit = nextPermit_;
         ++nextPermit_;
+        open_.push_back(permit);
+        request.submission.permit = permit;
+        const Submission submission = request.submission;
+        requests_.emplace(permit, std::move(request));
         apply(functions_.submit(pool_.get(), submission, now_));
     }
 
+    /// Sends a request again that was not run, or resumes it after a crash, on another endpoint.
+    void sendAgain(const Request &request, AttemptOutcome outcome)
+    {
+        if (request.attempt >= options_.resends) {
+            return;
+        }
+        Request next {.submission = request.submission, .tier = request.tier, .submittedAt = now_, .tokens = request.tokens};
+        next.submission.purpose = outcome == AttemptOutcome::NotRun ? AttemptPurpose::Retry : AttemptPurpose::Resume;
+        next.submission.excludedEndpoints = {request.endpoint};
+        next.submission.deadline = TimePoint::max();
+        next.poisonous = request.poisonous;
+        next.outcome = request.poisonous ? AttemptOutcome::EndpointFailed : AttemptOutcome::Completed;
+        next.attempt = request.attempt + 1;
+        send(std::move(next));
+    }
+
+    void crash(const support::EndpointId &endpoint, PermitId cause)
+    {
+        const Request &request = requests_.at(cause);
+        if (request.poisonous) {
+            unsigned &crashes = crashes_[request.submission.fingerprint];
+            ++crashes;
+            result_.mostCrashes = std::max(result_.mostCrashes, crashes);
+        }
+        for (const PermitId permit : std::vector<PermitId>(open_)) {
+            Request &other = requests_.at(permit);
+            if (other.phase == Phase::Running && other.endpoint == endpoint) {
+                finish(permit, other, AttemptOutcome::EndpointFailed);
+            }
+        }
+    }
+
     void advanceRequests()
     {
         for (const PermitId permit : std::vector<PermitId>(open_)) {
@@ -161,7 +206,9 @@
     void advanceRunning(PermitId permit, Request &request)
     {
         const auto produced = static_cast<std::uint64_t>((now_ - request.startedAt) / options_.tokenInterval);
-        if (request.outcome != AttemptOutcome::Completed && produced >= 1) {
+        if (request.outcome == AttemptOutcome::EndpointFailed && produced >= 1) {
+            crash(request.endpoint, permit);
+        } else if (request.outcome != AttemptOutcome::Completed && produced >= 1) {
             finish(permit, request, request.outcome);
         } else if (produced >= request.tokens) {
             request.reported = request.tokens;
@@ -177,6 +224,9 @@
         request.phase = Phase::Ended;
         --running_[request.endpoint];
         apply(functions_.complete(pool_.get(), permit, {.outcome = outcome, .outputTokens = request.reported}, now_));
+        if (outcome == AttemptOutcome::NotRun || outcome == AttemptOutcome::EndpointFailed) {
+            sendAgain(request, outcome);
+        }
     }
 
     void wakeUp()
@@ -247,6 +297,9 @@
             return;
         }
         request->phase = Phase::Ended;
+        if (refusal.reason == RefusalReason::CrashSuspect && !request->poisonous) {
+            ++result_.innocentRefusals;
+        }
         if (refusal.reason != RefusalReason::Shed) {
             return;
         }
@@ -273,6 +326,7 @@
     std::map<PermitId, Request> requests_;
     std::vector<PermitId> open_;
     std::map<support::EndpointId, unsigned> running_;
+    std::map<Fingerprint, unsigned> crashes_;
     std::array<TimePoint, 3> lastGrant_;
     PermitId nextPermit_ = 1;
     TraceResult result_;
--- a/unittests/Policy/Simulation.h
+++ b/unittests/Policy/Simulation.h
@@ -29,6 +29,10 @@
     double withDeadline = 0.0;
     double refusedByEndpoint = 0.0;
     double endpointCrash = 0.0;
+    /// Such a request crashes its endpoint in every attempt. Each crash fails all requests on the endpoint.
+    double poisonous = 0.0;
+    /// How often a request is sent again, as a retry or resume elsewhere, after it was refused or its endpoint crashed.
+    unsigned resends = 0;
     /// Every second one random endpoint leaves, and those that left before come back.
     enum class Churn : std::uint8_t {
         None,
@@ -48,6 +52,9 @@
     std::array<unsigned, 3> withinTarget {};
     /// Longest time without a grant by tier, start and end of the trace included.
     std::array<std::chrono::milliseconds, 3> longestPause {};
+    /// Most endpoints crashed by one poisonous request, and other requests refused as crash suspects.
+    unsigned mostCrashes = 0;
+    unsigned innocentRefusals = 0;
     /// All decisions in order, for comparisons.
     std::string log;
     std::map<PermitId, bool> grantedByPermit;
