policy: pause an endpoint that stalls and learn from the stall

Cause: an endpoint that hangs before the first token shows no slow tokens, and became the least loaded one whenever a stalled request was given up. Ruled out: probation after one stall, which a single bad request could cause. Change: a stalled attempt pauses new work as a failed one does, and the time without progress counts as the latency of one token. Check: build/release/bin/PolicyTests: 109 of 109 pass. Conclusion: hanging endpoints are covered before and after the first token.

--- a/lib/Policy/ActiveRequests.cpp
+++ b/lib/Policy/ActiveRequests.cpp
@@ -136,6 +136,10 @@
     if (completion.outcome == AttemptOutcome::NotRun) {
         noteRefused(request.endpoint->concurrency);
     }
+    if (completion.outcome == AttemptOutcome::Stalled && pool.producesTokens) {
+        // The token that did not come took at least this long.
+        observeSpeed(*request.endpoint, secondsBetween(request.progressAt, now), now);
+    }
     if (completion.outcome != AttemptOutcome::Completed) {
         pool.statistics.wastedTokens += request.outputTokens;
         return;
--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -254,6 +254,7 @@
         noteSuspectCompleted(pool, request);
         return;
     case AttemptOutcome::NotRun:
+    case AttemptOutcome::Stalled:
         noteFailure(*request.endpoint, pool.options.tuning.selection, now);
         return;
     case AttemptOutcome::EndpointFailed:
@@ -261,7 +262,6 @@
         noteEndpointCrash(pool, request, now, decisions);
         return;
     case AttemptOutcome::Cancelled:
-    case AttemptOutcome::Stalled:
         return;
     }
 }
--- a/unittests/Policy/EndpointSelectionTest.cpp
+++ b/unittests/Policy/EndpointSelectionTest.cpp
@@ -110,6 +110,16 @@
     EXPECT_GE(*wakeUp, at(101ms));
 }
 
+// Guards against an endpoint that hangs before the first token and attracts requests whenever one is given up.
+TEST_F(EndpointSelectionTest, PausesAnEndpointThatStalls)
+{
+    start({}, {endpointSpec("a", 2), endpointSpec("b", 2)});
+    const support::EndpointId hanging = submit(submissionOf(1, "tier0"), 0ms).grants.at(0).endpoint;
+    submit(submissionOf(2, "tier0"), 0ms);
+    complete(1, 5s, {.outcome = AttemptOutcome::Stalled});
+    EXPECT_NE(submit(submissionOf(3, "tier0"), 5'001ms).grants.at(0).endpoint, hanging);
+}
+
 // Guards against ending the pause of an endpoint that refuses new requests because older ones make progress there.
 TEST_F(EndpointSelectionTest, ProgressOfOlderRequestsDoesNotEndThePause)
 {
