--- a/unittests/Policy/EndpointSelectionTest.cpp
+++ b/unittests/Policy/EndpointSelectionTest.cpp
@@ -13,7 +13,7 @@
     /// Runs one request of the given tokens at a fixed inter-token latency on whatever endpoint it gets.
     support::EndpointId run(PermitId permit, std::uint64_t tokens, std::chrono::milliseconds interval, std::chrono::milliseconds time)
     {
-        const support::EndpointId endpoint = submit(submissionOf(permit, "tier0"), time).grants.at(0).endpoint;
+        support::EndpointId endpoint = submit(submissionOf(permit, "tier0"), time).grants.at(0).endpoint;
         progress(permit, 1, time + 10ms);
         progress(permit, tokens, time + 10ms + interval * (tokens - 1));
         return endpoint;
@@ -37,12 +37,25 @@
     EXPECT_LT(onFast, 6U) << "the slow endpoint has capacity too";
 }
 
+// Guards against comparing the duration of a response without a token count with seconds per token.
+TEST_F(EndpointSelectionTest, ResponseWithoutTokenCountDoesNotChangeTheSpeed)
+{
+    start({}, {endpointSpec("a", 8), endpointSpec("b", 8)});
+    const support::EndpointId fast = run(1, 100, 10ms, 0ms);
+    const support::EndpointId slow = run(2, 100, 50ms, 1s);
+    complete(1, 7s, {.outputTokens = 100});
+    complete(2, 7s, {.outputTokens = 100});
+    ASSERT_EQ(submit(submissionOf(3, "tier0"), 8s).grants.at(0).endpoint, fast);
+    complete(3, 12s);
+    EXPECT_NE(submit(submissionOf(4, "tier0"), 13s).grants.at(0).endpoint, slow);
+}
+
 // Guards against spreading a shared prefix over all caches, and against overloading the endpoint that has it.
 TEST_F(EndpointSelectionTest, PrefixStaysTogetherWithinTheLoadBound)
 {
     std::vector<EndpointSpec> endpoints;
     for (const char *name : {"a", "b", "c", "d"}) {
-        endpoints.push_back({.id = support::EndpointId(name), .maximumConcurrency = 16, .prefixCache = true});
+        endpoints.push_back({.id = support::EndpointId(name), .maximumConcurrency = 32, .prefixCache = true});
     }
     start({}, endpoints);
     Submission document = submissionOf(1, "tier0");
@@ -97,6 +110,16 @@
     EXPECT_GE(*wakeUp, at(101ms));
 }
 
+// Guards against an endpoint that hangs before the first token and attracts requests whenever one is given up.
+TEST_F(EndpointSelectionTest, PausesAnEndpointThatStalls)
+{
+    start({}, {endpointSpec("a", 2), endpointSpec("b", 2)});
+    const support::EndpointId hanging = submit(submissionOf(1, "tier0"), 0ms).grants.at(0).endpoint;
+    submit(submissionOf(2, "tier0"), 0ms);
+    complete(1, 5s, {.outcome = AttemptOutcome::Stalled});
+    EXPECT_NE(submit(submissionOf(3, "tier0"), 5'001ms).grants.at(0).endpoint, hanging);
+}
+
 // Guards against ending the pause of an endpoint that refuses new requests because older ones make progress there.
 TEST_F(EndpointSelectionTest, ProgressOfOlderRequestsDoesNotEndThePause)
 {
