--- /dev/null
+++ b/unittests/Orders/PlanTest.cpp
@@ -0,0 +1,106 @@
+#include "mulberrywall/Orders/Plan.h"
+
+#include <gtest/gtest.h>
+
+namespace mulberrywall::orders
+{
+
+namespace
+{
+
+using Names = std::set<std::string>;
+using std::chrono::milliseconds;
+using support::EndpointId;
+
+constexpr TimePoint start {};
+
+DesiredEngine desiredEngine(const std::string &id, Names models)
+{
+    return {.id = EndpointId(id), .models = std::move(models)};
+}
+
+ObservedEngine readyEngine(Names ready, Names loading = {})
+{
+    return {.reportedAt = start, .ready = std::move(ready), .loading = std::move(loading)};
+}
+
+std::vector<std::string> plan(const std::vector<DesiredEngine> &desired, const Observations &observed, std::size_t maxLoads, TimePoint now = start)
+{
+    std::vector<std::string> ids;
+    for (const EndpointId &id : planOrders(desired, observed, {.maxLoads = maxLoads}, now)) {
+        ids.push_back(id.value());
+    }
+    return ids;
+}
+
+using Ids = std::vector<std::string>;
+
+// Guards against a load that leaves a model of the site without a ready replica.
+TEST(PlanTest, KeepsTheLastReadyReplica)
+{
+    const std::vector<DesiredEngine> desired {desiredEngine("e1", {"atlas", "mini"}), desiredEngine("e2", {"atlas", "mini"})};
+    EXPECT_EQ(plan(desired, {{EndpointId("e1"), readyEngine({"atlas"})}, {EndpointId("e2"), readyEngine({"atlas"})}}, 2), Ids {"e1"});
+    EXPECT_EQ(plan(desired, {{EndpointId("e1"), readyEngine({"atlas"})}, {EndpointId("e2"), readyEngine({"mini"})}}, 2), Ids {});
+    // A replica that does not answer is no reason to take the last one that does.
+    Observations observed {{EndpointId("e1"), readyEngine({"atlas"})}, {EndpointId("e2"), readyEngine({"atlas"})}};
+    observed[EndpointId("e1")].reportedAt = start + milliseconds(9'000);
+    EXPECT_EQ(plan(desired, observed, 2, start + milliseconds(9'000)), Ids {});
+    // A model that the site no longer wants holds nothing up.
+    EXPECT_EQ(plan(desired, {{EndpointId("e1"), readyEngine({"old"})}}, 2), Ids {"e1"});
+}
+
+// Guards against more loads at once than the weight store serves, and against a second order before the first shows.
+TEST(PlanTest, StaggersLoads)
+{
+    const std::vector<DesiredEngine> desired {desiredEngine("e1", {"atlas"}), desiredEngine("e2", {"atlas"}), desiredEngine("e3", {"atlas"})};
+    const Observations empty {{EndpointId("e1"), readyEngine({})}, {EndpointId("e2"), readyEngine({})}, {EndpointId("e3"), readyEngine({})}};
+    EXPECT_EQ(plan(desired, empty, 2), (Ids {"e1", "e2"}));
+    Observations loading = empty;
+    loading[EndpointId("e1")] = readyEngine({}, {"atlas"});
+    EXPECT_EQ(plan(desired, loading, 1), Ids {});
+    Observations ordered = empty;
+    ordered[EndpointId("e1")].orderedAt = start;
+    ordered[EndpointId("e1")].attemptedAt = start;
+    EXPECT_EQ(plan(desired, ordered, 1), Ids {});
+}
+
+// Guards against an engine that refuses its orders and thereby keeps the others from theirs.
+TEST(PlanTest, RefusingEngineDoesNotHoldUpOthers)
+{
+    const std::vector<DesiredEngine> desired {desiredEngine("e1", {"atlas"}), desiredEngine("e2", {"atlas"})};
+    Observations observed {{EndpointId("e1"), readyEngine({})}, {EndpointId("e2"), readyEngine({})}};
+    observed[EndpointId("e1")].attemptedAt = start;
+    const TimePoint later = start + milliseconds(5'000);
+    EXPECT_EQ(plan(desired, observed, 1, later), Ids {"e2"});
+}
+
+// Guards against a model without any replica that waits behind loads of less use.
+TEST(PlanTest, MissingModelComesFirst)
+{
+    const std::vector<DesiredEngine> desired {
+        desiredEngine("e1", {"atlas"}), desiredEngine("e2", {"atlas"}), desiredEngine("e3", {"atlas"}), desiredEngine("e4", {"mini"})};
+    const Observations observed {{EndpointId("e1"), readyEngine({"atlas"})},
+        {EndpointId("e2"), readyEngine({})},
+        {EndpointId("e3"), readyEngine({})},
+        {EndpointId("e4"), readyEngine({})}};
+    EXPECT_EQ(plan(desired, observed, 1), Ids {"e4"});
+}
+
+// Guards against an order or a report whose members the other side does not know.
+TEST(PlanTest, RendersOrdersAndReadsStates)
+{
+    const auto time = std::chrono::system_clock::time_point(milliseconds(5));
+    EXPECT_EQ(renderOrder(desiredEngine("e1", {"atlas"}), 3, time),
+        R"({"fencing":3,"expiresAtMs":5,"desired":{"models":["atlas"],"adapters":[],"version":"","role":""}})");
+    ObservedEngine observed;
+    EXPECT_TRUE(readState(observed, R"({"models":["atlas"],"loading":["mini"],"role":"decode","leaving":false})", start));
+    EXPECT_EQ(observed.ready, Names {"atlas"});
+    EXPECT_EQ(observed.loading, Names {"mini"});
+    EXPECT_FALSE(readState(observed, R"({"models":[1]})", start));
+    EXPECT_FALSE(readState(observed, "[]", start));
+    EXPECT_EQ(observed.role, "decode");
+}
+
+} // namespace
+
+} // namespace mulberrywall::orders
