fuzz: add a libFuzzer target for the configuration reader

Cause: files, and documents from peers, reach the reader and the JSON codec unchecked. It checks that errors carry message and file, and that an accepted configuration survives its JSON form.

--- /dev/null
+++ b/fuzz/ConfigurationReaderFuzz.cpp
@@ -0,0 +1,52 @@
+#include "mulberrywall/Configuration/Reader.h"
+#include "mulberrywall/Configuration/Revision.h"
+
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+#include <string_view>
+
+namespace
+{
+
+using namespace mulberrywall;
+
+/// Separates the text of the base from that of the overlay in an input.
+constexpr std::string_view separator = "\n%%\n";
+
+/// Ends the process, which libFuzzer reports together with the input.
+void require(bool condition, const char *what)
+{
+    if (!condition) {
+        std::fprintf(stderr, "violated: %s\n", what);
+        std::abort();
+    }
+}
+
+} // namespace
+
+/// Guards against input files that end the process, fail without file and message, or read into a configuration that does
+/// not survive its JSON form.
+// NOLINTNEXTLINE(readability-identifier-naming): libFuzzer prescribes the name.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    const std::string_view input(reinterpret_cast<const char *>(data), size);
+    const std::size_t position = input.find(separator);
+    const std::string_view base = input.substr(0, position);
+    const std::string_view overlay = position == std::string_view::npos ? std::string_view() : input.substr(position + separator.size());
+    support::leaf::try_handle_all(
+        [&]() -> support::Result<void> {
+            BOOST_LEAF_AUTO(site, configuration::readSiteText({"base.toml", base}, {"site.toml", overlay}));
+            const auto parsed = configuration::siteFromJson(configuration::toJson(site));
+            require(static_cast<bool>(parsed), "an accepted configuration can be read from its JSON form");
+            require(*parsed == site, "the JSON form keeps every field");
+            return {};
+        },
+        [](const support::ErrorMessage &message, const support::ErrorLocation &location) {
+            require(!message.text.empty() && !location.file.empty(), "an error names what is wrong and the file");
+        },
+        [] { require(false, "an error carries a message and a location"); });
+    // The same bytes as a document from a peer.
+    (void)configuration::revisionFromJson(input);
+    return 0;
+}
