--- a/lib/Policy/ActiveRequests.cpp
+++ b/lib/Policy/ActiveRequests.cpp
@@ -1,5 +1,7 @@
 #include "mulberrywall/Policy/ActiveRequests.h"
 
+#include "mulberrywall/Policy/FailureBackoff.h"
+
 #include <algorithm>
 #include <cassert>
 
@@ -18,7 +20,9 @@
 void observeFirstToken(Pool &pool, const ActiveRequest &request, TimePoint now)
 {
     if (ClassState *requestClass = findClass(pool, request.submission.requestClass); requestClass != nullptr && !request.adopted) {
-        observe(requestClass->firstTokenSeconds, secondsBetween(request.startedAt, now), now);
+        const double seconds = secondsBetween(request.startedAt, now);
+        observe(requestClass->firstTokenSeconds, seconds, now);
+        observe(requestClass->lateFirstTokenSeconds, seconds);
     }
 }
 
@@ -50,9 +54,10 @@
 void observeHold(Pool &pool, const ActiveRequest &request, TimePoint now)
 {
     const double seconds = secondsBetween(request.startedAt, now);
-    observe(pool.holdSeconds, seconds, now);
+    const double weight = pool.options.tuning.admission.holdWeight;
+    observe(pool.holdSeconds, seconds, now, weight);
     if (ClassState *requestClass = findClass(pool, request.submission.requestClass)) {
-        observe(requestClass->holdSeconds, seconds, now);
+        observe(requestClass->holdSeconds, seconds, now, weight);
     }
 }
 
@@ -63,7 +68,7 @@
     const PermitId permit = request.submission.permit;
     ++endpoint.running;
     noteRunning(endpoint.concurrency, endpoint.running);
-    ++pool.runningByTier[request.tier];
+    ++pool.loadByTier[request.tier].running;
     pool.startSecondsSum += secondsBetween(TimePoint {}, now);
     ++pool.grants;
     endpoint.lastGrant = pool.grants;
@@ -107,7 +112,7 @@
     }
     request.outputTokens = outputTokens;
     request.progressAt = now;
-    request.endpoint->backoff = {};
+    noteSuccess(*request.endpoint, now);
     recordRunningLength(pool.lengths, request.submission, outputTokens, request.lengthObservation, tuning);
     setWork(request, expectedRemainingTokens(lengthEstimate(pool.lengths, request.submission, tuning), outputTokens, tuning));
 }
@@ -122,7 +127,7 @@
         pool.statistics.wastedTokens += request.outputTokens;
         return;
     }
-    request.endpoint->backoff = {};
+    noteSuccess(*request.endpoint, now);
     recordFinalLength(pool.lengths, request.submission, request.outputTokens, request.lengthObservation, pool.options.tuning.length, now);
     if (request.adopted) {
         return;
@@ -140,7 +145,7 @@
     EndpointState &endpoint = *found->second.endpoint;
     const bool wasLong = found->second.isLong;
     setWork(found->second, 0.0);
-    --pool.runningByTier.at(found->second.tier);
+    --pool.loadByTier.at(found->second.tier).running;
     pool.startSecondsSum -= secondsBetween(TimePoint {}, found->second.startedAt);
     pool.active.erase(found);
     --endpoint.running;
