permits: fix use after free at stop and two races at a change of owner

Cap'n Proto ends calls some events after their connection, so calls under way used the server after it was destroyed (AddressSanitizer, OwnerDeathMovesWaitingAndRunningRequests). What calls need is now shared.

An ingress marked a new owner as informed before the report was posted, so a request could overtake it, and it followed redirections within its data centre without a report. The mark now follows the report, and within the data centre a redirected request waits until both routers agree on the owner. The UDP driver's tests destroyed the workers before the drivers that used them.

--- a/include/mulberrywall/Permits/Ownership.h
+++ b/include/mulberrywall/Permits/Ownership.h
@@ -63,6 +63,8 @@
     // Queries
     /// Returns an empty name when no router of this data centre can own the pool.
     [[nodiscard]] support::InstanceId currentOwner(const support::PoolId &pool) const;
+    /// True after releaseAll.
+    [[nodiscard]] bool isReleased() const;
 
 private:
     struct Recovery
--- a/include/mulberrywall/Permits/RoutedPermits.h
+++ b/include/mulberrywall/Permits/RoutedPermits.h
@@ -89,6 +89,7 @@
     void review();
     void collectPermits(const std::vector<membership::Member> &reachable, std::map<support::InstanceId, PendingAdoptions> &pending);
     void collectReports(const std::vector<membership::Member> &reachable, std::map<support::InstanceId, PendingAdoptions> &pending);
+    void noteReported(const support::InstanceId &owner, const PendingAdoptions &pending);
     void adoptAt(const membership::Member &owner, const PendingAdoptions &pending);
     void adopted(const support::InstanceId &owner, const PoolKey &pool, const std::vector<TrackedPermitPtr> &permits, AdoptedPool result);
     void reviewLater();
@@ -110,7 +111,7 @@
     std::uint64_t lastNumber_ = 0;
     std::unordered_map<std::uint64_t, TrackedPermitPtr> tracked_;
     std::map<support::InstanceId, policy::TimePoint> unreachableUntil_;
-    /// Owners that know what this ingress runs in the pools of its data centre.
+    /// Owners that were told, or are just being told, what this ingress runs in the pools of its data centre.
     std::map<support::PoolId, support::InstanceId> reportedTo_;
     bool stopped_ = false;
 };
--- a/lib/Permits/Ownership.cpp
+++ b/lib/Permits/Ownership.cpp
@@ -60,6 +60,11 @@
     return ownerWithout(pool, {});
 }
 
+bool PoolOwnership::isReleased() const
+{
+    return released_;
+}
+
 void PoolOwnership::review()
 {
     {
--- a/lib/Permits/PeerServer.cpp
+++ b/lib/Permits/PeerServer.cpp
@@ -9,6 +9,7 @@
 #include <openssl/crypto.h>
 
 #include <chrono>
+#include <unordered_map>
 
 namespace mulberrywall::permits
 {
@@ -25,6 +26,17 @@
     return given.size() == secret.size() && CRYPTO_memcmp(given.begin(), secret.data(), secret.size()) == 0;
 }
 
+/// What calls and permits need of the server.
+struct PeerServer::Shared
+{
+    const PeerOptions &options;
+    const PeerHandlers &handlers;
+    AnswerRoute route;
+    PeerCounters counters;
+    std::uint64_t lastCall = 0;
+    std::unordered_map<std::uint64_t, kj::Own<kj::PromiseFulfiller<kj::Own<OwnerAnswer>>>> calls;
+};
+
 /// What is known of the router at the other end of a connection.
 struct PeerServer::Session
 {
@@ -64,13 +76,13 @@
 class PeerServer::PermitService final : public rpc::Permit::Server
 {
 public:
-    PermitService(PeerServer &server, std::shared_ptr<Session> session, std::shared_ptr<Permit> permit)
-        : server_(server),
+    PermitService(std::shared_ptr<Shared> shared, std::shared_ptr<Session> session, std::shared_ptr<Permit> permit)
+        : shared_(std::move(shared)),
           session_(std::move(session)),
           permit_(std::move(permit))
     {
         ++session_->atStake;
-        ++server_.counters_.permitsHeld;
+        ++shared_->counters.permitsHeld;
     }
     PermitService(const PermitService &) = delete;
     PermitService &operator=(const PermitService &) = delete;
@@ -79,7 +91,7 @@
     ~PermitService() noexcept(false)
     {
         --session_->atStake;
-        --server_.counters_.permitsHeld;
+        --shared_->counters.permitsHeld;
     }
 
     kj::Promise<void> progress(ProgressContext context) override
@@ -98,7 +110,7 @@
     }
 
 private:
-    PeerServer &server_;
+    std::shared_ptr<Shared> shared_;
     std::shared_ptr<Session> session_;
     std::shared_ptr<Permit> permit_;
 };
@@ -106,8 +118,8 @@
 class PeerServer::PeerService final : public rpc::Peer::Server
 {
 public:
-    PeerService(PeerServer &server, std::shared_ptr<Session> session)
-        : server_(server),
+    PeerService(std::shared_ptr<Shared> shared, std::shared_ptr<Session> session)
+        : shared_(std::move(shared)),
           session_(std::move(session))
     {
     }
@@ -117,19 +129,19 @@
         session_->lastHeard = steady_clock::now();
         context.allowCancellation();
         const auto request = context.getParams().getRequest();
-        const std::uint64_t call = ++server_.lastCall_;
+        const std::uint64_t call = ++shared_->lastCall;
         auto answer = kj::newPromiseAndFulfiller<kj::Own<OwnerAnswer>>();
-        server_.calls_.emplace(call, kj::mv(answer.fulfiller));
+        shared_->calls.emplace(call, kj::mv(answer.fulfiller));
         ++session_->atStake;
-        ++server_.counters_.callsWaiting;
-        auto cleanUp = kj::defer([&server = server_, session = session_, call] {
-            server.calls_.erase(call);
+        ++shared_->counters.callsWaiting;
+        auto cleanUp = kj::defer([shared = shared_, session = session_, call] {
+            shared->calls.erase(call);
             --session->atStake;
-            --server.counters_.callsWaiting;
+            --shared->counters.callsWaiting;
         });
         // The handler may run in any thread and outlive the server; it must not own anything of the event loop.
-        AcquireTicket ticket = server_.handlers_.acquire(
-            decode(request), decodeUnreachable(request), [route = server_.route_, call](OwnerAnswer result) { route(call, std::move(result)); });
+        AcquireTicket ticket = shared_->handlers.acquire(
+            decode(request), decodeUnreachable(request), [route = shared_->route, call](OwnerAnswer result) { route(call, std::move(result)); });
         return answer.promise
             .then([this, context](kj::Own<OwnerAnswer> result) mutable { encodeAnswer(std::move(*result), context.getResults().initAnswer()); })
             .attach(kj::mv(ticket), kj::mv(cleanUp));
@@ -142,7 +154,7 @@
         for (const auto adoption : context.getParams().getPools()) {
             pools.push_back(decode(adoption));
         }
-        const std::vector<AdoptedPool> adopted = server_.handlers_.adopt(session_->instance, std::move(pools));
+        const std::vector<AdoptedPool> adopted = shared_->handlers.adopt(session_->instance, std::move(pools));
         auto results = context.getResults().initAdopted(adopted.size());
         for (unsigned index = 0; index < results.size(); ++index) {
             if (!adopted[index]) {
@@ -151,7 +163,7 @@
             results[index].setAccepted(true);
             auto permits = results[index].initPermits(adopted[index]->size());
             for (unsigned position = 0; position < permits.size(); ++position) {
-                permits.set(position, kj::heap<PermitService>(server_, session_, (*adopted[index])[position]));
+                permits.set(position, kj::heap<PermitService>(shared_, session_, (*adopted[index])[position]));
             }
         }
         return kj::READY_NOW;
@@ -160,7 +172,7 @@
     kj::Promise<void> fetchConfiguration(FetchConfigurationContext context) override
     {
         session_->lastHeard = steady_clock::now();
-        const auto document = server_.handlers_.fetchConfiguration(context.getParams().getMinimumRevision());
+        const auto document = shared_->handlers.fetchConfiguration(context.getParams().getMinimumRevision());
         if (document) {
             context.getResults().setRevision(document->revision);
             context.getResults().setJson(document->json.c_str());
@@ -181,7 +193,7 @@
             auto granted = builder.initGranted();
             encode((*permit)->endpoint(), granted.initEndpoint());
             granted.setEnginePriority((*permit)->enginePriority());
-            granted.setPermit(kj::heap<PermitService>(server_, session_, std::move(*permit)));
+            granted.setPermit(kj::heap<PermitService>(shared_, session_, std::move(*permit)));
             return;
         }
         if (const auto *refusal = std::get_if<PermitRefusal>(&result)) {
@@ -194,15 +206,15 @@
         builder.setMoved(std::get<PermitMoved>(result).owner.value().c_str());
     }
 
-    PeerServer &server_;
+    std::shared_ptr<Shared> shared_;
     std::shared_ptr<Session> session_;
 };
 
 class PeerServer::LoginService final : public rpc::Login::Server
 {
 public:
-    LoginService(PeerServer &server, std::shared_ptr<Session> session)
-        : server_(server),
+    LoginService(std::shared_ptr<Shared> shared, std::shared_ptr<Session> session)
+        : shared_(std::move(shared)),
           session_(std::move(session))
     {
     }
@@ -211,28 +223,27 @@
     {
         const auto params = context.getParams();
         session_->lastHeard = steady_clock::now();
-        if (!isSecret(params.getSecret(), server_.options_.secret)) {
+        if (!isSecret(params.getSecret(), shared_->options.secret)) {
             session_->refused = true;
-            ++server_.counters_.loginsRefused;
+            ++shared_->counters.loginsRefused;
             support::log(support::Severity::Warning, "refused a peer with a wrong secret; give all routers the same --peer-secret");
             return KJ_EXCEPTION(FAILED, "the secret is wrong; give all routers the same secret");
         }
         session_->loggedIn = true;
         session_->instance = support::InstanceId(params.getInstance().cStr());
-        context.getResults().setPeer(kj::heap<PeerService>(server_, session_));
+        context.getResults().setPeer(kj::heap<PeerService>(shared_, session_));
         return kj::READY_NOW;
     }
 
 private:
-    PeerServer &server_;
+    std::shared_ptr<Shared> shared_;
     std::shared_ptr<Session> session_;
 };
 
 PeerServer::PeerServer(RpcLoop &loop, const PeerOptions &options, const PeerHandlers &handlers, AnswerRoute route)
     : loop_(loop),
       options_(options),
-      handlers_(handlers),
-      route_(std::move(route)),
+      shared_(std::make_shared<Shared>(Shared {.options = options, .handlers = handlers, .route = std::move(route)})),
       tasks_(*this)
 {
 }
@@ -246,12 +257,17 @@
 
 void PeerServer::deliver(std::uint64_t call, OwnerAnswer answer)
 {
-    const auto found = calls_.find(call);
-    if (found != calls_.end()) {
+    const auto found = shared_->calls.find(call);
+    if (found != shared_->calls.end()) {
         found->second->fulfill(kj::heap<OwnerAnswer>(std::move(answer)));
     }
 }
 
+const PeerCounters &PeerServer::counters() const
+{
+    return shared_->counters;
+}
+
 void PeerServer::taskFailed(kj::Exception &&exception)
 {
     support::log(support::Severity::Info, "a peer connection ended", {{"error", exception.getDescription().cStr()}});
@@ -271,11 +287,11 @@
         support::log(support::Severity::Warning, "closed a peer connection because there are too many", {{"limit", options_.maxConnections}});
         return;
     }
-    ++counters_.connectionsAccepted;
+    ++shared_->counters.connectionsAccepted;
     capnp::ReaderOptions options;
     options.traversalLimitInWords = options_.maxRequestBytes / sizeof(capnp::word);
     auto session = std::make_shared<Session>();
-    auto connection = kj::heap<Connection>(*this, kj::mv(stream), kj::heap<LoginService>(*this, session), options);
+    auto connection = kj::heap<Connection>(*this, kj::mv(stream), kj::heap<LoginService>(shared_, session), options);
     auto ended = connection->network.onDisconnect().exclusiveJoin(watch(session));
     tasks_.add(ended.attach(kj::mv(connection)));
 }
@@ -297,7 +313,7 @@
         return true;
     }
     if (silence > options_.silenceLimit && (session.atStake > 0 || !session.loggedIn)) {
-        ++counters_.silentPeersClosed;
+        ++shared_->counters.silentPeersClosed;
         support::log(support::Severity::Warning, "a peer is silent; its permits are freed", {{"peer", session.instance.value()}});
         return true;
     }
--- a/lib/Permits/PeerServer.h
+++ b/lib/Permits/PeerServer.h
@@ -4,7 +4,7 @@
 
 #include "mulberrywall/Permits/PeerNetwork.h"
 
-#include <unordered_map>
+#include <memory>
 
 namespace mulberrywall::permits
 {
@@ -22,12 +22,10 @@
     std::uint16_t listen();
     /// Passes the answer of the pool to the call with the given number, unless the call has ended.
     void deliver(std::uint64_t call, OwnerAnswer answer);
-    [[nodiscard]] const PeerCounters &counters() const
-    {
-        return counters_;
-    }
+    [[nodiscard]] const PeerCounters &counters() const;
 
 private:
+    struct Shared;
     struct Session;
     struct Connection;
     class LoginService;
@@ -42,12 +40,9 @@
 
     RpcLoop &loop_;
     const PeerOptions &options_;
-    const PeerHandlers &handlers_;
-    AnswerRoute route_;
-    PeerCounters counters_;
+    /// Cap'n Proto ends calls some events after their connection, and thus after this object.
+    std::shared_ptr<Shared> shared_;
     std::size_t connections_ = 0;
-    std::uint64_t lastCall_ = 0;
-    std::unordered_map<std::uint64_t, kj::Own<kj::PromiseFulfiller<kj::Own<OwnerAnswer>>>> calls_;
     kj::Own<kj::ConnectionReceiver> receiver_;
     kj::TaskSet tasks_;
 };
--- a/lib/Permits/RoutedPermits.cpp
+++ b/lib/Permits/RoutedPermits.cpp
@@ -224,7 +224,10 @@
 {
     const std::vector<support::InstanceId> lost = unreachable();
     std::vector<membership::Member> members = membership_.liveMembers();
-    std::erase_if(members, [&lost](const membership::Member &member) { return std::find(lost.begin(), lost.end(), member.instance) != lost.end(); });
+    std::erase_if(members, [this, &lost](const membership::Member &member) {
+        const bool released = ownership_.isReleased() && member.instance == options_.ownership.instance;
+        return released || std::find(lost.begin(), lost.end(), member.instance) != lost.end();
+    });
     return members;
 }
 
@@ -265,6 +268,18 @@
         const auto owner = std::find_if(
             reachable.begin(), reachable.end(), [&instance = instance](const membership::Member &member) { return member.instance == instance; });
         adoptAt(*owner, adoptions);
+        // Only now, since a request may be sent to the owner as soon as this is set, and it must come after the report.
+        noteReported(instance, adoptions);
+    }
+}
+
+void RoutedPermits::noteReported(const support::InstanceId &owner, const PendingAdoptions &pending)
+{
+    const std::scoped_lock lock(mutex_);
+    for (const auto &[key, permits] : pending) {
+        if (key.first == options_.ownership.dataCentre) {
+            reportedTo_[key.second] = owner;
+        }
     }
 }
 
@@ -294,11 +309,10 @@
     const std::scoped_lock lock(mutex_);
     for (const auto &[id, pool] : pools) {
         const membership::Member *owner = ownerOf(reachable, dataCentre, id);
-        if (owner == nullptr || reportedTo_[id] == owner->instance) {
+        const auto reported = reportedTo_.find(id);
+        if (owner == nullptr || (reported != reportedTo_.end() && reported->second == owner->instance)) {
             continue;
         }
-        // Set before the answer, so that one report is under way at a time; a failure clears it.
-        reportedTo_[id] = owner->instance;
         pending[owner->instance].try_emplace({dataCentre, id});
     }
 }
@@ -314,12 +328,15 @@
         }
         adoptions.push_back(std::move(adoption));
     }
-    const auto apply = [self = shared_from_this(), instance = owner.instance, pending](std::vector<AdoptedPool> results) {
-        std::size_t index = 0;
-        for (const auto &[key, permits] : pending) {
-            self->adopted(instance, key, permits, index < results.size() ? std::move(results[index]) : std::nullopt);
-            ++index;
-        }
+    // On the strand, so that the answer is taken after the review that asked has ended.
+    const auto apply = [self = shared_from_this(), instance = owner.instance, pending](std::vector<AdoptedPool> answers) {
+        boost::asio::post(self->strand_, [self, instance, pending, results = std::move(answers)]() mutable {
+            std::size_t index = 0;
+            for (const auto &[key, permits] : pending) {
+                self->adopted(instance, key, permits, index < results.size() ? std::move(results[index]) : std::nullopt);
+                ++index;
+            }
+        });
     };
     if (owner.instance == options_.ownership.instance) {
         apply(adoptAll(ownership_, owner.instance, adoptions));
--- a/lib/Permits/RoutedRequest.cpp
+++ b/lib/Permits/RoutedRequest.cpp
@@ -180,7 +180,8 @@
 {
     const std::vector<membership::Member> members = permits_->reachableMembers();
     const auto owner = std::find_if(members.begin(), members.end(), [&to](const membership::Member &member) { return member.instance == to; });
-    if (owner == members.end() || to == from || moves_ >= maxMoves) {
+    // In the own data centre the owner has to be told first what runs here, and takes that only once both routers agree.
+    if (owner == members.end() || to == from || moves_ >= maxMoves || dataCentre_ == permits_->options_.ownership.dataCentre) {
         askLater();
         return;
     }
--- a/unittests/Membership/UdpDriverTest.cpp
+++ b/unittests/Membership/UdpDriverTest.cpp
@@ -59,11 +59,11 @@
         pool_.join();
     }
 
+    support::WorkerPool pool_ {2};
     std::mutex mutex_;
     std::condition_variable changed_;
     std::vector<std::shared_ptr<void>> subscriptions_;
     std::vector<std::shared_ptr<UdpDriver>> drivers_;
-    support::WorkerPool pool_ {2};
 };
 
 } // namespace
