router: claim idempotency keys before dispatch

Cause: a non-idempotent request with an Idempotency-Key ran again when its caller sent it again.

Change: the session claims the key in the table service before it asks for a permit, stores small responses, gives the claim back on a proven NotRun before it answers, and answers resends from the claim: replay, 409 may-have-run, 422 or 503 not-run.

Ruled out: storing streamed answers; a resend of such a request gets 409 may-have-run.

--- a/include/mulberrywall/Router/Attempt.h
+++ b/include/mulberrywall/Router/Attempt.h
@@ -42,6 +42,8 @@
     std::optional<http::Response> response;
     /// The endpoint stated that it accepts no new work.
     bool leaving = false;
+    /// False when not even a connection was made, so that the attempt has cost the endpoint nothing.
+    bool reached = true;
 };
 
 /// One event of a completion stream that was checked to belong to the request.
--- a/include/mulberrywall/Router/CallerSession.h
+++ b/include/mulberrywall/Router/CallerSession.h
@@ -3,6 +3,7 @@
 #include "mulberrywall/Http/Server.h"
 #include "mulberrywall/Router/Attempt.h"
 #include "mulberrywall/Router/CallerRequest.h"
+#include "mulberrywall/Router/ClaimGuard.h"
 #include "mulberrywall/Router/RetryDecision.h"
 #include "mulberrywall/Router/RouterState.h"
 #include "mulberrywall/Router/StreamRelay.h"
@@ -37,6 +38,9 @@
 
     void armDeadline();
     void onDeadline();
+    void onClaimed(platform::ClaimResult result);
+    /// Gives the claim back and answers afterwards, so that the caller's next try does not meet the old claim.
+    void releaseClaimAndRespond(http::Response response);
     void acquirePermit(policy::AttemptPurpose purpose);
     void armHedge();
     void onHedgeDue();
@@ -68,6 +72,7 @@
     boost::asio::steady_timer deadlineTimer_;
     boost::asio::steady_timer hedgeTimer_;
     std::shared_ptr<StreamRelay> relay_;
+    std::unique_ptr<ClaimGuard> claim_;
     permits::AcquireTicket ticket_;
     permits::AcquireTicket hedgeTicket_;
     std::vector<AttemptPtr> running_;
@@ -78,6 +83,7 @@
     bool hedged_ = false;
     policy::TimePoint attemptStartedAt_;
     unsigned attemptsWithoutToken_ = 0;
+    unsigned failedConnections_ = 0;
     std::uint64_t deliveredTokens_ = 0;
     support::Verdict verdict_ = support::Verdict::NotRun;
     bool ended_ = false;
--- a/include/mulberrywall/Router/RetryDecision.h
+++ b/include/mulberrywall/Router/RetryDecision.h
@@ -17,9 +17,11 @@
     std::uint64_t deliveredTokens = 0;
     /// Whether the endpoint of the failed attempt can resume streams.
     bool endpointResumes = false;
-    /// Attempts since the last one that delivered a token.
+    /// Attempts that reached an endpoint since the last one that delivered a token.
     unsigned attemptsWithoutToken = 1;
     unsigned maximumAttempts = 3;
+    /// Attempts that made no connection, over the whole request.
+    unsigned failedConnections = 0;
 };
 
 enum class NextStep : std::uint8_t {
--- a/include/mulberrywall/Router/RouterService.h
+++ b/include/mulberrywall/Router/RouterService.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace mulberrywall::router
@@ -25,6 +26,8 @@
     /// Key for the admin listener; empty lets everybody in.
     std::string operatorKey;
     RouterOptions router;
+    /// Table service and instance list; without it there are no claims and no configuration changes.
+    std::optional<platform::PlatformOptions> platform;
 };
 
 /// A router process without its command line: listeners, pools and the drain at shutdown.
--- a/include/mulberrywall/Router/RouterState.h
+++ b/include/mulberrywall/Router/RouterState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mulberrywall/Permits/Permit.h"
+#include "mulberrywall/Platform/ClaimBatch.h"
 #include "mulberrywall/Router/ActiveConfiguration.h"
 #include "mulberrywall/Router/HedgeDelay.h"
 #include "mulberrywall/Router/OrganisationLimits.h"
@@ -33,6 +34,8 @@
     boost::asio::io_context &context;
     RouterOptions options;
     permits::PermitSource permits;
+    /// Null when the router has no platform; requests with an idempotency key are refused then.
+    std::shared_ptr<platform::ClaimBatch> claims;
     ActiveConfiguration configuration;
     support::MetricsRegistry metrics;
     RetryBudgets retryBudgets;
--- a/lib/Router/Attempt.cpp
+++ b/lib/Router/Attempt.cpp
@@ -221,7 +221,10 @@
     switch (result.stage) {
     case http::CallStage::Connecting:
     case http::CallStage::NothingWritten:
-        end({.verdict = Verdict::NotRun, .outcome = AttemptOutcome::NotRun, .reason = "could not reach the endpoint: " + result.error.message()});
+        end({.verdict = Verdict::NotRun,
+            .outcome = AttemptOutcome::NotRun,
+            .reason = "could not reach the endpoint: " + result.error.message(),
+            .reached = result.stage != http::CallStage::Connecting});
         return;
     case http::CallStage::RequestWritten:
     case http::CallStage::HeaderReceived: {
--- a/lib/Router/CallerSession.cpp
+++ b/lib/Router/CallerSession.cpp
@@ -55,7 +55,39 @@
     });
     state_.retryBudgets.recordRequest(request_.requestClass);
     armDeadline();
-    acquirePermit(AttemptPurpose::First);
+    if (!needsClaim(request_)) {
+        acquirePermit(AttemptPurpose::First);
+        return;
+    }
+    if (!state_.claims) {
+        fail({.status = http::Status::service_unavailable,
+            .title = "no claims",
+            .detail = "this router has no table service for idempotency keys; start it with --platform, or send the request without a key"});
+        return;
+    }
+    claim_ = std::make_unique<ClaimGuard>(state_.claims, makeClaimRequest(request_));
+    claim_->claim([self = shared_from_this()](platform::ClaimResult result) {
+        boost::asio::dispatch(self->exchange_->executor(), [self, result = std::move(result)]() mutable { self->onClaimed(std::move(result)); });
+    });
+}
+
+void CallerSession::onClaimed(platform::ClaimResult result)
+{
+    const bool claimed = claim_->onResult(result);
+    if (ended_) {
+        // The caller left or the deadline passed; nothing was dispatched.
+        claim_->release([] {});
+        return;
+    }
+    if (claimed) {
+        acquirePermit(AttemptPurpose::First);
+        return;
+    }
+    stopWork();
+    ended_ = true;
+    verdict_ = verdictOf(result.outcome);
+    recordEnd(toString(result.outcome));
+    exchange_->respond(makeClaimResponse(result, request_.id));
 }
 
 void CallerSession::armDeadline()
@@ -312,6 +344,10 @@
         failedEndpoints_.clear();
     }
     failedEndpoints_.push_back(endpoint);
+    if (!attemptEnd.reached) {
+        ++failedConnections_;
+        --attemptsWithoutToken_;
+    }
     source_ = nullptr;
     if (!running_.empty()) {
         return;
@@ -326,10 +362,12 @@
         .deliveredTokens = deliveredTokens_,
         .endpointResumes = attempt->endpoint().support.resume,
         .attemptsWithoutToken = attemptsWithoutToken_,
-        .maximumAttempts = state_.options.maximumAttempts});
+        .maximumAttempts = state_.options.maximumAttempts,
+        .failedConnections = failedConnections_});
     switch (next) {
     case NextStep::Retry:
-        if (state_.retryBudgets.takeRetry(request_.requestClass)) {
+        // A failed connection has cost no endpoint any work; charging it would let one dead endpoint use up the budget.
+        if (!attemptEnd.reached || state_.retryBudgets.takeRetry(request_.requestClass)) {
             acquirePermit(AttemptPurpose::Retry);
             return;
         }
@@ -365,6 +403,9 @@
         return;
     }
     http::Response response = std::move(*attemptEnd.response);
+    if (claim_) {
+        claim_->complete(response);
+    }
     response.set(http::header::outcome, support::toString(verdict_));
     response.set(http::header::requestId, request_.id.value());
     exchange_->respond(std::move(response));
@@ -388,7 +429,18 @@
         relay_->finish(renderEvent("error", http::renderProblem(problem)), streamHeader());
         return;
     }
-    exchange_->respond(makeRetryLaterResponse(problem, retryAfter));
+    releaseClaimAndRespond(makeRetryLaterResponse(problem, retryAfter));
+}
+
+void CallerSession::releaseClaimAndRespond(http::Response response)
+{
+    if (!claim_ || verdict_ != Verdict::NotRun) {
+        exchange_->respond(std::move(response));
+        return;
+    }
+    claim_->release([self = shared_from_this(), response = std::move(response)]() mutable {
+        boost::asio::dispatch(self->exchange_->executor(), [self, response = std::move(response)]() mutable { self->exchange_->respond(std::move(response)); });
+    });
 }
 
 void CallerSession::stopWork()
@@ -406,6 +458,9 @@
     ended_ = true;
     stopWork();
     recordEnd("caller-gone");
+    if (claim_ && verdict_ == Verdict::NotRun) {
+        claim_->release([] {});
+    }
     relay_->abort();
 }
 
--- /dev/null
+++ b/lib/Router/ClaimGuard.cpp
@@ -0,0 +1,148 @@
+#include "mulberrywall/Router/ClaimGuard.h"
+
+#include "mulberrywall/Support/Log.h"
+
+#include <utility>
+
+namespace mulberrywall::router
+{
+
+using platform::ClaimOutcome;
+using support::Verdict;
+
+/// Rows of the table service are small; a batch holds up to 128 of them.
+static constexpr std::size_t maxStoredBodyBytes = 8 * 1024;
+static constexpr std::chrono::milliseconds unavailableRetryAfter {1'000};
+
+bool needsClaim(const CallerRequest &request)
+{
+    return request.requestClass.idempotency == configuration::Idempotency::NonIdempotent && !request.idempotencyKey.empty();
+}
+
+platform::ClaimRequest makeClaimRequest(const CallerRequest &request)
+{
+    std::string contents(request.upstream.method_string());
+    contents += ' ' + request.pool.value() + ' ';
+    contents += request.upstream.target();
+    contents += '\n' + request.upstream.body();
+    return {
+        .organisation = request.organisation.id, .keyHash = hashKey(request.idempotencyKey), .attemptId = request.id.value(), .bodyHash = hashKey(contents)};
+}
+
+Verdict verdictOf(ClaimOutcome outcome)
+{
+    switch (outcome) {
+    case ClaimOutcome::Completed:
+        return Verdict::Completed;
+    case ClaimOutcome::ClaimedByOther:
+        return Verdict::MayHaveRun;
+    case ClaimOutcome::Claimed:
+    case ClaimOutcome::OtherBody:
+    case ClaimOutcome::Unavailable:
+        return Verdict::NotRun;
+    }
+    return Verdict::MayHaveRun;
+}
+
+std::string_view toString(ClaimOutcome outcome)
+{
+    switch (outcome) {
+    case ClaimOutcome::Claimed:
+        return "claimed";
+    case ClaimOutcome::Completed:
+        return "replayed";
+    case ClaimOutcome::ClaimedByOther:
+        return "claimed-by-other";
+    case ClaimOutcome::OtherBody:
+        return "key-reused";
+    case ClaimOutcome::Unavailable:
+        return "claims-unavailable";
+    }
+    return "unknown";
+}
+
+static http::Problem makeClaimProblem(const platform::ClaimResult &result)
+{
+    const Verdict verdict = verdictOf(result.outcome);
+    switch (result.outcome) {
+    case ClaimOutcome::ClaimedByOther:
+        return {.status = http::Status::conflict,
+            .title = "key in use",
+            .detail = "an earlier request with this idempotency key runs or has ended without a stored response; check whether it took effect",
+            .verdict = verdict};
+    case ClaimOutcome::OtherBody:
+        return {.status = http::Status::unprocessable_entity,
+            .title = "key reused",
+            .detail = "this idempotency key was used with another request; send a new key",
+            .verdict = verdict};
+    case ClaimOutcome::Claimed:
+    case ClaimOutcome::Completed:
+    case ClaimOutcome::Unavailable:
+        break;
+    }
+    return {.status = http::Status::service_unavailable,
+        .title = "claims unavailable",
+        .detail = "the idempotency key could not be claimed (" + result.detail + "); send the request again later",
+        .verdict = verdict};
+}
+
+http::Response makeClaimResponse(const platform::ClaimResult &result, const support::RequestId &request)
+{
+    if (result.outcome == ClaimOutcome::Completed && result.response) {
+        http::Response response(static_cast<http::Status>(result.response->status), 11);
+        response.set(http::Field::content_type, result.response->contentType);
+        response.set(http::header::outcome, support::toString(Verdict::Completed));
+        response.set(http::header::requestId, request.value());
+        response.body() = result.response->body;
+        return response;
+    }
+    http::Problem problem = makeClaimProblem(result);
+    problem.requestId = request.value();
+    return makeRetryLaterResponse(problem, result.outcome == ClaimOutcome::Unavailable ? unavailableRetryAfter : std::chrono::milliseconds(0));
+}
+
+ClaimGuard::ClaimGuard(std::shared_ptr<platform::ClaimBatch> batch, platform::ClaimRequest request)
+    : batch_(std::move(batch)),
+      request_(std::move(request))
+{
+}
+
+void ClaimGuard::claim(std::function<void(platform::ClaimResult)> handler)
+{
+    batch_->claim(request_, std::move(handler));
+}
+
+bool ClaimGuard::onResult(const platform::ClaimResult &result)
+{
+    isHeld_ = result.outcome == ClaimOutcome::Claimed;
+    version_ = result.version;
+    return isHeld_;
+}
+
+void ClaimGuard::complete(const http::Response &response)
+{
+    if (!std::exchange(isHeld_, false) || response.body().size() > maxStoredBodyBytes) {
+        return;
+    }
+    const std::string_view contentType = http::fieldValue(response, "Content-Type");
+    batch_->completeClaim(request_,
+        version_,
+        {.status = response.result_int(), .contentType = std::string(contentType), .body = response.body()},
+        [attempt = request_.attemptId](platform::ClaimUpdate update) {
+            if (update != platform::ClaimUpdate::Done) {
+                support::log(
+                    support::Severity::Warning, "response was not stored with its idempotency key; a resend is answered with 409", {{"request", attempt}});
+            }
+        });
+}
+
+void ClaimGuard::release(std::function<void()> handler)
+{
+    if (!std::exchange(isHeld_, false)) {
+        handler();
+        return;
+    }
+    batch_->releaseClaim(request_, version_, [handler = std::move(handler)](platform::ClaimUpdate) { handler(); });
+}
+
+} // namespace mulberrywall::router
--- a/lib/Router/RetryDecision.cpp
+++ b/lib/Router/RetryDecision.cpp
@@ -6,9 +6,12 @@
 using configuration::Idempotency;
 using support::Verdict;
 
+/// Each failed connection excludes one endpoint; after this many the pool is in more trouble than a retry can solve.
+static constexpr unsigned maximumFailedConnections = 8;
+
 NextStep decideNextStep(const FailedAttempt &attempt)
 {
-    if (attempt.attemptsWithoutToken >= attempt.maximumAttempts) {
+    if (attempt.attemptsWithoutToken >= attempt.maximumAttempts || attempt.failedConnections >= maximumFailedConnections) {
         return NextStep::Fail;
     }
     const bool mayRunAgain = attempt.verdict == Verdict::NotRun || attempt.idempotency == Idempotency::Idempotent;
--- a/lib/Router/RouterService.cpp
+++ b/lib/Router/RouterService.cpp
@@ -18,10 +18,15 @@
 /// Interval at which a draining router looks whether its last request has ended.
 static constexpr std::chrono::milliseconds drainPollInterval {20};
 
+static std::shared_ptr<platform::ClaimBatch> makeClaims(boost::asio::io_context &context, const std::optional<platform::PlatformOptions> &platform)
+{
+    return platform ? platform::ClaimBatch::create(context.get_executor(), {.platform = *platform}) : nullptr;
+}
+
 RouterService::RouterService(boost::asio::io_context &context, RouterServiceOptions options, const policy::PolicyFunctions &policy)
     : options_(std::move(options)),
       pools_(context, policy),
-      state_ {.context = context, .options = options_.router, .permits = permits::makeLocalSource(pools_)},
+      state_ {.context = context, .options = options_.router, .permits = permits::makeLocalSource(pools_), .claims = makeClaims(context, options_.platform)},
       callerServer_(http::Server::create(context, options_.callerServer, [this](const http::ExchangePtr &exchange) { handleCaller(exchange); })),
       adminServer_(http::Server::create(context, options_.adminServer, [this](const http::ExchangePtr &exchange) { handleAdmin(exchange); })),
       drainTimer_(context)
--- a/tools/mulberrywall-router/main.cpp
+++ b/tools/mulberrywall-router/main.cpp
@@ -28,6 +28,7 @@
     std::string callerListen = "127.0.0.1:8080";
     std::string adminListen = "127.0.0.1:9080";
     std::string operatorKey;
+    std::string platform;
     unsigned workers = 4;
     std::size_t maxBodyBytes = 4 * 1024 * 1024;
     unsigned readTimeoutMs = 30'000;
@@ -55,6 +56,11 @@
     return parseAddress(text) ? std::string() : "'" + text + "' is not an IP address and port; write for example 127.0.0.1:8080";
 }
 
+std::string validateOptionalAddress(const std::string &text)
+{
+    return text.empty() ? std::string() : validateAddress(text);
+}
+
 void addSettings(CLI::App &app, Settings &settings)
 {
     support::addSetting(app, "--instance", settings.instance, "name of this instance")->required();
@@ -62,6 +68,7 @@
     support::addSetting(app, "--overlay", settings.overlay, "configuration overlay of this site")->required()->check(CLI::ExistingFile);
     support::addSetting(app, "--caller-listen", settings.callerListen, "address and port for callers")->check(validateAddress);
     support::addSetting(app, "--admin-listen", settings.adminListen, "address and port for operators")->check(validateAddress);
+    support::addSetting(app, "--platform", settings.platform, "address and port of the platform; empty means none")->check(validateOptionalAddress);
     support::addSetting(app, "--operator-key", settings.operatorKey, "key for the admin listener; empty lets everybody in");
     support::addSetting(app, "--workers", settings.workers, "worker threads")->check(CLI::Range(1, 64));
     support::addSetting(app, "--max-body-bytes", settings.maxBodyBytes, "largest request body")->check(CLI::PositiveNumber);
@@ -101,6 +108,9 @@
     options.callerServer.readTimeout = std::chrono::milliseconds(settings.readTimeoutMs);
     options.adminServer.listen = *parseAddress(settings.adminListen);
     options.operatorKey = settings.operatorKey;
+    if (!settings.platform.empty()) {
+        options.platform = platform::PlatformOptions {.address = *parseAddress(settings.platform)};
+    }
     options.router.stallTimeout = std::chrono::milliseconds(settings.stallTimeoutMs);
     options.router.responseTimeout
         = settings.responseTimeoutMs == 0 ? options.router.stallTimeout * responseStallFactor : std::chrono::milliseconds(settings.responseTimeoutMs);
--- a/unittests/Router/RouterFixture.cpp
+++ b/unittests/Router/RouterFixture.cpp
@@ -163,10 +163,11 @@
 
 void RouterTest::startRouter(RouterOptions options)
 {
-    RouterServiceOptions serviceOptions {.instance = support::InstanceId("router"), .router = options};
-    serviceOptions.callerServer.listen = {asio::ip::make_address("127.0.0.1"), 0};
-    serviceOptions.adminServer.listen = {asio::ip::make_address("127.0.0.1"), 0};
-    service_ = std::make_unique<RouterService>(workers_.context(), serviceOptions, policy::standardPolicy());
+    serviceOptions_.instance = support::InstanceId("router");
+    serviceOptions_.router = options;
+    serviceOptions_.callerServer.listen = {asio::ip::make_address("127.0.0.1"), 0};
+    serviceOptions_.adminServer.listen = {asio::ip::make_address("127.0.0.1"), 0};
+    service_ = std::make_unique<RouterService>(workers_.context(), serviceOptions_, policy::standardPolicy());
     service_->configure(configuration_);
     service_->start();
 }
--- a/unittests/Router/RouterFixture.h
+++ b/unittests/Router/RouterFixture.h
@@ -109,6 +109,7 @@
 
     support::WorkerPool workers_ {2};
     configuration::SiteConfiguration configuration_ = makeConfiguration();
+    RouterServiceOptions serviceOptions_;
     std::vector<std::unique_ptr<ScriptedEndpoint>> endpoints_;
     std::unique_ptr<RouterService> service_;
 
