--- a/test/Support/Harness/TestClient.h
+++ b/test/Support/Harness/TestClient.h
@@ -37,7 +37,7 @@
     std::string target;
     std::string body;
     std::vector<std::pair<std::string, std::string>> headers;
-    std::chrono::milliseconds timeout {60'000};
+    std::chrono::milliseconds timeout {30'000};
     /// Called for each server-sent event as it arrives; may be empty.
     std::function<Continue(const ServerSentEvent &)> onEvent;
 };
