--- a/include/mulberrywall/Router/RouterState.h
+++ b/include/mulberrywall/Router/RouterState.h
@@ -2,6 +2,9 @@
 
 #include "mulberrywall/Permits/Permit.h"
 #include "mulberrywall/Router/ActiveConfiguration.h"
+#include "mulberrywall/Router/HedgeDelay.h"
+#include "mulberrywall/Router/OrganisationLimits.h"
+#include "mulberrywall/Router/RetryBudget.h"
 #include "mulberrywall/Support/Metrics.h"
 
 #include <boost/asio/io_context.hpp>
@@ -18,6 +21,8 @@
     std::chrono::milliseconds connectTimeout {1'000};
     /// Longest silence of an endpoint before its attempt counts as stalled.
     std::chrono::milliseconds stallTimeout {30'000};
+    /// Longest wait for a response that is not streamed, which arrives only when the whole answer has been generated.
+    std::chrono::milliseconds responseTimeout {120'000};
     /// Attempts for one request, the first included.
     unsigned maximumAttempts = 3;
 };
@@ -30,6 +35,9 @@
     permits::PermitSource permits;
     ActiveConfiguration configuration;
     support::MetricsRegistry metrics;
+    RetryBudgets retryBudgets;
+    HedgeDelays hedgeDelays;
+    OrganisationLimits organisationLimits;
     std::atomic<std::size_t> activeRequests {0};
     /// Set at shutdown: new requests are refused, running ones end normally.
     std::atomic<bool> draining {false};
