router: join routers by membership, shared pools and configuration revisions

Cause: each router owned its own copy of every pool and read its configuration from local files. Ruled out: reading the platform in each request; pushing configurations from the operator's tool. Conclusion: multi-router tests can start from here.

--- a/include/mulberrywall/Permits/PoolOwner.h
+++ b/include/mulberrywall/Permits/PoolOwner.h
@@ -62,6 +62,7 @@
     // Queries
     [[nodiscard]] OwnershipState ownership() const;
     [[nodiscard]] policy::PoolSummary summarize() const;
+    [[nodiscard]] std::vector<policy::SuspectEntry> suspects() const;
 
 private:
     struct Waiter
@@ -110,6 +111,8 @@
     /// Takes classes, organisations, pools and endpoints from the configuration.
     void configure(const configuration::SiteConfiguration &configuration);
     void setLeaving(std::set<support::EndpointId> leaving);
+    /// Tells all pools that a request crashed endpoints elsewhere.
+    void recordSuspect(policy::Fingerprint fingerprint, unsigned crashes);
     /// Asks in this process, as owner of the pool.
     AcquireTicket acquire(PermitRequest request, PermitHandler handler);
 
@@ -118,6 +121,8 @@
     [[nodiscard]] std::shared_ptr<OwnedPool> find(const support::PoolId &pool) const;
     [[nodiscard]] std::map<support::PoolId, policy::PoolSummary> summarize() const;
     [[nodiscard]] std::map<support::PoolId, std::shared_ptr<OwnedPool>> pools() const;
+    /// Returns the requests that crashed endpoints of any pool here.
+    [[nodiscard]] std::vector<policy::SuspectEntry> suspects() const;
 
 private:
     void updateEndpoints();
--- /dev/null
+++ b/include/mulberrywall/Router/PeerGroup.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "mulberrywall/Membership/UdpDriver.h"
+#include "mulberrywall/Permits/RoutedPermits.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mulberrywall::router
+{
+
+struct PeerGroupOptions
+{
+    support::InstanceId instance;
+    support::DataCentreId dataCentre;
+    boost::asio::ip::tcp::endpoint peerListen;
+    boost::asio::ip::udp::endpoint membershipListen;
+    /// The same at all routers.
+    std::string secret;
+    /// Membership addresses of some other routers.
+    std::vector<boost::asio::ip::udp::endpoint> seeds;
+    /// Interval at which crash suspects found by the own pools are announced.
+    std::chrono::milliseconds suspectInterval {500};
+};
+
+/// What a router does when other routers tell it something. Called by worker threads.
+struct PeerGroupHandlers
+{
+    /// Returns nothing when this router has no revision as high as the given one.
+    permits::RoutedPermits::ConfigurationProvider provideConfiguration;
+    /// A revision was accepted somewhere.
+    std::function<void(std::uint64_t revision)> revisionSeen;
+    std::function<void(const support::EndpointId &endpoint, std::uint64_t incarnation)> endpointLeaving;
+};
+
+/// The other routers as this one sees them: membership, permits from their pools, and what is spread among all.
+///
+/// Thread-safe.
+class PeerGroup : public std::enable_shared_from_this<PeerGroup>
+{
+public:
+    /// Binds both addresses. Throws boost::system::system_error when one is taken.
+    static std::shared_ptr<PeerGroup> create(
+        boost::asio::io_context &context, permits::PoolTable &pools, const PeerGroupOptions &options, PeerGroupHandlers handlers);
+
+    PeerGroup(boost::asio::io_context &context, permits::PoolTable &pools, const PeerGroupOptions &options, PeerGroupHandlers handlers);
+
+    // Commands
+    void start();
+    /// Call it after the configuration has changed; tells the others its revision.
+    void configurationChanged(std::uint64_t revision);
+    void announceLeaving(const support::EndpointId &endpoint, std::uint64_t incarnation);
+    /// Asks live routers in turn for a revision at least that high; the handler gets nothing when none has it.
+    void fetchConfiguration(std::uint64_t minimumRevision, std::function<void(std::optional<permits::ConfigurationDocument>)> handler);
+    /// Gives up all pools; waiting requests ask the new owners. The first step of a shutdown.
+    void releaseOwnership();
+    /// Tells the others that this router leaves, then calls the handler.
+    void leave(std::function<void()> handler);
+    /// Closes all connections and sockets.
+    void stop();
+
+    // Queries
+    [[nodiscard]] permits::PermitSource source();
+    [[nodiscard]] std::vector<membership::Member> liveMembers() const;
+    [[nodiscard]] std::vector<membership::Member> liveMembers(const support::DataCentreId &dataCentre) const;
+    /// Highest revision that any router has announced.
+    [[nodiscard]] std::uint64_t announcedRevision() const;
+    [[nodiscard]] membership::Counters membershipCounters() const;
+    [[nodiscard]] permits::PeerCounters peerCounters();
+
+private:
+    void bind();
+    void onItem(const membership::Item &item);
+    void exchangeSuspects();
+    void askNext(std::uint64_t minimumRevision, std::vector<permits::Peer> peers, std::function<void(std::optional<permits::ConfigurationDocument>)> handler);
+    [[nodiscard]] permits::MembershipView view();
+
+    boost::asio::io_context &context_;
+    permits::PoolTable &pools_;
+    PeerGroupOptions options_;
+    PeerGroupHandlers handlers_;
+    std::shared_ptr<permits::RoutedPermits> permits_;
+    std::shared_ptr<membership::UdpDriver> membership_;
+    std::shared_ptr<void> subscription_;
+    boost::asio::steady_timer suspectTimer_;
+    std::atomic<bool> stopped_ {false};
+};
+
+} // namespace mulberrywall::router
--- a/include/mulberrywall/Router/RouterService.h
+++ b/include/mulberrywall/Router/RouterService.h
@@ -4,6 +4,8 @@
 #include "mulberrywall/Http/Server.h"
 #include "mulberrywall/Permits/PoolOwner.h"
 #include "mulberrywall/Policy/PolicyFunctions.h"
+#include "mulberrywall/Router/ConfigurationWatcher.h"
+#include "mulberrywall/Router/PeerGroup.h"
 #include "mulberrywall/Router/RouterState.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -28,6 +30,9 @@
     RouterOptions router;
     /// Table service and instance list; without it there are no claims and no configuration changes.
     std::optional<platform::PlatformOptions> platform;
+    /// Other routers; without it this router owns all pools of its configuration.
+    std::optional<PeerGroupOptions> peers;
+    ConfigurationWatcherOptions configurationWatcher;
 };
 
 /// A router process without its command line: listeners, pools and the drain at shutdown.
@@ -37,7 +42,7 @@
     RouterService(boost::asio::io_context &context, RouterServiceOptions options, const policy::PolicyFunctions &policy);
 
     // Commands
-    /// Starts both listeners.
+    /// Starts the listeners and looks for configurations.
     void start();
     /// Puts a configuration in force if its revision is higher.
     ConfigurationChange configure(configuration::SiteConfiguration configuration);
@@ -55,9 +60,16 @@
     [[nodiscard]] http::Response answerAdmin(const http::Request &request);
     [[nodiscard]] std::string renderStatus() const;
     void waitUntilIdle(std::function<void()> handler);
+    [[nodiscard]] std::shared_ptr<PeerGroup> makePeerGroup();
+    [[nodiscard]] std::shared_ptr<ConfigurationWatcher> makeWatcher();
+    void onRevision(const RevisionPtr &revision);
 
     RouterServiceOptions options_;
+    boost::asio::io_context &context_;
     permits::PoolTable pools_;
+    /// Null without other routers.
+    std::shared_ptr<PeerGroup> peers_;
+    std::shared_ptr<ConfigurationWatcher> watcher_;
     RouterState state_;
     std::shared_ptr<http::Server> callerServer_;
     std::shared_ptr<http::Server> adminServer_;
--- a/lib/Permits/PoolOwner.cpp
+++ b/lib/Permits/PoolOwner.cpp
@@ -171,6 +171,12 @@
     return functions_.summarize(pool_.get());
 }
 
+std::vector<policy::SuspectEntry> OwnedPool::suspects() const
+{
+    const std::scoped_lock lock(mutex_);
+    return functions_.suspects(pool_.get());
+}
+
 void OwnedPool::withdraw(policy::PermitId permit)
 {
     std::vector<Notification> notifications;
@@ -331,6 +337,23 @@
     updateEndpoints();
 }
 
+void PoolTable::recordSuspect(policy::Fingerprint fingerprint, unsigned crashes)
+{
+    for (const auto &[id, pool] : pools()) {
+        pool->recordSuspect(fingerprint, crashes);
+    }
+}
+
+std::vector<policy::SuspectEntry> PoolTable::suspects() const
+{
+    std::vector<policy::SuspectEntry> suspects;
+    for (const auto &[id, pool] : pools()) {
+        const std::vector<policy::SuspectEntry> found = pool->suspects();
+        suspects.insert(suspects.end(), found.begin(), found.end());
+    }
+    return suspects;
+}
+
 void PoolTable::updateEndpoints()
 {
     for (const auto &[id, pool] : pools_) {
--- /dev/null
+++ b/lib/Router/ConfigurationWatcher.cpp
@@ -0,0 +1,196 @@
+#include "mulberrywall/Router/ConfigurationWatcher.h"
+
+#include "mulberrywall/Support/Error.h"
+#include "mulberrywall/Support/Log.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberrywall::router
+{
+
+ConfigurationWatcher::ConfigurationWatcher(
+    boost::asio::io_context &context, ConfigurationWatcherOptions options, ConfigurationSources sources, RevisionHandler onRevision)
+    : strand_(boost::asio::make_strand(context)),
+      options_(options),
+      sources_(std::move(sources)),
+      onRevision_(std::move(onRevision)),
+      pollTimer_(strand_),
+      retryTimer_(strand_)
+{
+}
+
+void ConfigurationWatcher::start()
+{
+    boost::asio::post(strand_, [self = shared_from_this()] { self->poll(); });
+}
+
+void ConfigurationWatcher::stop()
+{
+    boost::asio::post(strand_, [self = shared_from_this()] {
+        self->stopped_ = true;
+        self->pollTimer_.cancel();
+        self->retryTimer_.cancel();
+    });
+}
+
+void ConfigurationWatcher::revisionSeen(std::uint64_t revision)
+{
+    boost::asio::post(strand_, [self = shared_from_this(), revision] { self->want(revision); });
+}
+
+std::optional<permits::ConfigurationDocument> ConfigurationWatcher::provide(std::uint64_t minimumRevision) const
+{
+    const std::scoped_lock lock(mutex_);
+    if (!held_ || held_->number < minimumRevision) {
+        return std::nullopt;
+    }
+    return permits::ConfigurationDocument {.revision = held_->number, .json = configuration::toJson(*held_)};
+}
+
+std::uint64_t ConfigurationWatcher::heldRevision() const
+{
+    const std::scoped_lock lock(mutex_);
+    return held_ ? held_->number : 0;
+}
+
+std::chrono::milliseconds ConfigurationWatcher::currentPollInterval() const
+{
+    const std::size_t routers = sources_.countRouters ? sources_.countRouters() : 1;
+    const auto factor = static_cast<std::int64_t>((routers + options_.routersPerInterval - 1) / options_.routersPerInterval);
+    return std::min(options_.maximumPollInterval, options_.pollInterval * std::max<std::int64_t>(1, factor));
+}
+
+void ConfigurationWatcher::poll()
+{
+    if (stopped_) {
+        return;
+    }
+    if (!sources_.fetchHead) {
+        onHead(std::nullopt);
+        return;
+    }
+    sources_.fetchHead(
+        [self = shared_from_this()](std::optional<std::uint64_t> head) { boost::asio::post(self->strand_, [self, head] { self->onHead(head); }); });
+}
+
+void ConfigurationWatcher::onHead(std::optional<std::uint64_t> head)
+{
+    if (head) {
+        want(*head);
+    } else if (heldRevision() == 0 && !fetching_) {
+        // With the platform down, a router that has just started takes the highest revision of its peers.
+        fetchFromPeers(1, Fallback::None);
+    }
+    pollLater();
+}
+
+void ConfigurationWatcher::pollLater()
+{
+    pollTimer_.expires_after(currentPollInterval());
+    pollTimer_.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (!error) {
+            self->poll();
+        }
+    });
+}
+
+void ConfigurationWatcher::want(std::uint64_t revision)
+{
+    wanted_ = std::max(wanted_, revision);
+    if (!fetching_ && !stopped_ && wanted_ > heldRevision()) {
+        fetchFromPeers(wanted_, Fallback::Platform);
+    }
+}
+
+/// Returns a null pointer for a document that this release cannot read.
+static RevisionPtr parseDocument(const permits::ConfigurationDocument &document)
+{
+    return support::leaf::try_handle_all(
+        [&]() -> support::Result<RevisionPtr> {
+            BOOST_LEAF_AUTO(parsed, configuration::revisionFromJson(document.json));
+            return std::make_shared<const configuration::Revision>(std::move(parsed));
+        },
+        [&](const support::ErrorMessage &message) -> RevisionPtr {
+            support::log(support::Severity::Error,
+                "a peer sent an invalid configuration; update the older of the two routers",
+                {{"revision", document.revision}, {"reason", message.text}});
+            return nullptr;
+        },
+        []() -> RevisionPtr { return nullptr; });
+}
+
+void ConfigurationWatcher::fetchFromPeers(std::uint64_t minimumRevision, Fallback fallback)
+{
+    fetching_ = true;
+    if (!sources_.fetchFromPeers) {
+        onPeerAnswer(minimumRevision, fallback, nullptr);
+        return;
+    }
+    const auto onDocument = [self = shared_from_this(), minimumRevision, fallback](const std::optional<permits::ConfigurationDocument> &document) {
+        const RevisionPtr revision = document ? parseDocument(*document) : nullptr;
+        boost::asio::post(self->strand_, [self, minimumRevision, fallback, revision] { self->onPeerAnswer(minimumRevision, fallback, revision); });
+    };
+    sources_.fetchFromPeers(minimumRevision, onDocument);
+}
+
+void ConfigurationWatcher::onPeerAnswer(std::uint64_t minimumRevision, Fallback fallback, const RevisionPtr &revision)
+{
+    if (revision) {
+        take(revision);
+        fetchEnded();
+        return;
+    }
+    if (fallback == Fallback::Platform) {
+        fetchFromPlatform(minimumRevision);
+        return;
+    }
+    fetchEnded();
+}
+
+void ConfigurationWatcher::fetchFromPlatform(std::uint64_t revision)
+{
+    if (!sources_.fetchRevision) {
+        fetchEnded();
+        return;
+    }
+    sources_.fetchRevision(revision, [self = shared_from_this()](const RevisionPtr &fetched) {
+        boost::asio::post(self->strand_, [self, fetched] {
+            if (fetched) {
+                self->take(fetched);
+            }
+            self->fetchEnded();
+        });
+    });
+}
+
+void ConfigurationWatcher::fetchEnded()
+{
+    fetching_ = false;
+    if (stopped_ || wanted_ <= heldRevision()) {
+        return;
+    }
+    retryTimer_.expires_after(options_.retryInterval);
+    retryTimer_.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (!error) {
+            self->want(self->wanted_);
+        }
+    });
+}
+
+void ConfigurationWatcher::take(const RevisionPtr &revision)
+{
+    {
+        const std::scoped_lock lock(mutex_);
+        if (held_ && revision->number <= held_->number) {
+            return;
+        }
+        held_ = revision;
+    }
+    wanted_ = std::max(wanted_, revision->number);
+    onRevision_(revision);
+}
+
+} // namespace mulberrywall::router
--- /dev/null
+++ b/lib/Router/PeerGroup.cpp
@@ -0,0 +1,227 @@
+#include "mulberrywall/Router/PeerGroup.h"
+
+#include "mulberrywall/Support/Log.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+#include <variant>
+
+namespace mulberrywall::router
+{
+
+std::shared_ptr<PeerGroup> PeerGroup::create(
+    boost::asio::io_context &context, permits::PoolTable &pools, const PeerGroupOptions &options, PeerGroupHandlers handlers)
+{
+    auto group = std::make_shared<PeerGroup>(context, pools, options, std::move(handlers));
+    group->bind();
+    return group;
+}
+
+PeerGroup::PeerGroup(boost::asio::io_context &context, permits::PoolTable &pools, const PeerGroupOptions &options, PeerGroupHandlers handlers)
+    : context_(context),
+      pools_(pools),
+      options_(options),
+      handlers_(std::move(handlers)),
+      suspectTimer_(context)
+{
+}
+
+/// The peer service is bound first, because the membership announces its port. No peer knows it before that.
+void PeerGroup::bind()
+{
+    const std::uint64_t incarnation = membership::incarnationFromClock();
+    permits::RoutedOptions routed {
+        .ownership = {.instance = options_.instance, .dataCentre = options_.dataCentre},
+        .peers = {.listen = options_.peerListen, .secret = options_.secret, .instance = options_.instance, .incarnation = incarnation},
+    };
+    permits_ = permits::RoutedPermits::create(context_, pools_, view(), std::move(routed), handlers_.provideConfiguration);
+
+    membership::DriverOptions driver {.listen = options_.membershipListen, .secret = options_.secret};
+    driver.protocol.self.instance = options_.instance;
+    driver.protocol.self.dataCentre = options_.dataCentre;
+    driver.protocol.self.incarnation = incarnation;
+    driver.protocol.self.peerAddress = membership::toAddress(permits_->peers().localEndpoint());
+    for (const auto &seed : options_.seeds) {
+        driver.protocol.seeds.push_back(membership::toAddress(seed));
+    }
+    membership_ = membership::UdpDriver::create(context_, driver);
+}
+
+permits::MembershipView PeerGroup::view()
+{
+    const std::weak_ptr<PeerGroup> weak = weak_from_this();
+    const auto driver = [weak] {
+        const auto self = weak.lock();
+        return self ? self->membership_ : nullptr;
+    };
+    return {
+        .liveMembers =
+            [driver] {
+                const auto membership = driver();
+                return membership ? membership->liveMembers() : std::vector<membership::Member>();
+            },
+        .poolLoads =
+            [driver](const support::PoolId &pool) {
+                const auto membership = driver();
+                return membership ? membership->poolLoads(pool) : std::vector<membership::PoolLoad>();
+            },
+        .announceLoad =
+            [driver](membership::PoolLoad load) {
+                if (const auto membership = driver()) {
+                    membership->announce(std::move(load));
+                }
+            },
+    };
+}
+
+void PeerGroup::start()
+{
+    subscription_ = membership_->subscribe([weak = weak_from_this()](const membership::Item &item) {
+        if (const auto self = weak.lock()) {
+            self->onItem(item);
+        }
+    });
+    membership_->start();
+    permits_->start();
+    exchangeSuspects();
+    support::log(support::Severity::Info, "listening", {{"listener", "peer"}, {"port", permits_->peers().localEndpoint().port()}});
+    support::log(support::Severity::Info, "listening", {{"listener", "membership"}, {"port", membership_->localEndpoint().port()}});
+}
+
+void PeerGroup::onItem(const membership::Item &item)
+{
+    if (const auto *member = std::get_if<membership::Member>(&item)) {
+        support::log(support::Severity::Info,
+            "member changed",
+            {{"member", member->instance.value()}, {"dataCentre", member->dataCentre.value()}, {"live", membership::isLive(member->state)}});
+        permits_->membershipChanged();
+        return;
+    }
+    if (const auto *revision = std::get_if<membership::ConfigurationRevision>(&item)) {
+        handlers_.revisionSeen(revision->revision);
+        return;
+    }
+    if (const auto *leaving = std::get_if<membership::LeavingEndpoint>(&item)) {
+        handlers_.endpointLeaving(leaving->endpoint, leaving->incarnation);
+        return;
+    }
+    if (const auto *suspect = std::get_if<membership::CrashSuspect>(&item)) {
+        pools_.recordSuspect(suspect->fingerprint, suspect->crashes);
+    }
+}
+
+void PeerGroup::exchangeSuspects()
+{
+    for (const policy::SuspectEntry &suspect : pools_.suspects()) {
+        membership_->announce(membership::CrashSuspect {.fingerprint = suspect.fingerprint, .crashes = suspect.crashes});
+    }
+    suspectTimer_.expires_after(options_.suspectInterval);
+    suspectTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self && !self->stopped_) {
+            self->exchangeSuspects();
+        }
+    });
+}
+
+void PeerGroup::configurationChanged(std::uint64_t revision)
+{
+    if (revision > 0) {
+        membership_->announce(membership::ConfigurationRevision {.revision = revision});
+    }
+    permits_->membershipChanged();
+}
+
+void PeerGroup::announceLeaving(const support::EndpointId &endpoint, std::uint64_t incarnation)
+{
+    membership_->announce(membership::LeavingEndpoint {.endpoint = endpoint, .incarnation = incarnation});
+}
+
+void PeerGroup::fetchConfiguration(std::uint64_t minimumRevision, std::function<void(std::optional<permits::ConfigurationDocument>)> handler)
+{
+    std::vector<permits::Peer> peers;
+    for (const membership::Member &member : membership_->liveMembers()) {
+        if (member.instance != options_.instance) {
+            peers.push_back({.instance = member.instance, .address = membership::toTcpEndpoint(member.peerAddress)});
+        }
+    }
+    // A random order spreads the load of a change over the routers that have it already.
+    thread_local std::minstd_rand random(std::random_device {}());
+    std::shuffle(peers.begin(), peers.end(), random);
+    askNext(minimumRevision, std::move(peers), std::move(handler));
+}
+
+void PeerGroup::askNext(
+    std::uint64_t minimumRevision, std::vector<permits::Peer> peers, std::function<void(std::optional<permits::ConfigurationDocument>)> handler)
+{
+    if (peers.empty() || stopped_) {
+        boost::asio::post(context_, [handler = std::move(handler)] { handler(std::nullopt); });
+        return;
+    }
+    const permits::Peer peer = peers.back();
+    peers.pop_back();
+    permits_->peers().fetchConfiguration(peer,
+        minimumRevision,
+        [self = shared_from_this(), minimumRevision, peers = std::move(peers), handler = std::move(handler)](
+            permits::PeerResult<permits::ConfigurationDocument> result) mutable {
+            auto *document = std::get_if<permits::ConfigurationDocument>(&result);
+            if (document != nullptr && document->revision >= minimumRevision && document->revision > 0) {
+                handler(std::move(*document));
+                return;
+            }
+            self->askNext(minimumRevision, std::move(peers), std::move(handler));
+        });
+}
+
+void PeerGroup::releaseOwnership()
+{
+    permits_->releaseOwnership();
+}
+
+void PeerGroup::leave(std::function<void()> handler)
+{
+    membership_->leave(std::move(handler));
+}
+
+void PeerGroup::stop()
+{
+    stopped_ = true;
+    subscription_.reset();
+    permits_->stop();
+    membership_->stop();
+}
+
+permits::PermitSource PeerGroup::source()
+{
+    return permits_->source();
+}
+
+std::vector<membership::Member> PeerGroup::liveMembers() const
+{
+    return membership_->liveMembers();
+}
+
+std::vector<membership::Member> PeerGroup::liveMembers(const support::DataCentreId &dataCentre) const
+{
+    return membership_->liveMembers(dataCentre);
+}
+
+std::uint64_t PeerGroup::announcedRevision() const
+{
+    return membership_->configurationRevision();
+}
+
+membership::Counters PeerGroup::membershipCounters() const
+{
+    return membership_->counters();
+}
+
+permits::PeerCounters PeerGroup::peerCounters()
+{
+    return permits_->peers().counters();
+}
+
+} // namespace mulberrywall::router
--- a/lib/Router/RouterService.cpp
+++ b/lib/Router/RouterService.cpp
@@ -1,5 +1,6 @@
 #include "mulberrywall/Router/RouterService.h"
 
+#include "mulberrywall/Configuration/RevisionStore.h"
 #include "mulberrywall/Router/CallerRequest.h"
 #include "mulberrywall/Router/CallerSession.h"
 #include "mulberrywall/Support/Log.h"
@@ -25,16 +26,78 @@
 
 RouterService::RouterService(boost::asio::io_context &context, RouterServiceOptions options, const policy::PolicyFunctions &policy)
     : options_(std::move(options)),
+      context_(context),
       pools_(context, policy),
-      state_ {.context = context, .options = options_.router, .permits = permits::makeLocalSource(pools_), .claims = makeClaims(context, options_.platform)},
+      peers_(makePeerGroup()),
+      watcher_(makeWatcher()),
+      state_ {.context = context,
+          .options = options_.router,
+          .permits = peers_ ? peers_->source() : permits::makeLocalSource(pools_),
+          .claims = makeClaims(context, options_.platform)},
       callerServer_(http::Server::create(context, options_.callerServer, [this](const http::ExchangePtr &exchange) { handleCaller(exchange); })),
       adminServer_(http::Server::create(context, options_.adminServer, [this](const http::ExchangePtr &exchange) { handleAdmin(exchange); })),
       drainTimer_(context)
 {
 }
 
+std::shared_ptr<PeerGroup> RouterService::makePeerGroup()
+{
+    if (!options_.peers) {
+        return nullptr;
+    }
+    PeerGroupHandlers handlers {
+        .provideConfiguration = [this](std::uint64_t minimumRevision) { return watcher_->provide(minimumRevision); },
+        .revisionSeen = [this](std::uint64_t revision) { watcher_->revisionSeen(revision); },
+        .endpointLeaving = [](const support::EndpointId &, std::uint64_t) {},
+    };
+    return PeerGroup::create(context_, pools_, *options_.peers, std::move(handlers));
+}
+
+std::shared_ptr<ConfigurationWatcher> RouterService::makeWatcher()
+{
+    ConfigurationSources sources;
+    if (options_.platform) {
+        const auto store = std::make_shared<configuration::RevisionStore>(context_.get_executor(), *options_.platform);
+        sources.fetchHead = [store](std::function<void(std::optional<std::uint64_t>)> handler) {
+            store->fetchHead([handler = std::move(handler)](const configuration::HeadResult &result) {
+                const bool known = result.status != platform::ReadStatus::Unavailable;
+                handler(known ? std::optional(result.head.revision) : std::nullopt);
+            });
+        };
+        sources.fetchRevision = [store](std::uint64_t revision, std::function<void(RevisionPtr)> handler) {
+            store->fetchRevision(revision, [handler = std::move(handler)](const configuration::RevisionResult &result) { handler(result.revision); });
+        };
+    }
+    if (peers_) {
+        sources.fetchFromPeers = [peers = peers_](std::uint64_t minimumRevision, std::function<void(std::optional<permits::ConfigurationDocument>)> handler) {
+            peers->fetchConfiguration(minimumRevision, std::move(handler));
+        };
+        sources.countRouters = [peers = peers_, dataCentre = options_.dataCentre] {
+            return peers->liveMembers(dataCentre).size();
+        };
+    }
+    return std::make_shared<ConfigurationWatcher>(
+        context_, options_.configurationWatcher, std::move(sources), [this](const RevisionPtr &revision) { onRevision(revision); });
+}
+
+void RouterService::onRevision(const RevisionPtr &revision)
+{
+    const configuration::SiteConfiguration *site = configuration::findSite(*revision, options_.dataCentre);
+    if (site == nullptr) {
+        support::log(support::Severity::Error,
+            "the accepted configuration has no site for this data centre; add an overlay for it",
+            {{"revision", revision->number}, {"dataCentre", options_.dataCentre.value()}});
+        return;
+    }
+    configure(*site);
+}
+
 void RouterService::start()
 {
+    if (peers_) {
+        peers_->start();
+    }
+    watcher_->start();
     adminServer_->start();
     callerServer_->start();
     support::log(support::Severity::Info, "listening", {{"listener", "caller"}, {"port", callerEndpoint().port()}});
@@ -47,6 +110,9 @@
     const ConfigurationChange change = state_.configuration.offer(std::move(configuration));
     if (change == ConfigurationChange::Accepted) {
         pools_.configure(*state_.configuration.current());
+        if (peers_) {
+            peers_->configurationChanged(revision);
+        }
         support::log(support::Severity::Info, "configuration in force", {{"revision", revision}});
     }
     return change;
@@ -57,7 +123,19 @@
     state_.draining = true;
     support::log(support::Severity::Info, "draining", {{"activeRequests", state_.activeRequests.load()}});
     callerServer_->stopAccepting();
-    waitUntilIdle(std::move(handler));
+    if (peers_) {
+        peers_->releaseOwnership();
+    }
+    waitUntilIdle([this, handler = std::move(handler)] {
+        if (!peers_) {
+            handler();
+            return;
+        }
+        peers_->leave([this, handler] {
+            peers_->stop();
+            handler();
+        });
+    });
 }
 
 void RouterService::waitUntilIdle(std::function<void()> handler)
@@ -174,6 +252,13 @@
     status["dataCentre"] = options_.dataCentre.value();
     status["ready"] = isReady();
     status["activeRequests"] = state_.activeRequests.load();
+    if (peers_) {
+        json::array members;
+        for (const membership::Member &member : peers_->liveMembers()) {
+            members.push_back({{"instance", member.instance.value()}, {"dataCentre", member.dataCentre.value()}});
+        }
+        status["members"] = std::move(members);
+    }
     if (configuration != nullptr) {
         status["revision"] = configuration->revision;
     }
--- a/tools/mulberrywall-router/main.cpp
+++ b/tools/mulberrywall-router/main.cpp
@@ -11,6 +11,7 @@
 #include <iostream>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace
 {
@@ -29,6 +30,11 @@
     std::string adminListen = "127.0.0.1:9080";
     std::string operatorKey;
     std::string platform;
+    std::string dataCentre;
+    std::string peerListen;
+    std::string membershipListen;
+    std::string peerSecret;
+    std::vector<std::string> seeds;
     unsigned workers = 4;
     std::size_t maxBodyBytes = 4 * 1024 * 1024;
     unsigned readTimeoutMs = 30'000;
@@ -56,6 +62,11 @@
     return parseAddress(text) ? std::string() : "'" + text + "' is not an IP address and port; write for example 127.0.0.1:8080";
 }
 
+boost::asio::ip::udp::endpoint toUdp(const boost::asio::ip::tcp::endpoint &endpoint)
+{
+    return {endpoint.address(), endpoint.port()};
+}
+
 std::string validateOptionalAddress(const std::string &text)
 {
     return text.empty() ? std::string() : validateAddress(text);
@@ -64,8 +75,14 @@
 void addSettings(CLI::App &app, Settings &settings)
 {
     support::addSetting(app, "--instance", settings.instance, "name of this instance")->required();
-    support::addSetting(app, "--base", settings.base, "base configuration file")->required()->check(CLI::ExistingFile);
-    support::addSetting(app, "--overlay", settings.overlay, "configuration overlay of this site")->required()->check(CLI::ExistingFile);
+    support::addSetting(app, "--data-centre", settings.dataCentre, "data centre of this instance; may be left out with --overlay");
+    auto *base = support::addSetting(app, "--base", settings.base, "base configuration file to start with")->check(CLI::ExistingFile);
+    support::addSetting(app, "--overlay", settings.overlay, "configuration overlay of this site to start with")->check(CLI::ExistingFile)->needs(base);
+    support::addSetting(app, "--peer-listen", settings.peerListen, "TCP address and port for other routers; empty means no other routers")
+        ->check(validateOptionalAddress);
+    support::addSetting(app, "--membership-listen", settings.membershipListen, "UDP address and port for other routers")->check(validateOptionalAddress);
+    support::addSetting(app, "--peer-secret", settings.peerSecret, "secret that all routers share; prefer the environment variable");
+    support::addSetting(app, "--seeds", settings.seeds, "membership addresses of some other routers")->delimiter(',')->check(validateAddress);
     support::addSetting(app, "--caller-listen", settings.callerListen, "address and port for callers")->check(validateAddress);
     support::addSetting(app, "--admin-listen", settings.adminListen, "address and port for operators")->check(validateAddress);
     support::addSetting(app, "--platform", settings.platform, "address and port of the platform; empty means none")->check(validateOptionalAddress);
@@ -98,11 +115,44 @@
         });
 }
 
-router::RouterServiceOptions makeOptions(const Settings &settings, const configuration::SiteConfiguration &site)
+std::optional<router::PeerGroupOptions> makePeerOptions(const Settings &settings)
+{
+    if (settings.peerListen.empty()) {
+        return std::nullopt;
+    }
+    router::PeerGroupOptions peers;
+    peers.instance = support::InstanceId(settings.instance);
+    peers.dataCentre = support::DataCentreId(settings.dataCentre);
+    peers.peerListen = *parseAddress(settings.peerListen);
+    peers.membershipListen = toUdp(*parseAddress(settings.membershipListen));
+    peers.secret = settings.peerSecret;
+    for (const std::string &seed : settings.seeds) {
+        peers.seeds.push_back(toUdp(*parseAddress(seed)));
+    }
+    return peers;
+}
+
+/// Returns what is wrong with the combination of settings, or an empty text.
+std::string checkCombination(const Settings &settings)
+{
+    if (!settings.peerListen.empty() && settings.membershipListen.empty()) {
+        return "--peer-listen needs --membership-listen; add it";
+    }
+    if (!settings.peerListen.empty() && settings.peerSecret.empty()) {
+        return "--peer-listen needs a secret; set MULBERRYWALL_PEER_SECRET";
+    }
+    if (settings.overlay.empty() && (settings.dataCentre.empty() || (settings.platform.empty() && settings.peerListen.empty()))) {
+        return "without --overlay the router needs --data-centre and a source of configurations; add --platform or --peer-listen";
+    }
+    return {};
+}
+
+router::RouterServiceOptions makeOptions(const Settings &settings)
 {
     router::RouterServiceOptions options;
     options.instance = support::InstanceId(settings.instance);
-    options.dataCentre = site.dataCentre;
+    options.dataCentre = support::DataCentreId(settings.dataCentre);
+    options.peers = makePeerOptions(settings);
     options.callerServer.listen = *parseAddress(settings.callerListen);
     options.callerServer.maxBodyBytes = settings.maxBodyBytes;
     options.callerServer.readTimeout = std::chrono::milliseconds(settings.readTimeoutMs);
@@ -117,18 +167,44 @@
     return options;
 }
 
-int serve(const Settings &settings)
+/// Reads the local files, if there are any, and takes the data centre from the overlay.
+support::ExitCode prepare(Settings &settings, std::optional<configuration::SiteConfiguration> &site)
 {
-    std::optional<configuration::SiteConfiguration> site = readConfiguration(settings);
+    const std::string problem = checkCombination(settings);
+    if (!problem.empty()) {
+        std::cerr << "mulberrywall-router: " << problem << '\n';
+        return support::ExitCode::InvalidSettings;
+    }
+    if (settings.overlay.empty()) {
+        return support::ExitCode::Success;
+    }
+    site = readConfiguration(settings);
     if (!site) {
-        return support::toInt(support::ExitCode::InvalidConfiguration);
+        return support::ExitCode::InvalidConfiguration;
+    }
+    if (!settings.dataCentre.empty() && settings.dataCentre != site->dataCentre.value()) {
+        std::cerr << "mulberrywall-router: --data-centre is '" << settings.dataCentre << "' but the overlay is for '" << site->dataCentre
+                  << "'; correct one of them\n";
+        return support::ExitCode::InvalidSettings;
+    }
+    settings.dataCentre = site->dataCentre.value();
+    return support::ExitCode::Success;
+}
+
+int serve(Settings &settings)
+{
+    std::optional<configuration::SiteConfiguration> site;
+    if (const support::ExitCode code = prepare(settings, site); code != support::ExitCode::Success) {
+        return support::toInt(code);
     }
     support::initializeLog({.processName = "mulberrywall-router", .instance = settings.instance});
     support::WorkerPool workers(settings.workers);
     std::promise<void> drained;
     try {
-        router::RouterService service(workers.context(), makeOptions(settings, *site), policy::standardPolicy());
-        service.configure(std::move(*site));
+        router::RouterService service(workers.context(), makeOptions(settings), policy::standardPolicy());
+        if (site) {
+            service.configure(std::move(*site));
+        }
         support::onTerminationSignal(workers.context(), [&service, &drained] { service.drain([&drained] { drained.set_value(); }); });
         service.start();
         drained.get_future().wait();
