--- a/lib/Router/RouterService.cpp
+++ b/lib/Router/RouterService.cpp
@@ -244,6 +244,22 @@
     return http::makeProblemResponse({.status = http::Status::not_found, .title = "unknown path", .detail = "use /healthz, /readyz, /metrics or /v1/status"});
 }
 
+/// Counts since the start of the process; peer bytes are those of the connections that are open.
+static json::object renderControlTraffic(PeerGroup &peers)
+{
+    const membership::Counters membership = peers.membershipCounters();
+    const permits::PeerCounters peer = peers.peerCounters();
+    return {{"membershipDatagramsSent", membership.datagramsSent},
+        {"membershipBytesSent", membership.bytesSent},
+        {"membershipBytesReceived", membership.bytesReceived},
+        {"membershipDatagramsMalformed", membership.malformed},
+        {"membershipDatagramsUnauthenticated", membership.unauthenticated},
+        {"peerBytesSent", peer.clientBytesSent},
+        {"peerBytesReceived", peer.clientBytesReceived},
+        {"peerPermitsHeld", peer.permitsHeld},
+        {"peerLoginsRefused", peer.loginsRefused}};
+}
+
 std::string RouterService::renderStatus() const
 {
     const ConfigurationSnapshot configuration = state_.configuration.current();
@@ -258,6 +274,7 @@
             members.push_back({{"instance", member.instance.value()}, {"dataCentre", member.dataCentre.value()}});
         }
         status["members"] = std::move(members);
+        status["control"] = renderControlTraffic(*peers_);
     }
     if (configuration != nullptr) {
         status["revision"] = configuration->revision;
