--- a/lib/Membership/Tables.cpp
+++ b/lib/Membership/Tables.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <numeric>
 #include <string>
 #include <tuple>
 
@@ -258,22 +259,30 @@
     if (state.queue.empty()) {
         return;
     }
-    std::stable_sort(state.queue.begin(), state.queue.end(), [](const State::QueuedItem &left, const State::QueuedItem &right) {
-        return std::pair(!isUrgent(left.item), left.transmissions) < std::pair(!isUrgent(right.item), right.transmissions);
+    // Sorts positions, since moving the items costs more than comparing them.
+    std::vector<std::size_t> order(state.queue.size());
+    std::iota(order.begin(), order.end(), 0U);
+    std::stable_sort(order.begin(), order.end(), [&queue = state.queue](std::size_t left, std::size_t right) {
+        return std::pair(!isUrgent(queue[left].item), queue[left].transmissions) < std::pair(!isUrgent(queue[right].item), queue[right].transmissions);
     });
     const unsigned limit = transmissionLimit(state);
-    for (State::QueuedItem &queued : state.queue) {
+    bool finished = false;
+    for (const std::size_t position : order) {
+        State::QueuedItem &queued = state.queue[position];
         const auto item = withRemainingTime(state, queued.item);
         if (!item) {
             queued.transmissions = limit;
+            finished = true;
             continue;
         }
         if (!appendItem(payload, *item, state.options.maxDatagramBytes)) {
             break;
         }
-        ++queued.transmissions;
+        finished |= ++queued.transmissions >= limit;
+    }
+    if (finished) {
+        std::erase_if(state.queue, [limit](const State::QueuedItem &queued) { return queued.transmissions >= limit; });
     }
-    std::erase_if(state.queue, [limit](const State::QueuedItem &queued) { return queued.transmissions >= limit; });
 }
 
 } // namespace
