--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include "mulberrywall/Policy/ConcurrencyLimit.h"
+#include "mulberrywall/Policy/Estimates.h"
+#include "mulberrywall/Policy/LengthEstimate.h"
 #include "mulberrywall/Policy/Queue.h"
 #include "mulberrywall/Policy/Types.h"
 
 #include <map>
+#include <optional>
 #include <unordered_map>
 
 namespace mulberrywall::policy
@@ -13,6 +17,41 @@
 struct ClassState
 {
     ClassSpec spec;
+    /// Time from grant to completion of requests that ran to their end.
+    Average holdSeconds;
+    /// Time from grant to the first progress, or to completion where there is no progress.
+    Average firstTokenSeconds;
+    QuantileEstimate lateFirstTokenSeconds {.probability = 0.95};
+    /// Hedged attempts that the class may start; the first one needs no savings.
+    double hedgeCredit = 1.0;
+};
+
+/// Pause in new work after failed or refused attempts.
+struct FailureBackoff
+{
+    unsigned failures = 0;
+    TimePoint until;
+};
+
+/// Slots that a tier uses.
+struct TierLoad
+{
+    unsigned running = 0;
+    /// Average over the last seconds.
+    double averageRunning = 0.0;
+};
+
+/// Slowness of an endpoint against the pool, see evaluateEndpoints.
+struct SlowState
+{
+    EndpointHealth health = EndpointHealth::Healthy;
+    /// Median seconds per unit of the pool over the endpoint's own.
+    double relativeSpeed = 1.0;
+    /// The fields below are used on probation only.
+    TimePoint nextProbeAt;
+    unsigned goodProbes = 0;
+    unsigned badProbes = 0;
+    std::optional<PermitId> probe;
 };
 
 /// What the pool knows about an endpoint.
@@ -20,6 +59,22 @@
 {
     EndpointSpec spec;
     unsigned running = 0;
+    unsigned runningLong = 0;
+    /// Estimated remaining work of its running requests, in output tokens.
+    double work = 0.0;
+    /// Number of the last grant in the order of the pool's grants.
+    std::uint64_t lastGrant = 0;
+    /// Inter-token latency of one stream; for plain services duration against the mean of the class.
+    Average secondsPerUnit;
+    TimePoint observedAt;
+    ConcurrencyLimit concurrency;
+    FailureBackoff backoff;
+    SlowState slow;
+    /// Until then the endpoint takes no requests beside the suspect that runs on it.
+    TimePoint exclusiveUntil;
+    std::optional<LoadReport> report;
+    /// No requests that a former owner granted are missing.
+    bool adoptionComplete = false;
 };
 
 /// A request that holds a slot.
@@ -27,9 +82,81 @@
 {
     Submission submission;
     support::Tier tier = 0;
-    support::EndpointId endpoint;
+    /// Valid while the request is active, because an endpoint with running requests is not removed.
+    EndpointState *endpoint = nullptr;
     TimePoint startedAt;
     std::uint64_t outputTokens = 0;
+    TimePoint progressAt;
+    /// Tokens and time of the first progress.
+    std::uint64_t firstTokens = 0;
+    TimePoint firstProgressAt;
+    /// Share of the endpoint's work.
+    double work = 0.0;
+    LengthObservation lengthObservation;
+    /// Work that was charged to the organisation's fair share.
+    double chargedWork = 0.0;
+    bool usesMinimumShare = false;
+    bool isLong = false;
+    /// Set while the request counts as having run on a process that crashed.
+    std::optional<TimePoint> crashNotedAt;
+    /// Adopted requests started at an unknown time.
+    bool adopted = false;
+};
+
+/// Service that the organisations of a tier have received, for weighted fair sharing.
+struct FairShares
+{
+    /// Work granted over weight; an organisation without an entry is at the current virtual time.
+    std::map<support::OrganisationId, double> virtualTimes;
+    /// Lowest virtual time among waiting organisations at the last grant.
+    double current = 0.0;
+};
+
+/// Use of a tier's minimum share.
+struct MinimumShareUse
+{
+    /// Running requests that were granted out of order.
+    unsigned running = 0;
+    /// Slot time that the tier may still use; never positive, so that it cannot be saved up.
+    double creditSlotSeconds = 0.0;
+};
+
+/// A request that ran on endpoints when they crashed.
+struct Suspect
+{
+    unsigned crashes = 0;
+    /// Crashes that the request has proved not to be the cause of. Kept apart so that hearing of these crashes from
+    /// other owners does not bring the suspicion back.
+    unsigned cleared = 0;
+    TimePoint lastCrashAt;
+    TimePoint::duration ranBeforeCrash {};
+};
+
+/// An endpoint that gets no new requests until a suspect can run alone on it.
+struct Isolation
+{
+    support::EndpointId endpoint;
+    TimePoint until;
+};
+
+/// Requests under suspicion of crashing endpoints.
+struct CrashSuspects
+{
+    std::map<Fingerprint, Suspect> byFingerprint;
+    /// Running suspects that have not passed their trial; at most one, but for adopted ones.
+    std::set<PermitId> onTrial;
+    std::optional<Isolation> isolation;
+    /// Waiting requests have to be checked against the list again.
+    bool changed = false;
+};
+
+/// Reduced limit of an owner that does not know yet what a former owner granted.
+struct Takeover
+{
+    /// Starts with the next command.
+    bool pending = false;
+    TimePoint startedAt;
+    TimePoint until;
 };
 
 /// State of one pool at its owner.
@@ -37,9 +164,36 @@
 {
     PoolOptions options;
     std::map<support::ClassId, ClassState> classes;
+    std::map<support::OrganisationId, double> weights;
     std::map<support::EndpointId, EndpointState> endpoints;
     Queue queue;
     std::unordered_map<PermitId, ActiveRequest> active;
+    std::map<support::Tier, FairShares> fairShares;
+    std::map<support::Tier, MinimumShareUse> minimumShares;
+    TimePoint minimumSharesAccruedAt;
+    std::map<support::Tier, TierLoad> loadByTier;
+    TimePoint loadAveragedAt;
+    /// Sum over active requests of their start times in seconds.
+    double startSecondsSum = 0.0;
+    CrashSuspects suspects;
+    Takeover takeover;
+    LengthEstimates lengths;
+    /// Set with the first output token. Until then requests count as calls of a plain service, whose speeds are in
+    /// another unit.
+    bool producesTokens = false;
+    /// Time from grant to completion over all classes.
+    Average holdSeconds;
+    std::uint64_t grants = 0;
+    TimePoint nextHealthEvaluation;
+    /// As of the last evaluation; 0 before.
+    double medianSecondsPerUnit = 0.0;
+    PoolStatistics statistics;
+    /// Time of the latest command.
+    TimePoint now;
 };
 
+/// Returns nullptr when the class is not configured.
+ClassState *findClass(Pool &pool, const support::ClassId &id);
+const ClassState *findClass(const Pool &pool, const support::ClassId &id);
+
 } // namespace mulberrywall::policy
--- a/include/mulberrywall/Policy/Queue.h
+++ b/include/mulberrywall/Policy/Queue.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -47,7 +48,10 @@
     std::uint64_t sequence = 0;
     PermitId permit = 0;
 
-    friend auto operator<=>(const WaitingKey &, const WaitingKey &) = default;
+    friend bool operator<(const WaitingKey &left, const WaitingKey &right) noexcept
+    {
+        return std::tie(left.time, left.sequence) < std::tie(right.time, right.sequence);
+    }
 };
 
 /// Waiting requests of one organisation in one lane of a tier, earliest target first.
@@ -79,6 +83,16 @@
     std::uint64_t nextSequence = 0;
 };
 
+/// Waiting requests that cannot be granted at the moment.
+struct BlockedRequests
+{
+    std::set<PermitId> permits;
+    std::set<std::pair<support::Tier, Lane>> lanes;
+};
+
+/// Returns whether the request or its lane is blocked.
+bool isBlocked(const BlockedRequests &blocked, support::Tier tier, Lane lane, PermitId permit);
+
 /// Adds a request and assigns its sequence; the permit must not be in the queue.
 void enqueue(Queue &queue, WaitingRequest request);
 
--- a/lib/Router/RouterService.cpp
+++ b/lib/Router/RouterService.cpp
@@ -1,5 +1,6 @@
 #include "mulberrywall/Router/RouterService.h"
 
+#include "mulberrywall/Configuration/RevisionStore.h"
 #include "mulberrywall/Router/CallerRequest.h"
 #include "mulberrywall/Router/CallerSession.h"
 #include "mulberrywall/Support/Log.h"
@@ -18,18 +19,85 @@
 /// Interval at which a draining router looks whether its last request has ended.
 static constexpr std::chrono::milliseconds drainPollInterval {20};
 
+static std::shared_ptr<platform::ClaimBatch> makeClaims(boost::asio::io_context &context, const std::optional<platform::PlatformOptions> &platform)
+{
+    return platform ? platform::ClaimBatch::create(context.get_executor(), {.platform = *platform}) : nullptr;
+}
+
 RouterService::RouterService(boost::asio::io_context &context, RouterServiceOptions options, const policy::PolicyFunctions &policy)
-    : options_(std::move(options))
-    , pools_(context, policy)
-    , state_ {.context = context, .options = options_.router, .permits = permits::makeLocalSource(pools_)}
-    , callerServer_(http::Server::create(context, options_.callerServer, [this](const http::ExchangePtr &exchange) { handleCaller(exchange); }))
-    , adminServer_(http::Server::create(context, options_.adminServer, [this](const http::ExchangePtr &exchange) { handleAdmin(exchange); }))
-    , drainTimer_(context)
+    : options_(std::move(options)),
+      context_(context),
+      pools_(context, policy),
+      peers_(makePeerGroup()),
+      watcher_(makeWatcher()),
+      state_ {.context = context,
+          .options = options_.router,
+          .permits = peers_ ? peers_->source() : permits::makeLocalSource(pools_),
+          .claims = makeClaims(context, options_.platform)},
+      callerServer_(http::Server::create(context, options_.callerServer, [this](const http::ExchangePtr &exchange) { handleCaller(exchange); })),
+      adminServer_(http::Server::create(context, options_.adminServer, [this](const http::ExchangePtr &exchange) { handleAdmin(exchange); })),
+      drainTimer_(context)
+{
+}
+
+std::shared_ptr<PeerGroup> RouterService::makePeerGroup()
+{
+    if (!options_.peers) {
+        return nullptr;
+    }
+    PeerGroupHandlers handlers {
+        .provideConfiguration = [this](std::uint64_t minimumRevision) { return watcher_->provide(minimumRevision); },
+        .revisionSeen = [this](std::uint64_t revision) { watcher_->revisionSeen(revision); },
+        .endpointLeaving = [](const support::EndpointId &, std::uint64_t) {},
+    };
+    return PeerGroup::create(context_, pools_, *options_.peers, std::move(handlers));
+}
+
+std::shared_ptr<ConfigurationWatcher> RouterService::makeWatcher()
+{
+    ConfigurationSources sources;
+    if (options_.platform) {
+        const auto store = std::make_shared<configuration::RevisionStore>(context_.get_executor(), *options_.platform);
+        sources.fetchHead = [store](std::function<void(std::optional<std::uint64_t>)> handler) {
+            store->fetchHead([handler = std::move(handler)](const configuration::HeadResult &result) {
+                const bool known = result.status != platform::ReadStatus::Unavailable;
+                handler(known ? std::optional(result.head.revision) : std::nullopt);
+            });
+        };
+        sources.fetchRevision = [store](std::uint64_t revision, std::function<void(RevisionPtr)> handler) {
+            store->fetchRevision(revision, [handler = std::move(handler)](const configuration::RevisionResult &result) { handler(result.revision); });
+        };
+    }
+    if (peers_) {
+        sources.fetchFromPeers = [peers = peers_](std::uint64_t minimumRevision, std::function<void(std::optional<permits::ConfigurationDocument>)> handler) {
+            peers->fetchConfiguration(minimumRevision, std::move(handler));
+        };
+        sources.countRouters = [peers = peers_, dataCentre = options_.dataCentre] {
+            return peers->liveMembers(dataCentre).size();
+        };
+    }
+    return std::make_shared<ConfigurationWatcher>(
+        context_, options_.configurationWatcher, std::move(sources), [this](const RevisionPtr &revision) { onRevision(revision); });
+}
+
+void RouterService::onRevision(const RevisionPtr &revision)
 {
+    const configuration::SiteConfiguration *site = configuration::findSite(*revision, options_.dataCentre);
+    if (site == nullptr) {
+        support::log(support::Severity::Error,
+            "the accepted configuration has no site for this data centre; add an overlay for it",
+            {{"revision", revision->number}, {"dataCentre", options_.dataCentre.value()}});
+        return;
+    }
+    configure(*site);
 }
 
 void RouterService::start()
 {
+    if (peers_) {
+        peers_->start();
+    }
+    watcher_->start();
     adminServer_->start();
     callerServer_->start();
     support::log(support::Severity::Info, "listening", {{"listener", "caller"}, {"port", callerEndpoint().port()}});
@@ -42,6 +110,9 @@
     const ConfigurationChange change = state_.configuration.offer(std::move(configuration));
     if (change == ConfigurationChange::Accepted) {
         pools_.configure(*state_.configuration.current());
+        if (peers_) {
+            peers_->configurationChanged(revision);
+        }
         support::log(support::Severity::Info, "configuration in force", {{"revision", revision}});
     }
     return change;
@@ -52,7 +123,19 @@
     state_.draining = true;
     support::log(support::Severity::Info, "draining", {{"activeRequests", state_.activeRequests.load()}});
     callerServer_->stopAccepting();
-    waitUntilIdle(std::move(handler));
+    if (peers_) {
+        peers_->releaseOwnership();
+    }
+    waitUntilIdle([this, handler = std::move(handler)] {
+        if (!peers_) {
+            handler();
+            return;
+        }
+        peers_->leave([this, handler] {
+            peers_->stop();
+            handler();
+        });
+    });
 }
 
 void RouterService::waitUntilIdle(std::function<void()> handler)
@@ -100,7 +183,8 @@
 {
     const ConfigurationSnapshot configuration = state_.configuration.current();
     if (state_.draining || configuration == nullptr) {
-        const std::string detail = configuration == nullptr ? "the router has no configuration yet; try another instance" : "the router is shutting down; try another instance";
+        const std::string detail
+            = configuration == nullptr ? "the router has no configuration yet; try another instance" : "the router is shutting down; try another instance";
         exchange->respond(http::makeProblemResponse({.status = http::Status::service_unavailable, .title = "not ready", .detail = detail}));
         return;
     }
@@ -117,7 +201,16 @@
         exchange->respond(http::makeProblemResponse(*problem));
         return;
     }
-    std::make_shared<CallerSession>(state_, exchange, std::get<CallerRequest>(std::move(parsed)))->start();
+    auto callerRequest = std::get<CallerRequest>(std::move(parsed));
+    auto admission = state_.organisationLimits.admit(callerRequest.organisation, std::chrono::steady_clock::now());
+    if (const auto *limit = std::get_if<LimitReached>(&admission)) {
+        state_.metrics.increment("mulberrywall_rejected_total", {{"reason", "organisation limit"}});
+        exchange->respond(makeRetryLaterResponse(
+            {.status = http::Status::too_many_requests, .title = "organisation limit", .detail = limit->detail, .requestId = callerRequest.id.value()},
+            limit->retryAfter));
+        return;
+    }
+    std::make_shared<CallerSession>(state_, exchange, std::move(callerRequest), std::get<RunningTicket>(std::move(admission)))->start();
 }
 
 void RouterService::handleAdmin(const http::ExchangePtr &exchange)
@@ -133,7 +226,8 @@
     }
     if (path == "/readyz") {
         const bool ready = isReady();
-        return http::makeJsonResponse(ready ? http::Status::ok : http::Status::service_unavailable, ready ? R"({"status":"ready"})" : R"({"status":"not ready"})");
+        return http::makeJsonResponse(
+            ready ? http::Status::ok : http::Status::service_unavailable, ready ? R"({"status":"ready"})" : R"({"status":"not ready"})");
     }
     if (!options_.operatorKey.empty() && http::fieldValue(request, "Authorization") != "Bearer " + options_.operatorKey) {
         return http::makeProblemResponse(
@@ -147,8 +241,7 @@
     if (path == "/v1/status") {
         return http::makeJsonResponse(http::Status::ok, renderStatus());
     }
-    return http::makeProblemResponse(
-        {.status = http::Status::not_found, .title = "unknown path", .detail = "use /healthz, /readyz, /metrics or /v1/status"});
+    return http::makeProblemResponse({.status = http::Status::not_found, .title = "unknown path", .detail = "use /healthz, /readyz, /metrics or /v1/status"});
 }
 
 std::string RouterService::renderStatus() const
@@ -159,16 +252,23 @@
     status["dataCentre"] = options_.dataCentre.value();
     status["ready"] = isReady();
     status["activeRequests"] = state_.activeRequests.load();
+    if (peers_) {
+        json::array members;
+        for (const membership::Member &member : peers_->liveMembers()) {
+            members.push_back({{"instance", member.instance.value()}, {"dataCentre", member.dataCentre.value()}});
+        }
+        status["members"] = std::move(members);
+    }
     if (configuration != nullptr) {
         status["revision"] = configuration->revision;
     }
     json::array pools;
     for (const auto &[id, summary] : pools_.summarize()) {
         pools.push_back({{"pool", id.value()},
-                         {"waiting", summary.waiting},
-                         {"running", summary.running},
-                         {"freeSlots", summary.freeSlots},
-                         {"endpoints", summary.endpoints}});
+            {"waiting", summary.waiting},
+            {"running", summary.running},
+            {"freeSlots", summary.freeSlots},
+            {"endpoints", summary.endpoints}});
     }
     status["pools"] = std::move(pools);
     return json::serialize(status);
