test: make two process tests show what they claim

NotRunIsTrue.EngineBehindFaults sent one body again and again, so that the router refused it as a crash suspect before the fault was reached; each call has its own prompt now, a repeated one is checked for truth as before, and each fault has a deployment of its own, since the router avoids a failing endpoint for longer and longer.

--- a/test/LeavingEndpoint/LeavingEndpointTest.cpp
+++ b/test/LeavingEndpoint/LeavingEndpointTest.cpp
@@ -12,7 +12,8 @@
 {
 
 constexpr std::chrono::seconds noticeTime {3};
-constexpr std::size_t clients = 12;
+/// More than the slots, so that every endpoint is needed whatever the selection prefers.
+constexpr std::size_t clients = 30;
 constexpr std::size_t tokens = 10;
 
 std::uint64_t arrivals(const Node &engine)
@@ -25,7 +26,7 @@
 // Guards against routers that keep sending to an endpoint which announces its end, and against callers that notice.
 TEST(LeavingEndpoint, GetsNoNewWork)
 {
-    Deployment deployment({.routers = 2, .engines = 3});
+    Deployment deployment({.routers = 2, .engines = 3, .maximumConcurrency = 4});
     std::vector<Call> calls;
     calls.reserve(clients);
     for (std::size_t index = 0; index < clients; ++index) {
--- a/test/NotRunIsTrue/NotRunIsTrueTest.cpp
+++ b/test/NotRunIsTrue/NotRunIsTrueTest.cpp
@@ -83,10 +83,12 @@
     }
 }
 
-Call wholeCompletion(const Deployment &deployment)
+Call wholeCompletion(const Deployment &deployment, const std::string &question)
 {
     Call call = deployment.completion(0, "interactive", {}, 1);
-    const boost::json::object body {{"model", "m"}, {"prompt", std::string(4'000, 'p')}, {"max_tokens", 3}};
+    // The stall timeout of 400 ms, a few attempts and the time that a failed endpoint is avoided take less.
+    call.timeout = std::chrono::seconds(10);
+    const boost::json::object body {{"model", "m"}, {"prompt", question + std::string(4'000, 'p')}, {"max_tokens", 3}};
     call.body = boost::json::serialize(body);
     return call;
 }
@@ -114,18 +116,22 @@
 // Guards against a retry that was refused and hides that an earlier attempt may have run.
 TEST(NotRunIsTrue, EngineBehindFaults)
 {
-    Deployment deployment(behindProxy());
     for (const FaultCase &fault : faultCases()) {
+        // The router avoids an endpoint for longer after each failure; a new one keeps the cases apart.
+        Deployment deployment(behindProxy());
         deployment.setFaults("engine-0", fault.faults);
         std::vector<Reply> replies;
         replies.reserve(callsPerFault);
         for (int index = 0; index < callsPerFault; ++index) {
-            replies.push_back(send(wholeCompletion(deployment)));
+            replies.push_back(send(wholeCompletion(deployment, fault.name + std::to_string(index))));
         }
+        // The router may refuse a repeated request as one that crashes its endpoint; that must be true as well.
+        const Reply repeated = send(wholeCompletion(deployment, fault.name + "0"));
         settle(deployment, deployment.engine(0), "running");
         for (const Reply &reply : replies) {
             checkOutcome(fault, reply, deployment.engine(0));
         }
+        checkOutcome({.name = fault.name + ", repeated"}, repeated, deployment.engine(0));
     }
 }
 
