benchmarks: add an open-loop load driver

Attainment, goodput, waste and tail latency are the product's metrics and nothing measured them. load-driver starts a deployment from a scenario file, sends each request at its intended time from a fixed seed, whatever became of earlier ones, measures from that time, takes the produced tokens from the engines' counts and prints JSON.

--- /dev/null
+++ b/benchmarks/LoadDriver/Driver.cpp
@@ -0,0 +1,187 @@
+#include "Driver.h"
+
+#include "mulberrywall/Http/ClientCall.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <memory>
+
+namespace mulberrywall::load
+{
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace
+{
+
+/// Time between the start of the driver and the first intended arrival.
+constexpr std::chrono::milliseconds leadTime {200};
+
+http::Request makeRequest(const Traffic &traffic, const Arrival &arrival)
+{
+    http::Request request(http::Verb::post, "/v1/completions", 11);
+    request.set(http::Field::host, "127.0.0.1");
+    request.set(http::Field::authorization, "Bearer " + traffic.key);
+    request.set(http::header::requestClass, traffic.requestClass);
+    request.body()
+        = json::serialize(json::object {{"model", traffic.model}, {"prompt", arrival.prompt}, {"max_tokens", arrival.outputTokens}, {"stream", true}});
+    return request;
+}
+
+std::string describeProblem(const std::string &body)
+{
+    json::error_code error;
+    const json::value document = json::parse(body, error);
+    if (error || !document.is_object() || !document.get_object().contains("title")) {
+        return "response without a problem document";
+    }
+    const json::object &problem = document.get_object();
+    const std::string detail(problem.contains("detail") ? problem.at("detail").as_string() : json::string());
+    return std::string(problem.at("title").as_string()) + ": " + detail.substr(0, detail.find(';'));
+}
+
+/// One request under way. Everything runs on the driver's only thread.
+class Run : public std::enable_shared_from_this<Run>
+{
+public:
+    Run(const Arrival &arrival, Clock::time_point due, Outcome &outcome)
+        : arrival_(arrival),
+          due_(due),
+          outcome_(outcome)
+    {
+    }
+
+    void start(asio::io_context &context, const Scenario &scenario, std::uint16_t port)
+    {
+        outcome_.sendDelay = Clock::now() - due_;
+        timeout_ = std::make_unique<asio::steady_timer>(context, due_ + scenario.timeout);
+        timeout_->async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+            const auto self = weak.lock();
+            if (!error && self) {
+                self->giveUp();
+            }
+        });
+        const http::ClientCallOptions options {
+            .peer = {asio::ip::address_v4::loopback(), port}, .headerTimeout = scenario.timeout, .idleTimeout = scenario.timeout};
+        const auto self = shared_from_this();
+        call_ = http::ClientCall::start(context.get_executor(),
+            options,
+            makeRequest(scenario.traffic[arrival_.traffic], arrival_),
+            {.onHeader =
+                    [self](const http::ResponseHeader &header) {
+                        self->status_ = header.result();
+                        self->outcomeHeader_ = http::fieldValue(header, http::header::outcome);
+                        self->call_->readMore();
+                    },
+                .onBody =
+                    [self](std::string_view data) {
+                        self->takeData(data);
+                        self->call_->readMore();
+                    },
+                .onEnd =
+                    [self](const http::CallResult &result) {
+                        self->end(result);
+                    }});
+    }
+
+private:
+    void takeData(std::string_view data)
+    {
+        pending_ += data;
+        if (status_ != http::Status::ok) {
+            return;
+        }
+        const Clock::time_point now = Clock::now();
+        for (std::size_t end = pending_.find("\n\n"); end != std::string::npos; end = pending_.find("\n\n")) {
+            const std::string event = pending_.substr(0, end);
+            pending_.erase(0, end + 2);
+            if (event.starts_with("event: error")) {
+                problem_ = event.substr(event.find("data: ") + 6);
+            } else if (event == "data: [DONE]") {
+                done_ = true;
+            } else {
+                takeToken(now);
+            }
+        }
+    }
+
+    void takeToken(Clock::time_point now)
+    {
+        if (outcome_.tokens++ == 0) {
+            outcome_.firstToken = now - due_;
+        } else {
+            outcome_.tokenGaps.emplace_back(now - lastToken_);
+        }
+        lastToken_ = now;
+    }
+
+    void end(const http::CallResult &result)
+    {
+        finish();
+        if (done_ && outcome_.tokens == arrival_.outputTokens) {
+            outcome_.ending = Ending::Completed;
+            return;
+        }
+        const bool whole = result.stage == http::CallStage::ResponseComplete;
+        outcome_.ending = whole && outcomeHeader_ == "not-run" ? Ending::Refused : Ending::Failed;
+        if (!whole) {
+            outcome_.reason = result.error.message();
+        } else if (done_) {
+            outcome_.reason = "wrong number of tokens";
+        } else {
+            outcome_.reason = describeProblem(problem_.empty() ? pending_ : problem_);
+        }
+    }
+
+    void giveUp()
+    {
+        outcome_.reason = "caller gave up";
+        call_->cancel();
+        finish();
+    }
+
+    void finish()
+    {
+        outcome_.duration = Clock::now() - due_;
+        timeout_->cancel();
+        call_.reset();
+    }
+
+    const Arrival &arrival_;
+    Clock::time_point due_;
+    Outcome &outcome_;
+    std::unique_ptr<asio::steady_timer> timeout_;
+    std::shared_ptr<http::ClientCall> call_;
+    http::Status status_ = http::Status::unknown;
+    std::string outcomeHeader_;
+    std::string pending_;
+    std::string problem_;
+    bool done_ = false;
+    Clock::time_point lastToken_;
+};
+
+} // namespace
+
+std::vector<Outcome> drive(const Scenario &scenario, const std::vector<Arrival> &arrivals, const std::vector<std::uint16_t> &routerPorts)
+{
+    asio::io_context context(1);
+    std::vector<Outcome> outcomes(arrivals.size());
+    const Clock::time_point start = Clock::now() + leadTime;
+    std::vector<asio::steady_timer> timers;
+    timers.reserve(arrivals.size());
+    for (std::size_t index = 0; index < arrivals.size(); ++index) {
+        const Clock::time_point due = start + std::chrono::duration_cast<Clock::duration>(arrivals[index].time);
+        timers.emplace_back(context, due).async_wait([&, index, due](const boost::system::error_code &) {
+            std::make_shared<Run>(arrivals[index], due, outcomes[index])->start(context, scenario, routerPorts[index % routerPorts.size()]);
+        });
+    }
+    context.run();
+    return outcomes;
+}
+
+} // namespace mulberrywall::load
--- /dev/null
+++ b/benchmarks/LoadDriver/Scenario.cpp
@@ -0,0 +1,210 @@
+#include "Scenario.h"
+
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <cmath>
+#include <numbers>
+#include <random>
+#include <stdexcept>
+
+namespace mulberrywall::load
+{
+
+namespace
+{
+
+using Random = std::mt19937_64;
+
+constexpr double burstShareOfPeriod = 0.25;
+
+/// Rejects names that are not listed, so that a misspelt entry does not go unnoticed.
+void checkNames(const toml::table &table, std::initializer_list<std::string_view> known)
+{
+    for (const auto &[name, value] : table) {
+        if (std::find(known.begin(), known.end(), name.str()) == known.end()) {
+            throw std::runtime_error("unknown entry '" + std::string(name.str()) + "' in line " + std::to_string(name.source().begin.line));
+        }
+    }
+}
+
+LengthDistribution readLength(const toml::table &table, std::string_view name, LengthDistribution length)
+{
+    const toml::table *entry = table[name].as_table();
+    if (entry == nullptr) {
+        throw std::runtime_error("each traffic needs the table '" + std::string(name) + "'");
+    }
+    checkNames(*entry, {"median", "sigma", "straggler-share", "straggler-factor", "maximum"});
+    length.median = (*entry)["median"].value_or(length.median);
+    length.sigma = (*entry)["sigma"].value_or(length.sigma);
+    length.stragglerShare = (*entry)["straggler-share"].value_or(length.stragglerShare);
+    length.stragglerFactor = (*entry)["straggler-factor"].value_or(length.stragglerFactor);
+    length.maximum = (*entry)["maximum"].value_or(length.maximum);
+    return length;
+}
+
+Pattern readPattern(const std::string &name)
+{
+    if (name == "steady") {
+        return Pattern::Steady;
+    }
+    if (name == "burst") {
+        return Pattern::Burst;
+    }
+    if (name == "swing") {
+        return Pattern::Swing;
+    }
+    throw std::runtime_error("unknown pattern '" + name + "'; use steady, burst or swing");
+}
+
+Traffic readTraffic(const toml::table &table)
+{
+    checkNames(table,
+        {"class",
+            "key",
+            "model",
+            "rate",
+            "pattern",
+            "period-s",
+            "peak",
+            "prompt-bytes",
+            "output-tokens",
+            "shared-prefixes",
+            "shared-prefix-bytes",
+            "first-token-ms",
+            "between-tokens-ms"});
+    Traffic traffic;
+    traffic.requestClass = table["class"].value_or(std::string());
+    traffic.key = table["key"].value_or(std::string(harness::acmeKey));
+    traffic.model = table["model"].value_or(traffic.model);
+    traffic.rate = table["rate"].value_or(traffic.rate);
+    traffic.pattern = readPattern(table["pattern"].value_or(std::string("steady")));
+    traffic.period = std::chrono::duration<double>(table["period-s"].value_or(traffic.period.count()));
+    traffic.peak = table["peak"].value_or(traffic.peak);
+    traffic.promptBytes = readLength(table, "prompt-bytes", {});
+    traffic.outputTokens = readLength(table, "output-tokens", {});
+    traffic.sharedPrefixes = table["shared-prefixes"].value_or(traffic.sharedPrefixes);
+    traffic.sharedPrefixBytes = table["shared-prefix-bytes"].value_or(traffic.sharedPrefixBytes);
+    traffic.firstTokenTarget = std::chrono::duration<double, std::milli>(table["first-token-ms"].value_or(traffic.firstTokenTarget.count()));
+    traffic.betweenTokensTarget = std::chrono::duration<double, std::milli>(table["between-tokens-ms"].value_or(traffic.betweenTokensTarget.count()));
+    return traffic;
+}
+
+std::vector<std::string> readTexts(const toml::table &table, std::string_view name)
+{
+    std::vector<std::string> texts;
+    if (const toml::array *array = table[name].as_array()) {
+        for (const toml::node &node : *array) {
+            texts.push_back(node.value_or(std::string()));
+        }
+    }
+    return texts;
+}
+
+harness::DeploymentOptions readDeployment(const toml::table &table)
+{
+    checkNames(table, {"routers", "engines", "maximum-concurrency", "queue-limit", "classes", "engine-arguments", "router-arguments"});
+    harness::DeploymentOptions options;
+    options.routers = table["routers"].value_or(options.routers);
+    options.engines = table["engines"].value_or(options.engines);
+    options.maximumConcurrency = table["maximum-concurrency"].value_or(options.maximumConcurrency);
+    options.queueLimit = table["queue-limit"].value_or(options.queueLimit);
+    options.classes = table["classes"].value_or(options.classes);
+    options.engineArguments = readTexts(table, "engine-arguments");
+    options.routerArguments = readTexts(table, "router-arguments");
+    return options;
+}
+
+double factorAt(const Traffic &traffic, double time)
+{
+    const double phase = std::fmod(time, traffic.period.count()) / traffic.period.count();
+    switch (traffic.pattern) {
+    case Pattern::Steady:
+        return 1;
+    case Pattern::Burst:
+        return phase < burstShareOfPeriod ? traffic.peak : 1;
+    case Pattern::Swing:
+        return 1 + (traffic.peak - 1) * (1 - std::cos(2 * std::numbers::pi * phase)) / 2;
+    }
+    return 1;
+}
+
+std::size_t drawLength(const LengthDistribution &length, Random &random)
+{
+    double value = length.median * std::exp(length.sigma * std::normal_distribution<double>()(random));
+    if (std::uniform_real_distribution<double>()(random) < length.stragglerShare) {
+        value *= length.stragglerFactor;
+    }
+    return std::clamp(static_cast<std::size_t>(value), std::size_t {1}, length.maximum);
+}
+
+std::string makePrompt(const Traffic &traffic, std::size_t number, Random &random)
+{
+    std::string prompt;
+    if (traffic.sharedPrefixes > 0) {
+        const std::string name = traffic.requestClass + " document " + std::to_string(random() % traffic.sharedPrefixes) + ". ";
+        while (prompt.size() < traffic.sharedPrefixBytes) {
+            prompt += name;
+        }
+        prompt.resize(traffic.sharedPrefixBytes);
+    }
+    const std::string own = traffic.requestClass + " question " + std::to_string(number) + ". ";
+    const std::size_t size = prompt.size() + drawLength(traffic.promptBytes, random);
+    do {
+        prompt += own;
+    } while (prompt.size() < size);
+    return prompt;
+}
+
+} // namespace
+
+Scenario readScenario(const std::string &file)
+{
+    toml::table table;
+    try {
+        table = toml::parse_file(file);
+    } catch (const toml::parse_error &error) {
+        throw std::runtime_error(file + ":" + std::to_string(error.source().begin.line) + ": " + std::string(error.description()));
+    }
+    checkNames(table, {"seed", "duration-s", "timeout-ms", "deployment", "traffic"});
+    Scenario scenario;
+    scenario.seed = table["seed"].value_or(scenario.seed);
+    scenario.duration = std::chrono::duration<double>(table["duration-s"].value_or(scenario.duration.count()));
+    scenario.timeout = std::chrono::milliseconds(table["timeout-ms"].value_or(scenario.timeout.count()));
+    if (const toml::table *deployment = table["deployment"].as_table()) {
+        scenario.deployment = readDeployment(*deployment);
+    }
+    const toml::array *traffic = table["traffic"].as_array();
+    if (traffic == nullptr || traffic->empty()) {
+        throw std::runtime_error(file + ": no [[traffic]]");
+    }
+    for (const toml::node &node : *traffic) {
+        scenario.traffic.push_back(readTraffic(*node.as_table()));
+    }
+    return scenario;
+}
+
+std::vector<Arrival> makeArrivals(const Scenario &scenario)
+{
+    std::vector<Arrival> arrivals;
+    for (std::size_t index = 0; index < scenario.traffic.size(); ++index) {
+        const Traffic &traffic = scenario.traffic[index];
+        // Each traffic has its own sequence, so that a change of one leaves the others as they are.
+        Random random(scenario.seed + index);
+        const double highest = traffic.rate * (traffic.pattern == Pattern::Steady ? 1 : std::max(traffic.peak, 1.0));
+        std::exponential_distribution<double> gap(highest);
+        for (double time = gap(random); time < scenario.duration.count(); time += gap(random)) {
+            if (std::uniform_real_distribution<double>()(random) * highest < traffic.rate * factorAt(traffic, time)) {
+                std::string prompt = makePrompt(traffic, arrivals.size(), random);
+                arrivals.push_back({.time = std::chrono::duration<double>(time),
+                    .traffic = index,
+                    .prompt = std::move(prompt),
+                    .outputTokens = drawLength(traffic.outputTokens, random)});
+            }
+        }
+    }
+    std::stable_sort(arrivals.begin(), arrivals.end(), [](const Arrival &left, const Arrival &right) { return left.time < right.time; });
+    return arrivals;
+}
+
+} // namespace mulberrywall::load
