test: check AtMostOnce with keys against platform-standin

New cases: resends one after another and at once through two routers, another request with the same key, a router killed while the call runs, a refused call, the platform down.

--- a/test/AtMostOnce/AtMostOnceTest.cpp
+++ b/test/AtMostOnce/AtMostOnceTest.cpp
@@ -1,4 +1,5 @@
 #include "Harness/Deployment.h"
+#include "Harness/ParallelCalls.h"
 
 #include <gtest/gtest.h>
 
@@ -29,6 +30,13 @@
     return runs;
 }
 
+Reply sendWithKey(const Deployment &deployment, std::size_t router, const std::string &key, const std::string &body)
+{
+    Call call = deployment.serviceCall(router, "payment", body);
+    call.headers.emplace_back("Idempotency-Key", key);
+    return send(call);
+}
+
 void setFaults(Deployment &deployment, const boost::json::object &faults)
 {
     deployment.setFaults("service-0", faults);
@@ -90,23 +98,102 @@
 // Guards against a second run when a caller repeats its call with the same key, also through another router.
 TEST(AtMostOnce, ResentWithKey)
 {
-    Deployment deployment(twoServices());
+    DeploymentOptions options = twoServices();
+    options.platform = PlatformUse::Standin;
+    Deployment deployment(options);
     for (const char *fault : {"", "drop-after-run"}) {
         control(deployment, {{"fault", fault}});
         const std::string body = std::string("keyed ") + fault;
         for (std::size_t resend = 0; resend < 6; ++resend) {
-            Call call = deployment.serviceCall(resend % 2, "payment", body);
-            call.headers.emplace_back("Idempotency-Key", body);
-            const Reply reply = send(call);
+            const Reply reply = sendWithKey(deployment, resend % 2, body, body);
             EXPECT_TRUE(reply.complete()) << reply.error;
-            if (reply.outcome() == "not-run") {
-                EXPECT_EQ(runsOf(deployment, body), 0U) << "told not run, but the request with this key ran";
-            }
+            EXPECT_NE(reply.outcome(), "not-run") << "told not run, but the request with this key ran: " << reply.body;
         }
-        EXPECT_LE(runsOf(deployment, body), 1U) << body;
+        EXPECT_EQ(runsOf(deployment, body), 1U) << body;
+    }
+}
+
+// Guards against two runs when the same call arrives at both routers at once.
+TEST(AtMostOnce, ResentAtTheSameTime)
+{
+    DeploymentOptions options = twoServices();
+    options.platform = PlatformUse::Standin;
+    Deployment deployment(options);
+    control(deployment, {{"delayMs", 200}});
+    for (int round = 0; round < 5; ++round) {
+        const std::string body = "round " + std::to_string(round);
+        std::vector<Call> calls;
+        for (std::size_t index = 0; index < 8; ++index) {
+            calls.push_back(deployment.serviceCall(index % 2, "payment", body));
+            calls.back().headers.emplace_back("Idempotency-Key", body);
+        }
+        ParallelCalls parallel(calls);
+        for (const Reply &reply : parallel.wait()) {
+            EXPECT_TRUE(reply.complete()) << reply.error;
+        }
+        EXPECT_EQ(runsOf(deployment, body), 1U);
     }
 }
 
+// Guards against a caller that gets the response of another request because both bear the same key.
+TEST(AtMostOnce, KeyOfAnotherRequest)
+{
+    DeploymentOptions options = twoServices();
+    options.platform = PlatformUse::Standin;
+    Deployment deployment(options);
+    EXPECT_EQ(sendWithKey(deployment, 0, "k", "first").status, 200U);
+    const Reply reply = sendWithKey(deployment, 1, "k", "second");
+    EXPECT_EQ(reply.status, 422U) << reply.body;
+    EXPECT_EQ(reply.outcome(), "not-run");
+    EXPECT_EQ(runsOf(deployment, "second"), 0U);
+}
+
+// Guards against a claim that is lost with the router, or kept although the request certainly has not run.
+TEST(AtMostOnce, RouterKilledWhileTheCallRuns)
+{
+    DeploymentOptions options = twoServices();
+    options.platform = PlatformUse::Standin;
+    Deployment deployment(options);
+    control(deployment, {{"delayMs", 500}});
+    Call call = deployment.serviceCall(0, "payment", "b");
+    call.headers.emplace_back("Idempotency-Key", "k");
+    ParallelCalls first({call});
+    waitUntil("the call runs", [&] { return runsOf(deployment, "b") == 1; });
+    deployment.router(0).process->sendSignal(SIGKILL);
+    first.wait();
+    for (int resend = 0; resend < 3; ++resend) {
+        const Reply reply = sendWithKey(deployment, 1, "k", "b");
+        EXPECT_EQ(reply.outcome(), "may-have-run") << reply.status << " " << reply.body;
+    }
+    EXPECT_EQ(runsOf(deployment, "b"), 1U);
+}
+
+// Guards against a proven "not run" that leaves the key used up, so that the caller can never send its request.
+TEST(AtMostOnce, RefusedCallKeepsItsKeyFree)
+{
+    DeploymentOptions options = twoServices();
+    options.platform = PlatformUse::Standin;
+    Deployment deployment(options);
+    control(deployment, {{"refuse", true}});
+    EXPECT_EQ(sendWithKey(deployment, 0, "k", "b").outcome(), "not-run");
+    control(deployment, {{"refuse", false}});
+    waitUntil("the key is free again", [&] { return sendWithKey(deployment, 1, "k", "b").status == 200; });
+    EXPECT_EQ(runsOf(deployment, "b"), 1U);
+}
+
+// Guards against claims that are skipped while the table service is down or frozen.
+TEST(AtMostOnce, PlatformDown)
+{
+    DeploymentOptions options = twoServices();
+    options.platform = PlatformUse::Standin;
+    Deployment deployment(options);
+    deployment.platform().process->sendSignal(SIGKILL);
+    deployment.platform().process->waitForEnd();
+    const Reply reply = sendWithKey(deployment, 0, "k", "b");
+    EXPECT_EQ(reply.outcome(), "not-run") << reply.status << " " << reply.body;
+    EXPECT_EQ(runsOf(deployment, "b"), 0U);
+}
+
 // Guards against a keyed call that runs unprotected while the table service cannot be reached.
 TEST(AtMostOnce, KeyedCallNeedsPlatform)
 {
--- a/test/NotRunIsTrue/NotRunIsTrueTest.cpp
+++ b/test/NotRunIsTrue/NotRunIsTrueTest.cpp
@@ -98,8 +98,9 @@
 // Guards against "not run" for a non-idempotent call that reached its service, whatever step the connection broke at.
 TEST(NotRunIsTrue, ServiceBehindFaults)
 {
-    Deployment deployment(behindProxy());
     for (const FaultCase &fault : faultCases()) {
+        // The router avoids an endpoint for longer after each failure; a new one keeps the cases apart.
+        Deployment deployment(behindProxy());
         deployment.setFaults("service-0", fault.faults);
         std::vector<Reply> replies;
         replies.reserve(callsPerFault);
--- a/test/Support/Harness/Deployment.cpp
+++ b/test/Support/Harness/Deployment.cpp
@@ -27,9 +27,12 @@
     if (kind == "service") {
         return SERVICE_STANDIN_BINARY;
     }
-    if (kind == "fault-proxy") {
+    if (kind == "fault") {
         return FAULT_PROXY_BINARY;
     }
+    if (kind == "platform") {
+        return PLATFORM_STANDIN_BINARY;
+    }
     return MULBERRYWALL_ROUTER_BINARY;
 }
 
@@ -105,6 +108,11 @@
         proxy_ = std::make_unique<Node>(Node {.id = "fault-proxy", .arguments = {"--seed", "1"}});
         start(*proxy_);
     }
+    if (options_.platform != PlatformUse::None) {
+        platform_ = std::make_unique<Node>(Node {.id = "platform-standin"});
+        start(*platform_);
+        options_.routerArguments.insert(options_.routerArguments.end(), {"--platform", "127.0.0.1:" + std::to_string(platform_->port)});
+    }
     writeFile("base.toml", baseFile(options_));
     for (const std::string &dataCentre : options_.dataCentres) {
         writeFile(dataCentre + ".toml", overlay(dataCentre));
@@ -126,8 +134,7 @@
 void Deployment::start(Node &node)
 {
     const std::string kind = node.id.substr(0, node.id.rfind('-'));
-    node.process = std::make_unique<ChildProcess>(
-        ChildOptions {.name = node.id, .binary = binaryOf(node.id == "fault-proxy" ? node.id : kind), .arguments = node.arguments});
+    node.process = std::make_unique<ChildProcess>(ChildOptions {.name = node.id, .binary = binaryOf(kind), .arguments = node.arguments});
     node.port = node.process->waitForPort(kind == "router" ? "caller" : "");
     if (kind == "router") {
         node.adminPort = node.process->waitForPort("admin");
@@ -150,7 +157,7 @@
         set("--caller-listen", "127.0.0.1:" + std::to_string(node.port));
         set("--admin-listen", "127.0.0.1:" + std::to_string(node.adminPort));
     } else {
-        set("--port", std::to_string(node.port));
+        set(node.id == "platform-standin" ? "--listen-port" : "--port", std::to_string(node.port));
     }
     start(node);
 }
--- a/test/Support/Harness/Deployment.h
+++ b/test/Support/Harness/Deployment.h
@@ -27,6 +27,12 @@
     Endpoints,
 };
 
+enum class PlatformUse : std::uint8_t {
+    None,
+    /// Routers use one platform-standin.
+    Standin,
+};
+
 struct DeploymentOptions
 {
     std::vector<std::string> dataCentres {"dc-a"};
@@ -40,6 +46,7 @@
     unsigned queueLimit = 4096;
     std::string engineSupports = R"("resume", "priorities", "prefix-cache", "checks-fencing")";
     ProxyUse proxies = ProxyUse::None;
+    PlatformUse platform = PlatformUse::None;
     /// TOML tables of the classes.
     std::string classes = standardClasses();
     /// More TOML for the base file.
@@ -87,6 +94,10 @@
     {
         return *routers_.at(index);
     }
+    [[nodiscard]] Node &platform()
+    {
+        return *platform_;
+    }
     [[nodiscard]] std::size_t routerCount() const
     {
         return routers_.size();
@@ -122,6 +133,7 @@
     DeploymentOptions options_;
     std::filesystem::path directory_;
     std::unique_ptr<Node> proxy_;
+    std::unique_ptr<Node> platform_;
     std::map<std::string, std::uint16_t> proxiedPorts_;
     std::vector<std::unique_ptr<Node>> engines_;
     std::vector<std::unique_ptr<Node>> services_;
