http: fix two ways in which a connection could hang and answer at the connection limit

Cause: WholeAnswer.InterleavedStreams lost 1 of 200 streams in about one run of four under load. The check whether a caller has closed peeked with a blocking call after a wait for reading; such a wait can end although nothing has arrived, and the call then held a worker thread and the connection's strand until the caller sent something. In addition fetch set the pointer that its handlers use only after the call had started, so that a fast response on another thread was never read.

Change: the peek does not block; fetch sets the pointer first. Connections above the limit get 503 for their request, stopAccepting first takes the connections that the system has queued, and activeExchanges counts requests until their responses are written, which a graceful shutdown needs.

--- a/include/mulberrywall/Http/Server.h
+++ b/include/mulberrywall/Http/Server.h
@@ -25,6 +25,7 @@
     std::chrono::milliseconds readTimeout {30'000};
     /// Time that a caller has to take each piece of a response.
     std::chrono::milliseconds writeTimeout {30'000};
+    /// Connections above the limit get status 503 for their request; above twice the limit they are closed at once.
     std::size_t maxConnections = 4096;
 };
 
@@ -73,12 +74,14 @@
 
     virtual ~Server() = default;
     virtual void start() = 0;
-    /// Stops accepting; connections finish their current request and close.
+    /// Stops accepting after taking what the system has queued; connections finish their current request and close.
     virtual void stopAccepting() = 0;
     /// Address in use, with the port that the system chose when 0 was given.
     [[nodiscard]] virtual boost::asio::ip::tcp::endpoint localEndpoint() const = 0;
     /// Number of open connections.
     [[nodiscard]] virtual std::size_t connectionCount() const = 0;
+    /// Number of requests that were received and whose responses are not completely written yet.
+    [[nodiscard]] virtual std::size_t activeExchanges() const = 0;
 
 protected:
     Server() = default;
--- a/lib/Http/ClientCall.cpp
+++ b/lib/Http/ClientCall.cpp
@@ -210,8 +210,10 @@
                 handler(std::move(state->response));
             },
     };
-    auto call = ClientCall::start(executor, options, std::move(request), std::move(handlers));
+    auto call = std::make_shared<SocketCall>(executor, options, std::move(request), std::move(handlers));
+    // Before the first operation starts: another thread may run the handlers at once.
     state->call = call;
+    call->connect();
     return call;
 }
 
--- a/lib/Http/Server.cpp
+++ b/lib/Http/Server.cpp
@@ -41,6 +41,7 @@
     ServerOptions options;
     RequestHandler handler;
     std::atomic<std::size_t> connections {0};
+    std::atomic<std::size_t> activeExchanges {0};
     std::atomic<bool> stopping {false};
 };
 
@@ -108,9 +109,12 @@
     Connection(tcp::socket socket, std::shared_ptr<ServerShared> shared)
         : stream_(std::move(socket)),
           readTimer_(stream_.get_executor()),
-          shared_(std::move(shared))
+          shared_(std::move(shared)),
+          isAboveLimit_(++shared_->connections > shared_->options.maxConnections)
     {
-        ++shared_->connections;
+        // A wait for reading can end although nothing has arrived; a blocking peek would then hold up a worker thread.
+        error_code ignored;
+        stream_.socket().non_blocking(true, ignored);
     }
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
@@ -118,6 +122,7 @@
     Connection &operator=(Connection &&) = delete;
     ~Connection()
     {
+        endExchange();
         --shared_->connections;
     }
 
@@ -179,6 +184,7 @@
 
     void close()
     {
+        endExchange();
         callerGone_ = nullptr;
         stream_.close();
     }
@@ -214,9 +220,32 @@
             return;
         }
         requestKeepAlive_ = parser_->keep_alive();
+        isExchangeActive_ = true;
+        ++shared_->activeExchanges;
+        if (isAboveLimit_) {
+            refuseAboveLimit();
+            return;
+        }
         shared_->handler(std::make_shared<ConnectionExchange>(shared_from_this(), parser_->release()));
     }
 
+    void refuseAboveLimit()
+    {
+        support::log(
+            support::Severity::Warning, "refused a connection; raise the connection limit or add instances", {{"limit", shared_->options.maxConnections}});
+        requestKeepAlive_ = false;
+        respond(makeProblemResponse({.status = Status::service_unavailable,
+            .title = "too many connections",
+            .detail = "this instance has reached its limit of " + std::to_string(shared_->options.maxConnections) + " connections; try another instance"}));
+    }
+
+    void endExchange()
+    {
+        if (std::exchange(isExchangeActive_, false)) {
+            --shared_->activeExchanges;
+        }
+    }
+
     void onReadError(const error_code &error)
     {
         // An idle connection that times out or ends between requests is not an error of the caller.
@@ -236,6 +265,7 @@
 
     void onResponseEnd(const error_code &error)
     {
+        endExchange();
         if (error) {
             close();
             return;
@@ -305,6 +335,8 @@
     bool readTimedOut_ = false;
     bool keepAlive_ = true;
     bool requestKeepAlive_ = true;
+    bool isAboveLimit_ = false;
+    bool isExchangeActive_ = false;
 };
 
 ConnectionExchange::~ConnectionExchange()
@@ -373,6 +405,7 @@
     {
         shared_->stopping = true;
         asio::post(acceptor_.get_executor(), [self = shared_from_this(), this] {
+            takeQueuedConnections();
             error_code ignored;
             acceptor_.close(ignored);
         });
@@ -388,25 +421,44 @@
         return shared_->connections;
     }
 
+    [[nodiscard]] std::size_t activeExchanges() const override
+    {
+        return shared_->activeExchanges;
+    }
+
 private:
     void accept()
     {
         acceptor_.async_accept(asio::make_strand(context_), [self = shared_from_this(), this](const error_code &error, tcp::socket socket) {
+            if (!error) {
+                serve(std::move(socket));
+            }
             if (error == asio::error::operation_aborted || shared_->stopping) {
                 return;
             }
+            accept();
+        });
+    }
+
+    /// Closing the listener resets the connections that wait in its queue, whose callers would get no answer.
+    void takeQueuedConnections()
+    {
+        error_code error;
+        acceptor_.non_blocking(true, error);
+        while (!error) {
+            tcp::socket socket(asio::make_strand(context_));
+            acceptor_.accept(socket, error);
             if (!error) {
                 serve(std::move(socket));
             }
-            accept();
-        });
+        }
     }
 
     void serve(tcp::socket socket)
     {
-        if (shared_->connections >= shared_->options.maxConnections) {
+        if (shared_->connections >= 2 * shared_->options.maxConnections) {
             support::log(
-                support::Severity::Warning, "refused a connection; raise the connection limit or add instances", {{"limit", shared_->options.maxConnections}});
+                support::Severity::Warning, "closed a connection; raise the connection limit or add instances", {{"limit", shared_->options.maxConnections}});
             return;
         }
         error_code ignored;
