router: watch configuration, instances and endpoints, and drain with grace and limit

Cause: a router knew only its local files, gave work to leaving endpoints until they refused, never saw a load report, and at shutdown ended as soon as the last session had handed over its response, before that was written.

EndpointDirectory collects what says that an endpoint leaves (instance list, its own refusal or state, POST /v1/drain) and keeps it for one incarnation. EndpointWatcher asks model engines for load each 500 ms and for their state each second; plain services are not asked, since to them every path is a request.

--- a/include/mulberrywall/Router/CallerSession.h
+++ b/include/mulberrywall/Router/CallerSession.h
@@ -38,7 +38,7 @@
 
     void armDeadline();
     void onDeadline();
-    void onClaimed(platform::ClaimResult result);
+    void onClaimed(const platform::ClaimResult &result);
     /// Gives the claim back and answers afterwards, so that the caller's next try does not meet the old claim.
     void releaseClaimAndRespond(http::Response response);
     void acquirePermit(policy::AttemptPurpose purpose);
--- a/include/mulberrywall/Router/RouterService.h
+++ b/include/mulberrywall/Router/RouterService.h
@@ -3,7 +3,11 @@
 #include "mulberrywall/Configuration/Model.h"
 #include "mulberrywall/Http/Server.h"
 #include "mulberrywall/Permits/PoolOwner.h"
+#include "mulberrywall/Platform/InstanceList.h"
 #include "mulberrywall/Policy/PolicyFunctions.h"
+#include "mulberrywall/Router/ConfigurationWatcher.h"
+#include "mulberrywall/Router/EndpointDirectory.h"
+#include "mulberrywall/Router/EndpointWatcher.h"
 #include "mulberrywall/Router/RouterState.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -28,6 +32,11 @@
     RouterOptions router;
     /// Table service and instance list; without it there are no claims and no configuration changes.
     std::optional<platform::PlatformOptions> platform;
+    /// Time at shutdown during which the listener stays open and new requests are refused, so that the load balancer
+    /// notices before callers find the port closed.
+    std::chrono::milliseconds drainGrace {0};
+    /// Longest time that running requests get at shutdown after the grace period; 0 means no limit.
+    std::chrono::milliseconds drainLimit {0};
 };
 
 /// A router process without its command line: listeners, pools and the drain at shutdown.
@@ -37,11 +46,11 @@
     RouterService(boost::asio::io_context &context, RouterServiceOptions options, const policy::PolicyFunctions &policy);
 
     // Commands
-    /// Starts both listeners.
+    /// Starts both listeners and the watchers of configuration, instances and endpoints.
     void start();
     /// Puts a configuration in force if its revision is higher.
     ConfigurationChange configure(configuration::SiteConfiguration configuration);
-    /// Refuses new requests, lets running ones end and then calls the handler.
+    /// Refuses new requests, lets running ones end and then calls the handler. Call once.
     void drain(std::function<void()> handler);
 
     // Queries
@@ -54,14 +63,24 @@
     void handleAdmin(const http::ExchangePtr &exchange);
     [[nodiscard]] http::Response answerAdmin(const http::Request &request);
     [[nodiscard]] std::string renderStatus() const;
-    void waitUntilIdle(std::function<void()> handler);
+    [[nodiscard]] http::Response drainEndpoint(const http::Request &request);
+    void startWatchers();
+    void waitUntilIdle();
+    void endDrain();
 
+    boost::asio::io_context &context_;
     RouterServiceOptions options_;
     permits::PoolTable pools_;
+    EndpointDirectory endpoints_;
     RouterState state_;
     std::shared_ptr<http::Server> callerServer_;
     std::shared_ptr<http::Server> adminServer_;
+    std::shared_ptr<EndpointWatcher> endpointWatcher_;
+    std::shared_ptr<ConfigurationWatcher> configurationWatcher_;
+    std::shared_ptr<platform::InstanceList> instanceList_;
     boost::asio::steady_timer drainTimer_;
+    policy::TimePoint drainDeadline_ = policy::TimePoint::max();
+    std::function<void()> onDrained_;
 };
 
 } // namespace mulberrywall::router
--- a/include/mulberrywall/Router/RouterState.h
+++ b/include/mulberrywall/Router/RouterState.h
@@ -3,6 +3,7 @@
 #include "mulberrywall/Permits/Permit.h"
 #include "mulberrywall/Platform/ClaimBatch.h"
 #include "mulberrywall/Router/ActiveConfiguration.h"
+#include "mulberrywall/Router/EndpointDirectory.h"
 #include "mulberrywall/Router/HedgeDelay.h"
 #include "mulberrywall/Router/OrganisationLimits.h"
 #include "mulberrywall/Router/RetryBudget.h"
@@ -36,6 +37,7 @@
     permits::PermitSource permits;
     /// Null when the router has no platform; requests with an idempotency key are refused then.
     std::shared_ptr<platform::ClaimBatch> claims;
+    EndpointDirectory &endpoints;
     ActiveConfiguration configuration;
     support::MetricsRegistry metrics;
     RetryBudgets retryBudgets;
--- a/lib/Router/CallerSession.cpp
+++ b/lib/Router/CallerSession.cpp
@@ -66,12 +66,12 @@
         return;
     }
     claim_ = std::make_unique<ClaimGuard>(state_.claims, makeClaimRequest(request_));
-    claim_->claim([self = shared_from_this()](platform::ClaimResult result) {
-        boost::asio::dispatch(self->exchange_->executor(), [self, result = std::move(result)]() mutable { self->onClaimed(std::move(result)); });
+    claim_->claim([self = shared_from_this()](const platform::ClaimResult &result) {
+        boost::asio::dispatch(self->exchange_->executor(), [self, result] { self->onClaimed(result); });
     });
 }
 
-void CallerSession::onClaimed(platform::ClaimResult result)
+void CallerSession::onClaimed(const platform::ClaimResult &result)
 {
     const bool claimed = claim_->onResult(result);
     if (ended_) {
@@ -344,6 +344,9 @@
         failedEndpoints_.clear();
     }
     failedEndpoints_.push_back(endpoint);
+    if (attemptEnd.leaving) {
+        state_.endpoints.markLeaving(endpoint);
+    }
     if (!attemptEnd.reached) {
         ++failedConnections_;
         --attemptsWithoutToken_;
--- /dev/null
+++ b/lib/Router/EndpointWatcher.cpp
@@ -0,0 +1,157 @@
+#include "mulberrywall/Router/EndpointWatcher.h"
+
+#include "mulberrywall/Http/ClientCall.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/json/parse.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace mulberrywall::router
+{
+
+namespace json = boost::json;
+
+/// The state page tells the incarnation and whether the engine leaves; it must be seen within 3 s, the load more often.
+static constexpr std::uint64_t roundsPerState = 2;
+
+EndpointWatcher::EndpointWatcher(boost::asio::io_context &context,
+    EndpointWatcherOptions options,
+    const ActiveConfiguration &configuration,
+    permits::PoolTable &pools,
+    EndpointDirectory &directory)
+    : strand_(boost::asio::make_strand(context)),
+      options_(std::move(options)),
+      configuration_(configuration),
+      pools_(pools),
+      directory_(directory),
+      timer_(strand_)
+{
+}
+
+void EndpointWatcher::start()
+{
+    boost::asio::post(strand_, [self = shared_from_this()] { self->poll(); });
+}
+
+void EndpointWatcher::stop()
+{
+    boost::asio::post(strand_, [self = shared_from_this()] {
+        self->stopped_ = true;
+        self->timer_.cancel();
+    });
+}
+
+static bool isOwnedEngine(const configuration::SiteConfiguration &configuration, const configuration::Endpoint &endpoint, const EndpointWatcherOptions &options)
+{
+    return std::any_of(endpoint.pools.begin(), endpoint.pools.end(), [&](const support::PoolId &id) {
+        const configuration::Pool *pool = configuration::findPool(configuration, id);
+        return pool != nullptr && pool->kind == configuration::PoolKind::ModelEngine && options.ownsPool(id);
+    });
+}
+
+void EndpointWatcher::poll()
+{
+    if (stopped_) {
+        return;
+    }
+    if (const ConfigurationSnapshot configuration = configuration_.current()) {
+        for (const configuration::Endpoint &endpoint : configuration->endpoints) {
+            if (!isOwnedEngine(*configuration, endpoint, options_)) {
+                continue;
+            }
+            askLoad(endpoint);
+            if (rounds_ % roundsPerState == 0) {
+                askState(endpoint);
+            }
+        }
+    }
+    ++rounds_;
+    timer_.expires_after(options_.interval);
+    timer_.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (!error) {
+            self->poll();
+        }
+    });
+}
+
+static void get(const boost::asio::any_io_executor &executor,
+    const configuration::Endpoint &endpoint,
+    std::string_view target,
+    std::chrono::milliseconds timeout,
+    std::function<void(std::optional<json::object>)> handler)
+{
+    boost::system::error_code error;
+    const auto address = boost::asio::ip::make_address(endpoint.address, error);
+    if (error) {
+        handler(std::nullopt);
+        return;
+    }
+    http::Request request(http::Verb::get, target, 11);
+    request.set(http::Field::host, endpoint.address);
+    http::fetch(executor,
+        {.peer = {address, endpoint.port}, .connectTimeout = timeout, .headerTimeout = timeout, .idleTimeout = timeout},
+        std::move(request),
+        [handler = std::move(handler)](const http::WholeResponse &response) {
+            boost::system::error_code parseError;
+            const json::value body = json::parse(response.body, parseError);
+            const bool usable = !response.result.error && response.status == http::Status::ok && !parseError && body.is_object();
+            handler(usable ? std::optional(body.get_object()) : std::nullopt);
+        });
+}
+
+static std::int64_t numberOf(const json::object &report, std::string_view member)
+{
+    const json::value *value = report.if_contains(member);
+    boost::system::error_code error;
+    const std::int64_t number = value != nullptr && value->is_number() ? value->to_number<std::int64_t>(error) : 0;
+    return error ? 0 : std::max<std::int64_t>(number, 0);
+}
+
+static bool isTrue(const json::object &report, std::string_view member)
+{
+    const json::value *value = report.if_contains(member);
+    return value != nullptr && value->is_bool() && value->get_bool();
+}
+
+void EndpointWatcher::askLoad(const configuration::Endpoint &endpoint)
+{
+    if (!asked_.insert(endpoint.id).second) {
+        return;
+    }
+    get(strand_, endpoint, "/v1/load", options_.timeout, [self = shared_from_this(), endpoint](const std::optional<json::object> &report) {
+        self->asked_.erase(endpoint.id);
+        if (!report || self->stopped_) {
+            return;
+        }
+        if (isTrue(*report, "leaving")) {
+            self->directory_.markLeaving(endpoint.id);
+        }
+        const policy::LoadReport loadReport {.endpoint = endpoint.id,
+            .running = static_cast<unsigned>(numberOf(*report, "running")),
+            .waiting = static_cast<unsigned>(numberOf(*report, "waiting")),
+            .measuredAt = std::chrono::steady_clock::now() - std::chrono::milliseconds(numberOf(*report, "measuredMsAgo"))};
+        for (const support::PoolId &id : endpoint.pools) {
+            const auto pool = self->options_.ownsPool(id) ? self->pools_.find(id) : nullptr;
+            if (pool) {
+                pool->recordLoadReport(loadReport);
+            }
+        }
+    });
+}
+
+void EndpointWatcher::askState(const configuration::Endpoint &endpoint)
+{
+    get(strand_, endpoint, "/v1/state", options_.timeout, [self = shared_from_this(), id = endpoint.id](const std::optional<json::object> &state) {
+        if (!state || self->stopped_) {
+            return;
+        }
+        const json::value *incarnation = state->if_contains("incarnation");
+        const bool known = incarnation != nullptr && incarnation->is_string();
+        self->directory_.recordReport(id, known ? std::string_view(incarnation->get_string()) : std::string_view(), isTrue(*state, "leaving"));
+    });
+}
+
+} // namespace mulberrywall::router
--- a/lib/Router/RouterService.cpp
+++ b/lib/Router/RouterService.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 #include <utility>
@@ -24,11 +25,18 @@
 }
 
 RouterService::RouterService(boost::asio::io_context &context, RouterServiceOptions options, const policy::PolicyFunctions &policy)
-    : options_(std::move(options)),
+    : context_(context),
+      options_(std::move(options)),
       pools_(context, policy),
-      state_ {.context = context, .options = options_.router, .permits = permits::makeLocalSource(pools_), .claims = makeClaims(context, options_.platform)},
+      endpoints_(pools_),
+      state_ {.context = context,
+          .options = options_.router,
+          .permits = permits::makeLocalSource(pools_),
+          .claims = makeClaims(context, options_.platform),
+          .endpoints = endpoints_},
       callerServer_(http::Server::create(context, options_.callerServer, [this](const http::ExchangePtr &exchange) { handleCaller(exchange); })),
       adminServer_(http::Server::create(context, options_.adminServer, [this](const http::ExchangePtr &exchange) { handleAdmin(exchange); })),
+      endpointWatcher_(std::make_shared<EndpointWatcher>(context, EndpointWatcherOptions {}, state_.configuration, pools_, endpoints_)),
       drainTimer_(context)
 {
 }
@@ -39,6 +47,24 @@
     callerServer_->start();
     support::log(support::Severity::Info, "listening", {{"listener", "caller"}, {"port", callerEndpoint().port()}});
     support::log(support::Severity::Info, "listening", {{"listener", "admin"}, {"port", adminEndpoint().port()}});
+    startWatchers();
+}
+
+void RouterService::startWatchers()
+{
+    endpointWatcher_->start();
+    if (!options_.platform) {
+        return;
+    }
+    configurationWatcher_ = std::make_shared<ConfigurationWatcher>(context_,
+        ConfigurationWatcherOptions {.platform = *options_.platform, .dataCentre = options_.dataCentre},
+        [this](configuration::SiteConfiguration site) { configure(std::move(site)); });
+    configurationWatcher_->start();
+    instanceList_
+        = platform::InstanceList::start(context_.get_executor(), {.platform = *options_.platform}, [this](const std::vector<platform::Instance> &instances) {
+              const ConfigurationSnapshot current = state_.configuration.current();
+              endpoints_.recordInstances(instances, current ? *current : configuration::SiteConfiguration());
+          });
 }
 
 ConfigurationChange RouterService::configure(configuration::SiteConfiguration configuration)
@@ -46,7 +72,9 @@
     const std::uint64_t revision = configuration.revision;
     const ConfigurationChange change = state_.configuration.offer(std::move(configuration));
     if (change == ConfigurationChange::Accepted) {
-        pools_.configure(*state_.configuration.current());
+        const ConfigurationSnapshot current = state_.configuration.current();
+        pools_.configure(*current);
+        endpoints_.applyConfiguration(*current);
         support::log(support::Severity::Info, "configuration in force", {{"revision", revision}});
     }
     return change;
@@ -54,27 +82,57 @@
 
 void RouterService::drain(std::function<void()> handler)
 {
+    onDrained_ = std::move(handler);
     state_.draining = true;
     support::log(support::Severity::Info, "draining", {{"activeRequests", state_.activeRequests.load()}});
-    callerServer_->stopAccepting();
-    waitUntilIdle(std::move(handler));
+    if (options_.drainLimit.count() > 0) {
+        drainDeadline_ = std::chrono::steady_clock::now() + options_.drainGrace + options_.drainLimit;
+    }
+    drainTimer_.expires_after(options_.drainGrace);
+    drainTimer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            callerServer_->stopAccepting();
+            waitUntilIdle();
+        }
+    });
 }
 
-void RouterService::waitUntilIdle(std::function<void()> handler)
+void RouterService::waitUntilIdle()
 {
-    if (state_.activeRequests == 0) {
+    // A session ends before its response is written; a connection that was just accepted has its request still to come.
+    if (state_.activeRequests == 0 && callerServer_->activeExchanges() == 0) {
         support::log(support::Severity::Info, "drained");
-        handler();
+        endDrain();
+        return;
+    }
+    if (std::chrono::steady_clock::now() >= drainDeadline_) {
+        support::log(support::Severity::Warning,
+            "drain limit passed; running requests are cut; raise --drain-limit-ms",
+            {{"activeRequests", state_.activeRequests.load()}});
+        endDrain();
         return;
     }
     drainTimer_.expires_after(drainPollInterval);
-    drainTimer_.async_wait([this, handler = std::move(handler)](const boost::system::error_code &error) mutable {
+    drainTimer_.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
-            waitUntilIdle(std::move(handler));
+            waitUntilIdle();
         }
     });
 }
 
+void RouterService::endDrain()
+{
+    endpointWatcher_->stop();
+    if (configurationWatcher_) {
+        configurationWatcher_->stop();
+    }
+    if (instanceList_) {
+        instanceList_->stop();
+    }
+    const std::function<void()> handler = std::exchange(onDrained_, nullptr);
+    handler();
+}
+
 bool RouterService::isReady() const
 {
     return state_.configuration.current() != nullptr && !state_.draining;
@@ -163,7 +221,34 @@
     if (path == "/v1/status") {
         return http::makeJsonResponse(http::Status::ok, renderStatus());
     }
-    return http::makeProblemResponse({.status = http::Status::not_found, .title = "unknown path", .detail = "use /healthz, /readyz, /metrics or /v1/status"});
+    if (path == "/v1/drain") {
+        return drainEndpoint(request);
+    }
+    return http::makeProblemResponse(
+        {.status = http::Status::not_found, .title = "unknown path", .detail = "use /healthz, /readyz, /metrics, /v1/status or /v1/drain"});
+}
+
+http::Response RouterService::drainEndpoint(const http::Request &request)
+{
+    if (request.method() != http::Verb::post) {
+        return http::makeProblemResponse({.status = http::Status::method_not_allowed, .title = "method not allowed", .detail = "use POST for /v1/drain"});
+    }
+    json::error_code error;
+    const json::value body = json::parse(request.body(), error);
+    const json::value *name = !error && body.is_object() ? body.get_object().if_contains("endpoint") : nullptr;
+    if (name == nullptr || !name->is_string()) {
+        return http::makeProblemResponse(
+            {.status = http::Status::bad_request, .title = "malformed body", .detail = R"(send a JSON object such as {"endpoint":"engine-1"})"});
+    }
+    const support::EndpointId endpoint {std::string(name->get_string())};
+    const ConfigurationSnapshot configuration = state_.configuration.current();
+    if (configuration == nullptr || configuration::findEndpoint(*configuration, endpoint) == nullptr) {
+        return http::makeProblemResponse({.status = http::Status::not_found,
+            .title = "unknown endpoint",
+            .detail = "the configuration has no endpoint '" + endpoint.value() + "'; see /v1/status"});
+    }
+    endpoints_.markLeaving(endpoint);
+    return http::makeJsonResponse(http::Status::ok, json::serialize(json::object {{"endpoint", endpoint.value()}, {"leaving", true}}));
 }
 
 std::string RouterService::renderStatus() const
@@ -186,6 +271,11 @@
             {"endpoints", summary.endpoints}});
     }
     status["pools"] = std::move(pools);
+    json::array leaving;
+    for (const support::EndpointId &id : endpoints_.leaving()) {
+        leaving.emplace_back(id.value());
+    }
+    status["leaving"] = std::move(leaving);
     return json::serialize(status);
 }
 
--- a/tools/mulberrywall-router/main.cpp
+++ b/tools/mulberrywall-router/main.cpp
@@ -29,6 +29,10 @@
     std::string adminListen = "127.0.0.1:9080";
     std::string operatorKey;
     std::string platform;
+    std::string dataCentre;
+    unsigned drainGraceMs = 0;
+    unsigned drainLimitMs = 0;
+    std::size_t maxConnections = 4096;
     unsigned workers = 4;
     std::size_t maxBodyBytes = 4 * 1024 * 1024;
     unsigned readTimeoutMs = 30'000;
@@ -64,11 +68,15 @@
 void addSettings(CLI::App &app, Settings &settings)
 {
     support::addSetting(app, "--instance", settings.instance, "name of this instance")->required();
-    support::addSetting(app, "--base", settings.base, "base configuration file")->required()->check(CLI::ExistingFile);
-    support::addSetting(app, "--overlay", settings.overlay, "configuration overlay of this site")->required()->check(CLI::ExistingFile);
+    support::addSetting(app, "--base", settings.base, "base file of a local start configuration; needs --overlay")->check(CLI::ExistingFile);
+    support::addSetting(app, "--overlay", settings.overlay, "overlay of a local start configuration; needs --base")->check(CLI::ExistingFile);
     support::addSetting(app, "--caller-listen", settings.callerListen, "address and port for callers")->check(validateAddress);
     support::addSetting(app, "--admin-listen", settings.adminListen, "address and port for operators")->check(validateAddress);
     support::addSetting(app, "--platform", settings.platform, "address and port of the platform; empty means none")->check(validateOptionalAddress);
+    support::addSetting(app, "--data-centre", settings.dataCentre, "data centre of this instance; empty means that of the overlay");
+    support::addSetting(app, "--drain-grace-ms", settings.drainGraceMs, "time at shutdown before the listener closes, in ms");
+    support::addSetting(app, "--drain-limit-ms", settings.drainLimitMs, "longest time that running requests get at shutdown, in ms; 0 means no limit");
+    support::addSetting(app, "--max-connections", settings.maxConnections, "open connections of callers")->check(CLI::PositiveNumber);
     support::addSetting(app, "--operator-key", settings.operatorKey, "key for the admin listener; empty lets everybody in");
     support::addSetting(app, "--workers", settings.workers, "worker threads")->check(CLI::Range(1, 64));
     support::addSetting(app, "--max-body-bytes", settings.maxBodyBytes, "largest request body")->check(CLI::PositiveNumber);
@@ -98,14 +106,17 @@
         });
 }
 
-router::RouterServiceOptions makeOptions(const Settings &settings, const configuration::SiteConfiguration &site)
+router::RouterServiceOptions makeOptions(const Settings &settings)
 {
     router::RouterServiceOptions options;
     options.instance = support::InstanceId(settings.instance);
-    options.dataCentre = site.dataCentre;
+    options.dataCentre = support::DataCentreId(settings.dataCentre);
     options.callerServer.listen = *parseAddress(settings.callerListen);
     options.callerServer.maxBodyBytes = settings.maxBodyBytes;
     options.callerServer.readTimeout = std::chrono::milliseconds(settings.readTimeoutMs);
+    options.callerServer.maxConnections = settings.maxConnections;
+    options.drainGrace = std::chrono::milliseconds(settings.drainGraceMs);
+    options.drainLimit = std::chrono::milliseconds(settings.drainLimitMs);
     options.adminServer.listen = *parseAddress(settings.adminListen);
     options.operatorKey = settings.operatorKey;
     if (!settings.platform.empty()) {
@@ -117,18 +128,44 @@
     return options;
 }
 
-int serve(const Settings &settings)
+/// Returns why the settings do not fit together, or nothing.
+std::optional<std::string> findConflict(const Settings &settings)
 {
-    std::optional<configuration::SiteConfiguration> site = readConfiguration(settings);
-    if (!site) {
-        return support::toInt(support::ExitCode::InvalidConfiguration);
+    if (settings.base.empty() != settings.overlay.empty()) {
+        return "--base and --overlay belong together; give both or neither";
+    }
+    if (settings.base.empty() && (settings.platform.empty() || settings.dataCentre.empty())) {
+        return "there is no source of a configuration; give --platform and --data-centre, or --base and --overlay";
+    }
+    return std::nullopt;
+}
+
+int serve(Settings settings)
+{
+    if (const auto conflict = findConflict(settings)) {
+        std::cerr << "mulberrywall-router: " << *conflict << '\n';
+        return support::toInt(support::ExitCode::InvalidSettings);
+    }
+    std::optional<configuration::SiteConfiguration> site;
+    if (!settings.base.empty()) {
+        site = readConfiguration(settings);
+        if (!site) {
+            return support::toInt(support::ExitCode::InvalidConfiguration);
+        }
+        if (!settings.dataCentre.empty() && settings.dataCentre != site->dataCentre.value()) {
+            std::cerr << "mulberrywall-router: --data-centre is '" << settings.dataCentre << "' but the overlay is for '" << site->dataCentre << "'\n";
+            return support::toInt(support::ExitCode::InvalidSettings);
+        }
+        settings.dataCentre = site->dataCentre.value();
     }
     support::initializeLog({.processName = "mulberrywall-router", .instance = settings.instance});
     support::WorkerPool workers(settings.workers);
     std::promise<void> drained;
     try {
-        router::RouterService service(workers.context(), makeOptions(settings, *site), policy::standardPolicy());
-        service.configure(std::move(*site));
+        router::RouterService service(workers.context(), makeOptions(settings), policy::standardPolicy());
+        if (site) {
+            service.configure(std::move(*site));
+        }
         support::onTerminationSignal(workers.context(), [&service, &drained] { service.drain([&drained] { drained.set_value(); }); });
         service.start();
         drained.get_future().wait();
--- /dev/null
+++ b/unittests/Router/LeavingTest.cpp
@@ -0,0 +1,88 @@
+#include "PlatformStandin.h"
+#include "RouterFixture.h"
+
+#include "mulberrywall/Configuration/RevisionStore.h"
+
+#include <boost/asio/post.hpp>
+
+namespace mulberrywall::router
+{
+
+namespace
+{
+
+using platform::InstanceState;
+
+// Guards against an endpoint that gets work again because a late report forgets that it leaves.
+TEST(LeavingMarks, StayForOneIncarnation)
+{
+    LeavingMarks marks;
+    recordReport(marks, "one", true);
+    recordReport(marks, "one", false);
+    EXPECT_TRUE(isLeaving(marks));
+    recordReport(marks, "two", false);
+    EXPECT_FALSE(isLeaving(marks));
+
+    recordInstance(marks, "i-1", InstanceState::Leaving);
+    recordInstance(marks, "i-1", InstanceState::Live);
+    recordReport(marks, "three", false);
+    EXPECT_TRUE(isLeaving(marks));
+    recordInstance(marks, "i-2", InstanceState::Live);
+    EXPECT_FALSE(isLeaving(marks));
+}
+
+// Guards against new work for an endpoint that refused because it leaves.
+TEST_F(RouterTest, RefusalWithLeavingStopsNewWork)
+{
+    addService([](const http::ExchangePtr &exchange) {
+        http::Response response = http::makeJsonResponse(http::Status::service_unavailable, "{}");
+        response.set(http::header::notRun, "1");
+        response.set(http::header::leaving, "1");
+        exchange->respond(std::move(response));
+    });
+    startRouter();
+    EXPECT_EQ(call("lookup", "first").outcome, "not-run");
+    EXPECT_EQ(call("lookup", "second").outcome, "not-run");
+    EXPECT_EQ(endpoints_[0]->requests(), 1U);
+    EXPECT_NE(getAdmin("/v1/status").find(R"("leaving":["endpoint-1"])"), std::string::npos);
+}
+
+// Guards against a router that reports ready without a configuration, or misses the platform's revision.
+TEST_F(RouterTest, TakesConfigurationFromPlatform)
+{
+    addService([](const http::ExchangePtr &exchange) { answer(exchange, http::Status::ok, "answer"); });
+    const auto platform = standin::PlatformStandin::create(workers_.context(), {.listen = {boost::asio::ip::make_address("127.0.0.1"), 0}});
+    serviceOptions_.platform = platform::PlatformOptions {.address = platform->localEndpoint()};
+    serviceOptions_.dataCentre = configuration_.dataCentre;
+    startRouter({}, StartConfiguration::None);
+    EXPECT_FALSE(service_->isReady());
+    EXPECT_EQ(call("lookup", "early").outcome, "not-run");
+    std::promise<configuration::PushStatus> pushed;
+    const configuration::RevisionStore store(workers_.context().get_executor(), *serviceOptions_.platform);
+    store.push({.pushId = "push", .sites = {configuration_}}, [&pushed](const configuration::PushResult &result) { pushed.set_value(result.status); });
+    ASSERT_EQ(pushed.get_future().get(), configuration::PushStatus::Applied);
+    waitUntil("the router takes the revision", [this] { return service_->isReady(); });
+    EXPECT_EQ(call("lookup", "late").response.body, "answer");
+}
+
+// Guards against a shutdown that cuts a response, and against a drain that goes on for ever when it has a limit.
+TEST_F(RouterTest, DrainWaitsForRunningRequests)
+{
+    std::promise<http::ExchangePtr> arrived;
+    addService([&arrived](const http::ExchangePtr &exchange) { arrived.set_value(exchange); });
+    startRouter();
+    auto running = std::async(std::launch::async, [this] { return call("lookup", "body"); });
+    const http::ExchangePtr exchange = arrived.get_future().get();
+    std::promise<void> drained;
+    auto drainedFuture = drained.get_future();
+    service_->drain([&drained] { drained.set_value(); });
+    EXPECT_FALSE(service_->isReady());
+    EXPECT_EQ(drainedFuture.wait_for(std::chrono::milliseconds(100)), std::future_status::timeout);
+    boost::asio::post(exchange->executor(), [exchange] { answer(exchange, http::Status::ok, "whole"); });
+    EXPECT_EQ(running.get().response.body, "whole");
+    drainedFuture.wait();
+}
+
+} // namespace
+
+} // namespace mulberrywall::router
--- a/unittests/Router/RouterFixture.cpp
+++ b/unittests/Router/RouterFixture.cpp
@@ -23,6 +23,11 @@
 
 void ScriptedEndpoint::handle(const http::ExchangePtr &exchange)
 {
+    // The router polls load and state of engines; the scripts answer requests of callers only.
+    if (exchange->request().method() == http::Verb::get) {
+        exchange->respond(http::makeJsonResponse(http::Status::not_found, "{}"));
+        return;
+    }
     if (exchange->request().method() == http::Verb::delete_) {
         ++cancellations_;
         exchange->respond(http::makeJsonResponse(http::Status::ok, "{}"));
@@ -161,14 +166,16 @@
     throw std::out_of_range("no such class");
 }
 
-void RouterTest::startRouter(RouterOptions options)
+void RouterTest::startRouter(RouterOptions options, StartConfiguration start)
 {
     serviceOptions_.instance = support::InstanceId("router");
     serviceOptions_.router = options;
     serviceOptions_.callerServer.listen = {asio::ip::make_address("127.0.0.1"), 0};
     serviceOptions_.adminServer.listen = {asio::ip::make_address("127.0.0.1"), 0};
     service_ = std::make_unique<RouterService>(workers_.context(), serviceOptions_, policy::standardPolicy());
-    service_->configure(configuration_);
+    if (start == StartConfiguration::Local) {
+        service_->configure(configuration_);
+    }
     service_->start();
 }
 
--- a/unittests/Router/RouterFixture.h
+++ b/unittests/Router/RouterFixture.h
@@ -80,6 +80,11 @@
 /// Text that streamTokens sends for a complete answer, without framing.
 std::string tokenText(std::uint64_t last);
 
+enum class StartConfiguration : std::uint8_t {
+    Local,
+    None,
+};
+
 /// A router in this process with scripted endpoints for the pools "m" and "ledger".
 class RouterTest : public testing::Test
 {
@@ -97,7 +102,7 @@
 
     ScriptedEndpoint &addEngine(ScriptedEndpoint::Script script);
     ScriptedEndpoint &addService(ScriptedEndpoint::Script script);
-    void startRouter(RouterOptions options = {});
+    void startRouter(RouterOptions options = {}, StartConfiguration start = StartConfiguration::Local);
     configuration::RequestClass &requestClass(std::string_view id);
     Reply send(http::Request request);
     Reply stream(std::string_view className = "interactive");
