--- a/include/mulberrywall/Router/PeerGroup.h
+++ b/include/mulberrywall/Router/PeerGroup.h
@@ -74,6 +74,7 @@
     [[nodiscard]] permits::PermitSource source();
     [[nodiscard]] std::vector<membership::Member> liveMembers() const;
     [[nodiscard]] std::vector<membership::Member> liveMembers(const support::DataCentreId &dataCentre) const;
+    [[nodiscard]] bool ownsPool(const support::PoolId &pool) const;
     /// Highest revision that any router has announced.
     [[nodiscard]] std::uint64_t announcedRevision() const;
     [[nodiscard]] membership::Counters membershipCounters() const;
--- a/include/mulberrywall/Router/RouterService.h
+++ b/include/mulberrywall/Router/RouterService.h
@@ -3,8 +3,11 @@
 #include "mulberrywall/Configuration/Model.h"
 #include "mulberrywall/Http/Server.h"
 #include "mulberrywall/Permits/PoolOwner.h"
+#include "mulberrywall/Platform/InstanceList.h"
 #include "mulberrywall/Policy/PolicyFunctions.h"
 #include "mulberrywall/Router/ConfigurationWatcher.h"
+#include "mulberrywall/Router/EndpointDirectory.h"
+#include "mulberrywall/Router/EndpointWatcher.h"
 #include "mulberrywall/Router/PeerGroup.h"
 #include "mulberrywall/Router/RouterState.h"
 
@@ -33,6 +36,11 @@
     /// Other routers; without it this router owns all pools of its configuration.
     std::optional<PeerGroupOptions> peers;
     ConfigurationWatcherOptions configurationWatcher;
+    /// Time at shutdown during which the listener stays open and new requests are refused, so that the load balancer
+    /// notices before callers find the port closed.
+    std::chrono::milliseconds drainGrace {0};
+    /// Longest time that running requests get at shutdown after the grace period; 0 means no limit.
+    std::chrono::milliseconds drainLimit {0};
 };
 
 /// A router process without its command line: listeners, pools and the drain at shutdown.
@@ -42,11 +50,11 @@
     RouterService(boost::asio::io_context &context, RouterServiceOptions options, const policy::PolicyFunctions &policy);
 
     // Commands
-    /// Starts the listeners and looks for configurations.
+    /// Starts the listeners and the watchers of configuration, peers, instances and endpoints.
     void start();
     /// Puts a configuration in force if its revision is higher.
     ConfigurationChange configure(configuration::SiteConfiguration configuration);
-    /// Refuses new requests, lets running ones end and then calls the handler.
+    /// Refuses new requests, lets running ones end and then calls the handler. Call once.
     void drain(std::function<void()> handler);
 
     // Queries
@@ -59,21 +67,32 @@
     void handleAdmin(const http::ExchangePtr &exchange);
     [[nodiscard]] http::Response answerAdmin(const http::Request &request);
     [[nodiscard]] std::string renderStatus() const;
-    void waitUntilIdle(std::function<void()> handler);
+    [[nodiscard]] http::Response drainEndpoint(const http::Request &request);
     [[nodiscard]] std::shared_ptr<PeerGroup> makePeerGroup();
-    [[nodiscard]] std::shared_ptr<ConfigurationWatcher> makeWatcher();
+    [[nodiscard]] std::shared_ptr<ConfigurationWatcher> makeConfigurationWatcher();
     void onRevision(const RevisionPtr &revision);
+    void announceLeaving(const support::EndpointId &endpoint);
+    void startWatchers();
+    void stopWatchers();
+    void closeListener();
+    void waitUntilIdle();
+    void endDrain();
 
-    RouterServiceOptions options_;
     boost::asio::io_context &context_;
+    RouterServiceOptions options_;
     permits::PoolTable pools_;
+    EndpointDirectory endpoints_;
     /// Null without other routers.
     std::shared_ptr<PeerGroup> peers_;
-    std::shared_ptr<ConfigurationWatcher> watcher_;
+    std::shared_ptr<ConfigurationWatcher> configurationWatcher_;
     RouterState state_;
     std::shared_ptr<http::Server> callerServer_;
     std::shared_ptr<http::Server> adminServer_;
+    std::shared_ptr<EndpointWatcher> endpointWatcher_;
+    std::shared_ptr<platform::InstanceList> instanceList_;
     boost::asio::steady_timer drainTimer_;
+    policy::TimePoint drainDeadline_ = policy::TimePoint::max();
+    std::function<void()> onDrained_;
 };
 
 } // namespace mulberrywall::router
--- a/include/mulberrywall/Router/RouterState.h
+++ b/include/mulberrywall/Router/RouterState.h
@@ -3,9 +3,11 @@
 #include "mulberrywall/Permits/Permit.h"
 #include "mulberrywall/Platform/ClaimBatch.h"
 #include "mulberrywall/Router/ActiveConfiguration.h"
+#include "mulberrywall/Router/EndpointDirectory.h"
 #include "mulberrywall/Router/HedgeDelay.h"
 #include "mulberrywall/Router/OrganisationLimits.h"
 #include "mulberrywall/Router/RetryBudget.h"
+#include "mulberrywall/Router/RetryDecision.h"
 #include "mulberrywall/Support/Metrics.h"
 
 #include <boost/asio/io_context.hpp>
@@ -26,6 +28,7 @@
     std::chrono::milliseconds responseTimeout {120'000};
     /// Attempts for one request, the first included.
     unsigned maximumAttempts = 3;
+    NextStep (*decideNextStep)(const FailedAttempt &) = router::decideNextStep;
 };
 
 /// What the caller sessions of a router share; outlives them all.
@@ -36,6 +39,7 @@
     permits::PermitSource permits;
     /// Null when the router has no platform; requests with an idempotency key are refused then.
     std::shared_ptr<platform::ClaimBatch> claims;
+    EndpointDirectory &endpoints;
     ActiveConfiguration configuration;
     support::MetricsRegistry metrics;
     RetryBudgets retryBudgets;
--- a/lib/Router/PeerGroup.cpp
+++ b/lib/Router/PeerGroup.cpp
@@ -209,6 +209,11 @@
     return membership_->liveMembers(dataCentre);
 }
 
+bool PeerGroup::ownsPool(const support::PoolId &pool) const
+{
+    return permits_->ownership().currentOwner(pool) == options_.instance;
+}
+
 std::uint64_t PeerGroup::announcedRevision() const
 {
     return membership_->configurationRevision();
--- /dev/null
+++ b/lib/Router/RouterProgram.cpp
@@ -0,0 +1,259 @@
+#include "mulberrywall/Router/RouterProgram.h"
+
+#include "mulberrywall/Configuration/Reader.h"
+#include "mulberrywall/Router/RouterService.h"
+#include "mulberrywall/Support/Error.h"
+#include "mulberrywall/Support/Log.h"
+#include "mulberrywall/Support/Settings.h"
+#include "mulberrywall/Support/WorkerPool.h"
+
+#include <boost/system/system_error.hpp>
+
+#include <future>
+#include <iostream>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mulberrywall::router
+{
+
+namespace
+{
+
+/// An answer that is not streamed shows no sign of life before its end, so that it needs more patience than a stream.
+constexpr int responseStallFactor = 4;
+
+struct Settings
+{
+    std::string programName;
+    std::string instance;
+    std::string base;
+    std::string overlay;
+    std::string callerListen = "127.0.0.1:8080";
+    std::string adminListen = "127.0.0.1:9080";
+    std::string operatorKey;
+    std::string platform;
+    std::string dataCentre;
+    std::string peerListen;
+    std::string membershipListen;
+    std::string peerSecret;
+    std::vector<std::string> seeds;
+    unsigned drainGraceMs = 0;
+    unsigned drainLimitMs = 0;
+    std::size_t maxConnections = 4096;
+    unsigned workers = 4;
+    std::size_t maxBodyBytes = 4 * 1024 * 1024;
+    unsigned readTimeoutMs = 30'000;
+    unsigned stallTimeoutMs = 30'000;
+    unsigned responseTimeoutMs = 0;
+};
+
+std::optional<boost::asio::ip::tcp::endpoint> parseAddress(const std::string &text)
+{
+    const std::size_t separator = text.rfind(':');
+    if (separator == std::string::npos) {
+        return std::nullopt;
+    }
+    boost::system::error_code error;
+    const auto address = boost::asio::ip::make_address(text.substr(0, separator), error);
+    const std::string port = text.substr(separator + 1);
+    if (error || port.empty() || port.size() > 5 || port.find_first_not_of("0123456789") != std::string::npos || std::stoul(port) > 65535) {
+        return std::nullopt;
+    }
+    return boost::asio::ip::tcp::endpoint(address, static_cast<std::uint16_t>(std::stoul(port)));
+}
+
+std::string validateAddress(const std::string &text)
+{
+    return parseAddress(text) ? std::string() : "'" + text + "' is not an IP address and port; write for example 127.0.0.1:8080";
+}
+
+boost::asio::ip::udp::endpoint toUdp(const boost::asio::ip::tcp::endpoint &endpoint)
+{
+    return {endpoint.address(), endpoint.port()};
+}
+
+std::string validateOptionalAddress(const std::string &text)
+{
+    return text.empty() ? std::string() : validateAddress(text);
+}
+
+void addSettings(CLI::App &app, Settings &settings)
+{
+    support::addSetting(app, "--instance", settings.instance, "name of this instance")->required();
+    support::addSetting(app, "--data-centre", settings.dataCentre, "data centre of this instance; may be left out with --overlay");
+    support::addSetting(app, "--base", settings.base, "base file of a local start configuration")->check(CLI::ExistingFile);
+    support::addSetting(app, "--overlay", settings.overlay, "overlay of a local start configuration")->check(CLI::ExistingFile);
+    support::addSetting(app, "--peer-listen", settings.peerListen, "TCP address and port for other routers; empty means no other routers")
+        ->check(validateOptionalAddress);
+    support::addSetting(app, "--membership-listen", settings.membershipListen, "UDP address and port for other routers")->check(validateOptionalAddress);
+    support::addSetting(app, "--peer-secret", settings.peerSecret, "secret that all routers share; prefer the environment variable");
+    support::addSetting(app, "--seeds", settings.seeds, "membership addresses of some other routers")->delimiter(',')->check(validateAddress);
+    support::addSetting(app, "--caller-listen", settings.callerListen, "address and port for callers")->check(validateAddress);
+    support::addSetting(app, "--admin-listen", settings.adminListen, "address and port for operators")->check(validateAddress);
+    support::addSetting(app, "--platform", settings.platform, "address and port of the platform; empty means none")->check(validateOptionalAddress);
+    support::addSetting(app, "--drain-grace-ms", settings.drainGraceMs, "time at shutdown before the listener closes, in ms");
+    support::addSetting(app, "--drain-limit-ms", settings.drainLimitMs, "longest time that running requests get at shutdown, in ms; 0 means no limit");
+    support::addSetting(app, "--max-connections", settings.maxConnections, "open connections of callers")->check(CLI::PositiveNumber);
+    support::addSetting(app, "--operator-key", settings.operatorKey, "key for the admin listener; empty lets everybody in");
+    support::addSetting(app, "--workers", settings.workers, "worker threads")->check(CLI::Range(1, 64));
+    support::addSetting(app, "--max-body-bytes", settings.maxBodyBytes, "largest request body")->check(CLI::PositiveNumber);
+    support::addSetting(app, "--read-timeout-ms", settings.readTimeoutMs, "time a caller has to send a request, in ms")->check(CLI::PositiveNumber);
+    support::addSetting(app, "--stall-timeout-ms", settings.stallTimeoutMs, "longest silence of an endpoint, in ms")->check(CLI::PositiveNumber);
+    support::addSetting(app,
+        "--response-timeout-ms",
+        settings.responseTimeoutMs,
+        "longest wait for a response that is not streamed, in ms; 0 means four times the stall timeout");
+}
+
+std::optional<configuration::SiteConfiguration> readConfiguration(const Settings &settings)
+{
+    return support::leaf::try_handle_all(
+        [&]() -> support::Result<std::optional<configuration::SiteConfiguration>> {
+            BOOST_LEAF_AUTO(site, configuration::readSite(settings.base, settings.overlay));
+            return std::optional(std::move(site));
+        },
+        [&settings](const support::ErrorMessage &message, const support::ErrorLocation *location) -> std::optional<configuration::SiteConfiguration> {
+            const std::string place = location == nullptr ? "" : location->file + ":" + std::to_string(location->line) + ": ";
+            std::cerr << settings.programName << ": " << place << message.text << '\n';
+            return std::nullopt;
+        },
+        [&settings]() -> std::optional<configuration::SiteConfiguration> {
+            std::cerr << settings.programName << ": the configuration could not be read\n";
+            return std::nullopt;
+        });
+}
+
+std::optional<PeerGroupOptions> makePeerOptions(const Settings &settings)
+{
+    if (settings.peerListen.empty()) {
+        return std::nullopt;
+    }
+    PeerGroupOptions peers;
+    peers.instance = support::InstanceId(settings.instance);
+    peers.dataCentre = support::DataCentreId(settings.dataCentre);
+    peers.peerListen = *parseAddress(settings.peerListen);
+    peers.membershipListen = toUdp(*parseAddress(settings.membershipListen));
+    peers.secret = settings.peerSecret;
+    for (const std::string &seed : settings.seeds) {
+        peers.seeds.push_back(toUdp(*parseAddress(seed)));
+    }
+    return peers;
+}
+
+/// Returns what is wrong with the combination of settings, or an empty text.
+std::string checkCombination(const Settings &settings)
+{
+    if (!settings.peerListen.empty() && settings.membershipListen.empty()) {
+        return "--peer-listen needs --membership-listen; add it";
+    }
+    if (!settings.peerListen.empty() && settings.peerSecret.empty()) {
+        return "--peer-listen needs a secret; set MULBERRYWALL_PEER_SECRET";
+    }
+    if (settings.base.empty() != settings.overlay.empty()) {
+        return "--base and --overlay belong together; give both or neither";
+    }
+    if (settings.overlay.empty() && (settings.dataCentre.empty() || (settings.platform.empty() && settings.peerListen.empty()))) {
+        return "there is no source of a configuration; give --data-centre with --platform or --peer-listen, or --base with --overlay";
+    }
+    return {};
+}
+
+/// A standalone router keeps to itself whatever its settings say.
+void standAlone(RouterServiceOptions &options)
+{
+    options.peers.reset();
+    options.platform.reset();
+}
+
+RouterServiceOptions makeOptions(const Settings &settings, const RouterProgram &program)
+{
+    RouterServiceOptions options;
+    options.instance = support::InstanceId(settings.instance);
+    options.dataCentre = support::DataCentreId(settings.dataCentre);
+    options.peers = makePeerOptions(settings);
+    options.callerServer.listen = *parseAddress(settings.callerListen);
+    options.callerServer.maxBodyBytes = settings.maxBodyBytes;
+    options.callerServer.readTimeout = std::chrono::milliseconds(settings.readTimeoutMs);
+    options.callerServer.maxConnections = settings.maxConnections;
+    options.drainGrace = std::chrono::milliseconds(settings.drainGraceMs);
+    options.drainLimit = std::chrono::milliseconds(settings.drainLimitMs);
+    options.adminServer.listen = *parseAddress(settings.adminListen);
+    options.operatorKey = settings.operatorKey;
+    if (!settings.platform.empty()) {
+        options.platform = platform::PlatformOptions {.address = *parseAddress(settings.platform)};
+    }
+    options.router.stallTimeout = std::chrono::milliseconds(settings.stallTimeoutMs);
+    options.router.responseTimeout
+        = settings.responseTimeoutMs == 0 ? options.router.stallTimeout * responseStallFactor : std::chrono::milliseconds(settings.responseTimeoutMs);
+    options.router.decideNextStep = program.decideNextStep;
+    if (program.cooperation == Cooperation::Standalone) {
+        standAlone(options);
+    }
+    return options;
+}
+
+/// Reads the local files, if there are any, and takes the data centre from the overlay.
+support::ExitCode prepare(Settings &settings, std::optional<configuration::SiteConfiguration> &site)
+{
+    const std::string problem = checkCombination(settings);
+    if (!problem.empty()) {
+        std::cerr << settings.programName << ": " << problem << '\n';
+        return support::ExitCode::InvalidSettings;
+    }
+    if (settings.overlay.empty()) {
+        return support::ExitCode::Success;
+    }
+    site = readConfiguration(settings);
+    if (!site) {
+        return support::ExitCode::InvalidConfiguration;
+    }
+    if (!settings.dataCentre.empty() && settings.dataCentre != site->dataCentre.value()) {
+        std::cerr << settings.programName << ": --data-centre is '" << settings.dataCentre << "' but the overlay is for '" << site->dataCentre
+                  << "'; correct one of them\n";
+        return support::ExitCode::InvalidSettings;
+    }
+    settings.dataCentre = site->dataCentre.value();
+    return support::ExitCode::Success;
+}
+
+int serve(Settings &settings, const RouterProgram &program)
+{
+    std::optional<configuration::SiteConfiguration> site;
+    if (const support::ExitCode code = prepare(settings, site); code != support::ExitCode::Success) {
+        return support::toInt(code);
+    }
+    support::initializeLog({.processName = settings.programName, .instance = settings.instance});
+    support::WorkerPool workers(settings.workers);
+    std::promise<void> drained;
+    try {
+        RouterService service(workers.context(), makeOptions(settings, program), program.policy);
+        if (site) {
+            service.configure(std::move(*site));
+        }
+        support::onTerminationSignal(workers.context(), [&service, &drained] { service.drain([&drained] { drained.set_value(); }); });
+        service.start();
+        drained.get_future().wait();
+        workers.stop();
+        workers.join();
+    } catch (const boost::system::system_error &error) {
+        support::log(support::Severity::Error, "could not start; check the listen addresses", {{"reason", error.what()}});
+        return support::toInt(support::ExitCode::Failure);
+    }
+    return support::toInt(support::ExitCode::Success);
+}
+
+} // namespace
+
+int runRouterProgram(const RouterProgram &program, int argc, char **argv)
+{
+    CLI::App app(program.description, program.name);
+    Settings settings {.programName = program.name};
+    bool checkSettings = false;
+    addSettings(app, settings);
+    support::addCommonFlags(app, checkSettings);
+    return support::parseAndRun(app, argc, argv, checkSettings, [&] { return serve(settings, program); });
+}
+
+} // namespace mulberrywall::router
--- /dev/null
+++ b/test/Support/NaiveRouter/NaiveRouterMain.cpp
@@ -0,0 +1,29 @@
+#include "Naive/NaivePolicy.h"
+
+#include "mulberrywall/Router/RouterProgram.h"
+
+namespace
+{
+
+using namespace mulberrywall;
+
+/// Retries every error, whether the request may have run or not.
+router::NextStep retryAnyError(const router::FailedAttempt &attempt)
+{
+    const bool mayRetry = attempt.deliveredTokens == 0 && attempt.attemptsWithoutToken < attempt.maximumAttempts;
+    return mayRetry ? router::NextStep::Retry : router::NextStep::Fail;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const router::RouterProgram program {
+        .name = "naive-router",
+        .description = "baseline for comparisons: first in, first out, round robin, blind retries",
+        .policy = naive::naivePolicy(),
+        .decideNextStep = retryAnyError,
+        .cooperation = router::Cooperation::Standalone,
+    };
+    return router::runRouterProgram(program, argc, argv);
+}
