configuration: store a delta with each revision

Ruled out: deltas alone; the whole revision stays the record, and anyone who lacks the predecessor reads it. Change: push writes a delta row in the same transaction, with a checksum of the result; RevisionStore has a fetchRevision that takes the known revision and falls back to the whole one. The diff prints plain fractions. Conclusion: a change costs a router a read of its own size when it has the predecessor.

--- a/include/mulberrywall/Configuration/RevisionStore.h
+++ b/include/mulberrywall/Configuration/RevisionStore.h
@@ -58,6 +58,8 @@
     std::uint64_t basedOn = 0;
     std::string pushId;
     std::vector<SiteConfiguration> sites;
+    /// The revision it is based on; when given, a delta is stored as well. May be null.
+    std::shared_ptr<const Revision> base;
     /// Time for commits whose outcome is unknown to be confirmed.
     std::chrono::milliseconds timeout {5'000};
 };
@@ -79,6 +81,10 @@
     void fetchHead(std::function<void(HeadResult)> handler) const;
     /// Fetches an accepted revision. One that cannot be parsed counts as unavailable.
     void fetchRevision(std::uint64_t number, std::function<void(RevisionResult)> handler) const;
+    /// Fetches an accepted revision by its delta when the known one is its predecessor, and otherwise as a whole.
+    ///
+    /// A whole revision at the target size has about 1 MB, which is too much for each router and each change.
+    void fetchRevision(std::uint64_t number, std::shared_ptr<const Revision> known, std::function<void(RevisionResult)> handler) const;
     /// Commits a new revision and the head in one transaction, by compare-and-set on the head.
     ///
     /// A lost response is resolved by reading back the push id, so that repeating a push is safe.
--- a/lib/Configuration/Diff.cpp
+++ b/lib/Configuration/Diff.cpp
@@ -5,6 +5,7 @@
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
+#include <cstdio>
 #include <map>
 #include <set>
 
@@ -16,13 +17,23 @@
 
 using FieldTexts = std::vector<std::pair<std::string_view, std::string>>;
 
+/// The JSON form of a fraction, such as 5E-2, is hard to read.
+std::string renderText(const boost::json::value &value)
+{
+    if (!value.is_double()) {
+        return boost::json::serialize(value);
+    }
+    char text[32];
+    std::snprintf(text, sizeof text, "%.12g", value.get_double());
+    return text;
+}
+
 template <typename Item>
 FieldTexts renderFields(const Item &item)
 {
     FieldTexts texts;
-    fields::visit(item, [&texts](std::string_view name, const auto &value, const fields::FieldOptions &) {
-        texts.emplace_back(name, boost::json::serialize(values::render(value)));
-    });
+    fields::visit(item,
+        [&texts](std::string_view name, const auto &value, const fields::FieldOptions &) { texts.emplace_back(name, renderText(values::render(value))); });
     return texts;
 }
 
--- a/lib/Configuration/RevisionStore.cpp
+++ b/lib/Configuration/RevisionStore.cpp
@@ -1,5 +1,7 @@
 #include "mulberrywall/Configuration/RevisionStore.h"
 
+#include "mulberrywall/Configuration/Delta.h"
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/json/object.hpp>
@@ -31,13 +33,23 @@
 constexpr std::chrono::milliseconds retryDelay {100};
 
 /// Pads the number so that rows sort by revision.
-std::string revisionKey(std::uint64_t number)
+std::string numberedKey(const char *prefix, std::uint64_t number)
 {
     std::array<char, 40> text {};
-    std::snprintf(text.data(), text.size(), "revisions/%012llu", static_cast<unsigned long long>(number));
+    std::snprintf(text.data(), text.size(), "%s/%012llu", prefix, static_cast<unsigned long long>(number));
     return text.data();
 }
 
+std::string revisionKey(std::uint64_t number)
+{
+    return numberedKey("revisions", number);
+}
+
+std::string deltaKey(std::uint64_t number)
+{
+    return numberedKey("deltas", number);
+}
+
 std::string encodeHead(std::uint64_t revision, const std::string &pushId)
 {
     return json::serialize(json::object {{"revision", revision}, {"pushId", pushId}});
@@ -77,6 +89,17 @@
         [] { return RevisionResult {.status = ReadStatus::Unavailable, .detail = "the revision row cannot be read"}; });
 }
 
+RevisionResult parseDelta(const Revision &known, const ReadResult &result)
+{
+    return leaf::try_handle_all(
+        [&]() -> support::Result<RevisionResult> {
+            BOOST_LEAF_AUTO(revision, applyDelta(known, result.row.value));
+            return RevisionResult {.status = ReadStatus::Found, .revision = std::make_shared<const Revision>(std::move(revision))};
+        },
+        [](const support::ErrorMessage &message) { return RevisionResult {.status = ReadStatus::Unavailable, .detail = message.text}; },
+        [] { return RevisionResult {.status = ReadStatus::Unavailable, .detail = "the delta row cannot be read"}; });
+}
+
 /// One push with its retries. Ends by calling the handler once.
 class Push : public std::enable_shared_from_this<Push>
 {
@@ -92,7 +115,11 @@
         for (SiteConfiguration &site : request_.sites) {
             site.revision = number_;
         }
-        value_ = toJson(Revision {.number = number_, .basedOn = request_.basedOn, .pushId = request_.pushId, .sites = std::move(request_.sites)});
+        const Revision revision {.number = number_, .basedOn = request_.basedOn, .pushId = request_.pushId, .sites = std::move(request_.sites)};
+        value_ = toJson(revision);
+        if (request_.base != nullptr && request_.base->number == request_.basedOn) {
+            delta_ = renderDelta(*request_.base, revision);
+        }
     }
 
     /// Looks for the revision first, since this may be the repetition of a push whose response was lost.
@@ -134,13 +161,16 @@
         }
         const std::string head = encodeHead(number_, request_.pushId);
         const bool isFirst = result.status == ReadStatus::Absent;
-        const std::vector<platform::Operation> operations {
+        std::vector<platform::Operation> operations {
             {.kind = OperationKind::InsertIfAbsent, .key = revisionKey(number_), .value = value_},
             {.kind = isFirst ? OperationKind::InsertIfAbsent : OperationKind::PutIfVersion,
                 .key = std::string(headKey),
                 .value = head,
                 .version = result.head.rowVersion},
         };
+        if (delta_) {
+            operations.push_back({.kind = OperationKind::InsertIfAbsent, .key = deltaKey(number_), .value = *delta_});
+        }
         table_.commit(configurationTable, operations, [self = shared_from_this()](const CommitResult &commit) { self->onCommit(commit); });
     }
 
@@ -186,6 +216,7 @@
     Clock::time_point deadline_;
     std::uint64_t number_ = 0;
     std::string value_;
+    std::optional<std::string> delta_;
     bool mayHaveBeenApplied_ = false;
 };
 
@@ -207,6 +238,27 @@
     table_.read(configurationTable, revisionKey(number), [handler = std::move(handler)](const ReadResult &result) { handler(parseRevision(result)); });
 }
 
+void RevisionStore::fetchRevision(std::uint64_t number, std::shared_ptr<const Revision> known, std::function<void(RevisionResult)> handler) const
+{
+    if (known == nullptr || known->number + 1 != number) {
+        fetchRevision(number, std::move(handler));
+        return;
+    }
+    table_.read(configurationTable,
+        deltaKey(number),
+        [store = *this, number, known = std::move(known), handler = std::move(handler)](const ReadResult &result) mutable {
+            RevisionResult revision;
+            if (result.status == ReadStatus::Found) {
+                revision = parseDelta(*known, result);
+            }
+            if (revision.status == ReadStatus::Found) {
+                handler(std::move(revision));
+                return;
+            }
+            store.fetchRevision(number, std::move(handler));
+        });
+}
+
 void RevisionStore::push(PushRequest request, std::function<void(PushResult)> handler) const
 {
     std::make_shared<Push>(executor_, table_, std::move(request), std::move(handler))->start();
--- a/lib/Control/ConfigurationCommands.cpp
+++ b/lib/Control/ConfigurationCommands.cpp
@@ -182,8 +182,9 @@
         return ExitCode::InvalidConfiguration;
     }
     const std::string pushId = options.pushId.empty() ? support::makeRandomId() : options.pushId;
-    const auto result = await<PushResult>(
-        [&](auto handler) { store.push({.basedOn = basedOn, .pushId = pushId, .sites = *sites, .timeout = options.timeout}, std::move(handler)); });
+    const auto result = await<PushResult>([&](auto handler) {
+        store.push({.basedOn = basedOn, .pushId = pushId, .sites = *sites, .base = inForce->revision, .timeout = options.timeout}, std::move(handler));
+    });
     if (result.status == PushStatus::Conflict) {
         const auto winner = fetchInForce(store, console);
         return winner ? reportConflict(*winner, basedOn, *sites, console) : ExitCode::Conflict;
--- a/test/ConfigurationInForce/OperatorTest.cpp
+++ b/test/ConfigurationInForce/OperatorTest.cpp
@@ -3,13 +3,17 @@
 #include "Harness/Wait.h"
 
 #include "mulberrywall/Configuration/Revision.h"
+#include "mulberrywall/Configuration/RevisionStore.h"
 #include "mulberrywall/Support/Ids.h"
 #include "mulberrywall/Support/Settings.h"
+#include "mulberrywall/Support/WorkerPool.h"
 
+#include <boost/asio/ip/address.hpp>
 #include <gtest/gtest.h>
 
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <iterator>
 #include <memory>
 #include <vector>
@@ -104,6 +108,28 @@
     EXPECT_EQ(configuration::findPool(revision->sites.at(2), support::PoolId("atlas-mini"))->queueLimit, 7U);
 }
 
+// Guards against a router that gets another configuration by the delta than by the whole revision.
+TEST_F(OperatorTest, DeltaLeadsToTheSameRevision)
+{
+    apply(example("base.toml"), ExitCode::Success, "revision 1 applied");
+    apply(baseWithQueueLimit(7), ExitCode::Success, "revision 2 applied");
+    support::WorkerPool pool(1);
+    const configuration::RevisionStore store(pool.context().get_executor(), {.address = {boost::asio::ip::make_address("127.0.0.1"), port_}});
+    const auto fetch = [&](std::uint64_t number, std::shared_ptr<const configuration::Revision> known) {
+        std::promise<configuration::RevisionResult> result;
+        store.fetchRevision(number, std::move(known), [&result](configuration::RevisionResult fetched) { result.set_value(std::move(fetched)); });
+        return result.get_future().get().revision;
+    };
+    const auto first = fetch(1, nullptr);
+    const std::uint64_t readsBefore = control({}).at("reads").to_number<std::uint64_t>();
+    const auto byDelta = fetch(2, first);
+    EXPECT_EQ(control({}).at("reads").to_number<std::uint64_t>(), readsBefore + 1);
+    const auto whole = fetch(2, nullptr);
+    ASSERT_NE(byDelta, nullptr);
+    ASSERT_NE(whole, nullptr);
+    EXPECT_EQ(*byDelta, *whole);
+}
+
 // Guards against two operators who both believe that their change is in force, or a change that overwrites another.
 TEST_F(OperatorTest, OneOfTwoOperatorsWins)
 {
--- a/unittests/Configuration/RevisionTest.cpp
+++ b/unittests/Configuration/RevisionTest.cpp
@@ -1,4 +1,5 @@
 #include "mulberrywall/Configuration/Revision.h"
+#include "mulberrywall/Configuration/Delta.h"
 #include "mulberrywall/Configuration/Diff.h"
 #include "mulberrywall/Configuration/Reader.h"
 
@@ -64,6 +65,39 @@
     EXPECT_TRUE(revisionFromJson(text));
 }
 
+// Guards against a delta that gives another revision than the one stored, and against one applied to the wrong revision.
+TEST(DeltaTest, GivesTheLaterRevision)
+{
+    const Revision before = exampleRevision();
+    Revision after = before;
+    after.number = 8;
+    after.basedOn = 7;
+    after.pushId = "next";
+    for (SiteConfiguration &site : after.sites) {
+        site.revision = 8;
+        site.classes.at(0).tier = 5;
+        site.organisations.erase(site.organisations.begin());
+    }
+    for (const bool isSameEverywhere : {true, false}) {
+        if (!isSameEverywhere) {
+            after.sites.at(1).endpoints.at(0).port = 9;
+        }
+        const auto delta = renderDelta(before, after);
+        ASSERT_TRUE(delta);
+        EXPECT_LT(delta->size(), toJson(after).size() / 2);
+        const auto result = applyDelta(before, *delta);
+        ASSERT_TRUE(result);
+        EXPECT_EQ(*result, after);
+        EXPECT_FALSE(applyDelta(after, *delta));
+        Revision other = before;
+        other.sites.at(0).pools.at(0).queueLimit = 1;
+        EXPECT_FALSE(applyDelta(other, *delta));
+        EXPECT_FALSE(applyDelta(before, delta->substr(0, delta->size() / 2)));
+    }
+    after.sites.pop_back();
+    EXPECT_FALSE(renderDelta(before, after));
+}
+
 // Guards against changes that the operator does not see before applying them.
 TEST(DiffTest, NamesEachChangeOnce)
 {
@@ -75,8 +109,9 @@
     }
     after.at(1).endpoints.erase(after.at(1).endpoints.begin());
     after.at(2).pools.at(0).queueLimit = 9;
+    after.at(2).organisations.at(0).weight = 0.05;
     const std::string expected = "all: ~ classes." + before.at(0).classes.at(0).id.value() + ".tier: 1 -> 5\n" + "dc-b: - endpoints.engine-7105\n"
-        + "dc-c: ~ pools.atlas.queue-limit: 128 -> 9\n";
+        + "dc-c: ~ organisations.harbour.weight: 2 -> 0.05\n" + "dc-c: ~ pools.atlas.queue-limit: 128 -> 9\n";
     EXPECT_EQ(diffSites(before, after), expected);
     EXPECT_NE(diffSites({}, before).find("+ site"), std::string::npos);
 }
