router: read configuration deltas from the platform before asking peers

Change: ConfigurationWatcher reads the platform's delta first and asks peers when the platform does not answer. Conclusion: peers stay the source while the platform is down.

--- a/include/mulberrywall/Router/ConfigurationWatcher.h
+++ b/include/mulberrywall/Router/ConfigurationWatcher.h
@@ -25,8 +25,9 @@
 {
     /// Gives nothing while the platform is unavailable, and 0 when no revision was ever accepted. May be empty.
     std::function<void(std::function<void(std::optional<std::uint64_t>)>)> fetchHead;
-    /// Gives a null pointer when the platform does not have or does not answer it. May be empty.
-    std::function<void(std::uint64_t revision, std::function<void(RevisionPtr)>)> fetchRevision;
+    /// Reads a revision, as a delta when the known one is its predecessor. Gives a null pointer when the platform does not
+    /// have it or does not answer. May be empty.
+    std::function<void(std::uint64_t revision, RevisionPtr known, std::function<void(RevisionPtr)>)> fetchRevision;
     /// Gives the revision of a peer that has at least the given one. May be empty.
     std::function<void(std::uint64_t minimumRevision, std::function<void(std::optional<permits::ConfigurationDocument>)>)> fetchFromPeers;
     /// Routers of the own data centre, this one included. May be empty.
@@ -63,21 +64,15 @@
     [[nodiscard]] std::optional<permits::ConfigurationDocument> provide(std::uint64_t minimumRevision) const;
 
 private:
-    /// Where to look when no peer has the revision.
-    enum class Fallback : std::uint8_t {
-        Platform,
-        None,
-    };
-
     void poll();
     void pollLater();
     void onHead(std::optional<std::uint64_t> head);
     void want(std::uint64_t revision);
-    void fetchFromPeers(std::uint64_t minimumRevision, Fallback fallback);
-    void onPeerAnswer(std::uint64_t minimumRevision, Fallback fallback, const RevisionPtr &revision);
     void fetchFromPlatform(std::uint64_t revision);
-    void fetchEnded();
+    void fetchFromPeers(std::uint64_t minimumRevision);
+    void fetchEnded(const RevisionPtr &revision);
     void take(const RevisionPtr &revision);
+    [[nodiscard]] RevisionPtr held() const;
     [[nodiscard]] std::uint64_t heldRevision() const;
     [[nodiscard]] std::chrono::milliseconds currentPollInterval() const;
 
--- a/lib/Router/ConfigurationWatcher.cpp
+++ b/lib/Router/ConfigurationWatcher.cpp
@@ -43,17 +43,23 @@
 
 std::optional<permits::ConfigurationDocument> ConfigurationWatcher::provide(std::uint64_t minimumRevision) const
 {
-    const std::scoped_lock lock(mutex_);
-    if (!held_ || held_->number < minimumRevision) {
+    const RevisionPtr revision = held();
+    if (!revision || revision->number < minimumRevision) {
         return std::nullopt;
     }
-    return permits::ConfigurationDocument {.revision = held_->number, .json = configuration::toJson(*held_)};
+    return permits::ConfigurationDocument {.revision = revision->number, .json = configuration::toJson(*revision)};
 }
 
-std::uint64_t ConfigurationWatcher::heldRevision() const
+RevisionPtr ConfigurationWatcher::held() const
 {
     const std::scoped_lock lock(mutex_);
-    return held_ ? held_->number : 0;
+    return held_;
+}
+
+std::uint64_t ConfigurationWatcher::heldRevision() const
+{
+    const RevisionPtr revision = held();
+    return revision ? revision->number : 0;
 }
 
 std::chrono::milliseconds ConfigurationWatcher::currentPollInterval() const
@@ -82,7 +88,7 @@
         want(*head);
     } else if (heldRevision() == 0 && !fetching_) {
         // With the platform down, a router that has just started takes the highest revision of its peers.
-        fetchFromPeers(1, Fallback::None);
+        fetchFromPeers(1);
     }
     pollLater();
 }
@@ -101,7 +107,7 @@
 {
     wanted_ = std::max(wanted_, revision);
     if (!fetching_ && !stopped_ && wanted_ > heldRevision()) {
-        fetchFromPeers(wanted_, Fallback::Platform);
+        fetchFromPlatform(wanted_);
     }
 }
 
@@ -122,53 +128,44 @@
         []() -> RevisionPtr { return nullptr; });
 }
 
-void ConfigurationWatcher::fetchFromPeers(std::uint64_t minimumRevision, Fallback fallback)
+/// The platform goes first: it has a small delta, while a peer sends the whole document.
+void ConfigurationWatcher::fetchFromPlatform(std::uint64_t revision)
 {
     fetching_ = true;
-    if (!sources_.fetchFromPeers) {
-        onPeerAnswer(minimumRevision, fallback, nullptr);
-        return;
-    }
-    const auto onDocument = [self = shared_from_this(), minimumRevision, fallback](const std::optional<permits::ConfigurationDocument> &document) {
-        const RevisionPtr revision = document ? parseDocument(*document) : nullptr;
-        boost::asio::post(self->strand_, [self, minimumRevision, fallback, revision] { self->onPeerAnswer(minimumRevision, fallback, revision); });
-    };
-    sources_.fetchFromPeers(minimumRevision, onDocument);
-}
-
-void ConfigurationWatcher::onPeerAnswer(std::uint64_t minimumRevision, Fallback fallback, const RevisionPtr &revision)
-{
-    if (revision) {
-        take(revision);
-        fetchEnded();
-        return;
-    }
-    if (fallback == Fallback::Platform) {
-        fetchFromPlatform(minimumRevision);
+    if (!sources_.fetchRevision) {
+        fetchFromPeers(revision);
         return;
     }
-    fetchEnded();
+    sources_.fetchRevision(revision, held(), [self = shared_from_this(), revision](const RevisionPtr &fetched) {
+        boost::asio::post(self->strand_, [self, revision, fetched] {
+            if (fetched) {
+                self->fetchEnded(fetched);
+                return;
+            }
+            self->fetchFromPeers(revision);
+        });
+    });
 }
 
-void ConfigurationWatcher::fetchFromPlatform(std::uint64_t revision)
+void ConfigurationWatcher::fetchFromPeers(std::uint64_t minimumRevision)
 {
-    if (!sources_.fetchRevision) {
-        fetchEnded();
+    fetching_ = true;
+    if (!sources_.fetchFromPeers) {
+        fetchEnded(nullptr);
         return;
     }
-    sources_.fetchRevision(revision, [self = shared_from_this()](const RevisionPtr &fetched) {
-        boost::asio::post(self->strand_, [self, fetched] {
-            if (fetched) {
-                self->take(fetched);
-            }
-            self->fetchEnded();
-        });
+    sources_.fetchFromPeers(minimumRevision, [self = shared_from_this()](const std::optional<permits::ConfigurationDocument> &document) {
+        const RevisionPtr revision = document ? parseDocument(*document) : nullptr;
+        boost::asio::post(self->strand_, [self, revision] { self->fetchEnded(revision); });
     });
 }
 
-void ConfigurationWatcher::fetchEnded()
+void ConfigurationWatcher::fetchEnded(const RevisionPtr &revision)
 {
     fetching_ = false;
+    if (revision) {
+        take(revision);
+    }
     if (stopped_ || wanted_ <= heldRevision()) {
         return;
     }
--- a/lib/Router/RouterService.cpp
+++ b/lib/Router/RouterService.cpp
@@ -80,8 +80,9 @@
                 handler(known ? std::optional(result.head.revision) : std::nullopt);
             });
         };
-        sources.fetchRevision = [store](std::uint64_t revision, std::function<void(RevisionPtr)> handler) {
-            store->fetchRevision(revision, [handler = std::move(handler)](const configuration::RevisionResult &result) { handler(result.revision); });
+        sources.fetchRevision = [store](std::uint64_t revision, RevisionPtr known, std::function<void(RevisionPtr)> handler) {
+            store->fetchRevision(
+                revision, std::move(known), [handler = std::move(handler)](const configuration::RevisionResult &result) { handler(result.revision); });
         };
     }
     if (peers_) {
