policy: use prefix affinity only where a cached prompt saves work

Cause: LeavingEndpoint.GetsNoNewWork, with 6 identical short requests at a time at each of two routers and three engines, waited in vain for work on the third engine ("deadline passed while waiting for: all engines work"): affinity filled two endpoints up to the load bound. Ruled out: a lower load bound, which separates long prompts from their caches. Change: a prefix counts when the cached prompt saves at least 5% of the request's work. The affinity test uses a prompt of 2,000 tokens; a new test spreads identical short prompts evenly. Conclusion: identical short prompts use all endpoints.

--- a/include/mulberrywall/Policy/Tuning.h
+++ b/include/mulberrywall/Policy/Tuning.h
@@ -84,6 +84,9 @@
 {
     /// Prefix affinity may load an endpoint up to this multiple of the mean load.
     double affinityBound = 1.5;
+    /// A prefix counts when a cached prompt saves at least this share of the request's work. Identical short prompts
+    /// would otherwise leave some endpoints idle for nothing.
+    double affinityMinimumSaving = 0.05;
     /// A load report loses its weight linearly over this time.
     std::chrono::milliseconds hintLifetime {2'000};
     /// Time without new work after a failed or refused attempt; doubles with each further failure.
--- a/lib/Policy/EndpointSelection.cpp
+++ b/lib/Policy/EndpointSelection.cpp
@@ -127,6 +127,12 @@
     return nullptr;
 }
 
+bool isWorthAffinity(const Pool &pool, const WaitingRequest &request)
+{
+    const double savedWork = pool.options.tuning.length.promptTokenCost * request.submission.promptTokens;
+    return request.submission.prefixHash != 0 && savedWork >= pool.options.tuning.selection.affinityMinimumSaving * request.work;
+}
+
 bool lessLoaded(const Candidate &left, const Candidate &right)
 {
     if (left.load != right.load) {
@@ -190,7 +196,7 @@
     if (all.empty()) {
         return nullptr;
     }
-    if (request.submission.prefixHash != 0) {
+    if (isWorthAffinity(pool, request)) {
         if (const Candidate *affine = affineCandidate(all, pool, request)) {
             return affine->endpoint;
         }
--- a/unittests/Policy/EndpointSelectionTest.cpp
+++ b/unittests/Policy/EndpointSelectionTest.cpp
@@ -60,6 +60,7 @@
     start({}, endpoints);
     Submission document = submissionOf(1, "tier0");
     document.prefixHash = 42;
+    document.promptTokens = 2'000;
     const support::EndpointId home = submit(document, 0ms).grants.at(0).endpoint;
     for (PermitId permit = 2; permit < 6; ++permit) {
         complete(permit - 1, permit * 10ms, {.outputTokens = 100});
@@ -75,6 +76,24 @@
     EXPECT_GE(granted.size(), 3U) << "32 requests with one prefix must not queue up on one or two endpoints";
 }
 
+// Guards against identical short prompts that leave endpoints idle, although a cached prefix would save nothing.
+TEST_F(EndpointSelectionTest, ShortPromptsAreSpreadEvenly)
+{
+    std::vector<EndpointSpec> endpoints;
+    for (const char *name : {"a", "b", "c"}) {
+        endpoints.push_back({.id = support::EndpointId(name), .maximumConcurrency = 8, .prefixCache = true});
+    }
+    start({}, endpoints);
+    Submission question = submissionOf(1, "tier0");
+    question.prefixHash = 42;
+    question.promptTokens = 5;
+    std::map<support::EndpointId, unsigned> granted;
+    for (question.permit = 1; question.permit <= 6; ++question.permit) {
+        ++granted[submit(question, 1s).grants.at(0).endpoint];
+    }
+    EXPECT_EQ(granted, (std::map<support::EndpointId, unsigned> {{endpoints[0].id, 2}, {endpoints[1].id, 2}, {endpoints[2].id, 2}}));
+}
+
 // Guards against a stale report of load that overrides what the owner has seen since, and against ignoring a fresh one.
 TEST_F(EndpointSelectionTest, LoadReportIsAnAgeingHint)
 {
