--- a/test/Support/Harness/Deployment.cpp
+++ b/test/Support/Harness/Deployment.cpp
@@ -1,5 +1,9 @@
 #include "Harness/Deployment.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
@@ -19,6 +23,23 @@
 constexpr std::string_view acmeKeyHash = "afacab3575137afa4e00d9cbcafcb14c9ae25f779d964eb0ea5b2c4eb5dfd163";
 constexpr std::string_view zenithKeyHash = "96a6b655d9b2b9aa14629885ea94c579f53086a3253cd41bbf1fc4356425be08";
 
+/// Returns a loopback address whose port is free for both TCP and UDP. Seeds must know ports before the routers start.
+std::string freeAddress()
+{
+    boost::asio::io_context context;
+    const boost::asio::ip::address loopback = boost::asio::ip::address_v4::loopback();
+    while (true) {
+        const boost::asio::ip::tcp::acceptor acceptor(context, {loopback, 0});
+        const std::uint16_t port = acceptor.local_endpoint().port();
+        boost::asio::ip::udp::socket socket(context, boost::asio::ip::udp::v4());
+        boost::system::error_code error;
+        socket.bind({loopback, port}, error);
+        if (!error) {
+            return "127.0.0.1:" + std::to_string(port);
+        }
+    }
+}
+
 std::string binaryOf(const std::string &kind)
 {
     if (kind == "engine") {
@@ -122,6 +143,17 @@
             startRouter(dataCentre);
         }
     }
+    for (std::size_t index = 0; routerCount() > 1 && index < routerCount(); ++index) {
+        waitForMembers(index, routerCount());
+    }
+}
+
+void Deployment::waitForMembers(std::size_t index, std::size_t number)
+{
+    waitUntil("router-" + std::to_string(index) + " knows " + std::to_string(number) + " members", [&] {
+        const json::object status = getJson(router(index).adminPort, "/v1/status");
+        return status.contains("members") && status.at("members").as_array().size() == number;
+    });
 }
 
 Deployment::~Deployment()
@@ -186,6 +218,12 @@
         "127.0.0.1:0",
         "--admin-listen",
         "127.0.0.1:0"};
+    if (options_.routers * options_.dataCentres.size() > 1) {
+        const std::string membership = freeAddress();
+        seed_ = seed_.empty() ? membership : seed_;
+        node->arguments.insert(node->arguments.end(),
+            {"--peer-listen", "127.0.0.1:0", "--membership-listen", membership, "--peer-secret", "secret-of-the-tests", "--seeds", seed_});
+    }
     node->arguments.insert(node->arguments.end(), options_.routerArguments.begin(), options_.routerArguments.end());
     start(*node);
     routers_.push_back(std::move(node));
--- a/test/Support/Harness/Deployment.h
+++ b/test/Support/Harness/Deployment.h
@@ -67,7 +67,8 @@
     std::unique_ptr<ChildProcess> process;
 };
 
-/// Engines, services and routers of a test, with their configuration files in a temporary directory.
+/// Engines, services and routers of a test, with their configuration files in a temporary directory. Several routers know
+/// each other.
 ///
 /// The pool of the engines is "m", that of the services is "ledger". Ids are "engine-0", "service-0", "router-0" and so on,
 /// counted over all data centres.
@@ -106,6 +107,8 @@
     {
         return engines_.size();
     }
+    /// Waits until the router lists this number of live members, itself included.
+    void waitForMembers(std::size_t index, std::size_t number);
     /// Starts the process again, after its end, on the same ports.
     void restart(Node &node);
     /// Sets the faults of an endpoint's route; members left out are reset to "no fault".
@@ -134,6 +137,8 @@
     std::filesystem::path directory_;
     std::unique_ptr<Node> proxy_;
     std::unique_ptr<Node> platform_;
+    /// Membership address of the first router.
+    std::string seed_;
     std::map<std::string, std::uint16_t> proxiedPorts_;
     std::vector<std::unique_ptr<Node>> engines_;
     std::vector<std::unique_ptr<Node>> services_;
