test: read a child's whole log before counting in it

AtMostOnce.NoRetryAfterServiceFailure and RefusedCallKeepsItsKeyFree failed once each in three runs of all process tests, having counted 0 runs: the reply was there before the reader thread had parsed the log line. Worse, a check for 'at most one run' could miss a run. lines() now waits until the pipe is empty and parsed. This probably explains the single failure of NotRunIsTrue.ServiceCrash as well. All process tests together were not run again after this change.

--- a/test/Support/Harness/ChildProcess.cpp
+++ b/test/Support/Harness/ChildProcess.cpp
@@ -9,7 +9,9 @@
 #include <csignal>
 #include <cstring>
 #include <fcntl.h>
+#include <poll.h>
 #include <spawn.h>
+#include <sys/ioctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -128,7 +130,8 @@
         throw std::runtime_error("could not start " + options_.binary + ": " + std::strerror(error));
     }
     registerChild(pid_);
-    reader_ = std::thread([this, descriptor = ends[0]] { readOutput(descriptor); });
+    descriptor_ = ends[0];
+    reader_ = std::thread([this] { readOutput(); });
 }
 
 ChildProcess::~ChildProcess()
@@ -139,6 +142,7 @@
         unregisterChild(pid_);
     }
     reader_.join();
+    ::close(descriptor_);
 }
 
 void ChildProcess::sendSignal(int number)
@@ -198,14 +202,23 @@
 
 std::vector<ChildProcess::Line> ChildProcess::lines() const
 {
-    const std::scoped_lock lock(mutex_);
-    return lines_;
+    // The reader holds the mutex from its read to the end of parsing, so that an empty pipe means that all was parsed.
+    while (true) {
+        {
+            const std::scoped_lock lock(mutex_);
+            int unread = 0;
+            if (outputEnded_ || ::ioctl(descriptor_, FIONREAD, &unread) != 0 || unread == 0) {
+                return lines_;
+            }
+        }
+        std::this_thread::yield();
+    }
 }
 
 std::size_t ChildProcess::countLines(std::string_view message) const
 {
-    const std::scoped_lock lock(mutex_);
-    return static_cast<std::size_t>(std::count_if(lines_.begin(), lines_.end(), [message](const Line &line) { return hasMessage(line, message); }));
+    const std::vector<Line> logged = lines();
+    return static_cast<std::size_t>(std::count_if(logged.begin(), logged.end(), [message](const Line &line) { return hasMessage(line, message); }));
 }
 
 std::string ChildProcess::output() const
@@ -214,16 +227,20 @@
     return output_;
 }
 
-void ChildProcess::readOutput(int descriptor)
+void ChildProcess::readOutput()
 {
     std::string partial;
     std::array<char, 65'536> buffer {};
     while (true) {
-        const ssize_t size = ::read(descriptor, buffer.data(), buffer.size());
-        if (size < 0 && errno == EINTR) {
+        pollfd readable {.fd = descriptor_, .events = POLLIN, .revents = 0};
+        if (::poll(&readable, 1, -1) < 0 && errno == EINTR) {
             continue;
         }
         const std::scoped_lock lock(mutex_);
+        const ssize_t size = ::read(descriptor_, buffer.data(), buffer.size());
+        if (size < 0 && errno == EINTR) {
+            continue;
+        }
         if (size <= 0) {
             outputEnded_ = true;
             changed_.notify_all();
@@ -241,7 +258,6 @@
         }
         changed_.notify_all();
     }
-    ::close(descriptor);
 }
 
 } // namespace mulberrywall::harness
--- a/test/Support/Harness/ChildProcess.h
+++ b/test/Support/Harness/ChildProcess.h
@@ -63,7 +63,7 @@
     Line waitForLine(const std::string &what, const std::function<bool(const Line &)> &matches, std::chrono::milliseconds deadline = defaultDeadline);
     /// Waits for the line {"message":"listening"} of the named listener, or of any when the name is empty.
     std::uint16_t waitForPort(std::string_view listener = {});
-    /// Returns the JSON lines logged so far.
+    /// Returns the JSON lines logged so far, with everything that the process has written before this call.
     [[nodiscard]] std::vector<Line> lines() const;
     /// Counts the logged lines with this message.
     [[nodiscard]] std::size_t countLines(std::string_view message) const;
@@ -71,10 +71,11 @@
     [[nodiscard]] std::string output() const;
 
 private:
-    void readOutput(int descriptor);
+    void readOutput();
 
     ChildOptions options_;
     pid_t pid_ = -1;
+    int descriptor_ = -1;
     std::optional<int> status_;
     mutable std::mutex mutex_;
     std::condition_variable changed_;
