--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -50,6 +50,7 @@
     /// The fields below are used on probation only.
     TimePoint nextProbeAt;
     unsigned goodProbes = 0;
+    unsigned badProbes = 0;
     std::optional<PermitId> probe;
 };
 
@@ -177,6 +178,9 @@
     CrashSuspects suspects;
     Takeover takeover;
     LengthEstimates lengths;
+    /// Set with the first output token. Until then requests count as calls of a plain service, whose speeds are in
+    /// another unit.
+    bool producesTokens = false;
     /// Time from grant to completion over all classes.
     Average holdSeconds;
     std::uint64_t grants = 0;
--- a/include/mulberrywall/Router/ConfigurationWatcher.h
+++ b/include/mulberrywall/Router/ConfigurationWatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "mulberrywall/Configuration/RevisionStore.h"
+#include "mulberrywall/Configuration/Revision.h"
+#include "mulberrywall/Permits/PeerNetwork.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -11,49 +12,87 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <mutex>
+#include <optional>
 
 namespace mulberrywall::router
 {
 
+using RevisionPtr = std::shared_ptr<const configuration::Revision>;
+
+/// Where revisions come from. Each handler is called once, from any worker thread.
+struct ConfigurationSources
+{
+    /// Gives nothing while the platform is unavailable, and 0 when no revision was ever accepted. May be empty.
+    std::function<void(std::function<void(std::optional<std::uint64_t>)>)> fetchHead;
+    /// Gives a null pointer when the platform does not have or does not answer it. May be empty.
+    std::function<void(std::uint64_t revision, std::function<void(RevisionPtr)>)> fetchRevision;
+    /// Gives the revision of a peer that has at least the given one. May be empty.
+    std::function<void(std::uint64_t minimumRevision, std::function<void(std::optional<permits::ConfigurationDocument>)>)> fetchFromPeers;
+    /// Routers of the own data centre, this one included. May be empty.
+    std::function<std::size_t()> countRouters;
+};
+
 struct ConfigurationWatcherOptions
 {
-    platform::PlatformOptions platform;
-    support::DataCentreId dataCentre;
-    /// Time between two polls of all routers of the data centre together; a single router polls at this interval.
-    std::chrono::milliseconds interval {1'000};
+    /// Poll interval of one router in a data centre with up to routersPerInterval routers; it grows with their number,
+    /// so that the reads of a data centre stay constant.
+    std::chrono::milliseconds pollInterval {1'000};
+    std::size_t routersPerInterval = 4;
+    /// The poll interval never exceeds this; gossip covers the rest of the 8 s that a change may take.
+    std::chrono::milliseconds maximumPollInterval {5'000};
+    std::chrono::milliseconds retryInterval {500};
 };
 
-/// Polls the head of the configuration and fetches each higher revision.
+/// Finds accepted revisions and hands over each one that is higher than all before. Thread-safe.
 class ConfigurationWatcher : public std::enable_shared_from_this<ConfigurationWatcher>
 {
 public:
-    /// The handler gets the site of each higher revision, on the watcher's strand.
-    ConfigurationWatcher(boost::asio::io_context &context, ConfigurationWatcherOptions options, std::function<void(configuration::SiteConfiguration)> handler);
+    using RevisionHandler = std::function<void(RevisionPtr)>;
 
-    // Commands, thread-safe
+    ConfigurationWatcher(boost::asio::io_context &context, ConfigurationWatcherOptions options, ConfigurationSources sources, RevisionHandler onRevision);
+
+    // Commands
     void start();
     void stop();
-    /// Keeps the polls of the data centre at a constant rate; at least 1.
-    void setRouterCount(std::size_t routers);
-    /// Fetches a revision that another router has told of, without waiting for the next poll.
-    void noteRevision(std::uint64_t revision);
+    /// Another router has announced the revision.
+    void revisionSeen(std::uint64_t revision);
+
+    // Queries
+    /// Returns the highest revision as a document for a peer, or nothing when it is lower than the given one.
+    [[nodiscard]] std::optional<permits::ConfigurationDocument> provide(std::uint64_t minimumRevision) const;
 
 private:
+    /// Where to look when no peer has the revision.
+    enum class Fallback : std::uint8_t {
+        Platform,
+        None,
+    };
+
     void poll();
-    void arm();
-    void fetch(std::uint64_t revision);
-    void onRevision(std::uint64_t revision, const configuration::RevisionResult &result);
+    void pollLater();
+    void onHead(std::optional<std::uint64_t> head);
+    void want(std::uint64_t revision);
+    void fetchFromPeers(std::uint64_t minimumRevision, Fallback fallback);
+    void onPeerAnswer(std::uint64_t minimumRevision, Fallback fallback, const RevisionPtr &revision);
+    void fetchFromPlatform(std::uint64_t revision);
+    void fetchEnded();
+    void take(const RevisionPtr &revision);
+    [[nodiscard]] std::uint64_t heldRevision() const;
+    [[nodiscard]] std::chrono::milliseconds currentPollInterval() const;
 
     boost::asio::strand<boost::asio::io_context::executor_type> strand_;
     ConfigurationWatcherOptions options_;
-    std::function<void(configuration::SiteConfiguration)> handler_;
-    configuration::RevisionStore store_;
-    boost::asio::steady_timer timer_;
-    std::size_t routers_ = 1;
-    /// Highest revision that was handed over, or that has no site for this data centre.
-    std::uint64_t known_ = 0;
-    std::uint64_t fetching_ = 0;
+    ConfigurationSources sources_;
+    RevisionHandler onRevision_;
+    boost::asio::steady_timer pollTimer_;
+    boost::asio::steady_timer retryTimer_;
+    /// Highest revision known to exist; used on the strand only, as are the two flags.
+    std::uint64_t wanted_ = 0;
+    bool fetching_ = false;
     bool stopped_ = false;
+    mutable std::mutex mutex_;
+    RevisionPtr held_;
 };
 
 } // namespace mulberrywall::router
--- a/include/mulberrywall/Router/RouterService.h
+++ b/include/mulberrywall/Router/RouterService.h
@@ -8,6 +8,7 @@
 #include "mulberrywall/Router/ConfigurationWatcher.h"
 #include "mulberrywall/Router/EndpointDirectory.h"
 #include "mulberrywall/Router/EndpointWatcher.h"
+#include "mulberrywall/Router/PeerGroup.h"
 #include "mulberrywall/Router/RouterState.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -37,6 +38,9 @@
     std::chrono::milliseconds drainGrace {0};
     /// Longest time that running requests get at shutdown after the grace period; 0 means no limit.
     std::chrono::milliseconds drainLimit {0};
+    /// Other routers; without it this router owns all pools of its configuration.
+    std::optional<PeerGroupOptions> peers;
+    ConfigurationWatcherOptions configurationWatcher;
 };
 
 /// A router process without its command line: listeners, pools and the drain at shutdown.
@@ -46,7 +50,7 @@
     RouterService(boost::asio::io_context &context, RouterServiceOptions options, const policy::PolicyFunctions &policy);
 
     // Commands
-    /// Starts both listeners and the watchers of configuration, instances and endpoints.
+    /// Starts the listeners and the watchers of configurations, instances and endpoints.
     void start();
     /// Puts a configuration in force if its revision is higher.
     ConfigurationChange configure(configuration::SiteConfiguration configuration);
@@ -64,19 +68,25 @@
     [[nodiscard]] http::Response answerAdmin(const http::Request &request);
     [[nodiscard]] std::string renderStatus() const;
     [[nodiscard]] http::Response drainEndpoint(const http::Request &request);
+    [[nodiscard]] EndpointWatcherOptions makeEndpointWatcherOptions() const;
     void startWatchers();
     void waitUntilIdle();
     void endDrain();
+    [[nodiscard]] std::shared_ptr<PeerGroup> makePeerGroup();
+    [[nodiscard]] std::shared_ptr<ConfigurationWatcher> makeWatcher();
+    void onRevision(const RevisionPtr &revision);
 
-    boost::asio::io_context &context_;
     RouterServiceOptions options_;
+    boost::asio::io_context &context_;
     permits::PoolTable pools_;
     EndpointDirectory endpoints_;
+    /// Null without other routers.
+    std::shared_ptr<PeerGroup> peers_;
+    std::shared_ptr<ConfigurationWatcher> watcher_;
     RouterState state_;
     std::shared_ptr<http::Server> callerServer_;
     std::shared_ptr<http::Server> adminServer_;
     std::shared_ptr<EndpointWatcher> endpointWatcher_;
-    std::shared_ptr<ConfigurationWatcher> configurationWatcher_;
     std::shared_ptr<platform::InstanceList> instanceList_;
     boost::asio::steady_timer drainTimer_;
     policy::TimePoint drainDeadline_ = policy::TimePoint::max();
--- a/lib/Http/Server.cpp
+++ b/lib/Http/Server.cpp
@@ -112,9 +112,6 @@
           shared_(std::move(shared)),
           isAboveLimit_(++shared_->connections > shared_->options.maxConnections)
     {
-        // A wait for reading can end although nothing has arrived; a blocking peek would then hold up a worker thread.
-        error_code ignored;
-        stream_.socket().non_blocking(true, ignored);
     }
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
@@ -463,6 +460,8 @@
         }
         error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
+        // The look for a closed connection must not block: a readiness event can belong to data that was read already.
+        socket.non_blocking(true, ignored);
         auto connection = std::make_shared<Connection>(std::move(socket), shared_);
         asio::dispatch(connection->executor(), [connection] { connection->readRequest(); });
     }
--- a/lib/Router/ConfigurationWatcher.cpp
+++ b/lib/Router/ConfigurationWatcher.cpp
@@ -1,8 +1,8 @@
 #include "mulberrywall/Router/ConfigurationWatcher.h"
 
+#include "mulberrywall/Support/Error.h"
 #include "mulberrywall/Support/Log.h"
 
-#include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -12,12 +12,13 @@
 {
 
 ConfigurationWatcher::ConfigurationWatcher(
-    boost::asio::io_context &context, ConfigurationWatcherOptions options, std::function<void(configuration::SiteConfiguration)> handler)
+    boost::asio::io_context &context, ConfigurationWatcherOptions options, ConfigurationSources sources, RevisionHandler onRevision)
     : strand_(boost::asio::make_strand(context)),
-      options_(std::move(options)),
-      handler_(std::move(handler)),
-      store_(context.get_executor(), options_.platform),
-      timer_(strand_)
+      options_(options),
+      sources_(std::move(sources)),
+      onRevision_(std::move(onRevision)),
+      pollTimer_(strand_),
+      retryTimer_(strand_)
 {
 }
 
@@ -30,18 +31,36 @@
 {
     boost::asio::post(strand_, [self = shared_from_this()] {
         self->stopped_ = true;
-        self->timer_.cancel();
+        self->pollTimer_.cancel();
+        self->retryTimer_.cancel();
     });
 }
 
-void ConfigurationWatcher::setRouterCount(std::size_t routers)
+void ConfigurationWatcher::revisionSeen(std::uint64_t revision)
 {
-    boost::asio::post(strand_, [self = shared_from_this(), routers] { self->routers_ = std::max<std::size_t>(routers, 1); });
+    boost::asio::post(strand_, [self = shared_from_this(), revision] { self->want(revision); });
 }
 
-void ConfigurationWatcher::noteRevision(std::uint64_t revision)
+std::optional<permits::ConfigurationDocument> ConfigurationWatcher::provide(std::uint64_t minimumRevision) const
 {
-    boost::asio::post(strand_, [self = shared_from_this(), revision] { self->fetch(revision); });
+    const std::scoped_lock lock(mutex_);
+    if (!held_ || held_->number < minimumRevision) {
+        return std::nullopt;
+    }
+    return permits::ConfigurationDocument {.revision = held_->number, .json = configuration::toJson(*held_)};
+}
+
+std::uint64_t ConfigurationWatcher::heldRevision() const
+{
+    const std::scoped_lock lock(mutex_);
+    return held_ ? held_->number : 0;
+}
+
+std::chrono::milliseconds ConfigurationWatcher::currentPollInterval() const
+{
+    const std::size_t routers = sources_.countRouters ? sources_.countRouters() : 1;
+    const auto factor = static_cast<std::int64_t>((routers + options_.routersPerInterval - 1) / options_.routersPerInterval);
+    return std::min(options_.maximumPollInterval, options_.pollInterval * std::max<std::int64_t>(1, factor));
 }
 
 void ConfigurationWatcher::poll()
@@ -49,62 +68,129 @@
     if (stopped_) {
         return;
     }
-    store_.fetchHead([self = shared_from_this()](const configuration::HeadResult &result) {
-        boost::asio::dispatch(self->strand_, [self, result] {
-            if (result.status == platform::ReadStatus::Found) {
-                self->fetch(result.head.revision);
-            }
-            self->arm();
-        });
-    });
+    if (!sources_.fetchHead) {
+        onHead(std::nullopt);
+        return;
+    }
+    sources_.fetchHead(
+        [self = shared_from_this()](std::optional<std::uint64_t> head) { boost::asio::post(self->strand_, [self, head] { self->onHead(head); }); });
 }
 
-void ConfigurationWatcher::arm()
+void ConfigurationWatcher::onHead(std::optional<std::uint64_t> head)
 {
-    if (stopped_) {
-        return;
+    if (head) {
+        want(*head);
+    } else if (heldRevision() == 0 && !fetching_) {
+        // With the platform down, a router that has just started takes the highest revision of its peers.
+        fetchFromPeers(1, Fallback::None);
     }
-    timer_.expires_after(options_.interval * routers_);
-    timer_.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+    pollLater();
+}
+
+void ConfigurationWatcher::pollLater()
+{
+    pollTimer_.expires_after(currentPollInterval());
+    pollTimer_.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
         if (!error) {
             self->poll();
         }
     });
 }
 
-void ConfigurationWatcher::fetch(std::uint64_t revision)
+void ConfigurationWatcher::want(std::uint64_t revision)
 {
-    if (stopped_ || revision <= known_ || revision <= fetching_) {
+    wanted_ = std::max(wanted_, revision);
+    if (!fetching_ && !stopped_ && wanted_ > heldRevision()) {
+        fetchFromPeers(wanted_, Fallback::Platform);
+    }
+}
+
+/// Returns a null pointer for a document that this release cannot read.
+static RevisionPtr parseDocument(const permits::ConfigurationDocument &document)
+{
+    return support::leaf::try_handle_all(
+        [&]() -> support::Result<RevisionPtr> {
+            BOOST_LEAF_AUTO(parsed, configuration::revisionFromJson(document.json));
+            return std::make_shared<const configuration::Revision>(std::move(parsed));
+        },
+        [&](const support::ErrorMessage &message) -> RevisionPtr {
+            support::log(support::Severity::Error,
+                "a peer sent an invalid configuration; update the older of the two routers",
+                {{"revision", document.revision}, {"reason", message.text}});
+            return nullptr;
+        },
+        []() -> RevisionPtr { return nullptr; });
+}
+
+void ConfigurationWatcher::fetchFromPeers(std::uint64_t minimumRevision, Fallback fallback)
+{
+    fetching_ = true;
+    if (!sources_.fetchFromPeers) {
+        onPeerAnswer(minimumRevision, fallback, nullptr);
         return;
     }
-    fetching_ = revision;
-    store_.fetchRevision(revision, [self = shared_from_this(), revision](const configuration::RevisionResult &result) {
-        boost::asio::dispatch(self->strand_, [self, revision, result] { self->onRevision(revision, result); });
-    });
+    const auto onDocument = [self = shared_from_this(), minimumRevision, fallback](const std::optional<permits::ConfigurationDocument> &document) {
+        const RevisionPtr revision = document ? parseDocument(*document) : nullptr;
+        boost::asio::post(self->strand_, [self, minimumRevision, fallback, revision] { self->onPeerAnswer(minimumRevision, fallback, revision); });
+    };
+    sources_.fetchFromPeers(minimumRevision, onDocument);
 }
 
-void ConfigurationWatcher::onRevision(std::uint64_t revision, const configuration::RevisionResult &result)
+void ConfigurationWatcher::onPeerAnswer(std::uint64_t minimumRevision, Fallback fallback, const RevisionPtr &revision)
 {
-    if (fetching_ == revision) {
-        // A failed fetch is repeated when the next poll finds the revision.
-        fetching_ = 0;
+    if (revision) {
+        take(revision);
+        fetchEnded();
+        return;
     }
-    if (stopped_ || revision <= known_) {
+    if (fallback == Fallback::Platform) {
+        fetchFromPlatform(minimumRevision);
         return;
     }
-    if (result.status != platform::ReadStatus::Found) {
-        support::log(support::Severity::Warning, "could not fetch a configuration revision; trying again", {{"revision", revision}, {"reason", result.detail}});
+    fetchEnded();
+}
+
+void ConfigurationWatcher::fetchFromPlatform(std::uint64_t revision)
+{
+    if (!sources_.fetchRevision) {
+        fetchEnded();
         return;
     }
-    known_ = revision;
-    const configuration::SiteConfiguration *site = configuration::findSite(*result.revision, options_.dataCentre);
-    if (site == nullptr) {
-        support::log(support::Severity::Error,
-            "the configuration has no site for this data centre; add one or correct --data-centre",
-            {{"revision", revision}, {"dataCentre", options_.dataCentre.value()}});
+    sources_.fetchRevision(revision, [self = shared_from_this()](const RevisionPtr &fetched) {
+        boost::asio::post(self->strand_, [self, fetched] {
+            if (fetched) {
+                self->take(fetched);
+            }
+            self->fetchEnded();
+        });
+    });
+}
+
+void ConfigurationWatcher::fetchEnded()
+{
+    fetching_ = false;
+    if (stopped_ || wanted_ <= heldRevision()) {
         return;
     }
-    handler_(*site);
+    retryTimer_.expires_after(options_.retryInterval);
+    retryTimer_.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (!error) {
+            self->want(self->wanted_);
+        }
+    });
+}
+
+void ConfigurationWatcher::take(const RevisionPtr &revision)
+{
+    {
+        const std::scoped_lock lock(mutex_);
+        if (held_ && revision->number <= held_->number) {
+            return;
+        }
+        held_ = revision;
+    }
+    wanted_ = std::max(wanted_, revision->number);
+    onRevision_(revision);
 }
 
 } // namespace mulberrywall::router
