--- a/lib/Http/Server.cpp
+++ b/lib/Http/Server.cpp
@@ -112,9 +112,6 @@
           shared_(std::move(shared)),
           isAboveLimit_(++shared_->connections > shared_->options.maxConnections)
     {
-        // A wait for reading can end although nothing has arrived; a blocking peek would then hold up a worker thread.
-        error_code ignored;
-        stream_.socket().non_blocking(true, ignored);
     }
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
