--- a/include/mulberrywall/Router/CallerSession.h
+++ b/include/mulberrywall/Router/CallerSession.h
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,7 @@
     /// Cancels everything that runs for the request; the verdict takes in what was cancelled.
     void stopWork();
     void recordEnd(std::string_view result);
+    void recordServiceLevel(std::string_view result, std::chrono::duration<double> duration);
 
     RouterState &state_;
     http::ExchangePtr exchange_;
@@ -85,6 +87,8 @@
     unsigned attemptsWithoutToken_ = 0;
     unsigned failedConnections_ = 0;
     std::uint64_t deliveredTokens_ = 0;
+    /// When the first token was handed to the caller's connection.
+    std::optional<policy::TimePoint> firstTokenAt_;
     support::Verdict verdict_ = support::Verdict::NotRun;
     bool ended_ = false;
     policy::TimePoint startedAt_;
--- a/include/mulberrywall/Router/RouterState.h
+++ b/include/mulberrywall/Router/RouterState.h
@@ -8,6 +8,7 @@
 #include "mulberrywall/Router/OrganisationLimits.h"
 #include "mulberrywall/Router/RetryBudget.h"
 #include "mulberrywall/Router/RetryDecision.h"
+#include "mulberrywall/Router/ServiceLevelWindows.h"
 #include "mulberrywall/Support/Metrics.h"
 
 #include <boost/asio/io_context.hpp>
@@ -42,6 +43,7 @@
     EndpointDirectory &endpoints;
     ActiveConfiguration configuration;
     support::MetricsRegistry metrics;
+    ServiceLevelWindows serviceLevels;
     RetryBudgets retryBudgets;
     HedgeDelays hedgeDelays;
     OrganisationLimits organisationLimits;
--- a/lib/Router/CallerSession.cpp
+++ b/lib/Router/CallerSession.cpp
@@ -15,6 +15,10 @@
 
 static constexpr std::string_view endEvent = "data: [DONE]\n\n";
 
+/// Values of the attribute "result" in logs and metrics that the service levels depend on.
+static constexpr std::string_view completedResult = "completed";
+static constexpr std::string_view callerGoneResult = "caller-gone";
+
 CallerSession::CallerSession(RouterState &state, http::ExchangePtr exchange, CallerRequest request, RunningTicket runningTicket)
     : state_(state),
       exchange_(std::move(exchange)),
@@ -251,6 +255,7 @@
     verdict_ = support::combine(verdict_, attempt->cancel());
     state_.metrics.increment(
         "mulberrywall_wasted_tokens_total", {{"class", request_.requestClass.id.value()}, {"reason", "cancelled"}}, attempt->outputTokens());
+    state_.serviceLevels.record(request_.requestClass.id, {.wastedTokens = attempt->outputTokens()}, std::chrono::steady_clock::now());
 }
 
 void CallerSession::startAttempt(AttemptPurpose purpose, std::shared_ptr<permits::Permit> permit)
@@ -304,6 +309,9 @@
         }
         text += event.raw;
         deliveredTokens_ += event.isToken ? 1 : 0;
+        if (deliveredTokens_ == 1 && !firstTokenAt_) {
+            firstTokenAt_ = std::chrono::steady_clock::now();
+        }
     }
     if (attempt->outputTokens() > 0) {
         attemptsWithoutToken_ = 0;
@@ -400,7 +408,7 @@
     stopWork();
     ended_ = true;
     verdict_ = Verdict::Completed;
-    recordEnd("completed");
+    recordEnd(completedResult);
     if (!attemptEnd.response) {
         relay_->finish(endEvent, streamHeader());
         return;
@@ -460,7 +468,7 @@
     }
     ended_ = true;
     stopWork();
-    recordEnd("caller-gone");
+    recordEnd(callerGoneResult);
     if (claim_ && verdict_ == Verdict::NotRun) {
         claim_->release([] {});
     }
@@ -471,6 +479,7 @@
 {
     const std::chrono::duration<double> duration = std::chrono::steady_clock::now() - startedAt_;
     const std::string &requestClass = request_.requestClass.id.value();
+    recordServiceLevel(result, duration);
     state_.metrics.increment("mulberrywall_requests_total", {{"class", requestClass}, {"result", result}, {"outcome", support::toString(verdict_)}});
     state_.metrics.observe("mulberrywall_request_seconds", duration.count(), {{"class", requestClass}});
     support::log(support::Severity::Info,
@@ -486,4 +495,19 @@
             {"seconds", duration.count()}});
 }
 
+/// A caller that leaves is no miss of the router, so it does not count as a request; its tokens are wasted.
+void CallerSession::recordServiceLevel(std::string_view result, std::chrono::duration<double> duration)
+{
+    ServiceLevelCounts counts;
+    if (result != callerGoneResult) {
+        RequestTiming timing {.completed = result == completedResult, .total = duration, .deliveredTokens = deliveredTokens_};
+        if (firstTokenAt_) {
+            timing.firstToken = *firstTokenAt_ - startedAt_;
+        }
+        const bool met = meetsTargets(timing, request_.requestClass.targets);
+        counts = {.requests = 1, .withinTargets = met ? 1U : 0U, .goodputTokens = met ? deliveredTokens_ : 0U};
+    }
+    state_.serviceLevels.record(request_.requestClass.id, counts, std::chrono::steady_clock::now());
+}
+
 } // namespace mulberrywall::router
--- a/lib/Router/RouterService.cpp
+++ b/lib/Router/RouterService.cpp
@@ -367,6 +367,23 @@
         {"peerLoginsRefused", peer.loginsRefused}};
 }
 
+static json::object renderServiceLevels(const ServiceLevelWindows &serviceLevels)
+{
+    json::object classes;
+    for (const auto &[id, windows] : serviceLevels.summarize(std::chrono::steady_clock::now())) {
+        json::array list;
+        for (const WindowCounts &window : windows) {
+            list.push_back({{"seconds", window.window.count()},
+                {"requests", window.counts.requests},
+                {"withinTargets", window.counts.withinTargets},
+                {"goodputTokens", window.counts.goodputTokens},
+                {"wastedTokens", window.counts.wastedTokens}});
+        }
+        classes[id.value()] = std::move(list);
+    }
+    return classes;
+}
+
 std::string RouterService::renderStatus() const
 {
     const ConfigurationSnapshot configuration = state_.configuration.current();
@@ -386,6 +403,7 @@
     if (configuration != nullptr) {
         status["revision"] = configuration->revision;
     }
+    status["serviceLevels"] = renderServiceLevels(state_.serviceLevels);
     json::array pools;
     for (const auto &[id, summary] : pools_.summarize()) {
         pools.push_back({{"pool", id.value()},
--- /dev/null
+++ b/test/ConfigurationInForce/RouterTest.cpp
@@ -0,0 +1,160 @@
+#include "Harness/ChildProcess.h"
+#include "Harness/TestClient.h"
+#include "Harness/Wait.h"
+
+#include "mulberrywall/Support/Ids.h"
+#include "mulberrywall/Support/Settings.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <memory>
+#include <string>
+#include <vector>
+
+/// ConfigurationInForce, the routers' side: an accepted revision is in force within 8 s and never reverts.
+namespace mulberrywall::harness
+{
+
+namespace
+{
+
+/// The stated bound for a change to be in force everywhere.
+constexpr std::chrono::seconds inForceBound {8};
+
+class RouterRevisionTest : public testing::Test
+{
+protected:
+    struct RouterNode
+    {
+        std::unique_ptr<ChildProcess> process;
+        std::uint16_t adminPort = 0;
+    };
+
+    RouterRevisionTest()
+    {
+        startPlatform(0);
+    }
+
+    void startPlatform(std::uint16_t port)
+    {
+        platform_ = std::make_unique<ChildProcess>(ChildOptions {.name = "platform-standin",
+            .binary = PLATFORM_BINARY,
+            .arguments = {"--writes-per-second", "0", "--reads-per-second", "0", "--listen-port", std::to_string(port)}});
+        platformPort_ = platform_->waitForPort();
+    }
+
+    /// Applies the example files with this queue limit, so that each call makes another revision.
+    void apply(unsigned queueLimit) const
+    {
+        std::ifstream source(std::string(EXAMPLES_DIR) + "/base.toml");
+        std::string text((std::istreambuf_iterator<char>(source)), std::istreambuf_iterator<char>());
+        const std::string old = "queue-limit = 512";
+        text.replace(text.find(old), old.size(), "queue-limit = " + std::to_string(queueLimit));
+        const std::filesystem::path base = std::filesystem::temp_directory_path() / ("mulberrywall-base-" + support::makeRandomId() + ".toml");
+        std::ofstream(base) << text;
+        std::vector<std::string> arguments {"apply", "--base", base.string(), "--platform", "127.0.0.1:" + std::to_string(platformPort_)};
+        for (const char *site : {"dc-a", "dc-b", "dc-c"}) {
+            arguments.insert(arguments.end(), {"--overlay", std::string(EXAMPLES_DIR) + "/" + site + ".toml"});
+        }
+        ChildProcess process({.name = "mulberrywall-ctl", .binary = CTL_BINARY, .arguments = arguments});
+        ASSERT_EQ(process.waitForEnd(), support::toInt(support::ExitCode::Success)) << process.output();
+        std::filesystem::remove(base);
+    }
+
+    /// The first router is the seed of the others. Port 9 of the loopback address refuses connections at once.
+    RouterNode &startRouter(const std::string &dataCentre, std::uint16_t platformPort)
+    {
+        std::vector<std::string> arguments {"--instance", "router-" + std::to_string(routers_.size()), "--data-centre", dataCentre};
+        for (const char *listener : {"--caller-listen", "--admin-listen", "--peer-listen", "--membership-listen"}) {
+            arguments.insert(arguments.end(), {listener, "127.0.0.1:0"});
+        }
+        arguments.insert(arguments.end(), {"--platform", "127.0.0.1:" + std::to_string(platformPort)});
+        if (!routers_.empty()) {
+            const std::uint16_t seed = routers_.front().process->waitForPort("membership");
+            arguments.insert(arguments.end(), {"--seeds", "127.0.0.1:" + std::to_string(seed)});
+        }
+        RouterNode node;
+        node.process = std::make_unique<ChildProcess>(
+            ChildOptions {.name = arguments[1], .binary = ROUTER_BINARY, .arguments = arguments, .environment = {{"MULBERRYWALL_PEER_SECRET", "test-secret"}}});
+        node.adminPort = node.process->waitForPort("admin");
+        routers_.push_back(std::move(node));
+        return routers_.back();
+    }
+
+    /// Returns 0 while the router has no configuration.
+    static std::int64_t revisionOf(const RouterNode &router)
+    {
+        const boost::json::object status = getJson(router.adminPort, "/v1/status");
+        const boost::json::value *revision = status.if_contains("revision");
+        return revision == nullptr ? 0 : revision->to_number<std::int64_t>();
+    }
+
+    void expectEverywhere(std::int64_t revision)
+    {
+        const auto start = std::chrono::steady_clock::now();
+        for (const RouterNode &router : routers_) {
+            waitUntil("revision " + std::to_string(revision), [&] { return revisionOf(router) == revision; });
+        }
+        EXPECT_LT(std::chrono::steady_clock::now() - start, inForceBound);
+    }
+
+    static constexpr std::uint16_t unreachablePlatform = 9;
+
+    std::unique_ptr<ChildProcess> platform_;
+    std::uint16_t platformPort_ = 0;
+    std::vector<RouterNode> routers_;
+};
+
+} // namespace
+
+// Guards against data centres that miss a change because they cannot reach the platform themselves.
+TEST_F(RouterRevisionTest, PeersSpreadARevision)
+{
+    startRouter("dc-a", platformPort_);
+    startRouter("dc-b", unreachablePlatform);
+    startRouter("dc-c", unreachablePlatform);
+    apply(100);
+    expectEverywhere(1);
+    apply(101);
+    expectEverywhere(2);
+}
+
+// Guards against a replaced router that cannot serve because the platform happens to be down.
+TEST_F(RouterRevisionTest, StartsWhileThePlatformIsDown)
+{
+    startRouter("dc-a", platformPort_);
+    startRouter("dc-b", platformPort_);
+    apply(100);
+    apply(101);
+    expectEverywhere(2);
+    postJson(platformPort_, "/control", {{"outage", "refuse"}});
+    startRouter("dc-c", platformPort_);
+    expectEverywhere(2);
+}
+
+// Guards against a stale answer of the store that takes a configuration back.
+TEST_F(RouterRevisionTest, NeverTakesAnOlderRevision)
+{
+    startRouter("dc-a", platformPort_);
+    startRouter("dc-b", platformPort_);
+    apply(100);
+    apply(101);
+    expectEverywhere(2);
+    const std::uint16_t port = platformPort_;
+    platform_.reset();
+    startPlatform(port);
+    apply(300);
+    // The routers have seen the older head when they have read it several times.
+    const auto headReads = [&] {
+        return getJson(platformPort_, "/control").at("reads").to_number<std::int64_t>();
+    };
+    const std::int64_t before = headReads();
+    waitUntil("reads of the older head", [&] { return headReads() > before + 6; });
+    expectEverywhere(2);
+}
+
+} // namespace mulberrywall::harness
--- a/test/Support/Engine/Engine.cpp
+++ b/test/Support/Engine/Engine.cpp
@@ -403,7 +403,13 @@
     for (const auto &[model, readyAt] : models_) {
         (readyAt <= Clock::now() ? ready : loading).emplace_back(model);
     }
-    return {{"models", ready}, {"loading", loading}, {"role", role_}, {"fencingNumber", fencingNumber_}, {"incarnation", incarnation_}, {"leaving", leaving_}};
+    return {{"models", ready},
+        {"loading", loading},
+        {"role", role_},
+        {"fencing", fencing_},
+        {"lastOrderFencing", lastOrderFencing_},
+        {"incarnation", incarnation_},
+        {"leaving", leaving_}};
 }
 
 void Engine::reportState(const ExchangePtr &exchange)
@@ -480,7 +486,13 @@
     respondJson(exchange, json::object {{"imported", blocks.size()}});
 }
 
-/// The order declares the desired state: {"fencingNumber", "models", "role"}; members left out stay as they are.
+static std::uint64_t memberNumber(const json::object &object, std::string_view name)
+{
+    const json::value *number = object.if_contains(name);
+    return number != nullptr && number->is_number() ? number->to_number<std::uint64_t>() : 0;
+}
+
+/// The order is {"fencing", "expiresAtMs", "desired": {"models", "role"}}; members left out stay as they are.
 void Engine::order(const ExchangePtr &exchange)
 {
     if (!options_.orderKey.empty() && http::fieldValue(exchange->request(), "Authorization") != "Bearer " + options_.orderKey) {
@@ -488,29 +500,35 @@
         return;
     }
     const json::object body = bodyOf(exchange);
-    const json::value *number = body.if_contains("fencingNumber");
-    const std::uint64_t fencingNumber = number != nullptr && number->is_number() ? number->to_number<std::uint64_t>() : 0;
-    if (fencingNumber < fencingNumber_) {
-        ++staleOrders_;
-        if (options_.checksFencing) {
-            refuse(exchange, Status::conflict, "the fencing number is older than " + std::to_string(fencingNumber_));
-            return;
-        }
+    const std::uint64_t fencing = memberNumber(body, "fencing");
+    const bool isStale = fencing < fencing_;
+    staleOrders_ += isStale ? 1 : 0;
+    if (isStale && options_.checksFencing) {
+        respondJson(exchange, {{"fencing", fencing_}}, Status::conflict);
+        return;
     }
-    fencingNumber_ = std::max(fencingNumber_, fencingNumber);
-    if (const json::value *models = body.if_contains("models"); models != nullptr && models->is_array()) {
-        std::map<std::string, Clock::time_point> desired;
+    fencing_ = std::max(fencing_, fencing);
+    lastOrderFencing_ = fencing;
+    if (const json::value *desired = body.if_contains("desired"); desired != nullptr && desired->is_object()) {
+        applyOrder(desired->get_object());
+    }
+    respondJson(exchange, state());
+}
+
+void Engine::applyOrder(const json::object &desired)
+{
+    if (const json::value *models = desired.if_contains("models"); models != nullptr && models->is_array()) {
+        std::map<std::string, Clock::time_point> loaded;
         for (const json::value &model : models->get_array()) {
             const std::string name = json::value_to<std::string>(model);
-            const auto loaded = models_.find(name);
-            desired[name] = loaded != models_.end() ? loaded->second : Clock::now() + options_.modelLoadTime;
+            const auto known = models_.find(name);
+            loaded[name] = known != models_.end() ? known->second : Clock::now() + options_.modelLoadTime;
         }
-        models_ = std::move(desired);
+        models_ = std::move(loaded);
     }
-    if (const std::string role = textOf(body, "role"); !role.empty()) {
+    if (const std::string role = textOf(desired, "role"); !role.empty()) {
         role_ = role;
     }
-    respondJson(exchange, state());
 }
 
 void Engine::control(const ExchangePtr &exchange)
--- a/test/Support/Engine/Engine.h
+++ b/test/Support/Engine/Engine.h
@@ -115,6 +115,7 @@
     void reportCacheEvents(const http::ExchangePtr &exchange);
     void exportCache(const http::ExchangePtr &exchange);
     void importCache(const http::ExchangePtr &exchange);
+    void applyOrder(const boost::json::object &desired);
     void order(const http::ExchangePtr &exchange);
     void control(const http::ExchangePtr &exchange);
     void checkIdle();
@@ -139,7 +140,9 @@
     /// Models with the time from which each is ready.
     std::map<std::string, Clock::time_point> models_;
     std::string role_ = "mixed";
-    std::uint64_t fencingNumber_ = 0;
+    std::uint64_t fencing_ = 0;
+    /// Number of the order that was carried out last; lower than fencing_ only when old numbers are accepted.
+    std::uint64_t lastOrderFencing_ = 0;
     std::string incarnation_;
     double slowFactor_ = 1.0;
     bool frozen_ = false;
--- /dev/null
+++ b/tools/mulberrywall-report/Main.cpp
@@ -0,0 +1,129 @@
+#include "mulberrywall/Control/RouterCalls.h"
+#include "mulberrywall/Report/Burn.h"
+#include "mulberrywall/Support/Settings.h"
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using namespace mulberrywall;
+
+struct Settings
+{
+    std::vector<std::string> routers;
+    std::vector<std::string> files;
+    std::string operatorKey;
+    std::string format = "text";
+    double objective = 0.95;
+};
+
+void printError(const std::string &text)
+{
+    std::cerr << "mulberrywall-report: " << text << '\n';
+}
+
+bool addDocument(report::BurnTable &table, const std::string &source, const std::string &document)
+{
+    return support::leaf::try_handle_all(
+        [&]() -> support::Result<bool> {
+            BOOST_LEAF_CHECK(report::addStatus(table, document));
+            return true;
+        },
+        [&](const support::ErrorMessage &message) {
+            printError(source + ": " + message.text);
+            return false;
+        },
+        [] { return false; });
+}
+
+support::ExitCode readFiles(const Settings &settings, report::BurnTable &table)
+{
+    for (const std::string &file : settings.files) {
+        std::ostringstream text;
+        text << std::ifstream(file).rdbuf();
+        if (!addDocument(table, file, text.str())) {
+            return support::ExitCode::Failure;
+        }
+    }
+    return support::ExitCode::Success;
+}
+
+/// Routers that do not answer are named; a report that lacks some of them must not look complete.
+support::ExitCode askRouters(const Settings &settings, report::BurnTable &table)
+{
+    control::RouterOptions options {.operatorKey = settings.operatorKey};
+    for (const std::string &router : settings.routers) {
+        options.routers.push_back(platform::parseAddress(router).value());
+    }
+    support::WorkerPool workers(1);
+    support::ExitCode code = support::ExitCode::Success;
+    for (const control::RouterReport &answer : control::callAll(workers, options, http::Request(http::Verb::get, "/v1/status", 11))) {
+        std::ostringstream name;
+        name << answer.router;
+        if (!answer.isAccepted()) {
+            printError("router " + name.str() + " is missing from the report: " + control::describe(answer));
+            code = support::ExitCode::Unreachable;
+            continue;
+        }
+        if (!addDocument(table, name.str(), answer.response.body)) {
+            code = support::ExitCode::Failure;
+        }
+    }
+    return code;
+}
+
+int burn(const Settings &settings)
+{
+    if (settings.routers.empty() && settings.files.empty()) {
+        printError("nothing to report on; give --router or --file");
+        return support::toInt(support::ExitCode::InvalidSettings);
+    }
+    report::BurnTable table;
+    const support::ExitCode fromFiles = readFiles(settings, table);
+    const support::ExitCode fromRouters = askRouters(settings, table);
+    const std::vector<report::BurnRow> rows = report::computeBurn(table, settings.objective);
+    if (settings.format == "json") {
+        std::cout << report::renderJson(rows, settings.objective) << '\n';
+    } else if (settings.format == "svg") {
+        std::cout << report::renderSvg(rows, settings.objective);
+    } else {
+        std::cout << report::renderText(rows, settings.objective);
+    }
+    return support::toInt(fromFiles == support::ExitCode::Success ? fromRouters : fromFiles);
+}
+
+std::string validateAddress(const std::string &text)
+{
+    return support::leaf::try_handle_all(
+        [&]() -> support::Result<std::string> {
+            BOOST_LEAF_CHECK(platform::parseAddress(text));
+            return std::string();
+        },
+        [](const support::ErrorMessage &message) { return message.text; },
+        [] { return std::string("is no address"); });
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("Reports how the classes meet their service levels", "mulberrywall-report");
+    Settings settings;
+    bool checkSettings = false;
+    support::addCommonFlags(app, checkSettings);
+    app.require_subcommand(1);
+    CLI::App *command = app.add_subcommand("burn", "burn rates, attainment, goodput and wasted tokens by class and window");
+    support::addSetting(*command, "--router", settings.routers, "admin address of a router; repeat it, or separate several by commas")
+        ->delimiter(',')
+        ->check(validateAddress);
+    support::addSetting(*command, "--file", settings.files, "saved answer of a router's /v1/status")->delimiter(',')->check(CLI::ExistingFile);
+    support::addSetting(*command, "--operator-key", settings.operatorKey, "operator key of the routers");
+    support::addSetting(*command, "--format", settings.format, "text, json or svg")->check(CLI::IsMember({"text", "json", "svg"}));
+    support::addSetting(*command, "--objective", settings.objective, "share of requests that must be within their targets")->check(CLI::Range(0.001, 0.9999));
+    return support::parseAndRun(app, argc, argv, checkSettings, [&settings] { return burn(settings); });
+}
