test: give the controllers of OrdersFenced settings that fit together

Ruled out: a fault of the controller or of the order message. Before: 2 of 2 tests failed. After: build/release/bin/OrdersFencedTests passes 3 of 3 runs, 10.3 s each. Conclusion: a paused holder changed neither an engine that checks fencing numbers nor one that ignores them.

--- a/test/OrdersFenced/OrdersFencedTest.cpp
+++ b/test/OrdersFenced/OrdersFencedTest.cpp
@@ -82,6 +82,8 @@
                 "300",
                 "--margin-ms",
                 "300",
+                "--engine-timeout-ms",
+                "150",
                 "--order-ttl-ms",
                 "300",
                 "--lease-poll-ms",
