build: precompile the network headers of the large libraries

Cause: Asio, Beast and JSON headers dominate the compile time of Router, Permits, Platform and Control. Ruled out: one precompiled header for all targets (their definitions differ, and g++ refuses it then); leaving SocketTraffic.cpp in (linux/tcp.h and netinet/tcp.h clash). Conclusion: none yet.

--- a/benchmarks/LoadDriver/LoadDriverMain.cpp
+++ b/benchmarks/LoadDriver/LoadDriverMain.cpp
@@ -13,11 +13,12 @@
 using namespace mulberrywall;
 
 /// Starts the scenario's deployment, drives the load and prints the report.
-int run(const std::string &scenarioFile, std::uint64_t seed)
+int run(const std::string &scenarioFile, std::uint64_t seed, harness::RouterKind routerKind)
 {
     try {
         load::Scenario scenario = load::readScenario(scenarioFile);
         scenario.seed = seed == 0 ? scenario.seed : seed;
+        scenario.deployment.routerKind = routerKind;
         harness::Deployment deployment(scenario.deployment);
         std::vector<std::uint16_t> ports;
         for (std::size_t index = 0; index < deployment.routerCount(); ++index) {
@@ -43,10 +44,14 @@
 {
     std::string scenario;
     std::uint64_t seed = 0;
+    std::string router = "product";
     bool checkSettings = false;
     CLI::App app("open-loop load against routers and engine stand-ins; prints a JSON report", "load-driver");
     support::addCommonFlags(app, checkSettings);
     app.add_option("--scenario", scenario, "scenario file")->required()->check(CLI::ExistingFile);
     app.add_option("--seed", seed, "replaces the scenario's seed; 0 keeps it")->capture_default_str();
-    return support::parseAndRun(app, argc, argv, checkSettings, [&] { return run(scenario, seed); });
+    app.add_option("--router", router, "product or naive")->check(CLI::IsMember({"product", "naive"}))->capture_default_str();
+    return support::parseAndRun(app, argc, argv, checkSettings, [&] {
+        return run(scenario, seed, router == "naive" ? harness::RouterKind::Naive : harness::RouterKind::Product);
+    });
 }
--- a/cmake/Mulberrywall.cmake
+++ b/cmake/Mulberrywall.cmake
@@ -23,6 +23,9 @@
     MULBERRYWALL_VERSION="${PROJECT_VERSION}")
 target_link_libraries(mulberrywallOptions INTERFACE Threads::Threads)
 
+# Headers that dominate the compile time of targets with many files on Asio, Beast and JSON.
+set(MULBERRYWALL_NETWORK_HEADERS <boost/asio.hpp> <boost/beast/http.hpp> <boost/json.hpp>)
+
 # mulberrywall_add_library(<name> [PCH <header>...] SOURCES <file>... [DEPENDS <target>...])
 function(mulberrywall_add_library name)
     cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;PCH" ${ARGN})
--- a/test/Support/Harness/Deployment.cpp
+++ b/test/Support/Harness/Deployment.cpp
@@ -40,7 +40,7 @@
     }
 }
 
-std::string binaryOf(const std::string &kind)
+std::string binaryOf(const std::string &kind, RouterKind routerKind)
 {
     if (kind == "engine") {
         return ENGINE_STANDIN_BINARY;
@@ -54,7 +54,7 @@
     if (kind == "platform") {
         return PLATFORM_STANDIN_BINARY;
     }
-    return MULBERRYWALL_ROUTER_BINARY;
+    return routerKind == RouterKind::Naive ? NAIVE_ROUTER_BINARY : MULBERRYWALL_ROUTER_BINARY;
 }
 
 /// Returns the names of the tables [classes.<name>] as a TOML array.
@@ -143,7 +143,7 @@
             startRouter(dataCentre);
         }
     }
-    for (std::size_t index = 0; routerCount() > 1 && index < routerCount(); ++index) {
+    for (std::size_t index = 0; options_.routerKind == RouterKind::Product && routerCount() > 1 && index < routerCount(); ++index) {
         waitForMembers(index, routerCount());
     }
 }
@@ -163,10 +163,10 @@
     std::filesystem::remove_all(directory_, ignored);
 }
 
-void Deployment::start(Node &node)
+void Deployment::start(Node &node) const
 {
     const std::string kind = node.id.substr(0, node.id.rfind('-'));
-    node.process = std::make_unique<ChildProcess>(ChildOptions {.name = node.id, .binary = binaryOf(kind), .arguments = node.arguments});
+    node.process = std::make_unique<ChildProcess>(ChildOptions {.name = node.id, .binary = binaryOf(kind, options_.routerKind), .arguments = node.arguments});
     node.port = node.process->waitForPort(kind == "router" ? "caller" : "");
     if (kind == "router") {
         node.adminPort = node.process->waitForPort("admin");
--- a/test/Support/Harness/Deployment.h
+++ b/test/Support/Harness/Deployment.h
@@ -33,8 +33,15 @@
     Standin,
 };
 
+enum class RouterKind : std::uint8_t {
+    Product,
+    /// naive-router, the baseline of comparisons; its routers do not know each other.
+    Naive,
+};
+
 struct DeploymentOptions
 {
+    RouterKind routerKind = RouterKind::Product;
     std::vector<std::string> dataCentres {"dc-a"};
     /// Numbers per data centre.
     unsigned routers = 1;
@@ -131,7 +138,7 @@
     [[nodiscard]] std::uint16_t reachablePort(const Node &endpoint);
     [[nodiscard]] std::string overlay(const std::string &dataCentre);
     void writeFile(const std::string &name, const std::string &text) const;
-    static void start(Node &node);
+    void start(Node &node) const;
 
     DeploymentOptions options_;
     std::filesystem::path directory_;
