--- a/benchmarks/LoadDriver/LoadDriverMain.cpp
+++ b/benchmarks/LoadDriver/LoadDriverMain.cpp
@@ -51,7 +51,6 @@
     app.add_option("--scenario", scenario, "scenario file")->required()->check(CLI::ExistingFile);
     app.add_option("--seed", seed, "replaces the scenario's seed; 0 keeps it")->capture_default_str();
     app.add_option("--router", router, "product or naive")->check(CLI::IsMember({"product", "naive"}))->capture_default_str();
-    return support::parseAndRun(app, argc, argv, checkSettings, [&] {
-        return run(scenario, seed, router == "naive" ? harness::RouterKind::Naive : harness::RouterKind::Product);
-    });
+    return support::parseAndRun(
+        app, argc, argv, checkSettings, [&] { return run(scenario, seed, router == "naive" ? harness::RouterKind::Naive : harness::RouterKind::Product); });
 }
