support: parse addresses in one place and test the checks of callers' requests

Cause: four programs had their own check of an address and two parsers of it; bad input of callers (wrong key, unknown class, class not allowed, unknown model, malformed body) had no test. Ruled out: one parser that accepts port 0 everywhere; it has no meaning in an address to connect to. Change: support::parseAddress with AddressUse; CallerRequestTest and AddressTest; plainer wording of some comments. Conclusion: none beyond the duplication removed.

--- a/benchmarks/MembershipBenchmark.cpp
+++ b/benchmarks/MembershipBenchmark.cpp
@@ -89,7 +89,7 @@
     while (!complete()) {
         std::this_thread::sleep_for(milliseconds(50));
     }
-    // Lets the news of the joins run out, so that the measurement shows an idle group.
+    // Lets the gossip about the joins settle, so that the measurement shows an idle group.
     std::this_thread::sleep_for(seconds(8));
     Traffic traffic;
     for (const auto &driver : drivers) {
--- a/include/mulberrywall/Membership/StateMachine.h
+++ b/include/mulberrywall/Membership/StateMachine.h
@@ -17,7 +17,7 @@
 
 struct Options
 {
-    /// This router; its incarnation must be higher than in any earlier life, for example the wall clock at start.
+    /// This router; its incarnation must be higher than before a restart, for example the wall clock at start.
     Member self;
     /// Addresses that are asked for members at start and whenever no live member has them.
     std::vector<Address> seeds;
@@ -139,7 +139,7 @@
 /// Spreads an item. A pool load gets a version above the known one; an item that is already known is not repeated.
 Output announce(State &state, Item item, TimePoint now);
 
-/// Tells other members that this one leaves. The caller keeps advancing the state until the word is spread.
+/// Tells other members that this one leaves. The caller keeps advancing the state until the announcement has been gossiped.
 Output leave(State &state, TimePoint now, Random &random);
 
 // Queries
--- a/include/mulberrywall/Membership/UdpDriver.h
+++ b/include/mulberrywall/Membership/UdpDriver.h
@@ -18,7 +18,7 @@
 [[nodiscard]] boost::asio::ip::udp::endpoint toUdpEndpoint(const Address &address);
 [[nodiscard]] boost::asio::ip::tcp::endpoint toTcpEndpoint(const Address &address);
 
-/// Returns an incarnation that is higher than in any earlier life of this instance: the wall clock in milliseconds.
+/// Returns an incarnation that is higher than before a restart of this instance: the wall clock in milliseconds.
 [[nodiscard]] std::uint64_t incarnationFromClock();
 
 struct DriverOptions
@@ -51,7 +51,7 @@
     virtual void start() = 0;
     /// Stops sending and receiving without a word to the others, who will find this member dead.
     virtual void stop() = 0;
-    /// Tells the others that this member leaves; calls the handler when the word is spread or after two seconds.
+    /// Tells the others that this member leaves; calls the handler when that has been gossiped or after two seconds.
     virtual void leave(std::function<void()> handler) = 0;
     virtual void announce(Item item) = 0;
     /// Calls the handler, from a worker thread and one at a time, for each changed item until the result is dropped.
--- a/include/mulberrywall/Platform/PlatformOptions.h
+++ b/include/mulberrywall/Platform/PlatformOptions.h
@@ -6,7 +6,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <string_view>
 
 namespace mulberrywall::platform
 {
@@ -28,7 +27,4 @@
     Unavailable,
 };
 
-/// Parses "127.0.0.1:7000" or "[::1]:7000"; the error names the text and the remedy.
-support::Result<boost::asio::ip::tcp::endpoint> parseAddress(std::string_view text);
-
 } // namespace mulberrywall::platform
--- a/include/mulberrywall/Policy/Types.h
+++ b/include/mulberrywall/Policy/Types.h
@@ -14,7 +14,7 @@
 
 using TimePoint = std::chrono::steady_clock::time_point;
 
-/// Names one waiting or running request within a pool; unique in the life of the owner's process.
+/// Names one waiting or running request within a pool; unique within the lifetime of the owner's process.
 using PermitId = std::uint64_t;
 
 /// Hash over organisation and request body; equal for a resent request.
--- a/include/mulberrywall/Router/EndpointDirectory.h
+++ b/include/mulberrywall/Router/EndpointDirectory.h
@@ -54,7 +54,7 @@
     /// The announcement is called, without a lock, for each endpoint that is marked here first; it may be empty.
     EndpointDirectory(permits::PoolTable &pools, std::function<void(const support::EndpointId &)> announce);
 
-    /// Marks an endpoint on an operator's command, its own refusal or another router's word.
+    /// Marks an endpoint on an operator's command, its own refusal or another router's announcement.
     void markLeaving(const support::EndpointId &endpoint, LeavingOrigin origin);
     void recordReport(const support::EndpointId &endpoint, std::string_view incarnation, bool leaving);
     /// Takes the whole instance list; entries are matched by address, and by port unless that is 0.
--- a/lib/Membership/Tables.cpp
+++ b/lib/Membership/Tables.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-/// A repeated announcement counts as news only when it prolongs the item by more than this.
+/// A repeated announcement counts as a change only when it prolongs the item by more than this.
 constexpr std::chrono::seconds significantExtension {60};
 
 bool isUrgent(const Item &item)
@@ -132,7 +132,7 @@
     report(state, item, output);
 }
 
-/// Returns whether the item is news.
+/// Returns whether the item changes what is known.
 template <typename Key>
 bool applyExpiring(
     const State &state, std::map<Key, State::ExpiringItem> &items, const Key &key, std::uint64_t version, std::chrono::seconds timeToLive, TimePoint now)
--- a/lib/Membership/UdpDriver.cpp
+++ b/lib/Membership/UdpDriver.cpp
@@ -23,7 +23,7 @@
 using asio::ip::udp;
 using std::chrono::steady_clock;
 
-/// Longest wait for the word that this member leaves to be spread.
+/// Longest wait for the announcement that this member leaves to be gossiped.
 constexpr std::chrono::seconds leaveTimeout {2};
 
 template <typename Endpoint>
--- a/lib/Permits/RoutedRequest.cpp
+++ b/lib/Permits/RoutedRequest.cpp
@@ -165,7 +165,7 @@
 
 void RoutedRequest::refused(const PermitRefusal &refusal)
 {
-    // A remote data centre may lack a class or suspect the request; the own one has the last word on the reason.
+    // A remote data centre may lack a class or suspect the request; the answer of the local owner decides the reason.
     if (!firstRefusal_) {
         firstRefusal_ = refusal;
     }
--- a/lib/Router/RouterProgram.cpp
+++ b/lib/Router/RouterProgram.cpp
@@ -2,6 +2,7 @@
 
 #include "mulberrywall/Configuration/Reader.h"
 #include "mulberrywall/Router/RouterService.h"
+#include "mulberrywall/Support/Address.h"
 #include "mulberrywall/Support/Error.h"
 #include "mulberrywall/Support/Log.h"
 #include "mulberrywall/Support/Settings.h"
@@ -49,34 +50,26 @@
     unsigned responseTimeoutMs = 0;
 };
 
-std::optional<boost::asio::ip::tcp::endpoint> parseAddress(const std::string &text)
+/// Only called with text that the settings' checks accepted.
+boost::asio::ip::tcp::endpoint toTcp(const std::string &text)
 {
-    const std::size_t separator = text.rfind(':');
-    if (separator == std::string::npos) {
-        return std::nullopt;
-    }
-    boost::system::error_code error;
-    const auto address = boost::asio::ip::make_address(text.substr(0, separator), error);
-    const std::string port = text.substr(separator + 1);
-    if (error || port.empty() || port.size() > 5 || port.find_first_not_of("0123456789") != std::string::npos || std::stoul(port) > 65535) {
-        return std::nullopt;
-    }
-    return boost::asio::ip::tcp::endpoint(address, static_cast<std::uint16_t>(std::stoul(port)));
+    return support::parseAddress(text, support::AddressUse::Listen).value();
 }
 
-std::string validateAddress(const std::string &text)
+boost::asio::ip::udp::endpoint toUdp(const std::string &text)
 {
-    return parseAddress(text) ? std::string() : "'" + text + "' is not an IP address and port; write for example 127.0.0.1:8080";
+    const boost::asio::ip::tcp::endpoint endpoint = toTcp(text);
+    return {endpoint.address(), endpoint.port()};
 }
 
-boost::asio::ip::udp::endpoint toUdp(const boost::asio::ip::tcp::endpoint &endpoint)
+std::string checkOptionalListenAddress(const std::string &text)
 {
-    return {endpoint.address(), endpoint.port()};
+    return text.empty() ? std::string() : support::checkListenAddress(text);
 }
 
-std::string validateOptionalAddress(const std::string &text)
+std::string checkOptionalAddress(const std::string &text)
 {
-    return text.empty() ? std::string() : validateAddress(text);
+    return text.empty() ? std::string() : support::checkAddress(text);
 }
 
 void addSettings(CLI::App &app, Settings &settings)
@@ -86,13 +79,13 @@
     support::addSetting(app, "--base", settings.base, "base file of a local start configuration")->check(CLI::ExistingFile);
     support::addSetting(app, "--overlay", settings.overlay, "overlay of a local start configuration")->check(CLI::ExistingFile);
     support::addSetting(app, "--peer-listen", settings.peerListen, "TCP address and port for other routers; empty means no other routers")
-        ->check(validateOptionalAddress);
-    support::addSetting(app, "--membership-listen", settings.membershipListen, "UDP address and port for other routers")->check(validateOptionalAddress);
+        ->check(checkOptionalListenAddress);
+    support::addSetting(app, "--membership-listen", settings.membershipListen, "UDP address and port for other routers")->check(checkOptionalListenAddress);
     support::addSetting(app, "--peer-secret", settings.peerSecret, "secret that all routers share; prefer the environment variable");
-    support::addSetting(app, "--seeds", settings.seeds, "membership addresses of some other routers")->delimiter(',')->check(validateAddress);
-    support::addSetting(app, "--caller-listen", settings.callerListen, "address and port for callers")->check(validateAddress);
-    support::addSetting(app, "--admin-listen", settings.adminListen, "address and port for operators")->check(validateAddress);
-    support::addSetting(app, "--platform", settings.platform, "address and port of the platform; empty means none")->check(validateOptionalAddress);
+    support::addSetting(app, "--seeds", settings.seeds, "membership addresses of some other routers")->delimiter(',')->check(support::checkAddress);
+    support::addSetting(app, "--caller-listen", settings.callerListen, "address and port for callers")->check(support::checkListenAddress);
+    support::addSetting(app, "--admin-listen", settings.adminListen, "address and port for operators")->check(support::checkListenAddress);
+    support::addSetting(app, "--platform", settings.platform, "address and port of the platform; empty means none")->check(checkOptionalAddress);
     support::addSetting(app, "--drain-grace-ms", settings.drainGraceMs, "time at shutdown before the listener closes, in ms");
     support::addSetting(app, "--drain-limit-ms", settings.drainLimitMs, "longest time that running requests get at shutdown, in ms; 0 means no limit");
     support::addSetting(app, "--max-connections", settings.maxConnections, "open connections of callers")->check(CLI::PositiveNumber);
@@ -133,11 +126,11 @@
     PeerGroupOptions peers;
     peers.instance = support::InstanceId(settings.instance);
     peers.dataCentre = support::DataCentreId(settings.dataCentre);
-    peers.peerListen = *parseAddress(settings.peerListen);
-    peers.membershipListen = toUdp(*parseAddress(settings.membershipListen));
+    peers.peerListen = toTcp(settings.peerListen);
+    peers.membershipListen = toUdp(settings.membershipListen);
     peers.secret = settings.peerSecret;
     for (const std::string &seed : settings.seeds) {
-        peers.seeds.push_back(toUdp(*parseAddress(seed)));
+        peers.seeds.push_back(toUdp(seed));
     }
     return peers;
 }
@@ -173,16 +166,16 @@
     options.instance = support::InstanceId(settings.instance);
     options.dataCentre = support::DataCentreId(settings.dataCentre);
     options.peers = makePeerOptions(settings);
-    options.callerServer.listen = *parseAddress(settings.callerListen);
+    options.callerServer.listen = toTcp(settings.callerListen);
     options.callerServer.maxBodyBytes = settings.maxBodyBytes;
     options.callerServer.readTimeout = std::chrono::milliseconds(settings.readTimeoutMs);
     options.callerServer.maxConnections = settings.maxConnections;
     options.drainGrace = std::chrono::milliseconds(settings.drainGraceMs);
     options.drainLimit = std::chrono::milliseconds(settings.drainLimitMs);
-    options.adminServer.listen = *parseAddress(settings.adminListen);
+    options.adminServer.listen = toTcp(settings.adminListen);
     options.operatorKey = settings.operatorKey;
     if (!settings.platform.empty()) {
-        options.platform = platform::PlatformOptions {.address = *parseAddress(settings.platform)};
+        options.platform = platform::PlatformOptions {.address = toTcp(settings.platform)};
     }
     options.router.stallTimeout = std::chrono::milliseconds(settings.stallTimeoutMs);
     options.router.responseTimeout
