--- a/benchmarks/Capacity/capacity.py
+++ b/benchmarks/Capacity/capacity.py
@@ -206,6 +206,12 @@
     }
 
 
+def idle_cost(deployment, seconds):
+    before = deployment.sample()
+    time.sleep(seconds)
+    return cost_between(before, deployment.sample(), seconds)
+
+
 async def complete(port, tokens, prompt):
     body = json.dumps({"model": "m", "stream": True, "max_tokens": tokens, "prompt": prompt})
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
@@ -230,9 +236,7 @@
     for count in [3, 6, 12, 24]:
         with Deployment(arguments.binaries, count) as deployment:
             time.sleep(3)  # start-up traffic is not part of the steady state
-            before = deployment.sample()
-            time.sleep(arguments.seconds)
-            yield {"routers": count, **cost_between(before, deployment.sample(), arguments.seconds)}
+            yield {"routers": count, **idle_cost(deployment, arguments.seconds)}
 
 
 def sweep_requests(arguments):
@@ -272,17 +276,13 @@
 def sweep_organisations(arguments):
     for organisations in [10, 1000, 2900]:
         with Deployment(arguments.binaries, 3, organisations=organisations) as deployment:
-            before = deployment.sample()
-            time.sleep(arguments.seconds)
-            yield {"organisations": organisations, **cost_between(before, deployment.sample(), arguments.seconds)}
+            yield {"organisations": organisations, **idle_cost(deployment, arguments.seconds)}
 
 
 def sweep_endpoints(arguments):
     for endpoints in [0, 300, 1650]:
         with Deployment(arguments.binaries, 3, idle_endpoints=endpoints) as deployment:
-            before = deployment.sample()
-            time.sleep(arguments.seconds)
-            yield {"endpoints": endpoints, **cost_between(before, deployment.sample(), arguments.seconds)}
+            yield {"endpoints": endpoints, **idle_cost(deployment, arguments.seconds)}
 
 
 def sweep_changes(arguments):
--- a/include/mulberrywall/Permits/PoolOwner.h
+++ b/include/mulberrywall/Permits/PoolOwner.h
@@ -75,6 +75,9 @@
         OwnerAnswer result;
     };
 
+    /// Runs a command of the policy under the lock and delivers its decisions after it.
+    template <typename Command>
+    void execute(const Command &command);
     void withdraw(policy::PermitId permit);
     void recordProgress(policy::PermitId permit, const policy::Progress &progress);
     void finish(policy::PermitId permit, const policy::Completion &completion);
--- a/include/mulberrywall/Router/PeerGroup.h
+++ b/include/mulberrywall/Router/PeerGroup.h
@@ -77,8 +77,6 @@
     /// Owner of the pool in this data centre; an empty name when no router can own it.
     [[nodiscard]] support::InstanceId ownerOf(const support::PoolId &pool) const;
     [[nodiscard]] bool ownsPool(const support::PoolId &pool) const;
-    /// Highest revision that any router has announced.
-    [[nodiscard]] std::uint64_t announcedRevision() const;
     [[nodiscard]] membership::Counters membershipCounters() const;
     [[nodiscard]] permits::PeerCounters peerCounters();
 
--- a/lib/Permits/PoolOwner.cpp
+++ b/lib/Permits/PoolOwner.cpp
@@ -72,6 +72,18 @@
     return functions_.setEndpoints(pool_.get(), specs, now());
 }
 
+template <typename Command>
+void OwnedPool::execute(const Command &command)
+{
+    std::vector<Notification> notifications;
+    {
+        const std::scoped_lock lock(mutex_);
+        notifications = takeNotifications(command());
+        armTimer();
+    }
+    deliver(std::move(notifications));
+}
+
 void OwnedPool::setOwnership(OwnershipState ownership, const support::InstanceId &newOwner)
 {
     std::vector<Notification> notifications;
@@ -156,13 +168,7 @@
 
 void OwnedPool::recordLoadReport(const policy::LoadReport &report)
 {
-    std::vector<Notification> notifications;
-    {
-        const std::scoped_lock lock(mutex_);
-        notifications = takeNotifications(functions_.recordLoadReport(pool_.get(), report, now()));
-        armTimer();
-    }
-    deliver(std::move(notifications));
+    execute([&] { return functions_.recordLoadReport(pool_.get(), report, now()); });
 }
 
 policy::PoolSummary OwnedPool::summarize() const
@@ -193,24 +199,12 @@
 
 void OwnedPool::recordProgress(policy::PermitId permit, const policy::Progress &progress)
 {
-    std::vector<Notification> notifications;
-    {
-        const std::scoped_lock lock(mutex_);
-        notifications = takeNotifications(functions_.recordProgress(pool_.get(), permit, progress, now()));
-        armTimer();
-    }
-    deliver(std::move(notifications));
+    execute([&] { return functions_.recordProgress(pool_.get(), permit, progress, now()); });
 }
 
 void OwnedPool::finish(policy::PermitId permit, const policy::Completion &completion)
 {
-    std::vector<Notification> notifications;
-    {
-        const std::scoped_lock lock(mutex_);
-        notifications = takeNotifications(functions_.complete(pool_.get(), permit, completion, now()));
-        armTimer();
-    }
-    deliver(std::move(notifications));
+    execute([&] { return functions_.complete(pool_.get(), permit, completion, now()); });
 }
 
 std::vector<OwnedPool::Notification> OwnedPool::takeNotifications(const policy::Decisions &decisions)
--- a/lib/Router/PeerGroup.cpp
+++ b/lib/Router/PeerGroup.cpp
@@ -219,11 +219,6 @@
     return ownerOf(pool) == options_.instance;
 }
 
-std::uint64_t PeerGroup::announcedRevision() const
-{
-    return membership_->configurationRevision();
-}
-
 membership::Counters PeerGroup::membershipCounters() const
 {
     return membership_->counters();
