test: wait for all requests before the router is told to leave

Cause: GracefulShutdown.NewRequestsAreNotRun sent SIGTERM when 8 streams ran; under load some of its 60 requests had not arrived by then and were refused, rightly, as not run. Ruled out: a stream cut by the shutdown; the replies were refusals with outcome not-run. Change: both tests wait until the router counts all 60 requests as active.

--- a/test/GracefulShutdown/GracefulShutdownTest.cpp
+++ b/test/GracefulShutdown/GracefulShutdownTest.cpp
@@ -34,6 +34,12 @@
     }
 }
 
+/// A request that arrives after the signal is refused, rightly.
+void waitForArrival(Deployment &deployment)
+{
+    waitUntil("all requests have arrived", [&] { return getJson(deployment.router(0).adminPort, "/v1/status").at("activeRequests") == calls; });
+}
+
 } // namespace
 
 // Guards against a shutdown that cuts running streams or drops requests that still wait in the queue.
@@ -43,7 +49,7 @@
     Deployment deployment({.engines = 2, .engineArguments = {"--base-token-us", "4000"}});
     ParallelCalls load(makeCalls(deployment));
     waitUntil("some streams run", [&] { return load.streaming() >= 8; });
-    waitUntil("all requests have arrived", [&] { return getJson(deployment.router(0).adminPort, "/v1/status").at("activeRequests") == calls; });
+    waitForArrival(deployment);
     deployment.router(0).process->sendSignal(SIGTERM);
     expectWhole(load.wait());
     EXPECT_EQ(deployment.router(0).process->waitForEnd(), 0);
@@ -55,6 +61,7 @@
     Deployment deployment({.engines = 2, .engineArguments = {"--base-token-us", "4000"}});
     ParallelCalls load(makeCalls(deployment));
     waitUntil("some streams run", [&] { return load.streaming() >= 8; });
+    waitForArrival(deployment);
     deployment.router(0).process->sendSignal(SIGTERM);
     waitUntil("the router drains", [&] { return deployment.router(0).process->countLines("draining") == 1; });
     std::uint64_t newRuns = 0;
