router: tell broken connections and outlived crashes from crashes

Cause: every connection that broke after the request was written counted as a crash of the endpoint, so that a stream that was cut twice was refused as a crash suspect for 10 minutes. Ruled out: raising the number of crashes to refuse, which lets a request that crashes engines take down one more each time. A crash that the request outlived by 4 tokens counts only against a bound of three crashes in all.

--- a/include/mulberrywall/Policy/CrashSuspects.h
+++ b/include/mulberrywall/Policy/CrashSuspects.h
@@ -8,7 +8,13 @@
 /// Returns how many crashes the request is still held responsible for; 0 means that it is no suspect.
 unsigned suspectedCrashes(const Pool &pool, Fingerprint fingerprint, TimePoint now);
 
+/// Returns the number of crashes to tell other owners, which refuse the request by the same bound.
+unsigned announcedCrashes(const Pool &pool, Fingerprint fingerprint, TimePoint now);
+
 /// Returns whether the request is refused for its crashes.
+///
+/// A crash counts less once the request has got past its place on another endpoint: a request that crashes engines
+/// does so again at the same place.
 bool isRefusedForCrashes(const Pool &pool, Fingerprint fingerprint, TimePoint now);
 
 /// Returns how long the suspicion will last.
@@ -18,6 +24,9 @@
 /// requests that crashed too often. Later failures from the same crash change nothing.
 void noteEndpointCrash(Pool &pool, const ActiveRequest &failed, TimePoint now, Decisions &decisions);
 
+/// Records how far the answer was when the endpoint crashed. Call it after noteEndpointCrash for each failed request.
+void noteLengthAtCrash(Pool &pool, ActiveRequest &request);
+
 /// Learns from progress that the request did not run on a crashed process, or that a suspect has passed its trial.
 void noteSuspectProgress(Pool &pool, ActiveRequest &request, TimePoint now);
 
--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -99,6 +99,8 @@
     bool isLong = false;
     /// Set while the request counts as having run on a process that crashed.
     std::optional<TimePoint> crashNotedAt;
+    /// Length of the answer from which on the request has outlived its earlier crash; set for suspects only.
+    std::optional<std::uint64_t> outlivesCrashAt;
     /// Adopted requests started at an unknown time.
     bool adopted = false;
 };
@@ -128,8 +130,13 @@
     /// Crashes that the request has proved not to be the cause of. Kept apart so that hearing of these crashes from
     /// other owners does not bring the suspicion back.
     unsigned cleared = 0;
+    /// Crashes whose place in the answer the request has passed on another endpoint. They count against the bound on
+    /// all crashes only.
+    unsigned outlived = 0;
     TimePoint lastCrashAt;
     TimePoint::duration ranBeforeCrash {};
+    /// Length of the answer at the latest crash here; unknown when the crash was seen by another owner.
+    std::optional<std::uint64_t> tokensBeforeCrash;
 };
 
 /// An endpoint that gets no new requests until a suspect can run alone on it.
--- a/include/mulberrywall/Policy/Tuning.h
+++ b/include/mulberrywall/Policy/Tuning.h
@@ -137,6 +137,11 @@
 {
     std::chrono::milliseconds expiry {600'000};
     unsigned crashesToRefuse = 2;
+    /// Bound that includes the crashes that the request has outlived: a crash may depend on more than the request.
+    unsigned allCrashesToRefuse = 3;
+    /// Tokens past the place of a crash that prove that this place does not crash endpoints. An engine may have been a
+    /// few tokens ahead of what it had sent.
+    std::uint64_t outlivingTokens = 4;
     /// Longest time for which an endpoint is emptied so that a suspect runs alone on it.
     std::chrono::milliseconds isolationWait {3'000};
     /// Pools with fewer usable endpoints do not empty one for a suspect.
--- a/include/mulberrywall/Policy/Types.h
+++ b/include/mulberrywall/Policy/Types.h
@@ -114,10 +114,12 @@
     Cancelled,
     /// The endpoint refused; the request has not run.
     NotRun,
-    /// The endpoint broke the connection or crashed while it ran the request.
+    /// The endpoint crashed while it ran the request.
     EndpointFailed,
     /// The endpoint made no progress in time.
     Stalled,
+    /// The attempt broke off although the endpoint lives, or may live; no evidence of a crash.
+    ConnectionLost,
 };
 
 struct Completion
--- a/include/mulberrywall/Router/Attempt.h
+++ b/include/mulberrywall/Router/Attempt.h
@@ -35,7 +35,7 @@
 struct AttemptEnd
 {
     support::Verdict verdict = support::Verdict::MayHaveRun;
-    policy::AttemptOutcome outcome = policy::AttemptOutcome::EndpointFailed;
+    policy::AttemptOutcome outcome = policy::AttemptOutcome::ConnectionLost;
     /// Why the attempt failed; empty when it completed.
     std::string reason;
     /// The complete response when the endpoint did not stream; also set for a server error.
@@ -96,6 +96,7 @@
     void onBody(std::string_view data);
     void onStreamPiece(std::string_view data);
     void onCallEnd(const http::CallResult &result);
+    void onConnectionBroken(const boost::system::error_code &error);
     void onWholeResponse();
     void end(AttemptEnd attemptEnd);
     void requestCancellation();
@@ -110,6 +111,8 @@
     configuration::PoolKind poolKind_ = configuration::PoolKind::ModelEngine;
     ResponseMode responseMode_ = ResponseMode::Whole;
     bool streaming_ = false;
+    /// The connection broke, and the endpoint is asked whether it lives.
+    bool probing_ = false;
     http::Response response_;
     ServerSentEventParser events_;
     std::uint64_t outputTokens_ = 0;
--- a/lib/Permits/Peer.capnp
+++ b/lib/Permits/Peer.capnp
@@ -42,6 +42,7 @@
   notRun @2;
   endpointFailed @3;
   stalled @4;
+  connectionLost @5;
 }
 
 enum RefusalReason {
--- a/lib/Permits/PeerCodec.cpp
+++ b/lib/Permits/PeerCodec.cpp
@@ -153,6 +153,8 @@
         return rpc::Outcome::ENDPOINT_FAILED;
     case policy::AttemptOutcome::Stalled:
         return rpc::Outcome::STALLED;
+    case policy::AttemptOutcome::ConnectionLost:
+        return rpc::Outcome::CONNECTION_LOST;
     }
     return rpc::Outcome::CANCELLED;
 }
@@ -170,6 +172,8 @@
         return policy::AttemptOutcome::EndpointFailed;
     case rpc::Outcome::STALLED:
         return policy::AttemptOutcome::Stalled;
+    case rpc::Outcome::CONNECTION_LOST:
+        return policy::AttemptOutcome::ConnectionLost;
     }
     return policy::AttemptOutcome::Cancelled;
 }
--- a/lib/Policy/CrashSuspects.cpp
+++ b/lib/Policy/CrashSuspects.cpp
@@ -41,7 +41,48 @@
 {
     const auto found = pool.suspects.byFingerprint.find(fingerprint);
     if (found != pool.suspects.byFingerprint.end()) {
-        found->second.cleared = std::min(found->second.cleared + 1, found->second.crashes);
+        Suspect &suspect = found->second;
+        suspect.cleared = std::min(suspect.cleared + 1, suspect.crashes);
+        suspect.outlived = std::min(suspect.outlived, suspect.crashes - suspect.cleared);
+        pool.suspects.changed = true;
+    }
+}
+
+const Suspect *findSuspect(const Pool &pool, Fingerprint fingerprint, TimePoint now)
+{
+    const auto found = pool.suspects.byFingerprint.find(fingerprint);
+    return found == pool.suspects.byFingerprint.end() || isExpired(pool, found->second, now) ? nullptr : &found->second;
+}
+
+/// Returns the crashes that the request is held responsible for and has not outlived.
+unsigned unexplainedCrashes(const Suspect &suspect)
+{
+    return suspect.crashes - suspect.cleared - suspect.outlived;
+}
+
+/// Returns the length of the running attempt's answer that proves that the place of the earlier crash is harmless.
+std::optional<std::uint64_t> outlivingLength(const Pool &pool, const ActiveRequest &request)
+{
+    const std::uint64_t margin = tuningOf(pool).outlivingTokens;
+    if (request.submission.purpose == AttemptPurpose::Resume) {
+        return margin;
+    }
+    const auto suspect = pool.suspects.byFingerprint.find(request.submission.fingerprint);
+    if (suspect == pool.suspects.byFingerprint.end() || !suspect->second.tokensBeforeCrash) {
+        return std::nullopt;
+    }
+    return *suspect->second.tokensBeforeCrash + margin;
+}
+
+void noteOutlivedCrash(Pool &pool, ActiveRequest &request)
+{
+    if (!request.outlivesCrashAt || request.outputTokens < *request.outlivesCrashAt) {
+        return;
+    }
+    request.outlivesCrashAt.reset();
+    const auto found = pool.suspects.byFingerprint.find(request.submission.fingerprint);
+    if (found != pool.suspects.byFingerprint.end() && unexplainedCrashes(found->second) > 0) {
+        ++found->second.outlived;
         pool.suspects.changed = true;
     }
 }
@@ -127,16 +168,25 @@
 
 unsigned suspectedCrashes(const Pool &pool, Fingerprint fingerprint, TimePoint now)
 {
-    const auto found = pool.suspects.byFingerprint.find(fingerprint);
-    if (found == pool.suspects.byFingerprint.end() || isExpired(pool, found->second, now)) {
-        return 0;
+    const Suspect *suspect = findSuspect(pool, fingerprint, now);
+    return suspect == nullptr ? 0 : suspect->crashes - suspect->cleared;
+}
+
+unsigned announcedCrashes(const Pool &pool, Fingerprint fingerprint, TimePoint now)
+{
+    if (isRefusedForCrashes(pool, fingerprint, now)) {
+        return tuningOf(pool).crashesToRefuse;
     }
-    return found->second.crashes - found->second.cleared;
+    return std::min(1U, suspectedCrashes(pool, fingerprint, now));
 }
 
 bool isRefusedForCrashes(const Pool &pool, Fingerprint fingerprint, TimePoint now)
 {
-    return suspectedCrashes(pool, fingerprint, now) >= tuningOf(pool).crashesToRefuse;
+    const Suspect *suspect = findSuspect(pool, fingerprint, now);
+    if (suspect == nullptr) {
+        return false;
+    }
+    return unexplainedCrashes(*suspect) >= tuningOf(pool).crashesToRefuse || suspect->crashes - suspect->cleared >= tuningOf(pool).allCrashesToRefuse;
 }
 
 std::chrono::milliseconds suspicionLeft(const Pool &pool, Fingerprint fingerprint, TimePoint now)
@@ -172,11 +222,27 @@
     cancelCopies(pool, fingerprints, *failed.endpoint, now, decisions);
 }
 
+void noteLengthAtCrash(Pool &pool, ActiveRequest &request)
+{
+    noteOutlivedCrash(pool, request);
+    const auto found = pool.suspects.byFingerprint.find(request.submission.fingerprint);
+    if (found == pool.suspects.byFingerprint.end()) {
+        return;
+    }
+    std::optional<std::uint64_t> &length = found->second.tokensBeforeCrash;
+    if (request.submission.purpose != AttemptPurpose::Resume) {
+        length = std::max(length.value_or(0), request.outputTokens);
+    } else if (length) {
+        *length += request.outputTokens;
+    }
+}
+
 void noteSuspectProgress(Pool &pool, ActiveRequest &request, TimePoint now)
 {
     if (request.progressAt != now) {
         return;
     }
+    noteOutlivedCrash(pool, request);
     if (request.crashNotedAt && now - *request.crashNotedAt >= tuningOf(pool).survivalProof) {
         clearOneCrash(pool, request.submission.fingerprint);
         request.crashNotedAt.reset();
@@ -199,6 +265,7 @@
     const auto found = pool.suspects.byFingerprint.find(request.submission.fingerprint);
     if (found != pool.suspects.byFingerprint.end() && found->second.cleared < found->second.crashes) {
         found->second.cleared = found->second.crashes;
+        found->second.outlived = 0;
         pool.suspects.changed = true;
     }
 }
@@ -244,6 +311,7 @@
 {
     pool.suspects.onTrial.insert(request.submission.permit);
     pool.suspects.isolation.reset();
+    request.outlivesCrashAt = outlivingLength(pool, request);
     // A small pool cannot do without an endpoint for long.
     request.endpoint->exclusiveUntil = mayEmptyEndpoint(pool) ? TimePoint::max() : now + tuningOf(pool).isolationWait;
 }
--- a/lib/Policy/SlowEndpoints.cpp
+++ b/lib/Policy/SlowEndpoints.cpp
@@ -243,6 +243,7 @@
     case AttemptOutcome::NotRun:
     case AttemptOutcome::EndpointFailed:
     case AttemptOutcome::Stalled:
+    case AttemptOutcome::ConnectionLost:
         judgeProbe(pool, request, 0.0, now);
         return;
     }
--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -255,11 +255,13 @@
         return;
     case AttemptOutcome::NotRun:
     case AttemptOutcome::Stalled:
+    case AttemptOutcome::ConnectionLost:
         noteFailure(*request.endpoint, pool.options.tuning.selection, now);
         return;
     case AttemptOutcome::EndpointFailed:
         noteFailure(*request.endpoint, pool.options.tuning.selection, now);
         noteEndpointCrash(pool, request, now, decisions);
+        noteLengthAtCrash(pool, request);
         return;
     case AttemptOutcome::Cancelled:
         return;
@@ -384,7 +386,7 @@
     const Pool &pool = asPool(handle);
     std::vector<SuspectEntry> result;
     for (const auto &[fingerprint, suspect] : pool.suspects.byFingerprint) {
-        if (const unsigned crashes = suspectedCrashes(pool, fingerprint, pool.now); crashes > 0) {
+        if (const unsigned crashes = announcedCrashes(pool, fingerprint, pool.now); crashes > 0) {
             result.push_back({.fingerprint = fingerprint, .crashes = crashes, .expiresAt = suspect.lastCrashAt + pool.options.tuning.crashes.expiry});
         }
     }
--- a/lib/Router/Attempt.cpp
+++ b/lib/Router/Attempt.cpp
@@ -1,10 +1,12 @@
 #include "mulberrywall/Router/Attempt.h"
 
 #include "mulberrywall/Router/CompletionChunk.h"
+#include "mulberrywall/Router/EndpointProbe.h"
 
 #include <boost/beast/core/error.hpp>
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 namespace mulberrywall::router
@@ -90,7 +92,7 @@
 Verdict Attempt::cancel()
 {
     handlers_ = nullptr;
-    Verdict verdict = Verdict::NotRun;
+    Verdict verdict = probing_ ? Verdict::MayHaveRun : Verdict::NotRun;
     if (const auto call = std::exchange(call_, nullptr)) {
         // The stage is updated when a write has ended, so that a connected call may have written some bytes already.
         verdict = call->stage() == http::CallStage::Connecting ? Verdict::NotRun : Verdict::MayHaveRun;
@@ -227,15 +229,14 @@
             .reached = result.stage != http::CallStage::Connecting});
         return;
     case http::CallStage::RequestWritten:
-    case http::CallStage::HeaderReceived: {
-        const bool stalled = result.error == boost::beast::error::timeout;
-        if (stalled) {
-            requestCancellation();
+    case http::CallStage::HeaderReceived:
+        if (result.error != boost::beast::error::timeout) {
+            onConnectionBroken(result.error);
+            return;
         }
-        end({.outcome = stalled ? AttemptOutcome::Stalled : AttemptOutcome::EndpointFailed,
-            .reason = (stalled ? "the endpoint made no progress: " : "the connection broke: ") + result.error.message()});
+        requestCancellation();
+        end({.outcome = AttemptOutcome::Stalled, .reason = "the endpoint made no progress: " + result.error.message()});
         return;
-    }
     case http::CallStage::ResponseComplete:
         if (streaming_) {
             end({.reason = "the stream ended without its end event"});
@@ -246,6 +247,20 @@
     }
 }
 
+/// Broken connections that counted as crashes would make suspects of all requests on a living endpoint.
+void Attempt::onConnectionBroken(const boost::system::error_code &error)
+{
+    const auto address = addressOf(permit_->endpoint());
+    assert(address && "the attempt was connected");
+    probing_ = true;
+    probeEndpoint(executor_, *address, poolKind_, [self = shared_from_this(), error](ProbeResult result) {
+        self->probing_ = false;
+        const bool crashed = result == ProbeResult::Crashed;
+        self->end({.outcome = crashed ? AttemptOutcome::EndpointFailed : AttemptOutcome::ConnectionLost,
+            .reason = (crashed ? "the endpoint crashed: " : "the connection broke: ") + error.message()});
+    });
+}
+
 void Attempt::onWholeResponse()
 {
     const unsigned status = response_.result_int();
--- a/test/WholeAnswer/WholeAnswerTest.cpp
+++ b/test/WholeAnswer/WholeAnswerTest.cpp
@@ -97,6 +97,23 @@
     expectWhole(calls.wait());
 }
 
+// Guards against taking broken connections for crashes and refusing the streams that were cut, and against answers that
+// miss or repeat tokens where they were cut.
+TEST(WholeAnswer, CutConnections)
+{
+    DeploymentOptions options = fourEngines();
+    options.proxies = ProxyUse::Endpoints;
+    Deployment deployment(options);
+    for (std::size_t index = 0; index < deployment.engineCount(); ++index) {
+        // More than a page of state, a fraction of an answer.
+        deployment.setFaults(deployment.engine(index).id, {{"resetAfterBytesToClient", 3'000}});
+    }
+    ParallelCalls calls(makeCalls(deployment));
+    expectWhole(calls.wait());
+    const std::string metrics = send({.port = deployment.router(0).adminPort, .method = "GET", .target = "/metrics"}).body;
+    EXPECT_NE(metrics.find("mulberrywall_resumes_total"), std::string::npos) << "no stream was cut, so that the test shows nothing";
+}
+
 // Guards against streams that hang with a paused engine, and against its late tokens after the stream moved on.
 TEST(WholeAnswer, EnginePause)
 {
--- a/unittests/Policy/CrashSuspectsTest.cpp
+++ b/unittests/Policy/CrashSuspectsTest.cpp
@@ -53,6 +53,52 @@
     EXPECT_EQ(submit(submissionWith(4, 77), 300ms + 10min).grants.size(), 1U) << "an echo of the suspicion must not prolong it";
 }
 
+// Guards against refusing a stream that happened to run on two endpoints that crashed for other reasons, and against a
+// request that gets past the place of each crash and crashes endpoints without end.
+TEST_F(CrashSuspectsTest, OutlivedCrashesCountLess)
+{
+    start({}, endpoints(4, 4));
+    const auto resume = [&](PermitId permit, std::chrono::milliseconds time) {
+        Submission submission = submissionWith(permit, 77);
+        submission.purpose = AttemptPurpose::Resume;
+        return submit(submission, time);
+    };
+    submit(submissionWith(1, 77));
+    complete(1, 100ms, {.outcome = AttemptOutcome::EndpointFailed, .outputTokens = 30});
+    ASSERT_EQ(resume(2, 200ms).grants.size(), 1U);
+    complete(2, 300ms, {.outcome = AttemptOutcome::EndpointFailed, .outputTokens = 10});
+    EXPECT_EQ(functions.suspects(pool.get()).at(0).crashes, 1U) << "other owners must not refuse it either";
+    ASSERT_EQ(resume(3, 400ms).grants.size(), 1U);
+    complete(3, 500ms, {.outcome = AttemptOutcome::EndpointFailed, .outputTokens = 10});
+    const Decisions refused = resume(4, 600ms);
+    ASSERT_EQ(refused.refusals.size(), 1U);
+    EXPECT_EQ(refused.refusals[0].reason, RefusalReason::CrashSuspect);
+    EXPECT_EQ(functions.suspects(pool.get()).at(0).crashes, 2U);
+}
+
+// Guards against sparing a request that starts over and crashes each endpoint at the same place of its answer.
+TEST_F(CrashSuspectsTest, RefusedForCrashesAtTheSamePlace)
+{
+    start({}, endpoints(4, 4));
+    submit(submissionWith(1, 77));
+    complete(1, 100ms, {.outcome = AttemptOutcome::EndpointFailed, .outputTokens = 30});
+    submit(submissionWith(2, 77), 200ms);
+    complete(2, 300ms, {.outcome = AttemptOutcome::EndpointFailed, .outputTokens = 31});
+    EXPECT_EQ(submit(submissionWith(3, 77), 400ms).refusals.size(), 1U);
+}
+
+// Guards against suspecting requests whose connection broke while their endpoint went on.
+TEST_F(CrashSuspectsTest, LostConnectionsAreNoCrashes)
+{
+    start({}, endpoints(2, 4));
+    for (PermitId permit = 1; permit <= 3; ++permit) {
+        const std::chrono::milliseconds time = permit * 10s;
+        ASSERT_EQ(submit(submissionWith(permit, 77), time).grants.size(), 1U);
+        complete(permit, time + 1s, {.outcome = AttemptOutcome::ConnectionLost});
+    }
+    EXPECT_TRUE(functions.suspects(pool.get()).empty());
+}
+
 // Guards against a crash being counted once for each request that reports it.
 TEST_F(CrashSuspectsTest, OneCrashCountsOnceForAllRequestsOnTheEndpoint)
 {
