policy: serve requests that missed their target after those that can still meet it

Cause: within a tier the earliest target went first, so that under overload requests that were late already made the ones behind them late as well. Ruled out: refusing late requests, which would refuse a higher tier while a lower one runs. Change: fairCandidate prefers heads whose target lies ahead; late ones follow, and the minimum share still takes the oldest.

--- a/lib/Policy/FairShare.cpp
+++ b/lib/Policy/FairShare.cpp
@@ -41,14 +41,29 @@
     double virtualTime = 0.0;
 };
 
-std::optional<WaitingKey> firstUnblocked(const OrganisationQueue &waiting, support::Tier tier, Lane lane, const BlockedRequests &blocked)
+/// The heads of a tier in the order in which they are considered.
+struct Heads
 {
-    if (blocked.lanes.contains({tier, lane})) {
-        return std::nullopt;
+    std::vector<Head> resumes;
+    std::vector<Head> onTime;
+    /// Their target has passed. Serving them first, as the earliest target would have it, makes under overload every
+    /// request late that waits behind them.
+    std::vector<Head> late;
+};
+
+/// Returns the first request due at the time or later, or else the first of all.
+std::optional<WaitingKey> firstUnblocked(const OrganisationQueue &waiting, TimePoint due, const BlockedRequests &blocked)
+{
+    const auto unblocked = [&](const WaitingKey &key) {
+        return !blocked.permits.contains(key.permit);
+    };
+    const auto onTime = waiting.byTarget.lower_bound({.time = due});
+    auto first = std::find_if(onTime, waiting.byTarget.end(), unblocked);
+    if (first == waiting.byTarget.end()) {
+        first = std::find_if(waiting.byTarget.begin(), onTime, unblocked);
+        return first == onTime ? std::nullopt : std::optional(*first);
     }
-    const auto first
-        = std::find_if(waiting.byTarget.begin(), waiting.byTarget.end(), [&](const WaitingKey &key) { return !blocked.permits.contains(key.permit); });
-    return first == waiting.byTarget.end() ? std::nullopt : std::optional(*first);
+    return *first;
 }
 
 std::optional<PermitId> earliestEligible(const std::vector<Head> &heads, double allowance)
@@ -131,17 +146,20 @@
     const auto known = pool.fairShares.find(tier);
     const FairShares &shares = known == pool.fairShares.end() ? noShares : known->second;
 
-    std::vector<Head> resumes;
-    std::vector<Head> others;
+    Heads heads;
     for (const auto &[key, waiting] : queue->second.organisations) {
-        if (const auto first = firstUnblocked(waiting, tier, key.first, blocked)) {
-            std::vector<Head> &heads = key.first == Lane::Resume ? resumes : others;
-            heads.push_back({.key = *first, .virtualTime = virtualTime(shares, key.second)});
+        if (blocked.lanes.contains({tier, key.first})) {
+            continue;
+        }
+        if (const auto first = firstUnblocked(waiting, pool.now, blocked)) {
+            std::vector<Head> &list = key.first == Lane::Resume ? heads.resumes : first->time >= pool.now ? heads.onTime : heads.late;
+            list.push_back({.key = *first, .virtualTime = virtualTime(shares, key.second)});
         }
     }
     const double requestWork = valueOr(pool.lengths.medianWork, pool.options.tuning.length.defaultOutputTokens);
     const double allowance = pool.options.tuning.fairShare.allowanceInRequests * requestWork;
-    const auto permit = earliestEligible(resumes.empty() ? others : resumes, allowance);
+    const std::vector<Head> &considered = !heads.resumes.empty() ? heads.resumes : !heads.onTime.empty() ? heads.onTime : heads.late;
+    const auto permit = earliestEligible(considered, allowance);
     return permit ? &pool.queue.requests.at(*permit) : nullptr;
 }
 
