router: let a crash suspicion end everywhere when it ends where it began

Cause: each owner announced the suspects that it had learnt from others with a fresh 10 minutes every 500 ms, so that two owners could keep a suspicion alive for ever. A suspect learnt from a peer reached waiting requests only with the pool's next command. ConfigurationWatcher rendered the whole document, about 1 MB at the target size, for each peer that asked. Ruled out: a flag for learnt suspects that are not announced again; gossip would lose them with their first owner. Before: CrashSuspectsTest.LearntSuspicionEndsWithTheFirstOwners could not be written against the old interface, which knew neither end nor decisions. After: it passes, with the 99 tests of policy, permits, configuration and crashes.

--- a/include/mulberrywall/Permits/PoolOwner.h
+++ b/include/mulberrywall/Permits/PoolOwner.h
@@ -57,7 +57,7 @@
     /// Released tells all waiting requests that the pool has moved to the given router.
     void setOwnership(OwnershipState ownership, const support::InstanceId &newOwner);
     void recordLoadReport(const policy::LoadReport &report);
-    void recordSuspect(policy::Fingerprint fingerprint, unsigned crashes);
+    void recordSuspect(const policy::SuspectEntry &suspect);
 
     // Queries
     [[nodiscard]] OwnershipState ownership() const;
@@ -115,7 +115,7 @@
     void configure(const configuration::SiteConfiguration &configuration);
     void setLeaving(std::set<support::EndpointId> leaving);
     /// Tells all pools that a request crashed endpoints elsewhere.
-    void recordSuspect(policy::Fingerprint fingerprint, unsigned crashes);
+    void recordSuspect(const policy::SuspectEntry &suspect);
     /// Asks in this process, as owner of the pool.
     AcquireTicket acquire(PermitRequest request, PermitHandler handler);
 
--- a/include/mulberrywall/Policy/CrashSuspects.h
+++ b/include/mulberrywall/Policy/CrashSuspects.h
@@ -33,8 +33,9 @@
 /// Clears the suspicion against a request that has run to its end.
 void noteSuspectCompleted(Pool &pool, const ActiveRequest &request);
 
-/// Learns of a suspect from another owner. Hearing the same again does not prolong the suspicion.
-void learnSuspect(Pool &pool, Fingerprint fingerprint, unsigned crashes, TimePoint now);
+/// Learns of a suspect from another owner. The suspicion ends when it ends there, and hearing the same again does not
+/// prolong it; owners that prolonged it by what they tell each other would never forget.
+void learnSuspect(Pool &pool, const SuspectEntry &learnt, TimePoint now);
 
 /// Returns the endpoint for a suspect, or nullptr when it has to wait.
 ///
--- a/include/mulberrywall/Policy/PolicyFunctions.h
+++ b/include/mulberrywall/Policy/PolicyFunctions.h
@@ -35,7 +35,7 @@
     Decisions (*recordLoadReport)(void *pool, const LoadReport &report, TimePoint now);
     Decisions (*adopt)(void *pool, const RunningRequest &running, TimePoint now);
     /// Learns from another router that a request crashed endpoints.
-    void (*recordSuspect)(void *pool, Fingerprint fingerprint, unsigned crashes, TimePoint now);
+    Decisions (*recordSuspect)(void *pool, const SuspectEntry &suspect, TimePoint now);
     /// Does what time alone makes due.
     Decisions (*advance)(void *pool, TimePoint now);
     /// Ends the reduced limit of a pool that was taken over, for example because all ingresses have told their permits.
--- a/include/mulberrywall/Router/ConfigurationWatcher.h
+++ b/include/mulberrywall/Router/ConfigurationWatcher.h
@@ -88,6 +88,10 @@
     bool stopped_ = false;
     mutable std::mutex mutex_;
     RevisionPtr held_;
+    /// Guards the document and is never held together with the other mutex.
+    mutable std::mutex documentMutex_;
+    /// Kept because a document has about 1 MB at the target size, and after a change many peers ask for the same one.
+    mutable permits::ConfigurationDocument document_;
 };
 
 } // namespace mulberrywall::router
--- a/lib/Permits/PoolOwner.cpp
+++ b/lib/Permits/PoolOwner.cpp
@@ -136,10 +136,9 @@
     return permit;
 }
 
-void OwnedPool::recordSuspect(policy::Fingerprint fingerprint, unsigned crashes)
+void OwnedPool::recordSuspect(const policy::SuspectEntry &suspect)
 {
-    const std::scoped_lock lock(mutex_);
-    functions_.recordSuspect(pool_.get(), fingerprint, crashes, now());
+    execute([&] { return functions_.recordSuspect(pool_.get(), suspect, now()); });
 }
 
 AcquireTicket OwnedPool::acquire(PermitRequest request, OwnerHandler handler)
@@ -331,10 +330,10 @@
     updateEndpoints();
 }
 
-void PoolTable::recordSuspect(policy::Fingerprint fingerprint, unsigned crashes)
+void PoolTable::recordSuspect(const policy::SuspectEntry &suspect)
 {
     for (const auto &[id, pool] : pools()) {
-        pool->recordSuspect(fingerprint, crashes);
+        pool->recordSuspect(suspect);
     }
 }
 
--- a/lib/Policy/CrashSuspects.cpp
+++ b/lib/Policy/CrashSuspects.cpp
@@ -270,16 +270,17 @@
     }
 }
 
-void learnSuspect(Pool &pool, Fingerprint fingerprint, unsigned crashes, TimePoint now)
+void learnSuspect(Pool &pool, const SuspectEntry &learnt, TimePoint now)
 {
     removeExpired(pool, now);
-    const auto known = pool.suspects.byFingerprint.find(fingerprint);
-    if (known != pool.suspects.byFingerprint.end() && known->second.crashes >= crashes) {
+    const TimePoint crashAt = std::min(now, learnt.expiresAt - tuningOf(pool).expiry);
+    const auto known = pool.suspects.byFingerprint.find(learnt.fingerprint);
+    if (learnt.expiresAt <= now || (known != pool.suspects.byFingerprint.end() && known->second.crashes >= learnt.crashes)) {
         return;
     }
-    if (Suspect *suspect = addSuspect(pool, fingerprint)) {
-        suspect->crashes = crashes;
-        suspect->lastCrashAt = now;
+    if (Suspect *suspect = addSuspect(pool, learnt.fingerprint)) {
+        suspect->crashes = learnt.crashes;
+        suspect->lastCrashAt = std::max(suspect->lastCrashAt, crashAt);
     }
 }
 
--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -337,9 +337,10 @@
     return advance(handle, now);
 }
 
-void recordSuspect(void *handle, Fingerprint fingerprint, unsigned crashes, TimePoint now)
+Decisions recordSuspect(void *handle, const SuspectEntry &suspect, TimePoint now)
 {
-    learnSuspect(beginCommand(handle, now), fingerprint, crashes, now);
+    learnSuspect(beginCommand(handle, now), suspect, now);
+    return advance(handle, now);
 }
 
 Decisions finishTakeover(void *handle, TimePoint now)
--- a/lib/Router/ConfigurationWatcher.cpp
+++ b/lib/Router/ConfigurationWatcher.cpp
@@ -47,7 +47,11 @@
     if (!revision || revision->number < minimumRevision) {
         return std::nullopt;
     }
-    return permits::ConfigurationDocument {.revision = revision->number, .json = configuration::toJson(*revision)};
+    const std::scoped_lock lock(documentMutex_);
+    if (document_.revision < revision->number) {
+        document_ = {.revision = revision->number, .json = configuration::toJson(*revision)};
+    }
+    return document_;
 }
 
 RevisionPtr ConfigurationWatcher::held() const
--- a/test/Support/Naive/NaivePolicy.cpp
+++ b/test/Support/Naive/NaivePolicy.cpp
@@ -206,8 +206,9 @@
     return advance(handle, now);
 }
 
-void recordSuspect(void * /*handle*/, Fingerprint /*fingerprint*/, unsigned /*crashes*/, TimePoint /*now*/)
+Decisions recordSuspect(void * /*handle*/, const SuspectEntry & /*suspect*/, TimePoint /*now*/)
 {
+    return {};
 }
 
 std::optional<TimePoint> nextWakeUp(const void *handle)
--- a/unittests/Policy/CrashSuspectsTest.cpp
+++ b/unittests/Policy/CrashSuspectsTest.cpp
@@ -28,6 +28,12 @@
         return all;
     }
 
+    /// Hears from another owner of a request that crashed endpoints just now.
+    Decisions learn(Fingerprint fingerprint, unsigned crashes, std::chrono::milliseconds time)
+    {
+        return functions.recordSuspect(pool.get(), {.fingerprint = fingerprint, .crashes = crashes, .expiresAt = at(time) + CrashTuning {}.expiry}, at(time));
+    }
+
     static std::vector<EndpointSpec> endpoints(unsigned count, unsigned slots)
     {
         std::vector<EndpointSpec> result;
@@ -49,7 +55,7 @@
     const Decisions refused = submit(submissionWith(3, 77), 400ms);
     ASSERT_EQ(refused.refusals.size(), 1U);
     EXPECT_EQ(refused.refusals[0].reason, RefusalReason::CrashSuspect);
-    functions.recordSuspect(pool.get(), 77, 2, at(5min));
+    learn(77, 2, 5min);
     EXPECT_EQ(submit(submissionWith(4, 77), 300ms + 10min).grants.size(), 1U) << "an echo of the suspicion must not prolong it";
 }
 
@@ -120,8 +126,8 @@
     start({}, endpoints(4, 2));
     submit(submissionWith(1, 77));
     submit(submissionWith(2, 0));
-    functions.recordSuspect(pool.get(), 77, 1, at(1ms));
-    functions.recordSuspect(pool.get(), 78, 1, at(1ms));
+    learn(77, 1, 1ms);
+    learn(78, 1, 1ms);
     const Decisions first = submit(submissionWith(3, 77), 2ms);
     ASSERT_EQ(first.grants.size(), 1U);
     const support::EndpointId isolated = first.grants[0].endpoint;
@@ -146,7 +152,7 @@
     for (PermitId permit = 1; permit <= 7; ++permit) {
         submit(submissionWith(permit, permit));
     }
-    functions.recordSuspect(pool.get(), 77, 1, at(1ms));
+    learn(77, 1, 1ms);
     EXPECT_TRUE(submit(submissionWith(8, 77), 2ms).grants.empty());
     EXPECT_TRUE(submit(submissionWith(9, 9), 2ms).grants.empty()) << "the endpoint with a free slot is being emptied";
     bool granted = false;
@@ -165,7 +171,7 @@
     for (PermitId permit = 1; permit <= 7; ++permit) {
         submit(submissionWith(permit, permit));
     }
-    functions.recordSuspect(pool.get(), 77, 1, at(1ms));
+    learn(77, 1, 1ms);
     submit(submissionWith(8, 77), 2ms);
     const Decisions decisions = followWakeUps(2ms + CrashTuning {}.isolationWait);
     ASSERT_EQ(decisions.grants.size(), 1U);
@@ -184,7 +190,7 @@
     progress(2, 10, 1'200ms);
     ASSERT_EQ(functions.suspects(pool.get()).size(), 1U);
     EXPECT_EQ(functions.suspects(pool.get())[0].fingerprint, 77U);
-    functions.recordSuspect(pool.get(), 78, 1, at(1'300ms));
+    learn(78, 1, 1'300ms);
     EXPECT_EQ(functions.suspects(pool.get()).size(), 1U);
     complete(2, 1'400ms, {.outputTokens = 10});
     submit(submissionWith(3, 77), 1'500ms);
@@ -197,8 +203,8 @@
 {
     start({}, endpoints(3, 4));
     submit(submissionWith(1, 77));
-    functions.recordSuspect(pool.get(), 78, 1, at(1ms));
-    functions.recordSuspect(pool.get(), 79, 1, at(1ms));
+    learn(78, 1, 1ms);
+    learn(79, 1, 1ms);
     submit(submissionWith(2, 78), 2ms);
     EXPECT_TRUE(submit(submissionWith(3, 79), 3ms).grants.empty());
     EXPECT_TRUE(progress(2, 5, 1s).grants.empty());
@@ -207,6 +213,24 @@
     EXPECT_EQ(decisions.grants[0].permit, 3U);
 }
 
+// Guards against owners that keep a suspicion alive by telling each other, and against a waiting request that is refused
+// only with the next command.
+TEST_F(CrashSuspectsTest, LearntSuspicionEndsWithTheFirstOwners)
+{
+    start({}, endpoints(1, 1));
+    submit(submissionWith(1, 1));
+    submit(submissionWith(2, 77));
+    const TimePoint end = at(1s);
+    const Decisions decisions = functions.recordSuspect(pool.get(), {.fingerprint = 77, .crashes = 2, .expiresAt = end}, at(1ms));
+    ASSERT_EQ(decisions.refusals.size(), 1U);
+    EXPECT_EQ(decisions.refusals[0].permit, 2U);
+    ASSERT_EQ(functions.suspects(pool.get()).size(), 1U);
+    EXPECT_EQ(functions.suspects(pool.get())[0].expiresAt, end);
+    EXPECT_TRUE(submit(submissionWith(3, 77), 1s).refusals.empty());
+    functions.recordSuspect(pool.get(), {.fingerprint = 77, .crashes = 2, .expiresAt = end}, end);
+    EXPECT_TRUE(functions.suspects(pool.get()).empty());
+}
+
 // Guards against copies of a request that go on crashing endpoints after the verdict, waiting or running.
 TEST_F(CrashSuspectsTest, VerdictReachesWaitingAndRunningCopies)
 {
@@ -214,7 +238,7 @@
     const support::EndpointId first = submit(submissionWith(1, 77)).grants.at(0).endpoint;
     submit(submissionWith(2, 77));
     submit(submissionWith(3, 77));
-    functions.recordSuspect(pool.get(), 77, 1, at(1ms));
+    learn(77, 1, 1ms);
     const Decisions decisions = crash({1}, 10ms);
     ASSERT_EQ(decisions.refusals.size(), 1U);
     EXPECT_EQ(decisions.refusals[0].permit, 3U);
