policy: learn from the times of tokens, not of their reports

Cause: speeds, first-token latencies, silence, crash trials and the proof of survival all used the time at which a report of progress arrived. That holds only while the first progress is reported at once and the rest every 500 ms; reports once a second would add up to a second to each of them.

Change: Progress and Completion carry the ages of the latest and of the first token. The first report already yields a speed. A token from before a crash that is reported late no longer proves that its request survived the crash. SlowEndpointTuning::silence rises from 1 s to 1.5 s, since it has to exceed the interval of the reports.

Ruled out: reports every 500 ms with silence at 1 s, which double the bytes of progress; a message of its own for each first token, which costs as much as the permit's other messages.

Conclusion: a hanging endpoint is noticed up to 0.5 s later than before.

--- a/include/mulberrywall/Policy/ActiveRequests.h
+++ b/include/mulberrywall/Policy/ActiveRequests.h
@@ -12,7 +12,7 @@
 ActiveRequest &adoptRequest(Pool &pool, const RunningRequest &running, TimePoint now);
 
 /// Learns speed, first-token latency and length from the progress of a running request.
-void observeProgress(Pool &pool, ActiveRequest &request, std::uint64_t outputTokens, TimePoint now);
+void observeProgress(Pool &pool, ActiveRequest &request, const Progress &progress, TimePoint now);
 
 /// Learns from the end of a running request.
 void observeCompletion(Pool &pool, ActiveRequest &request, const Completion &completion, TimePoint now);
--- a/include/mulberrywall/Policy/CrashSuspects.h
+++ b/include/mulberrywall/Policy/CrashSuspects.h
@@ -28,7 +28,8 @@
 void noteLengthAtCrash(Pool &pool, ActiveRequest &request);
 
 /// Learns from progress that the request did not run on a crashed process, or that a suspect has passed its trial.
-void noteSuspectProgress(Pool &pool, ActiveRequest &request, TimePoint now);
+/// Call it only for new tokens.
+void noteSuspectProgress(Pool &pool, ActiveRequest &request);
 
 /// Clears the suspicion against a request that has run to its end.
 void noteSuspectCompleted(Pool &pool, const ActiveRequest &request);
--- a/include/mulberrywall/Policy/Tuning.h
+++ b/include/mulberrywall/Policy/Tuning.h
@@ -116,9 +116,9 @@
     std::uint64_t probeTokens = 32;
     std::uint64_t minimumSamples = 5;
     std::chrono::milliseconds observationLifetime {10'000};
-    /// An endpoint whose streams are all silent for longer is judged by the silence. Above the interval at which
-    /// ingresses report progress.
-    std::chrono::milliseconds silence {1'000};
+    /// An endpoint whose streams are all silent for longer is judged by the silence. Above the interval of 1 s at
+    /// which ingresses report progress, with room for late reports of a busy ingress.
+    std::chrono::milliseconds silence {1'500};
 };
 
 /// Hedged attempts.
--- a/include/mulberrywall/Policy/Types.h
+++ b/include/mulberrywall/Policy/Types.h
@@ -106,6 +106,10 @@
 struct Progress
 {
     std::uint64_t outputTokens = 0;
+    /// Ages of the latest and of the first of these tokens. Progress is reported at intervals, which must not enter the
+    /// speeds and first-token latencies that the owner learns.
+    std::chrono::milliseconds sinceLatestToken {0};
+    std::chrono::milliseconds sinceFirstToken {0};
 };
 
 enum class AttemptOutcome : std::uint8_t {
@@ -126,6 +130,9 @@
 {
     AttemptOutcome outcome = AttemptOutcome::Completed;
     std::uint64_t outputTokens = 0;
+    /// Ages of the latest and of the first token, as in Progress.
+    std::chrono::milliseconds sinceLatestToken {0};
+    std::chrono::milliseconds sinceFirstToken {0};
 };
 
 /// What the policy needs to know of a request class.
--- a/lib/Policy/ActiveRequests.cpp
+++ b/lib/Policy/ActiveRequests.cpp
@@ -29,10 +29,10 @@
     }
 }
 
-void observeFirstToken(Pool &pool, const ActiveRequest &request, TimePoint now)
+void observeFirstToken(Pool &pool, const ActiveRequest &request, TimePoint firstAt, TimePoint now)
 {
     if (ClassState *requestClass = findClass(pool, request.submission.requestClass); requestClass != nullptr && !request.adopted) {
-        const double seconds = secondsBetween(request.startedAt, now);
+        const double seconds = secondsBetween(request.startedAt, firstAt);
         observe(requestClass->firstTokenSeconds, seconds, now);
         observe(requestClass->lateFirstTokenSeconds, seconds);
     }
@@ -44,9 +44,9 @@
     endpoint.observedAt = now;
 }
 
-void observeTokens(Pool &pool, ActiveRequest &request, std::uint64_t tokens, TimePoint now)
+void observeTokens(Pool &pool, ActiveRequest &request, std::uint64_t tokens, TimePoint latestAt, TimePoint now)
 {
-    const double secondsPerToken = secondsBetween(request.progressAt, now) / static_cast<double>(tokens);
+    const double secondsPerToken = secondsBetween(request.progressAt, latestAt) / static_cast<double>(tokens);
     observeSpeed(*request.endpoint, secondsPerToken, now);
     if (const ClassState *requestClass = findClass(pool, request.submission.requestClass)) {
         noteTokens(request.endpoint->concurrency, tokens, secondsPerToken, requestClass->spec.betweenTokensTarget);
@@ -56,7 +56,7 @@
 /// A plain service call has no tokens; its duration is compared with the mean of its class.
 void observeCall(Pool &pool, ActiveRequest &request, TimePoint now)
 {
-    observeFirstToken(pool, request, now);
+    observeFirstToken(pool, request, now, now);
     const ClassState *requestClass = findClass(pool, request.submission.requestClass);
     if (requestClass != nullptr && requestClass->holdSeconds.samples > 0 && requestClass->holdSeconds.value > 0.0) {
         observeSpeed(*request.endpoint, secondsBetween(request.startedAt, now) / requestClass->holdSeconds.value, now);
@@ -109,30 +109,40 @@
     return active;
 }
 
-void observeProgress(Pool &pool, ActiveRequest &request, std::uint64_t outputTokens, TimePoint now)
+void observeProgress(Pool &pool, ActiveRequest &request, const Progress &progress, TimePoint now)
 {
-    if (outputTokens <= request.outputTokens) {
+    if (progress.outputTokens <= request.outputTokens) {
         return;
     }
     const LengthTuning &tuning = pool.options.tuning.length;
+    const TimePoint latestAt = std::max(request.progressAt, now - progress.sinceLatestToken);
+    std::uint64_t knownTokens = request.outputTokens;
     startTokenUnits(pool);
-    if (request.outputTokens == 0) {
-        observeFirstToken(pool, request, now);
-        request.firstTokens = outputTokens;
-        request.firstProgressAt = now;
-    } else if (now > request.progressAt) {
-        observeTokens(pool, request, outputTokens - request.outputTokens, now);
-    }
-    request.outputTokens = outputTokens;
-    request.progressAt = now;
+    if (knownTokens == 0) {
+        const TimePoint firstAt = std::clamp(now - progress.sinceFirstToken, request.progressAt, latestAt);
+        observeFirstToken(pool, request, firstAt, now);
+        // Tokens of one time tell nothing about the time between them.
+        request.firstTokens = firstAt < latestAt ? 1 : progress.outputTokens;
+        request.firstProgressAt = firstAt;
+        request.progressAt = firstAt;
+        knownTokens = request.firstTokens;
+    }
+    if (latestAt > request.progressAt && progress.outputTokens > knownTokens) {
+        observeTokens(pool, request, progress.outputTokens - knownTokens, latestAt, now);
+    }
+    request.outputTokens = progress.outputTokens;
+    request.progressAt = latestAt;
     noteSuccess(*request.endpoint, now);
-    recordRunningLength(pool.lengths, request.submission, outputTokens, request.lengthObservation, tuning);
-    setWork(request, expectedRemainingTokens(lengthEstimate(pool.lengths, request.submission, tuning), outputTokens, tuning));
+    recordRunningLength(pool.lengths, request.submission, progress.outputTokens, request.lengthObservation, tuning);
+    setWork(request, expectedRemainingTokens(lengthEstimate(pool.lengths, request.submission, tuning), progress.outputTokens, tuning));
 }
 
 void observeCompletion(Pool &pool, ActiveRequest &request, const Completion &completion, TimePoint now)
 {
-    observeProgress(pool, request, completion.outputTokens, now);
+    observeProgress(pool,
+        request,
+        {.outputTokens = completion.outputTokens, .sinceLatestToken = completion.sinceLatestToken, .sinceFirstToken = completion.sinceFirstToken},
+        now);
     if (completion.outcome == AttemptOutcome::NotRun) {
         noteRefused(request.endpoint->concurrency);
     }
--- a/lib/Policy/CrashSuspects.cpp
+++ b/lib/Policy/CrashSuspects.cpp
@@ -237,13 +237,11 @@
     }
 }
 
-void noteSuspectProgress(Pool &pool, ActiveRequest &request, TimePoint now)
+void noteSuspectProgress(Pool &pool, ActiveRequest &request)
 {
-    if (request.progressAt != now) {
-        return;
-    }
     noteOutlivedCrash(pool, request);
-    if (request.crashNotedAt && now - *request.crashNotedAt >= tuningOf(pool).survivalProof) {
+    // The time of the token counts: a report may come long after a token that preceded the crash.
+    if (request.crashNotedAt && request.progressAt - *request.crashNotedAt >= tuningOf(pool).survivalProof) {
         clearOneCrash(pool, request.submission.fingerprint);
         request.crashNotedAt.reset();
     }
@@ -255,7 +253,7 @@
     const TimePoint::duration longest = tuningOf(pool).maximumTrial;
     const TimePoint::duration shortest = tuningOf(pool).minimumTrial;
     const TimePoint::duration trial = known ? std::clamp(suspect->second.ranBeforeCrash, shortest, longest) : longest;
-    if (now - request.startedAt > trial) {
+    if (request.progressAt - request.startedAt > trial) {
         endTrial(pool, request);
     }
 }
--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -235,9 +235,12 @@
     Decisions decisions;
     const auto found = pool.active.find(permit);
     if (found != pool.active.end()) {
-        observeProgress(pool, found->second, progress.outputTokens, now);
+        const bool progressed = progress.outputTokens > found->second.outputTokens;
+        observeProgress(pool, found->second, progress, now);
         noteProbeProgress(pool, found->second, now);
-        noteSuspectProgress(pool, found->second, now);
+        if (progressed) {
+            noteSuspectProgress(pool, found->second);
+        }
         if (markLongIfExceeded(pool, found->second)) {
             decisions.priorityChanges.push_back({.permit = permit, .enginePriority = enginePriority(found->second.tier, Lane::Long)});
         }
--- a/unittests/Policy/CrashSuspectsTest.cpp
+++ b/unittests/Policy/CrashSuspectsTest.cpp
@@ -207,6 +207,19 @@
     EXPECT_EQ(decisions.grants[0].permit, 3U);
 }
 
+// Guards against a late report of a token from before a crash that counts as proof of having survived the crash.
+TEST_F(CrashSuspectsTest, OnlyTokensAfterTheCrashProveSurvival)
+{
+    start({}, endpoints(1, 4));
+    submit(submissionWith(1, 77));
+    submit(submissionWith(2, 88));
+    crash({1}, 100ms);
+    functions.recordProgress(pool.get(), 2, {.outputTokens = 5, .sinceLatestToken = 1'250ms}, at(1'300ms));
+    EXPECT_EQ(functions.suspects(pool.get()).size(), 2U);
+    functions.recordProgress(pool.get(), 2, {.outputTokens = 6, .sinceLatestToken = 100ms}, at(1'300ms));
+    EXPECT_EQ(functions.suspects(pool.get()).size(), 1U);
+}
+
 // Guards against copies of a request that go on crashing endpoints after the verdict, waiting or running.
 TEST_F(CrashSuspectsTest, VerdictReachesWaitingAndRunningCopies)
 {
--- a/unittests/Policy/HedgingTest.cpp
+++ b/unittests/Policy/HedgingTest.cpp
@@ -93,4 +93,21 @@
     EXPECT_FALSE(functions.hedgeDelay(pool.get(), support::ClassId("tier1")).has_value());
 }
 
+// Guards against a first-token latency that includes the wait for the next report of progress.
+TEST_F(HedgingTest, DelayIgnoresTheReportInterval)
+{
+    startPool(8);
+    for (PermitId permit = 1; permit <= 100; ++permit) {
+        const std::chrono::milliseconds time = permit * 2s;
+        submit(submissionOf(permit, "tier0"), time);
+        if (permit % 2 == 0) {
+            functions.recordProgress(pool.get(), permit, {.outputTokens = 10, .sinceLatestToken = 20ms, .sinceFirstToken = 950ms}, at(time + 1s));
+        }
+        complete(permit, time + 1s, {.outputTokens = 10, .sinceLatestToken = 20ms, .sinceFirstToken = 950ms});
+    }
+    const auto delay = functions.hedgeDelay(pool.get(), support::ClassId("tier0"));
+    ASSERT_TRUE(delay.has_value());
+    EXPECT_LE(*delay, 100ms);
+}
+
 } // namespace mulberrywall::policy
--- a/unittests/Policy/SlowEndpointsTest.cpp
+++ b/unittests/Policy/SlowEndpointsTest.cpp
@@ -8,7 +8,7 @@
 namespace mulberrywall::policy
 {
 
-/// Runs streams of 20 tokens on endpoints with a given inter-token latency.
+/// Runs streams on endpoints with a given inter-token latency.
 class SlowEndpointsTest : public PolicyFixture
 {
 protected:
@@ -37,11 +37,15 @@
             }
             for (auto &[permit, stream] : std::map<PermitId, Stream>(streams)) {
                 const auto tokens = static_cast<std::uint64_t>((time - stream.startedAt) / interval.at(stream.endpoint));
-                if (tokens >= 20) {
+                if (tokens >= streamTokens) {
                     streams.erase(permit);
-                    note(complete(permit, time, {.outputTokens = 20}));
-                } else if (tokens > 0) {
-                    note(progress(permit, tokens, time));
+                    note(complete(permit, time, {.outputTokens = streamTokens}));
+                } else if (tokens > 0 && time % reportInterval == 0ms) {
+                    const auto age = [&](std::uint64_t token) {
+                        return time - stream.startedAt - token * interval.at(stream.endpoint);
+                    };
+                    const Progress report {.outputTokens = tokens, .sinceLatestToken = age(tokens), .sinceFirstToken = age(1)};
+                    note(functions.recordProgress(pool.get(), permit, report, at(time)));
                 }
             }
             note(functions.advance(pool.get(), at(time)));
@@ -82,6 +86,8 @@
 
     std::map<support::EndpointId, std::chrono::milliseconds> interval;
     std::map<PermitId, Stream> streams;
+    std::uint64_t streamTokens = 20;
+    std::chrono::milliseconds reportInterval {10};
     std::map<support::EndpointId, unsigned> granted;
     std::map<support::EndpointId, unsigned> grantedAnyTier;
     std::chrono::milliseconds time {0};
@@ -138,4 +144,21 @@
     EXPECT_NE(health("e2"), EndpointHealth::Healthy);
 }
 
+// Guards against healthy endpoints that look silent between the reports of an ingress, once a second for all its streams,
+// and against slow and hanging ones that are no longer found.
+TEST_F(SlowEndpointsTest, ReportsOnceASecondSuffice)
+{
+    reportInterval = 1s;
+    streamTokens = 300;
+    startPool(7);
+    runUntil(8s);
+    EXPECT_EQ(largestSlowCount, 0);
+    interval[support::EndpointId("e1")] = 100ms;
+    interval[support::EndpointId("e2")] = 1h;
+    runUntil(14s);
+    EXPECT_NE(health("e1"), EndpointHealth::Healthy);
+    EXPECT_NE(health("e2"), EndpointHealth::Healthy);
+    EXPECT_EQ(largestSlowCount, 2);
+}
+
 } // namespace mulberrywall::policy
