permits: report progress in one message per owner and carry its commands

Reason: each stream sent a call every 500 ms to the owner of its pool, nine tenths of the control traffic. OwnedPool dropped the cancellations and priority changes of the policy, so that a copy of a request that was refused for its crashes went on to the next crash.

Change, progress: an ingress collects the tokens of all its permits once a second and sends each owner one reportProgress with 8 bytes for each permit that has new tokens (number on the connection, new tokens, age of the latest token), and once the age of the first token. Nothing is sent, and the thread of the peer protocol not woken, for single tokens.

Change, commands: the owner's policy reaches the holder of a permit through Permit::command, over the peer protocol through one Holder capability that the ingress passes at login, and also after a takeover. A command that overtakes the answer with its grant waits for it.

Ruled out: a capability with each acquire, which adds to the bytes of every request; packed encoding of the progress list, since one word a permit has few zero bytes left.

Tests: PermitsTests pass; the two new ones ran 20 times each.

--- a/include/mulberrywall/Permits/PeerNetwork.h
+++ b/include/mulberrywall/Permits/PeerNetwork.h
@@ -98,6 +98,9 @@
     std::uint64_t permitsHeld = 0;
     /// Calls that wait in a queue here at the moment.
     std::uint64_t callsWaiting = 0;
+    /// Messages with progress that other routers have sent, and the reports of single permits in them.
+    std::uint64_t progressMessages = 0;
+    std::uint64_t progressOfPermits = 0;
     /// TCP payload of the connections that this router has opened and that are open at the moment.
     std::uint64_t clientBytesSent = 0;
     std::uint64_t clientBytesReceived = 0;
@@ -126,6 +129,8 @@
     virtual void adopt(const Peer &peer, std::vector<Adoption> pools, std::function<void(PeerResult<std::vector<AdoptedPool>>)> handler) = 0;
     /// A revision of 0 in the answer means that the peer has none as high as the given one.
     virtual void fetchConfiguration(const Peer &peer, std::uint64_t minimumRevision, std::function<void(PeerResult<ConfigurationDocument>)> handler) = 0;
+    /// Sends the recorded progress of the permits from other routers, in one message to each owner.
+    virtual void sendProgress() = 0;
     /// Closes all connections and stops listening; handlers of open calls are not called.
     virtual void stop() = 0;
     /// Runs a task in the thread of the peer protocol. For tests that stop the thread for a while.
--- a/include/mulberrywall/Permits/Permit.h
+++ b/include/mulberrywall/Permits/Permit.h
@@ -5,8 +5,10 @@
 
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace mulberrywall::permits
 {
@@ -19,6 +21,12 @@
     policy::Submission submission;
 };
 
+/// What the owner asks of the holder of a permit. The permit numbers are the owner's.
+///
+/// A cancelled request must be stopped and its completion reported; a priority change holds for later attempts too.
+using OwnerCommand = std::variant<policy::Cancellation, policy::PriorityChange>;
+using OwnerCommandHandler = std::function<void(const OwnerCommand &)>;
+
 /// A granted slot on an endpoint. Dropping it frees the slot as cancelled unless finish was called before.
 class Permit
 {
@@ -47,6 +55,12 @@
         return enginePriority_;
     }
 
+    /// Sets who carries out the owner's commands; those that came before are passed on inside the call. Thread-safe.
+    ///
+    /// The handler is called by any thread and must not block.
+    void setCommandHandler(OwnerCommandHandler handler);
+    /// Passes a command of the owner to the holder. Thread-safe.
+    void command(const OwnerCommand &command);
     /// Tells the owner how far the request is. May be called often; the owner is told at a bounded rate.
     void recordProgress(const policy::Progress &progress);
     /// Frees the slot; only the first call counts.
@@ -58,6 +72,11 @@
     Operations operations_;
     bool finished_ = false;
     std::uint64_t outputTokens_ = 0;
+
+    std::mutex mutex_;
+    OwnerCommandHandler commandHandler_;
+    /// Commands from before the handler was set: the owner may send one while the grant is on its way.
+    std::vector<OwnerCommand> waitingCommands_;
 };
 
 /// The owner refused, or no owner could be reached in time; the request has not run.
--- a/include/mulberrywall/Permits/PoolOwner.h
+++ b/include/mulberrywall/Permits/PoolOwner.h
@@ -69,11 +69,8 @@
     {
         OwnerHandler handler;
     };
-    struct Notification
-    {
-        OwnerHandler handler;
-        OwnerAnswer result;
-    };
+    /// Tells a waiting request its result or a holder a command of the policy.
+    using Notification = std::function<void()>;
 
     /// Runs a command of the policy under the lock and delivers its decisions after it.
     template <typename Command>
@@ -82,6 +79,8 @@
     void recordProgress(policy::PermitId permit, const policy::Progress &progress);
     void finish(policy::PermitId permit, const policy::Completion &completion);
     std::vector<Notification> takeNotifications(const policy::Decisions &decisions);
+    static Notification makeAnswer(OwnerHandler handler, OwnerAnswer result);
+    void addCommand(policy::PermitId permit, const OwnerCommand &command, std::vector<Notification> &notifications) const;
     std::shared_ptr<Permit> makePermit(policy::PermitId permit, const support::EndpointId &endpoint, std::uint8_t enginePriority);
     policy::Decisions applyEndpoints();
     void moveWaiters(const support::InstanceId &newOwner, std::vector<Notification> &notifications);
@@ -94,6 +93,8 @@
     mutable std::mutex mutex_;
     policy::PoolHandle pool_;
     std::unordered_map<policy::PermitId, Waiter> waiters_;
+    /// Permits in use, for the commands of the policy.
+    std::unordered_map<policy::PermitId, std::weak_ptr<Permit>> holders_;
     /// Descriptions of all endpoints that requests may still run on.
     std::map<support::EndpointId, configuration::Endpoint> endpoints_;
     std::vector<policy::EndpointSpec> specs_;
--- a/include/mulberrywall/Permits/RoutedPermits.h
+++ b/include/mulberrywall/Permits/RoutedPermits.h
@@ -15,8 +15,9 @@
 {
     OwnershipOptions ownership;
     PeerOptions peers;
-    /// Progress of a permit is reported to the owner at most this often.
-    std::chrono::milliseconds progressInterval {500};
+    /// Progress of all permits is reported at this interval, in one message to each owner. Each message has about 170 B
+    /// besides its permits, which 22 owners allow once a second; policy::SlowEndpointTuning::silence must be longer.
+    std::chrono::milliseconds progressInterval {1'000};
     /// Interval at which owners are compared with the membership, besides each change.
     std::chrono::milliseconds reviewInterval {250};
     /// A peer that could not be reached is left out for this long.
@@ -68,8 +69,12 @@
         /// The owner's permit; empty after the owner was lost.
         std::shared_ptr<Permit> granted;
         support::InstanceId owner;
-        policy::Progress progress;
-        policy::TimePoint reportedAt;
+        std::uint64_t outputTokens = 0;
+        std::uint64_t reportedTokens = 0;
+        policy::TimePoint firstTokenAt;
+        policy::TimePoint latestTokenAt;
+        /// Carries out the commands of the owner, whoever that is at the time.
+        std::weak_ptr<Permit> holder;
         /// Set at the end, for an owner that is just about to take the permit over.
         std::optional<policy::Completion> completion;
         bool adopting = false;
@@ -82,8 +87,11 @@
     AcquireTicket acquire(PermitRequest request, PermitHandler handler);
     std::shared_ptr<Permit> track(
         const support::DataCentreId &dataCentre, const support::InstanceId &owner, const PermitRequest &request, const std::shared_ptr<Permit> &granted);
-    void reportProgress(TrackedPermit &permit, const policy::Progress &progress) const;
-    void finish(TrackedPermit &permit, const policy::Completion &completion);
+    static void passCommands(const std::shared_ptr<Permit> &granted, const std::weak_ptr<Permit> &holder);
+    static void recordProgress(TrackedPermit &permit, const policy::Progress &progress);
+    void reportProgress();
+    void reportProgressLater();
+    void finish(TrackedPermit &permit, const policy::Completion &ended);
     void markUnreachable(const support::InstanceId &instance);
     void peerLost(const support::InstanceId &instance);
     void review();
@@ -100,6 +108,7 @@
     boost::asio::io_context &context_;
     boost::asio::strand<boost::asio::io_context::executor_type> strand_;
     boost::asio::steady_timer timer_;
+    boost::asio::steady_timer progressTimer_;
     PoolTable &pools_;
     MembershipView membership_;
     RoutedOptions options_;
--- a/lib/Permits/Peer.capnp
+++ b/lib/Permits/Peer.capnp
@@ -5,7 +5,7 @@
 
 # First interface of a connection. A wrong secret is an error, and the connection is closed.
 interface Login {
-  login @0 (secret :Text, instance :Text, incarnation :UInt64) -> (peer :Peer);
+  login @0 (secret :Text, instance :Text, incarnation :UInt64, holder :Holder) -> (peer :Peer);
 }
 
 # What one router offers another one after login.
@@ -21,12 +21,39 @@
   fetchConfiguration @2 (minimumRevision :UInt64) -> (revision :UInt64, json :Text);
 
   ping @3 ();
+
+  # Progress of all running requests that have new tokens and whose permits came over this connection.
+  reportProgress @4 (progress :List(PermitProgress), firstTokens :List(FirstToken));
+}
+
+# What an owner asks of a router that holds its permits. One for each connection, since a capability for each permit
+# would add to the bytes of each request. Unknown numbers belong to permits that have ended.
+interface Holder {
+  cancel @0 (permit :UInt32, reason :RefusalReason);
+  changePriority @1 (permit :UInt32, enginePriority :UInt8);
 }
 
 # A slot. Dropping it, or losing the connection, frees the slot as cancelled.
 interface Permit {
-  progress @0 (outputTokens :UInt64);
-  finish @1 (outcome :Outcome, outputTokens :UInt64);
+  # Replaced by Peer.reportProgress; no longer sent or served.
+  obsoleteProgress @0 (outputTokens :UInt64);
+  finish @1 (outcome :Outcome, outputTokens :UInt64, sinceLatestTokenMs :UInt16, sinceFirstTokenMs :UInt16);
+}
+
+# One word, so that a list of them takes 8 bytes for each permit.
+struct PermitProgress {
+  # Number of the permit in Answer or AdoptedPool.
+  permit @0 :UInt32;
+  # Tokens since the last message.
+  newTokens @1 :UInt16;
+  # Age of the latest token.
+  sinceLatestTokenMs @2 :UInt16;
+}
+
+# Sent once, with the first progress of a permit.
+struct FirstToken {
+  permit @0 :UInt32;
+  sinceFirstTokenMs @1 :UInt16;
 }
 
 enum Purpose {
@@ -89,6 +116,8 @@
       permit @0 :Permit;
       endpoint @1 :Endpoint;
       enginePriority @2 :UInt8;
+      # Names the permit on this connection.
+      number @7 :UInt32;
     }
     refused :group {
       reason @3 :RefusalReason;
@@ -116,4 +145,6 @@
   permits @0 :List(Permit);
   # False when the receiver does not own the pool.
   accepted @1 :Bool;
+  # Numbers of the permits, as in Answer.
+  numbers @2 :List(UInt32);
 }
--- a/lib/Permits/PeerClient.cpp
+++ b/lib/Permits/PeerClient.cpp
@@ -10,7 +10,10 @@
 #include <capnp/rpc-twoparty.h>
 #include <kj/debug.h>
 
+#include <algorithm>
 #include <chrono>
+#include <limits>
+#include <utility>
 
 namespace mulberrywall::permits
 {
@@ -33,6 +36,10 @@
     /// Calls under way and permits held.
     unsigned atStake = 0;
     steady_clock::time_point lastUsed = steady_clock::now();
+    /// Shared with the service that the peer calls, which ends some events after the connection.
+    std::shared_ptr<NumberedPermits> permits = std::make_shared<NumberedPermits>();
+    /// Permits with progress that was not sent yet.
+    std::vector<std::uint64_t> progressed;
 
     [[nodiscard]] ConnectionKey key() const
     {
@@ -52,8 +59,56 @@
 {
     Connection *connection;
     rpc::Permit::Client service;
+    std::uint32_t number = 0;
+    /// As sent to the owner.
+    std::uint64_t sentTokens = 0;
+    policy::Progress progress;
+    bool progressed = false;
 };
 
+/// Carries the commands of an owner to the permits that came from it.
+class PeerClient::HolderService final : public rpc::Holder::Server
+{
+public:
+    explicit HolderService(std::shared_ptr<NumberedPermits> permits)
+        : permits_(std::move(permits))
+    {
+    }
+
+    kj::Promise<void> cancel(CancelContext context) override
+    {
+        const auto params = context.getParams();
+        return pass(params.getPermit(), policy::Cancellation {.reason = fromWire(params.getReason())});
+    }
+
+    kj::Promise<void> changePriority(ChangePriorityContext context) override
+    {
+        const auto params = context.getParams();
+        return pass(params.getPermit(), policy::PriorityChange {.enginePriority = params.getEnginePriority()});
+    }
+
+private:
+    kj::Promise<void> pass(std::uint32_t number, const OwnerCommand &command)
+    {
+        // Last, because the answer that grants the permit may have been received but not processed yet.
+        return kj::evalLast([permits = permits_, number, command] {
+            const auto found = permits->find(number);
+            const auto permit = found == permits->end() ? nullptr : found->second.lock();
+            if (permit) {
+                permit->command(command);
+            }
+        });
+    }
+
+    std::shared_ptr<NumberedPermits> permits_;
+};
+
+/// Longer ages are sent as the longest one.
+static std::uint16_t toWireMs(std::chrono::milliseconds age)
+{
+    return static_cast<std::uint16_t>(std::clamp<std::int64_t>(age.count(), 0, std::numeric_limits<std::uint16_t>::max()));
+}
+
 PeerClient::PeerClient(RpcLoop &loop, boost::asio::io_context &context, const PeerOptions &options, const PeerHandlers &handlers, PermitMaker makePermit)
     : loop_(loop),
       context_(context),
@@ -112,6 +167,7 @@
         request.setSecret(options_.secret.c_str());
         request.setInstance(options_.instance.value().c_str());
         request.setIncarnation(options_.incarnation);
+        request.setHolder(kj::heap<HolderService>(connection.permits));
         return request.send();
     });
     return timer.timeoutAfter(toKj(options_.pingTimeout), kj::mv(connected)).then([&connection](capnp::Response<rpc::Login::LoginResults> &&response) {
@@ -206,12 +262,14 @@
 }
 
 template <typename Reader>
-std::shared_ptr<Permit> PeerClient::hold(Connection &connection, Reader permit, configuration::Endpoint endpoint, std::uint8_t enginePriority)
+std::shared_ptr<Permit> PeerClient::hold(Connection &connection, Reader permit, PermitAnswer answer)
 {
-    const std::uint64_t number = ++lastPermit_;
-    permits_.emplace(number, HeldPermit {.connection = &connection, .service = permit});
+    const std::uint64_t key = ++lastPermit_;
+    permits_.emplace(key, HeldPermit {.connection = &connection, .service = permit, .number = answer.number, .sentTokens = answer.outputTokens});
     ++connection.atStake;
-    return makePermit_(number, std::move(endpoint), enginePriority);
+    auto held = makePermit_(key, std::move(answer.endpoint), answer.enginePriority);
+    connection.permits->insert_or_assign(answer.number, held);
+    return held;
 }
 
 void PeerClient::acquire(std::uint64_t call,
@@ -228,7 +286,9 @@
         switch (answer.which()) {
         case rpc::Answer::GRANTED: {
             const auto granted = answer.getGranted();
-            return hold(connection, granted.getPermit(), decode(granted.getEndpoint()), granted.getEnginePriority());
+            return hold(connection,
+                granted.getPermit(),
+                {.number = granted.getNumber(), .endpoint = decode(granted.getEndpoint()), .enginePriority = granted.getEnginePriority()});
         }
         case rpc::Answer::REFUSED: {
             const auto refused = answer.getRefused();
@@ -255,25 +315,28 @@
     Connection &connection = connectionTo(peer);
     auto message = connection.service.adoptRequest();
     auto list = message.initPools(pools.size());
-    std::vector<std::vector<support::EndpointId>> endpoints;
+    std::vector<std::vector<PermitAnswer>> expected;
     for (unsigned index = 0; index < list.size(); ++index) {
         encode(pools[index], list[index]);
-        endpoints.emplace_back();
+        expected.emplace_back();
         for (const Adoption::Running &running : pools[index].requests) {
-            endpoints.back().push_back(running.endpoint);
+            expected.back().push_back({.endpoint = {.id = running.endpoint}, .outputTokens = running.progress.outputTokens});
         }
     }
-    const auto decodeAnswer = [this, &connection, endpoints = std::move(endpoints)](const capnp::Response<rpc::Peer::AdoptResults> &response) {
-        std::vector<AdoptedPool> adopted(endpoints.size());
+    const auto decodeAnswer = [this, &connection, expected = std::move(expected)](const capnp::Response<rpc::Peer::AdoptResults> &response) {
+        std::vector<AdoptedPool> adopted(expected.size());
         const auto answers = response.getAdopted();
         for (unsigned index = 0; index < std::min<std::size_t>(answers.size(), adopted.size()); ++index) {
             const auto permits = answers[index].getPermits();
-            if (!answers[index].getAccepted() || permits.size() != endpoints[index].size()) {
+            const auto numbers = answers[index].getNumbers();
+            if (!answers[index].getAccepted() || permits.size() != expected[index].size() || numbers.size() != permits.size()) {
                 continue;
             }
             adopted[index].emplace();
             for (unsigned position = 0; position < permits.size(); ++position) {
-                adopted[index]->push_back(hold(connection, rpc::Permit::Client(permits[position]), {.id = endpoints[index][position]}, 0));
+                PermitAnswer permit = expected[index][position];
+                permit.number = numbers[position];
+                adopted[index]->push_back(hold(connection, rpc::Permit::Client(permits[position]), std::move(permit)));
             }
         }
         return adopted;
@@ -299,8 +362,56 @@
     if (found == permits_.end()) {
         return;
     }
-    auto message = found->second.service.progressRequest();
-    message.setOutputTokens(progress.outputTokens);
+    HeldPermit &held = found->second;
+    held.progress = progress;
+    if (!std::exchange(held.progressed, true)) {
+        held.connection->progressed.push_back(permit);
+    }
+}
+
+void PeerClient::sendProgress()
+{
+    for (auto &[key, connection] : connections_) {
+        sendProgressTo(*connection);
+    }
+}
+
+void PeerClient::sendProgressTo(Connection &connection)
+{
+    std::vector<HeldPermit *> changed;
+    std::vector<const HeldPermit *> started;
+    for (const std::uint64_t permit : std::exchange(connection.progressed, {})) {
+        const auto found = permits_.find(permit);
+        if (found == permits_.end()) {
+            continue;
+        }
+        found->second.progressed = false;
+        if (found->second.progress.outputTokens > found->second.sentTokens) {
+            changed.push_back(&found->second);
+        }
+        if (found->second.sentTokens == 0) {
+            started.push_back(&found->second);
+        }
+    }
+    if (changed.empty()) {
+        return;
+    }
+    auto message = connection.service.reportProgressRequest();
+    auto list = message.initProgress(changed.size());
+    for (unsigned index = 0; index < list.size(); ++index) {
+        HeldPermit &held = *changed[index];
+        // More tokens than fit are sent with the next progress.
+        const std::uint64_t newTokens = std::min<std::uint64_t>(held.progress.outputTokens - held.sentTokens, std::numeric_limits<std::uint16_t>::max());
+        held.sentTokens += newTokens;
+        list[index].setPermit(held.number);
+        list[index].setNewTokens(static_cast<std::uint16_t>(newTokens));
+        list[index].setSinceLatestTokenMs(toWireMs(held.progress.sinceLatestToken));
+    }
+    auto firstTokens = message.initFirstTokens(started.size());
+    for (unsigned index = 0; index < firstTokens.size(); ++index) {
+        firstTokens[index].setPermit(started[index]->number);
+        firstTokens[index].setSinceFirstTokenMs(toWireMs(started[index]->progress.sinceFirstToken));
+    }
     tasks_.add(message.send().ignoreResult());
 }
 
@@ -313,8 +424,11 @@
     auto message = found->second.service.finishRequest();
     message.setOutcome(toWire(completion.outcome));
     message.setOutputTokens(completion.outputTokens);
+    message.setSinceLatestTokenMs(toWireMs(completion.sinceLatestToken));
+    message.setSinceFirstTokenMs(toWireMs(completion.sinceFirstToken));
     tasks_.add(message.send().ignoreResult());
     --found->second.connection->atStake;
+    found->second.connection->permits->erase(found->second.number);
     permits_.erase(found);
 }
 
--- a/lib/Permits/PeerClient.h
+++ b/lib/Permits/PeerClient.h
@@ -33,7 +33,9 @@
     void adopt(std::uint64_t call, const Peer &peer, const std::vector<Adoption> &pools, std::function<void(PeerResult<std::vector<AdoptedPool>>)> handler);
     void fetchConfiguration(
         std::uint64_t call, const Peer &peer, std::uint64_t minimumRevision, std::function<void(PeerResult<ConfigurationDocument>)> handler);
+    /// Keeps the progress until sendProgress.
     void recordProgress(std::uint64_t permit, const policy::Progress &progress);
+    void sendProgress();
     void finish(std::uint64_t permit, const policy::Completion &completion);
     void addTraffic(PeerCounters &counters);
 
@@ -41,6 +43,16 @@
     struct Connection;
     struct Call;
     struct HeldPermit;
+    class HolderService;
+    /// Permits by their numbers on one connection.
+    using NumberedPermits = std::unordered_map<std::uint32_t, std::weak_ptr<Permit>>;
+    struct PermitAnswer
+    {
+        std::uint32_t number = 0;
+        configuration::Endpoint endpoint;
+        std::uint8_t enginePriority = 0;
+        std::uint64_t outputTokens = 0;
+    };
     using ConnectionKey = std::pair<support::InstanceId, boost::asio::ip::tcp::endpoint>;
 
     void taskFailed(kj::Exception &&exception) override;
@@ -52,7 +64,8 @@
     void start(std::uint64_t call, Connection &connection, Request request, Decode decodeAnswer, std::function<void(PeerResult<Answer>)> handler);
     void end(std::uint64_t call);
     template <typename Reader>
-    std::shared_ptr<Permit> hold(Connection &connection, Reader permit, configuration::Endpoint endpoint, std::uint8_t enginePriority);
+    std::shared_ptr<Permit> hold(Connection &connection, Reader permit, PermitAnswer answer);
+    void sendProgressTo(Connection &connection);
 
     RpcLoop &loop_;
     boost::asio::io_context &context_;
--- a/lib/Permits/PeerNetwork.cpp
+++ b/lib/Permits/PeerNetwork.cpp
@@ -71,6 +71,11 @@
                      PeerClient &client) mutable { client.fetchConfiguration(call, peer, minimumRevision, std::move(handler)); });
     }
 
+    void sendProgress() override
+    {
+        inClient([](PeerClient &client) { client.sendProgress(); });
+    }
+
     void stop() override
     {
         loop_.runAndWait([this] {
@@ -111,19 +116,30 @@
             [weak = weak_from_this()](std::uint64_t permit, configuration::Endpoint endpoint, std::uint8_t enginePriority) {
                 return makePermit(weak, permit, std::move(endpoint), enginePriority);
             });
-        server_ = kj::heap<PeerServer>(loop_, options_, handlers_, [weak = weak_from_this()](std::uint64_t call, OwnerAnswer answer) {
-            if (const auto self = weak.lock()) {
-                self->deliver(call, std::move(answer));
-            }
-        });
+        const PeerServer::Routes routes {
+            .answer =
+                [weak = weak_from_this()](std::uint64_t call, OwnerAnswer answer) {
+                    if (const auto self = weak.lock()) {
+                        self->inServer([call, answer = std::move(answer)](PeerServer &server) mutable { server.deliver(call, std::move(answer)); });
+                    }
+                },
+            .command =
+                [weak = weak_from_this()](std::uint64_t session, std::uint32_t permit, const OwnerCommand &command) {
+                    if (const auto self = weak.lock()) {
+                        self->inServer([session, permit, command](PeerServer &server) { server.command(session, permit, command); });
+                    }
+                },
+        };
+        server_ = kj::heap<PeerServer>(loop_, options_, handlers_, routes);
         return server_->listen();
     }
 
-    void deliver(std::uint64_t call, OwnerAnswer answer)
+    template <typename Task>
+    void inServer(Task task)
     {
-        loop_.post([this, call, answer = std::move(answer)]() mutable {
+        loop_.post([this, task = std::move(task)]() mutable {
             if (server_.get() != nullptr) {
-                server_->deliver(call, std::move(answer));
+                task(*server_);
             }
         });
     }
--- a/lib/Permits/PeerServer.cpp
+++ b/lib/Permits/PeerServer.cpp
@@ -31,16 +31,30 @@
 {
     const PeerOptions &options;
     const PeerHandlers &handlers;
-    AnswerRoute route;
+    Routes routes;
     PeerCounters counters;
     std::uint64_t lastCall = 0;
+    std::uint64_t lastSession = 0;
+    std::unordered_map<std::uint64_t, Session *> sessions;
     std::unordered_map<std::uint64_t, kj::Own<kj::PromiseFulfiller<kj::Own<OwnerAnswer>>>> calls;
 };
 
 /// What is known of the router at the other end of a connection.
 struct PeerServer::Session
 {
+    struct HeldPermit
+    {
+        std::shared_ptr<Permit> permit;
+        /// As reported so far.
+        std::uint64_t outputTokens = 0;
+    };
+
+    std::uint64_t number = 0;
     support::InstanceId instance;
+    std::uint32_t lastPermit = 0;
+    std::unordered_map<std::uint32_t, HeldPermit> permits;
+    /// Set by the login and dropped with the connection.
+    kj::Maybe<rpc::Holder::Client> holder;
     steady_clock::time_point lastHeard = steady_clock::now();
     bool loggedIn = false;
     bool refused = false;
@@ -50,13 +64,19 @@
 
 struct PeerServer::Connection
 {
-    Connection(PeerServer &server, kj::Own<kj::AsyncIoStream> acceptedStream, capnp::Capability::Client bootstrap, const capnp::ReaderOptions &options)
+    Connection(PeerServer &server,
+        std::shared_ptr<Session> peerSession,
+        kj::Own<kj::AsyncIoStream> acceptedStream,
+        capnp::Capability::Client bootstrap,
+        const capnp::ReaderOptions &options)
         : owner(server),
+          session(std::move(peerSession)),
           stream(kj::mv(acceptedStream)),
           network(*stream, capnp::rpc::twoparty::Side::SERVER, options),
           rpcSystem(capnp::makeRpcServer(network, kj::mv(bootstrap)))
     {
         ++owner.connections_;
+        owner.shared_->sessions.emplace(session->number, session.get());
     }
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
@@ -64,10 +84,14 @@
     Connection &operator=(Connection &&) = delete;
     ~Connection()
     {
+        owner.shared_->sessions.erase(session->number);
+        // The session is kept by services that the connection has given out, and must not keep the connection in turn.
+        session->holder = nullptr;
         --owner.connections_;
     }
 
     PeerServer &owner;
+    std::shared_ptr<Session> session;
     kj::Own<kj::AsyncIoStream> stream;
     capnp::TwoPartyVatNetwork network;
     capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpcSystem;
@@ -76,11 +100,15 @@
 class PeerServer::PermitService final : public rpc::Permit::Server
 {
 public:
-    PermitService(std::shared_ptr<Shared> shared, std::shared_ptr<Session> session, std::shared_ptr<Permit> permit)
+    PermitService(std::shared_ptr<Shared> shared, std::shared_ptr<Session> session, std::shared_ptr<Permit> permit, std::uint64_t outputTokens)
         : shared_(std::move(shared)),
           session_(std::move(session)),
-          permit_(std::move(permit))
+          permit_(std::move(permit)),
+          number_(++session_->lastPermit)
     {
+        session_->permits.emplace(number_, Session::HeldPermit {.permit = permit_, .outputTokens = outputTokens});
+        permit_->setCommandHandler(
+            [route = shared_->routes.command, session = session_->number, number = number_](const OwnerCommand &command) { route(session, number, command); });
         ++session_->atStake;
         ++shared_->counters.permitsHeld;
     }
@@ -90,22 +118,25 @@
     PermitService &operator=(PermitService &&) = delete;
     ~PermitService() noexcept(false)
     {
+        session_->permits.erase(number_);
         --session_->atStake;
         --shared_->counters.permitsHeld;
     }
 
-    kj::Promise<void> progress(ProgressContext context) override
+    /// Names the permit within its session.
+    [[nodiscard]] std::uint32_t number() const
     {
-        session_->lastHeard = steady_clock::now();
-        permit_->recordProgress({.outputTokens = context.getParams().getOutputTokens()});
-        return kj::READY_NOW;
+        return number_;
     }
 
     kj::Promise<void> finish(FinishContext context) override
     {
         session_->lastHeard = steady_clock::now();
         const auto params = context.getParams();
-        permit_->finish({.outcome = fromWire(params.getOutcome()), .outputTokens = params.getOutputTokens()});
+        permit_->finish({.outcome = fromWire(params.getOutcome()),
+            .outputTokens = params.getOutputTokens(),
+            .sinceLatestToken = std::chrono::milliseconds(params.getSinceLatestTokenMs()),
+            .sinceFirstToken = std::chrono::milliseconds(params.getSinceFirstTokenMs())});
         return kj::READY_NOW;
     }
 
@@ -113,6 +144,7 @@
     std::shared_ptr<Shared> shared_;
     std::shared_ptr<Session> session_;
     std::shared_ptr<Permit> permit_;
+    std::uint32_t number_;
 };
 
 class PeerServer::PeerService final : public rpc::Peer::Server
@@ -141,7 +173,7 @@
         });
         // The handler may run in any thread and outlive the server; it must not own anything of the event loop.
         AcquireTicket ticket = shared_->handlers.acquire(
-            decode(request), decodeUnreachable(request), [route = shared_->route, call](OwnerAnswer result) { route(call, std::move(result)); });
+            decode(request), decodeUnreachable(request), [route = shared_->routes.answer, call](OwnerAnswer result) { route(call, std::move(result)); });
         return answer.promise
             .then([this, context](kj::Own<OwnerAnswer> result) mutable { encodeAnswer(std::move(*result), context.getResults().initAnswer()); })
             .attach(kj::mv(ticket), kj::mv(cleanUp));
@@ -154,7 +186,7 @@
         for (const auto adoption : context.getParams().getPools()) {
             pools.push_back(decode(adoption));
         }
-        const std::vector<AdoptedPool> adopted = shared_->handlers.adopt(session_->instance, std::move(pools));
+        const std::vector<AdoptedPool> adopted = shared_->handlers.adopt(session_->instance, pools);
         auto results = context.getResults().initAdopted(adopted.size());
         for (unsigned index = 0; index < results.size(); ++index) {
             if (!adopted[index]) {
@@ -162,8 +194,11 @@
             }
             results[index].setAccepted(true);
             auto permits = results[index].initPermits(adopted[index]->size());
+            auto numbers = results[index].initNumbers(adopted[index]->size());
             for (unsigned position = 0; position < permits.size(); ++position) {
-                permits.set(position, kj::heap<PermitService>(shared_, session_, (*adopted[index])[position]));
+                auto permit = kj::heap<PermitService>(shared_, session_, (*adopted[index])[position], pools[index].requests[position].progress.outputTokens);
+                numbers.set(position, permit->number());
+                permits.set(position, kj::mv(permit));
             }
         }
         return kj::READY_NOW;
@@ -186,6 +221,30 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> reportProgress(ReportProgressContext context) override
+    {
+        session_->lastHeard = steady_clock::now();
+        const auto params = context.getParams();
+        ++shared_->counters.progressMessages;
+        shared_->counters.progressOfPermits += params.getProgress().size();
+        std::unordered_map<std::uint32_t, std::chrono::milliseconds> firstTokens;
+        for (const auto firstToken : params.getFirstTokens()) {
+            firstTokens.emplace(firstToken.getPermit(), firstToken.getSinceFirstTokenMs());
+        }
+        for (const auto progress : params.getProgress()) {
+            const auto held = session_->permits.find(progress.getPermit());
+            if (held == session_->permits.end()) {
+                continue;
+            }
+            const auto firstToken = firstTokens.find(progress.getPermit());
+            held->second.outputTokens += progress.getNewTokens();
+            held->second.permit->recordProgress({.outputTokens = held->second.outputTokens,
+                .sinceLatestToken = std::chrono::milliseconds(progress.getSinceLatestTokenMs()),
+                .sinceFirstToken = firstToken == firstTokens.end() ? std::chrono::milliseconds(0) : firstToken->second});
+        }
+        return kj::READY_NOW;
+    }
+
 private:
     void encodeAnswer(OwnerAnswer result, rpc::Answer::Builder builder)
     {
@@ -193,7 +252,9 @@
             auto granted = builder.initGranted();
             encode((*permit)->endpoint(), granted.initEndpoint());
             granted.setEnginePriority((*permit)->enginePriority());
-            granted.setPermit(kj::heap<PermitService>(shared_, session_, std::move(*permit)));
+            auto service = kj::heap<PermitService>(shared_, session_, std::move(*permit), 0);
+            granted.setNumber(service->number());
+            granted.setPermit(kj::mv(service));
             return;
         }
         if (const auto *refusal = std::get_if<PermitRefusal>(&result)) {
@@ -230,6 +291,7 @@
             return KJ_EXCEPTION(FAILED, "the secret is wrong; give all routers the same secret");
         }
         session_->loggedIn = true;
+        session_->holder = params.getHolder();
         session_->instance = support::InstanceId(params.getInstance().cStr());
         context.getResults().setPeer(kj::heap<PeerService>(shared_, session_));
         return kj::READY_NOW;
@@ -240,10 +302,10 @@
     std::shared_ptr<Session> session_;
 };
 
-PeerServer::PeerServer(RpcLoop &loop, const PeerOptions &options, const PeerHandlers &handlers, AnswerRoute route)
+PeerServer::PeerServer(RpcLoop &loop, const PeerOptions &options, const PeerHandlers &handlers, Routes routes)
     : loop_(loop),
       options_(options),
-      shared_(std::make_shared<Shared>(Shared {.options = options, .handlers = handlers, .route = std::move(route)})),
+      shared_(std::make_shared<Shared>(Shared {.options = options, .handlers = handlers, .routes = std::move(routes)})),
       tasks_(*this)
 {
 }
@@ -263,6 +325,27 @@
     }
 }
 
+void PeerServer::command(std::uint64_t session, std::uint32_t permit, const OwnerCommand &command)
+{
+    const auto found = shared_->sessions.find(session);
+    if (found == shared_->sessions.end() || !found->second->permits.contains(permit)) {
+        return;
+    }
+    KJ_IF_MAYBE (holder, found->second->holder) {
+        if (const auto *cancellation = std::get_if<policy::Cancellation>(&command)) {
+            auto message = holder->cancelRequest();
+            message.setPermit(permit);
+            message.setReason(toWire(cancellation->reason));
+            tasks_.add(message.send().ignoreResult());
+            return;
+        }
+        auto message = holder->changePriorityRequest();
+        message.setPermit(permit);
+        message.setEnginePriority(std::get<policy::PriorityChange>(command).enginePriority);
+        tasks_.add(message.send().ignoreResult());
+    }
+}
+
 const PeerCounters &PeerServer::counters() const
 {
     return shared_->counters;
@@ -291,7 +374,8 @@
     capnp::ReaderOptions options;
     options.traversalLimitInWords = options_.maxRequestBytes / sizeof(capnp::word);
     auto session = std::make_shared<Session>();
-    auto connection = kj::heap<Connection>(*this, kj::mv(stream), kj::heap<LoginService>(shared_, session), options);
+    session->number = ++shared_->lastSession;
+    auto connection = kj::heap<Connection>(*this, session, kj::mv(stream), kj::heap<LoginService>(shared_, session), options);
     auto ended = connection->network.onDisconnect().exclusiveJoin(watch(session));
     tasks_.add(ended.attach(kj::mv(connection)));
 }
--- a/lib/Permits/PeerServer.h
+++ b/lib/Permits/PeerServer.h
@@ -13,15 +13,21 @@
 class PeerServer final : private kj::TaskSet::ErrorHandler
 {
 public:
-    /// Brings the answer to a call, from any thread, to deliver in the thread of the loop, if the server still exists.
-    using AnswerRoute = std::function<void(std::uint64_t call, OwnerAnswer answer)>;
+    /// Ways from any thread to the functions below, in the thread of the loop, if the server still exists.
+    struct Routes
+    {
+        std::function<void(std::uint64_t call, OwnerAnswer answer)> answer;
+        std::function<void(std::uint64_t session, std::uint32_t permit, const OwnerCommand &command)> command;
+    };
 
-    PeerServer(RpcLoop &loop, const PeerOptions &options, const PeerHandlers &handlers, AnswerRoute route);
+    PeerServer(RpcLoop &loop, const PeerOptions &options, const PeerHandlers &handlers, Routes routes);
 
     /// Starts to accept connections; returns the port in use.
     std::uint16_t listen();
     /// Passes the answer of the pool to the call with the given number, unless the call has ended.
     void deliver(std::uint64_t call, OwnerAnswer answer);
+    /// Passes a command of the pool to the router at the other end of a session, unless that has ended.
+    void command(std::uint64_t session, std::uint32_t permit, const OwnerCommand &command);
     [[nodiscard]] const PeerCounters &counters() const;
 
 private:
--- a/lib/Permits/Permit.cpp
+++ b/lib/Permits/Permit.cpp
@@ -17,6 +17,33 @@
     finish({.outcome = policy::AttemptOutcome::Cancelled, .outputTokens = outputTokens_});
 }
 
+void Permit::setCommandHandler(OwnerCommandHandler handler)
+{
+    std::vector<OwnerCommand> waiting;
+    {
+        const std::scoped_lock lock(mutex_);
+        commandHandler_ = handler;
+        waiting.swap(waitingCommands_);
+    }
+    for (const OwnerCommand &command : waiting) {
+        handler(command);
+    }
+}
+
+void Permit::command(const OwnerCommand &command)
+{
+    OwnerCommandHandler handler;
+    {
+        const std::scoped_lock lock(mutex_);
+        handler = commandHandler_;
+        if (!handler) {
+            waitingCommands_.push_back(command);
+            return;
+        }
+    }
+    handler(command);
+}
+
 void Permit::recordProgress(const policy::Progress &progress)
 {
     outputTokens_ = progress.outputTokens;
--- a/lib/Permits/PoolOwner.cpp
+++ b/lib/Permits/PoolOwner.cpp
@@ -110,7 +110,7 @@
     // Without endpoints nothing is granted meanwhile, and a request that the policy has refused already is unknown to it.
     for (auto &[permit, waiter] : waiters_) {
         functions_.withdraw(pool_.get(), permit, now());
-        notifications.push_back({.handler = std::move(waiter.handler), .result = PermitMoved {newOwner}});
+        notifications.push_back(makeAnswer(std::move(waiter.handler), PermitMoved {newOwner}));
     }
     waiters_.clear();
 }
@@ -204,7 +204,10 @@
 
 void OwnedPool::finish(policy::PermitId permit, const policy::Completion &completion)
 {
-    execute([&] { return functions_.complete(pool_.get(), permit, completion, now()); });
+    execute([&] {
+        holders_.erase(permit);
+        return functions_.complete(pool_.get(), permit, completion, now());
+    });
 }
 
 std::vector<OwnedPool::Notification> OwnedPool::takeNotifications(const policy::Decisions &decisions)
@@ -213,19 +216,45 @@
     for (const policy::Grant &grant : decisions.grants) {
         auto waiter = waiters_.extract(grant.permit);
         if (!waiter.empty()) {
-            notifications.push_back({.handler = std::move(waiter.mapped().handler), .result = makePermit(grant.permit, grant.endpoint, grant.enginePriority)});
+            notifications.push_back(makeAnswer(std::move(waiter.mapped().handler), makePermit(grant.permit, grant.endpoint, grant.enginePriority)));
         }
     }
     for (const policy::Refusal &refusal : decisions.refusals) {
         auto waiter = waiters_.extract(refusal.permit);
         if (!waiter.empty()) {
             PermitRefusal result {.reason = refusal.reason, .retryAfter = refusal.retryAfter};
-            notifications.push_back({.handler = std::move(waiter.mapped().handler), .result = std::move(result)});
+            notifications.push_back(makeAnswer(std::move(waiter.mapped().handler), std::move(result)));
         }
     }
+    for (const policy::Cancellation &cancellation : decisions.cancellations) {
+        addCommand(cancellation.permit, cancellation, notifications);
+    }
+    for (const policy::PriorityChange &change : decisions.priorityChanges) {
+        addCommand(change.permit, change, notifications);
+    }
     return notifications;
 }
 
+OwnedPool::Notification OwnedPool::makeAnswer(OwnerHandler handler, OwnerAnswer result)
+{
+    return [handler = std::move(handler), result = std::move(result)]() mutable {
+        handler(std::move(result));
+    };
+}
+
+void OwnedPool::addCommand(policy::PermitId permit, const OwnerCommand &command, std::vector<Notification> &notifications) const
+{
+    const auto found = holders_.find(permit);
+    if (found == holders_.end()) {
+        return;
+    }
+    notifications.emplace_back([weak = found->second, command] {
+        if (const auto holder = weak.lock()) {
+            holder->command(command);
+        }
+    });
+}
+
 std::shared_ptr<Permit> OwnedPool::makePermit(policy::PermitId permit, const support::EndpointId &endpoint, std::uint8_t enginePriority)
 {
     const auto known = endpoints_.find(endpoint);
@@ -244,13 +273,15 @@
                 }
             },
     };
-    return std::make_shared<Permit>(description, enginePriority, std::move(operations));
+    auto created = std::make_shared<Permit>(description, enginePriority, std::move(operations));
+    holders_.insert_or_assign(permit, created);
+    return created;
 }
 
 void OwnedPool::deliver(std::vector<Notification> notifications)
 {
     for (Notification &notification : notifications) {
-        boost::asio::post(context_, [notification = std::move(notification)]() mutable { notification.handler(std::move(notification.result)); });
+        boost::asio::post(context_, std::move(notification));
     }
 }
 
--- a/lib/Permits/RoutedPermits.cpp
+++ b/lib/Permits/RoutedPermits.cpp
@@ -60,6 +60,7 @@
     : context_(context),
       strand_(boost::asio::make_strand(context)),
       timer_(strand_),
+      progressTimer_(strand_),
       pools_(pools),
       membership_(std::move(membership)),
       options_(std::move(options)),
@@ -72,6 +73,7 @@
     boost::asio::post(strand_, [self = shared_from_this()] {
         self->review();
         self->reviewLater();
+        self->reportProgressLater();
     });
 }
 
@@ -105,7 +107,10 @@
         const std::scoped_lock lock(mutex_);
         stopped_ = true;
     }
-    boost::asio::post(strand_, [self = shared_from_this()] { self->timer_.cancel(); });
+    boost::asio::post(strand_, [self = shared_from_this()] {
+        self->timer_.cancel();
+        self->progressTimer_.cancel();
+    });
     peers_->stop();
 }
 
@@ -144,41 +149,92 @@
     tracked->endpoint = granted->endpoint().id;
     tracked->granted = granted;
     tracked->owner = owner;
+    Permit::Operations operations {
+        .recordProgress = [tracked](const policy::Progress &progress) { recordProgress(*tracked, progress); },
+        .finish = [self = shared_from_this(), tracked](const policy::Completion &completion) { self->finish(*tracked, completion); },
+    };
+    auto holder = std::make_shared<Permit>(granted->endpoint(), granted->enginePriority(), std::move(operations));
+    tracked->holder = holder;
+    passCommands(granted, holder);
     {
         const std::scoped_lock lock(mutex_);
         tracked->number = ++lastNumber_;
         tracked_.emplace(tracked->number, tracked);
     }
-    Permit::Operations operations {
-        .recordProgress = [self = shared_from_this(), tracked](const policy::Progress &progress) { self->reportProgress(*tracked, progress); },
-        .finish = [self = shared_from_this(), tracked](const policy::Completion &completion) { self->finish(*tracked, completion); },
-    };
-    return std::make_shared<Permit>(granted->endpoint(), granted->enginePriority(), std::move(operations));
+    return holder;
 }
 
-void RoutedPermits::reportProgress(TrackedPermit &permit, const policy::Progress &progress) const
+void RoutedPermits::passCommands(const std::shared_ptr<Permit> &granted, const std::weak_ptr<Permit> &holder)
 {
-    std::shared_ptr<Permit> granted;
+    granted->setCommandHandler([holder](const OwnerCommand &command) {
+        if (const auto permit = holder.lock()) {
+            permit->command(command);
+        }
+    });
+}
+
+void RoutedPermits::recordProgress(TrackedPermit &permit, const policy::Progress &progress)
+{
+    const std::scoped_lock lock(permit.mutex);
+    permit.latestTokenAt = steady_clock::now();
+    if (permit.outputTokens == 0) {
+        permit.firstTokenAt = permit.latestTokenAt;
+    }
+    permit.outputTokens = progress.outputTokens;
+}
+
+static std::chrono::milliseconds age(policy::TimePoint time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(steady_clock::now() - time);
+}
+
+void RoutedPermits::reportProgress()
+{
+    std::vector<std::pair<std::shared_ptr<Permit>, policy::Progress>> changed;
     {
-        const std::scoped_lock lock(permit.mutex);
-        permit.progress = progress;
-        const auto now = steady_clock::now();
-        if (now < permit.reportedAt + options_.progressInterval) {
-            return;
+        const std::scoped_lock lock(mutex_);
+        for (const auto &[number, permit] : tracked_) {
+            const std::scoped_lock permitLock(permit->mutex);
+            if (!permit->granted || permit->outputTokens == permit->reportedTokens) {
+                continue;
+            }
+            permit->reportedTokens = permit->outputTokens;
+            changed.emplace_back(permit->granted,
+                policy::Progress {
+                    .outputTokens = permit->outputTokens, .sinceLatestToken = age(permit->latestTokenAt), .sinceFirstToken = age(permit->firstTokenAt)});
         }
-        permit.reportedAt = now;
-        granted = permit.granted;
     }
-    if (granted) {
-        granted->recordProgress(progress);
+    for (const auto &[permit, progress] : changed) {
+        permit->recordProgress(progress);
+    }
+    if (!changed.empty()) {
+        peers_->sendProgress();
     }
 }
 
-void RoutedPermits::finish(TrackedPermit &permit, const policy::Completion &completion)
+void RoutedPermits::reportProgressLater()
 {
+    progressTimer_.expires_after(options_.progressInterval);
+    progressTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        if (error || !self) {
+            return;
+        }
+        self->reportProgress();
+        self->reportProgressLater();
+    });
+}
+
+void RoutedPermits::finish(TrackedPermit &permit, const policy::Completion &ended)
+{
+    policy::Completion completion = ended;
     std::shared_ptr<Permit> granted;
     {
         const std::scoped_lock lock(permit.mutex);
+        if (permit.outputTokens > 0) {
+            completion.sinceLatestToken = age(permit.latestTokenAt);
+            completion.sinceFirstToken = age(permit.firstTokenAt);
+        }
         permit.completion = completion;
         granted = std::move(permit.granted);
     }
@@ -324,7 +380,7 @@
         Adoption adoption {.pool = key.second};
         for (const TrackedPermitPtr &permit : permits) {
             const std::scoped_lock lock(permit->mutex);
-            adoption.requests.push_back({.request = permit->request, .endpoint = permit->endpoint, .progress = permit->progress});
+            adoption.requests.push_back({.request = permit->request, .endpoint = permit->endpoint, .progress = {.outputTokens = permit->outputTokens}});
         }
         adoptions.push_back(std::move(adoption));
     }
@@ -363,6 +419,7 @@
     }
     for (std::size_t index = 0; index < permits.size(); ++index) {
         std::shared_ptr<Permit> previous;
+        std::weak_ptr<Permit> holder;
         std::optional<policy::Completion> completion;
         {
             TrackedPermit &permit = *permits[index];
@@ -375,11 +432,14 @@
             if (!completion) {
                 previous = std::exchange(permit.granted, (*result)[index]);
                 permit.owner = owner;
+                holder = permit.holder;
             }
         }
         if (completion) {
             (*result)[index]->finish(*completion);
+            continue;
         }
+        passCommands((*result)[index], holder);
         // Dropping the previous owner's permit frees its slot there.
     }
 }
--- a/unittests/Permits/PermitsFixture.h
+++ b/unittests/Permits/PermitsFixture.h
@@ -70,7 +70,12 @@
 /// A router without its HTTP side: pools, peer service and permits.
 struct TestRouter
 {
-    TestRouter(boost::asio::io_context &context, FakeMembership &group, const std::string &instance, const std::string &dataCentre, unsigned slots)
+    TestRouter(boost::asio::io_context &context,
+        FakeMembership &group,
+        const std::string &instance,
+        const std::string &dataCentre,
+        unsigned slots,
+        unsigned endpoints = 1)
         : membership(group),
           name(instance),
           pools(context, policy::standardPolicy())
@@ -80,13 +85,13 @@
         site.classes = {{.id = support::ClassId("chat")}};
         site.organisations = {{.id = support::OrganisationId("org")}};
         site.pools = {{.id = support::PoolId("model"), .queueLimit = 2}};
-        if (slots > 0) {
-            site.endpoints = {{.id = support::EndpointId("runner-" + dataCentre),
+        for (unsigned number = 0; slots > 0 && number < endpoints; ++number) {
+            site.endpoints.push_back({.id = support::EndpointId("runner-" + dataCentre + std::string(number, '+')),
                 .address = "127.0.0.1",
                 .port = 1234,
                 .pools = {support::PoolId("model")},
                 .maximumConcurrency = slots,
-                .support = {.resume = true}}};
+                .support = {.resume = true}});
         }
         pools.configure(site);
         RoutedOptions options;
@@ -145,9 +150,9 @@
 class PermitsFixture : public testing::Test
 {
 protected:
-    TestRouter &addRouter(const std::string &instance, const std::string &dataCentre = "a", unsigned slots = 2)
+    TestRouter &addRouter(const std::string &instance, const std::string &dataCentre = "a", unsigned slots = 2, unsigned endpoints = 1)
     {
-        routers_.push_back(std::make_unique<TestRouter>(workers_.context(), membership_, instance, dataCentre, slots));
+        routers_.push_back(std::make_unique<TestRouter>(workers_.context(), membership_, instance, dataCentre, slots, endpoints));
         reviewAll();
         return *routers_.back();
     }
--- a/unittests/Permits/RoutedPermitsTest.cpp
+++ b/unittests/Permits/RoutedPermitsTest.cpp
@@ -1,5 +1,7 @@
 #include "PermitsFixture.h"
 
+#include <atomic>
+
 namespace mulberrywall::permits
 {
 
@@ -15,6 +17,27 @@
         addRouter("two");
         settle();
     }
+    /// Returns the first command that the owner sends to the holder of the permit.
+    static std::future<OwnerCommand> firstCommand(Permit &permit)
+    {
+        const auto promise = std::make_shared<std::promise<OwnerCommand>>();
+        permit.setCommandHandler([promise, sent = std::make_shared<std::atomic<bool>>(false)](const OwnerCommand &command) {
+            if (!sent->exchange(true)) {
+                promise->set_value(command);
+            }
+        });
+        return promise->get_future();
+    }
+    /// Crashes a second copy of the request once too often and returns the command for the first one.
+    std::future<OwnerCommand> crashOtherCopy(TestRouter &ingress, Permit &copy, const PermitRequest &request)
+    {
+        PermitRequest other = request;
+        other.submission.excludedEndpoints = {copy.endpoint().id};
+        const auto crashed = ask(ingress, other).getPermit();
+        owner().pools.recordSuspect(request.submission.fingerprint, 1);
+        crashed->finish({.outcome = policy::AttemptOutcome::EndpointFailed});
+        return firstCommand(copy);
+    }
 };
 
 } // namespace
@@ -29,6 +52,65 @@
     EXPECT_EQ(router.permits->peers().counters().connectionsAccepted, 0U);
 }
 
+// Guards against a running copy of a request that the owner refuses for its crashes and that its holder never hears of,
+// in the owner's process, over the network, or after a new owner has taken it over.
+TEST_F(RoutedPermitsTest, CancelsRunningCopies)
+{
+    for (const char *name : {"one", "two", "three"}) {
+        addRouter(name, "a", 2, 2);
+    }
+    settle();
+    PermitRequest request = makeRequest();
+    for (const auto ingress : {&owner(), &notOwner()}) {
+        ++request.submission.fingerprint;
+        const auto copy = ask(*ingress, request).getPermit();
+        auto command = crashOtherCopy(*ingress, *copy, request);
+        ASSERT_EQ(command.wait_for(testLimit), std::future_status::ready);
+        EXPECT_EQ(std::get<policy::Cancellation>(command.get()).reason, policy::RefusalReason::CrashSuspect);
+    }
+    ++request.submission.fingerprint;
+    TestRouter &dead = owner();
+    TestRouter &ingress = notOwner();
+    const auto adopted = ask(ingress, request).getPermit();
+    membership_.remove(dead.name);
+    dead.permits->stop();
+    reviewAll();
+    ASSERT_TRUE(eventually([&] { return owner().summary().running == 1; }));
+    auto command = crashOtherCopy(ingress, *adopted, request);
+    ASSERT_EQ(command.wait_for(testLimit), std::future_status::ready);
+    EXPECT_TRUE(std::holds_alternative<policy::Cancellation>(command.get()));
+}
+
+// Guards against progress that does not reach a remote owner, reaches it one message for each permit, or whose effect on
+// the engine priority gets lost on the way back.
+TEST_F(RoutedPermitsTest, ProgressOfAllPermitsTakesOneMessage)
+{
+    constexpr unsigned permits = 6;
+    addRouter("one", "a", permits);
+    addRouter("two", "a", permits);
+    settle();
+    TestRouter &ingress = notOwner();
+    for (int learnt = 0; learnt < 40; ++learnt) {
+        ask(ingress).getPermit()->finish({.outcome = policy::AttemptOutcome::Completed, .outputTokens = 10});
+    }
+    std::vector<std::shared_ptr<Permit>> running;
+    std::vector<std::future<OwnerCommand>> commands;
+    for (unsigned index = 0; index < permits; ++index) {
+        running.push_back(ask(ingress).getPermit());
+        commands.push_back(firstCommand(*running.back()));
+    }
+    for (const auto &permit : running) {
+        permit->recordProgress({.outputTokens = 1'000});
+    }
+    for (auto &command : commands) {
+        ASSERT_EQ(command.wait_for(testLimit), std::future_status::ready);
+        EXPECT_GT(std::get<policy::PriorityChange>(command.get()).enginePriority, running.front()->enginePriority());
+    }
+    const PeerCounters counters = owner().permits->peers().counters();
+    EXPECT_EQ(counters.progressOfPermits, permits);
+    EXPECT_LE(counters.progressMessages, 2U) << "the calls above may lie on both sides of a report";
+}
+
 // Guards against losing parts of a grant between two routers, and against a slot that stays taken after the end.
 TEST_F(RoutedPermitsTest, GrantsByRemoteOwner)
 {
