router: end requests that the owner of their permit cancels

Reason: the commands of the owner reach the holder of a permit now and have to be carried out.

Change: a cancellation stops the attempts of the request, tells the engine, reports the completion and answers with an error that names the reason (crash-suspect) and the verdict of what was stopped: may-have-run, or not-run when no connection to the endpoint was made yet. docs/design.md section 5 has no message that changes the priority of a running request, so a changed priority counts for the next attempt of the request.

Test: copies of a crashing request run on engines of their own through two routers, one of which owns the pool, while the engines under a third copy are killed.

--- a/include/mulberrywall/Router/Attempt.h
+++ b/include/mulberrywall/Router/Attempt.h
@@ -29,6 +29,8 @@
     unsigned number = 1;
     /// Tokens that the caller has already received from earlier attempts.
     std::uint64_t resumeFrom = 0;
+    /// Used when it is less urgent than the priority of the permit.
+    std::uint8_t enginePriority = 0;
 };
 
 /// How an attempt ended.
@@ -62,6 +64,8 @@
     /// Called with at least one event. Reading goes on after Attempt::readMore.
     std::function<void(const std::vector<StreamEvent> &)> onEvents;
     std::function<void(AttemptEnd)> onEnd;
+    /// The owner of the permit asks for something; cancelling the attempt is up to the handler.
+    std::function<void(const permits::OwnerCommand &)> onOwnerCommand;
 };
 
 /// Runs one request on the endpoint of a permit and gives the permit back when it ends.
--- a/include/mulberrywall/Router/CallerSession.h
+++ b/include/mulberrywall/Router/CallerSession.h
@@ -53,6 +53,7 @@
     void startAttempt(policy::AttemptPurpose purpose, std::shared_ptr<permits::Permit> permit);
     void onEvents(const AttemptPtr &attempt, const std::vector<StreamEvent> &events);
     void recordFirstToken();
+    void onOwnerCommand(const permits::OwnerCommand &command);
     void onAttemptEnd(const AttemptPtr &attempt, AttemptEnd attemptEnd);
     void onAttemptFailed(const AttemptPtr &attempt, AttemptEnd attemptEnd);
     void continueAfter(const AttemptPtr &attempt, AttemptEnd attemptEnd);
@@ -87,6 +88,9 @@
     unsigned attemptsWithoutToken_ = 0;
     unsigned failedConnections_ = 0;
     std::uint64_t deliveredTokens_ = 0;
+    /// The least urgent priority that an owner has asked for. Engines cannot change that of a running request, so it
+    /// counts for the next attempt.
+    std::uint8_t enginePriority_ = 0;
     /// When the first token was handed to the caller's connection.
     std::optional<policy::TimePoint> firstTokenAt_;
     support::Verdict verdict_ = support::Verdict::NotRun;
--- a/lib/Router/Attempt.cpp
+++ b/lib/Router/Attempt.cpp
@@ -3,6 +3,7 @@
 #include "mulberrywall/Router/CompletionChunk.h"
 #include "mulberrywall/Router/EndpointProbe.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/error.hpp>
 
 #include <algorithm>
@@ -40,7 +41,7 @@
 {
     http::Request upstream = request.upstream;
     upstream.set(http::Field::host, permit.endpoint().address);
-    upstream.set(http::header::priority, std::to_string(permit.enginePriority()));
+    upstream.set(http::header::priority, std::to_string(std::max(permit.enginePriority(), options.enginePriority)));
     upstream.set(http::header::attempt, std::to_string(options.number));
     if (options.resumeFrom > 0) {
         upstream.set(http::header::resumeFrom, std::to_string(options.resumeFrom));
@@ -58,6 +59,14 @@
     request_ = request.id;
     poolKind_ = request.poolKind;
     responseMode_ = request.responseMode;
+    permit_->setCommandHandler([weak = weak_from_this(), executor = executor_](const permits::OwnerCommand &command) {
+        boost::asio::post(executor, [weak, command] {
+            const auto self = weak.lock();
+            if (const auto handlers = self ? self->handlers_ : nullptr) {
+                handlers->onOwnerCommand(command);
+            }
+        });
+    });
     const auto address = addressOf(permit_->endpoint());
     if (!address) {
         end({.verdict = Verdict::NotRun,
--- a/lib/Router/CallerSession.cpp
+++ b/lib/Router/CallerSession.cpp
@@ -266,7 +266,8 @@
         .stallTimeout = state_.options.stallTimeout,
         .responseTimeout = state_.options.responseTimeout,
         .number = attempts_,
-        .resumeFrom = deliveredTokens_};
+        .resumeFrom = deliveredTokens_,
+        .enginePriority = enginePriority_};
     const auto attempt = std::make_shared<Attempt>(exchange_->executor(), options, std::move(permit));
     running_.push_back(attempt);
     // A hedged attempt is measured from the start of the first one, so that hedging does not shorten its own delay.
@@ -279,12 +280,31 @@
     const auto self = shared_from_this();
     attempt->start(request_,
         {.onEvents = [self, attempt](const std::vector<StreamEvent> &events) { self->onEvents(attempt, events); },
-            .onEnd =
-                [self, attempt](AttemptEnd attemptEnd) {
-                    self->onAttemptEnd(attempt, std::move(attemptEnd));
+            .onEnd = [self, attempt](AttemptEnd attemptEnd) { self->onAttemptEnd(attempt, std::move(attemptEnd)); },
+            .onOwnerCommand =
+                [self](const permits::OwnerCommand &command) {
+                    self->onOwnerCommand(command);
                 }});
 }
 
+/// Owners cancel all copies of a request alike, so that the whole request ends and not only one attempt.
+void CallerSession::onOwnerCommand(const permits::OwnerCommand &command)
+{
+    if (const auto *change = std::get_if<policy::PriorityChange>(&command)) {
+        enginePriority_ = std::max(enginePriority_, change->enginePriority);
+        return;
+    }
+    if (ended_) {
+        return;
+    }
+    const policy::RefusalReason reason = std::get<policy::Cancellation>(command).reason;
+    stopWork();
+    fail({.status = verdict_ == Verdict::NotRun ? http::Status::service_unavailable : http::Status::bad_gateway,
+        .title = "refused",
+        .detail = "the running request was cancelled: " + std::string(policy::toString(reason)) + "; the same request crashed endpoints, change it",
+        .verdict = verdict_});
+}
+
 http::ResponseHeader CallerSession::streamHeader() const
 {
     http::ResponseHeader responseHeader;
