router: leave the membership before the last stream ends

Fault: of several routers in a data centre, one that was told to stop gave up its pools but stayed a live member until its last request had ended. The others computed the same owner as before and refused to own its pools, so that requests that waited in its queue, and new ones at the other routers, waited until it was gone. It waited for its own queued requests.

Ruled out: lost permits or lost peer connections. The status pages showed both sides: the leaving router named router-1 as the owner of the pool, routers 0 and 1 named the leaving one, and no router had the pool's requests as waiting or running. The unit test of the hand-over removed the router from the membership together with the release, and so did not see it.

Change: the announcement that the router leaves follows the release of its pools. Permits, peer connections and its own view of the membership stay until its requests have ended.

Test: GracefulShutdown.RollingReplacement replaces 7 routers in 3 data centres one by one under the load of 42 clients.

The harness gains routersOf, seeds that survive the restart of the first router, and Reply::connected.

--- a/include/mulberrywall/Router/PeerGroup.h
+++ b/include/mulberrywall/Router/PeerGroup.h
@@ -65,7 +65,8 @@
     void fetchConfiguration(std::uint64_t minimumRevision, std::function<void(std::optional<permits::ConfigurationDocument>)> handler);
     /// Gives up all pools; waiting requests ask the new owners. The first step of a shutdown.
     void releaseOwnership();
-    /// Tells the others that this router leaves, then calls the handler.
+    /// Tells the others that this router leaves, then calls the handler. Its permits and its view of the others stay; a
+    /// repeated call only waits until the others know.
     void leave(std::function<void()> handler);
     /// Closes all connections and sockets.
     void stop();
--- a/lib/Router/RouterService.cpp
+++ b/lib/Router/RouterService.cpp
@@ -179,7 +179,10 @@
 {
     callerServer_->stopAccepting();
     if (peers_) {
+        // While this router counts as a live member, the others take it for the owner of its pools and refuse to own them, so
+        // that requests waiting here and there would wait for its last stream to end.
         peers_->releaseOwnership();
+        peers_->leave([] {});
     }
     waitUntilIdle();
 }
--- a/test/GracefulShutdown/GracefulShutdownTest.cpp
+++ b/test/GracefulShutdown/GracefulShutdownTest.cpp
@@ -4,7 +4,10 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <csignal>
+#include <thread>
+#include <vector>
 
 /// GracefulShutdown: a graceful shutdown interrupts no request in flight.
 namespace mulberrywall::harness
@@ -34,10 +37,15 @@
     }
 }
 
+std::size_t activeRequests(const Node &router)
+{
+    return getJson(router.adminPort, "/v1/status").at("activeRequests").to_number<std::size_t>();
+}
+
 /// A request that arrives after the signal is refused, rightly.
 void waitForArrival(Deployment &deployment)
 {
-    waitUntil("all requests have arrived", [&] { return getJson(deployment.router(0).adminPort, "/v1/status").at("activeRequests") == calls; });
+    waitUntil("all requests have arrived", [&] { return activeRequests(deployment.router(0)) == calls; });
 }
 
 } // namespace
@@ -76,6 +84,57 @@
     expectWhole(load.wait());
 }
 
+// Guards against a rolling replacement of the routers that cuts streams, loses requests that were accepted, or refuses one
+// in a way that keeps its caller from sending it to another router.
+TEST(GracefulShutdown, RollingReplacement)
+{
+    constexpr std::size_t routers = 7;
+    constexpr std::size_t clients = 42;
+    constexpr std::size_t streamTokens = 40;
+    Deployment deployment({.dataCentres = {"dc-a", "dc-b", "dc-c"}, .routersOf = {3, 2, 2}, .engines = 2, .engineArguments = {"--base-token-us", "4000"}});
+    std::atomic<std::size_t> served {0};
+    std::atomic<std::size_t> refused {0};
+    std::vector<std::jthread> threads;
+    for (std::size_t client = 0; client < clients; ++client) {
+        threads.emplace_back([&, client](const std::stop_token &stopping) {
+            // Goes to the next router, as the load balancer does, when one certainly has not run the request.
+            std::size_t router = client % routers;
+            while (!stopping.stop_requested()) {
+                const Reply reply = send(deployment.completion(router, "interactive", "q", streamTokens));
+                if (reply.status == 200) {
+                    EXPECT_EQ(reply.text(), standin::answerFor("q", streamTokens)) << "router-" << router << ": " << reply.error << reply.body;
+                    EXPECT_TRUE(reply.done());
+                    ++served;
+                    continue;
+                }
+                EXPECT_TRUE(!reply.connected || reply.outcome() == "not-run") << "router-" << router << ": " << reply.status << reply.error << reply.body;
+                ++refused;
+                router = (router + 1) % routers;
+            }
+        });
+    }
+    for (std::size_t index = 0; index < routers; ++index) {
+        Node &router = deployment.router(index);
+        const std::size_t before = served;
+        waitUntil("the load runs through router-" + std::to_string(index), [&] { return served >= before + clients && activeRequests(router) > 0; });
+        router.process->sendSignal(SIGTERM);
+        EXPECT_EQ(router.process->waitForEnd(), 0);
+        deployment.restart(router);
+        deployment.waitForMembers(index, routers);
+        // Fills the replacement again.
+        const std::size_t afterwards = served;
+        waitUntil("the load goes on", [&] { return served >= afterwards + clients; });
+    }
+    threads.clear();
+    std::uint64_t runs = 0;
+    for (std::size_t index = 0; index < deployment.engineCount(); ++index) {
+        runs += countOf(deployment.engine(index), "completed");
+        EXPECT_EQ(countOf(deployment.engine(index), "cancelled"), 0U) << "a stream was cut or run twice";
+    }
+    EXPECT_EQ(runs, served);
+    EXPECT_GT(refused, 0U) << "no request met a router that was leaving";
+}
+
 // Guards against one ending process that takes the other's requests along when both are told to leave at once.
 TEST(GracefulShutdown, EngineLeavesGracefullyToo)
 {
--- a/test/Support/Harness/Deployment.cpp
+++ b/test/Support/Harness/Deployment.cpp
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iterator>
+#include <numeric>
 
 namespace mulberrywall::harness
 {
@@ -57,6 +58,15 @@
     return routerKind == RouterKind::Naive ? NAIVE_ROUTER_BINARY : MULBERRYWALL_ROUTER_BINARY;
 }
 
+std::string joinAddresses(const std::vector<std::string> &addresses)
+{
+    std::string joined;
+    for (const std::string &address : addresses) {
+        joined += joined.empty() ? address : "," + address;
+    }
+    return joined;
+}
+
 /// Returns the names of the tables [classes.<name>] as a TOML array.
 std::string classNames(const std::string &classes)
 {
@@ -138,9 +148,10 @@
     for (const std::string &dataCentre : options_.dataCentres) {
         writeFile(dataCentre + ".toml", overlay(dataCentre));
     }
-    for (const std::string &dataCentre : options_.dataCentres) {
-        for (unsigned index = 0; index < options_.routers; ++index) {
-            startRouter(dataCentre);
+    options_.routersOf.resize(options_.dataCentres.size(), options_.routers);
+    for (std::size_t site = 0; site < options_.dataCentres.size(); ++site) {
+        for (unsigned index = 0; index < options_.routersOf[site]; ++index) {
+            startRouter(options_.dataCentres[site]);
         }
     }
     for (std::size_t index = 0; options_.routerKind == RouterKind::Product && routerCount() > 1 && index < routerCount(); ++index) {
@@ -188,6 +199,9 @@
     if (node.id.starts_with("router")) {
         set("--caller-listen", "127.0.0.1:" + std::to_string(node.port));
         set("--admin-listen", "127.0.0.1:" + std::to_string(node.adminPort));
+        if (memberships_.size() > 1) {
+            set("--seeds", joinAddresses(memberships_));
+        }
     } else {
         set(node.id == "platform-standin" ? "--listen-port" : "--port", std::to_string(node.port));
     }
@@ -218,11 +232,11 @@
         "127.0.0.1:0",
         "--admin-listen",
         "127.0.0.1:0"};
-    if (options_.routers * options_.dataCentres.size() > 1) {
+    if (std::accumulate(options_.routersOf.begin(), options_.routersOf.end(), 0U) > 1) {
         const std::string membership = freeAddress();
-        seed_ = seed_.empty() ? membership : seed_;
+        memberships_.push_back(membership);
         node->arguments.insert(node->arguments.end(),
-            {"--peer-listen", "127.0.0.1:0", "--membership-listen", membership, "--peer-secret", "secret-of-the-tests", "--seeds", seed_});
+            {"--peer-listen", "127.0.0.1:0", "--membership-listen", membership, "--peer-secret", "secret-of-the-tests", "--seeds", memberships_.front()});
     }
     node->arguments.insert(node->arguments.end(), options_.routerArguments.begin(), options_.routerArguments.end());
     start(*node);
--- a/test/Support/Harness/Deployment.h
+++ b/test/Support/Harness/Deployment.h
@@ -45,6 +45,8 @@
     std::vector<std::string> dataCentres {"dc-a"};
     /// Numbers per data centre.
     unsigned routers = 1;
+    /// Routers of each data centre when they differ; takes the place of routers unless empty.
+    std::vector<unsigned> routersOf;
     unsigned engines = 2;
     unsigned services = 0;
     /// Concurrency limit of each endpoint.
@@ -116,7 +118,7 @@
     }
     /// Waits until the router lists this number of live members, itself included.
     void waitForMembers(std::size_t index, std::size_t number);
-    /// Starts the process again, after its end, on the same ports.
+    /// Starts the process again, after its end, on the same ports; a router gets all routers as seeds.
     void restart(Node &node);
     /// Sets the faults of an endpoint's route; members left out are reset to "no fault".
     void setFaults(const std::string &endpoint, const boost::json::object &faults);
@@ -144,8 +146,8 @@
     std::filesystem::path directory_;
     std::unique_ptr<Node> proxy_;
     std::unique_ptr<Node> platform_;
-    /// Membership address of the first router.
-    std::string seed_;
+    /// Membership addresses of the routers; the first one is the seed of the others, all are seeds of a restarted one.
+    std::vector<std::string> memberships_;
     std::map<std::string, std::uint16_t> proxiedPorts_;
     std::vector<std::unique_ptr<Node>> engines_;
     std::vector<std::unique_ptr<Node>> services_;
--- a/test/Support/Harness/TestClient.cpp
+++ b/test/Support/Harness/TestClient.cpp
@@ -115,6 +115,7 @@
         if (const error_code error = runStep(context_, [&](auto handler) { stream_.async_connect(peer, handler); })) {
             return error;
         }
+        reply_.connected = true;
         beast::http::request<beast::http::string_body> request(beast::http::string_to_verb(call_.method), call_.target, 11);
         request.set(beast::http::field::host, "127.0.0.1");
         request.set(beast::http::field::connection, "close");
--- a/test/Support/Harness/TestClient.h
+++ b/test/Support/Harness/TestClient.h
@@ -46,6 +46,8 @@
 {
     /// Empty when the response is complete; otherwise what ended it.
     std::string error;
+    /// False when no connection was made, so that nothing was sent.
+    bool connected = false;
     /// 0 when no header arrived.
     unsigned status = 0;
     /// Field names in lower case.
