router: refuse empty and overflowing limits and test bad input of operators

CLI11 converts an empty text to 0 and saturates a number that does not fit; neither is an error by itself.

Tests: wrong operator keys, unknown endpoints and malformed bodies of POST /v1/drain, a connection above the limit, and bad values of the three flags.

--- a/lib/Router/RouterProgram.cpp
+++ b/lib/Router/RouterProgram.cpp
@@ -86,9 +86,10 @@
     support::addSetting(app, "--caller-listen", settings.callerListen, "address and port for callers")->check(support::checkListenAddress);
     support::addSetting(app, "--admin-listen", settings.adminListen, "address and port for operators")->check(support::checkListenAddress);
     support::addSetting(app, "--platform", settings.platform, "address and port of the platform; empty means none")->check(checkOptionalAddress);
-    support::addSetting(app, "--drain-grace-ms", settings.drainGraceMs, "time at shutdown before the listener closes, in ms");
-    support::addSetting(app, "--drain-limit-ms", settings.drainLimitMs, "longest time that running requests get at shutdown, in ms; 0 means no limit");
-    support::addSetting(app, "--max-connections", settings.maxConnections, "open connections of callers")->check(CLI::PositiveNumber);
+    support::addSetting(app, "--drain-grace-ms", settings.drainGraceMs, "time at shutdown before the listener closes, in ms")->check(CLI::Range(0, 3'600'000));
+    support::addSetting(app, "--drain-limit-ms", settings.drainLimitMs, "longest time that running requests get at shutdown, in ms; 0 means no limit")
+        ->check(CLI::Range(0, 86'400'000));
+    support::addSetting(app, "--max-connections", settings.maxConnections, "open connections of callers")->check(CLI::Range(1, 1'000'000));
     support::addSetting(app, "--operator-key", settings.operatorKey, "key for the admin listener; empty lets everybody in");
     support::addSetting(app, "--workers", settings.workers, "worker threads")->check(CLI::Range(1, 64));
     support::addSetting(app, "--max-body-bytes", settings.maxBodyBytes, "largest request body")->check(CLI::PositiveNumber);
--- a/unittests/Router/LimitsTest.cpp
+++ b/unittests/Router/LimitsTest.cpp
@@ -1,5 +1,8 @@
 #include "RouterFixture.h"
 
+#include "mulberrywall/Router/RouterProgram.h"
+#include "mulberrywall/Support/Settings.h"
+
 namespace mulberrywall::router
 {
 
@@ -67,6 +70,61 @@
     });
 }
 
+// Guards against a connection above the limit that gets no answer, or one that leaves open whether its request ran.
+TEST_F(RouterTest, ConnectionsAboveTheLimitAreRefused)
+{
+    serviceOptions_.callerServer.maxConnections = 1;
+    ScriptedEndpoint &service = addService([this](const http::ExchangePtr &exchange) { endpoints_[0]->hold(exchange); });
+    startRouter();
+    auto first = std::async(std::launch::async, [this] { return call("lookup", "first", {{"Mulberrywall-Timeout-Ms", "1000"}}); });
+    waitUntil("the first call runs", [&service] { return service.requests() == 1; });
+    const Reply second = call("lookup", "second");
+    EXPECT_EQ(second.response.status, http::Status::service_unavailable);
+    EXPECT_EQ(second.outcome, "not-run");
+    EXPECT_EQ(service.requests(), 1U);
+    first.wait();
+}
+
+// Guards against a drain that is accepted from anybody, or for an endpoint that does not exist.
+TEST_F(RouterTest, BadDrainsAreRefused)
+{
+    addService([](const http::ExchangePtr &exchange) { answer(exchange, http::Status::ok, "answer"); });
+    serviceOptions_.operatorKey = "operator";
+    startRouter();
+    const std::string good = R"({"endpoint":"endpoint-1"})";
+    EXPECT_EQ(drain(good, ""), http::Status::unauthorized);
+    EXPECT_EQ(drain(good, "Bearer wrong"), http::Status::unauthorized);
+    EXPECT_EQ(drain(good, "operator"), http::Status::unauthorized);
+    EXPECT_EQ(drain(R"({"endpoint":"endpoint-2"})", "Bearer operator"), http::Status::not_found);
+    for (const char *body : {"", "{", "[]", "{}", R"({"endpoint":1})", R"({"endpoint":null})", R"("endpoint-1")", R"({"endpoint":"endpoint-1"} x)"}) {
+        EXPECT_EQ(drain(body, "Bearer operator"), http::Status::bad_request) << body;
+    }
+    EXPECT_EQ(drain(good, "Bearer operator", http::Verb::get), http::Status::method_not_allowed);
+    EXPECT_EQ(call("lookup", "still served").response.status, http::Status::ok);
+    EXPECT_EQ(drain(good, "Bearer operator"), http::Status::ok);
+}
+
+// Guards against a wrong limit or grace that is taken for another one or for none.
+TEST(RouterSettings, BadLimitsAreRefused)
+{
+    const auto run = [](std::vector<std::string> arguments) {
+        arguments.insert(arguments.begin(), {"router", "--check-settings", "--instance", "router-1"});
+        std::vector<char *> pointers;
+        for (std::string &argument : arguments) {
+            pointers.push_back(argument.data());
+        }
+        const RouterProgram program {.name = "router", .description = "", .policy = policy::standardPolicy()};
+        return runRouterProgram(program, static_cast<int>(pointers.size()), pointers.data());
+    };
+    for (const char *flag : {"--drain-grace-ms", "--drain-limit-ms", "--max-connections"}) {
+        EXPECT_EQ(run({flag, "250"}), support::toInt(support::ExitCode::Success)) << flag;
+        for (const char *value : {"-1", "1.5", "soon", "10s", "", "99999999999999999999"}) {
+            EXPECT_EQ(run({flag, value}), support::toInt(support::ExitCode::InvalidSettings)) << flag << " " << value;
+        }
+    }
+    EXPECT_EQ(run({"--max-connections", "0"}), support::toInt(support::ExitCode::InvalidSettings));
+}
+
 // Guards against a slow endpoint that holds up a short request, and against a loser that keeps running.
 TEST_F(RouterTest, HedgeAnswersForSilentEndpoint)
 {
--- a/unittests/Router/RouterFixture.cpp
+++ b/unittests/Router/RouterFixture.cpp
@@ -237,6 +237,16 @@
     return fetchAndWait(workers_.context(), service_->adminEndpoint(), http::Request(http::Verb::get, target, 11)).body;
 }
 
+http::Status RouterTest::drain(const std::string &body, const std::string &authorization, http::Verb method)
+{
+    http::Request request(method, "/v1/drain", 11);
+    if (!authorization.empty()) {
+        request.set("Authorization", authorization);
+    }
+    request.body() = body;
+    return fetchAndWait(workers_.context(), service_->adminEndpoint(), std::move(request)).status;
+}
+
 void RouterTest::waitUntil(const std::string &what, const std::function<bool()> &condition)
 {
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
--- a/unittests/Router/RouterFixture.h
+++ b/unittests/Router/RouterFixture.h
@@ -109,6 +109,7 @@
     Reply call(std::string_view className, std::string_view body, const std::map<std::string, std::string> &fields = {});
     http::Request makeRequest(std::string_view target, std::string_view className, std::string body) const;
     std::string getAdmin(const std::string &target);
+    http::Status drain(const std::string &body, const std::string &authorization, http::Verb method = http::Verb::post);
     /// Polls until the condition holds; fails the test after 10 s.
     static void waitUntil(const std::string &what, const std::function<bool()> &condition);
 
