membership: tie the mark of a leaving endpoint to its incarnation

Fault: the gossiped mark carried the time of its announcement in place of the endpoint's incarnation. A router that started within an hour after an endpoint had been drained and restarted under the same id took the mark for the new incarnation and held the endpoint back. By reading the code: a second drain through a router that still had the first mark was not announced.

Change: the mark carries a 64-bit hash of the name of the incarnation, 8 bytes more a datagram item, and a version that orders the announcements. A report of another incarnation clears it. Only the owner of a pool knows the incarnation (its last report is at most 5 s old) and adds it to marks that name none, with a version above theirs, so that clocks do not matter. An operator's drain is always announced. The datagram format is version 2; members of version 1 ignore it and are ignored.

Left as it was: plain services report no incarnation, so that only another instance at their address clears a mark; a drain within a second of the endpoint's restart may be tied to the incarnation before.

--- a/include/mulberrywall/Membership/StateMachine.h
+++ b/include/mulberrywall/Membership/StateMachine.h
@@ -72,8 +72,10 @@
     };
     struct ExpiringItem
     {
-        /// Incarnation of a leaving endpoint, or number of crashes.
+        /// Version of a leaving endpoint's announcement, or number of crashes.
         std::uint64_t version = 0;
+        /// Incarnation of a leaving endpoint; 0 when unknown.
+        std::uint64_t incarnation = 0;
         TimePoint expiresAt;
     };
     struct LoadRecord
@@ -136,7 +138,8 @@
 /// Takes an authenticated datagram; a malformed one is counted and ignored.
 Output receive(State &state, const Address &from, std::span<const std::uint8_t> payload, TimePoint now, Random &random);
 
-/// Spreads an item. A pool load gets a version above the known one; an item that is already known is not repeated.
+/// Spreads an item. A pool load and a leaving endpoint get a version above the known one; any other item that is already
+/// known is not repeated.
 Output announce(State &state, Item item, TimePoint now);
 
 /// Tells other members that this one leaves. The caller keeps advancing the state until the announcement has been gossiped.
@@ -148,7 +151,7 @@
 /// Live members including this one unless it has left, ordered by instance.
 [[nodiscard]] std::vector<Member> liveMembers(const State &state);
 [[nodiscard]] std::vector<Member> liveMembers(const State &state, const support::DataCentreId &dataCentre);
-/// States whether an endpoint that started with the given incarnation was announced as leaving.
+/// States whether this incarnation of an endpoint was announced as leaving; 0 stands for an unknown one on either side.
 [[nodiscard]] bool isLeaving(const State &state, const support::EndpointId &endpoint, std::uint64_t incarnation);
 [[nodiscard]] std::vector<PoolLoad> poolLoads(const State &state, const support::PoolId &pool);
 /// True when no item more urgent than a pool load waits to be sent.
--- a/include/mulberrywall/Membership/Types.h
+++ b/include/mulberrywall/Membership/Types.h
@@ -62,10 +62,13 @@
     friend bool operator==(const ConfigurationRevision &, const ConfigurationRevision &) = default;
 };
 
-/// States that an endpoint is leaving; holds for its incarnations up to and including the given one.
+/// States that one incarnation of an endpoint is leaving; the highest version wins.
 struct LeavingEndpoint
 {
     support::EndpointId endpoint;
+    /// Orders the announcements for one endpoint, for example the wall clock.
+    std::uint64_t version = 0;
+    /// Hash of the name that the endpoint gives its incarnation; 0 when the announcing router does not know it.
     std::uint64_t incarnation = 0;
     std::chrono::seconds timeToLive {3'600};
 
--- a/include/mulberrywall/Router/EndpointDirectory.h
+++ b/include/mulberrywall/Router/EndpointDirectory.h
@@ -4,6 +4,7 @@
 #include "mulberrywall/Permits/PoolOwner.h"
 #include "mulberrywall/Platform/InstanceList.h"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -17,13 +18,24 @@
 namespace mulberrywall::router
 {
 
+/// Hash of the name that an endpoint gives its incarnation, short enough for gossip.
+using IncarnationHash = std::uint64_t;
+
+inline constexpr IncarnationHash unknownIncarnation = 0;
+
+/// Returns unknownIncarnation for an empty name.
+[[nodiscard]] IncarnationHash hashIncarnation(std::string_view name);
+
 /// What is known about whether one endpoint leaves. A mark stays for the incarnation that it was set for.
 struct LeavingMarks
 {
     /// Set by an operator or by the endpoint itself.
     bool endpointLeaves = false;
-    /// Incarnation that the endpoint last reported; empty when it reports none.
-    std::string incarnation;
+    /// Incarnation for which endpointLeaves was set.
+    IncarnationHash leavingIncarnation = unknownIncarnation;
+    /// Incarnation that the endpoint reported to this router; unknown when the last report is old.
+    IncarnationHash incarnation = unknownIncarnation;
+    std::chrono::steady_clock::time_point reportedAt;
     /// Instance that the platform's list last had at the endpoint's address.
     std::string instance;
     bool instanceLeaves = false;
@@ -31,16 +43,21 @@
 
 [[nodiscard]] bool isLeaving(const LeavingMarks &marks);
 
-/// Takes the endpoint's own report; a new incarnation that does not leave clears the mark.
-void recordReport(LeavingMarks &marks, std::string_view incarnation, bool leaving);
+/// Marks the incarnation, or the reported one when the announcement names none.
+void recordAnnouncement(LeavingMarks &marks, IncarnationHash incarnation);
+
+/// Takes the endpoint's own report; an incarnation that does not leave clears the mark of another one.
+void recordReport(LeavingMarks &marks, IncarnationHash incarnation, bool leaving);
 
 /// Takes the entry of the instance list; another instance at the address clears all marks.
 void recordInstance(LeavingMarks &marks, std::string_view instance, platform::InstanceState state);
 
 /// Who said that an endpoint leaves.
 enum class LeavingOrigin : std::uint8_t {
-    /// An operator's command to this router, or the endpoint itself.
-    Local,
+    /// An operator's command to this router.
+    Operator,
+    /// The endpoint's answer to this router.
+    Endpoint,
     /// Another router, which tells all the others as well.
     Peer,
 };
@@ -51,11 +68,15 @@
 class EndpointDirectory
 {
 public:
-    /// The announcement is called, without a lock, for each endpoint that is marked here first; it may be empty.
-    EndpointDirectory(permits::PoolTable &pools, std::function<void(const support::EndpointId &)> announce);
+    using Announce = std::function<void(const support::EndpointId &, IncarnationHash)>;
+
+    /// The announcement is called, without a lock, for each operator's command, for each endpoint that is marked here first
+    /// and when a marked incarnation becomes known here; it may be empty.
+    EndpointDirectory(permits::PoolTable &pools, Announce announce);
 
-    /// Marks an endpoint on an operator's command, its own refusal or another router's announcement.
-    void markLeaving(const support::EndpointId &endpoint, LeavingOrigin origin);
+    /// Marks an endpoint on an operator's command, its own refusal or another router's announcement. Only the owner of its
+    /// pool knows its incarnation and announces it when the mark names none.
+    void markLeaving(const support::EndpointId &endpoint, LeavingOrigin origin, IncarnationHash incarnation = unknownIncarnation);
     void recordReport(const support::EndpointId &endpoint, std::string_view incarnation, bool leaving);
     /// Takes the whole instance list; entries are matched by address, and by port unless that is 0.
     void recordInstances(std::vector<platform::Instance> instances, const configuration::SiteConfiguration &configuration);
@@ -69,7 +90,7 @@
     void publish();
 
     permits::PoolTable &pools_;
-    std::function<void(const support::EndpointId &)> announce_;
+    Announce announce_;
     mutable std::mutex mutex_;
     std::map<support::EndpointId, LeavingMarks> marks_;
     std::vector<platform::Instance> instances_;
--- a/include/mulberrywall/Router/RouterService.h
+++ b/include/mulberrywall/Router/RouterService.h
@@ -71,7 +71,7 @@
     [[nodiscard]] std::shared_ptr<PeerGroup> makePeerGroup();
     [[nodiscard]] std::shared_ptr<ConfigurationWatcher> makeConfigurationWatcher();
     void onRevision(const RevisionPtr &revision);
-    void announceLeaving(const support::EndpointId &endpoint);
+    void announceLeaving(const support::EndpointId &endpoint, IncarnationHash incarnation);
     void startWatchers();
     void stopWatchers();
     void closeListener();
--- a/lib/Membership/Codec.cpp
+++ b/lib/Membership/Codec.cpp
@@ -9,7 +9,8 @@
 namespace
 {
 
-constexpr std::uint8_t protocolVersion = 1;
+/// Version 2 added the incarnation to leaving endpoints. A member ignores datagrams of other versions.
+constexpr std::uint8_t protocolVersion = 2;
 
 class Writer
 {
@@ -125,6 +126,7 @@
 void write(Writer &writer, const LeavingEndpoint &item)
 {
     writer.name(item.endpoint.value());
+    writer.number(item.version);
     writer.number(item.incarnation);
     writer.number(static_cast<std::uint32_t>(item.timeToLive.count()));
 }
@@ -168,6 +170,7 @@
 {
     LeavingEndpoint item;
     item.endpoint = support::EndpointId(reader.name());
+    item.version = reader.number<std::uint64_t>();
     item.incarnation = reader.number<std::uint64_t>();
     item.timeToLive = std::chrono::seconds(reader.number<std::uint32_t>());
     return item;
--- a/lib/Membership/Commands.cpp
+++ b/lib/Membership/Commands.cpp
@@ -302,6 +302,13 @@
             load->version = std::max(load->version, known->second.load.version + 1);
         }
     }
+    if (auto *leaving = std::get_if<LeavingEndpoint>(&item)) {
+        // A router that adds the incarnation to another one's mark may have a clock that is behind.
+        const auto known = state.leavingEndpoints.find(leaving->endpoint);
+        if (known != state.leavingEndpoints.end()) {
+            leaving->version = std::max(leaving->version, known->second.version + 1);
+        }
+    }
     applyItem(state, item, ItemSource::Gossip, now, output);
     return output;
 }
--- a/lib/Membership/Queries.cpp
+++ b/lib/Membership/Queries.cpp
@@ -47,7 +47,11 @@
 bool isLeaving(const State &state, const support::EndpointId &endpoint, std::uint64_t incarnation)
 {
     const auto found = state.leavingEndpoints.find(endpoint);
-    return found != state.leavingEndpoints.end() && incarnation <= found->second.version;
+    if (found == state.leavingEndpoints.end()) {
+        return false;
+    }
+    const std::uint64_t announced = found->second.incarnation;
+    return announced == 0 || incarnation == 0 || announced == incarnation;
 }
 
 std::vector<PoolLoad> poolLoads(const State &state, const support::PoolId &pool)
--- a/lib/Membership/Tables.cpp
+++ b/lib/Membership/Tables.cpp
@@ -134,19 +134,17 @@
 
 /// Returns whether the item changes what is known.
 template <typename Key>
-bool applyExpiring(
-    const State &state, std::map<Key, State::ExpiringItem> &items, const Key &key, std::uint64_t version, std::chrono::seconds timeToLive, TimePoint now)
+bool applyExpiring(const State &state, std::map<Key, State::ExpiringItem> &items, const Key &key, const State::ExpiringItem &item, TimePoint now)
 {
-    if (timeToLive <= std::chrono::seconds(0)) {
+    if (item.expiresAt <= now) {
         return false;
     }
-    const State::ExpiringItem item {.version = version, .expiresAt = now + timeToLive};
     const auto found = items.find(key);
     if (found == items.end()) {
         return items.size() < state.options.maxItemsOfAType && items.emplace(key, item).second;
     }
     State::ExpiringItem &known = found->second;
-    if (version > known.version || (version == known.version && item.expiresAt > known.expiresAt + significantExtension)) {
+    if (item.version > known.version || (item.version == known.version && item.expiresAt > known.expiresAt + significantExtension)) {
         known = item;
         return true;
     }
@@ -155,14 +153,16 @@
 
 void apply(State &state, const LeavingEndpoint &item, ItemSource, TimePoint now, Output &output)
 {
-    if (applyExpiring(state, state.leavingEndpoints, item.endpoint, item.incarnation, item.timeToLive, now)) {
+    const State::ExpiringItem expiring {.version = item.version, .incarnation = item.incarnation, .expiresAt = now + item.timeToLive};
+    if (applyExpiring(state, state.leavingEndpoints, item.endpoint, expiring, now)) {
         report(state, item, output);
     }
 }
 
 void apply(State &state, const CrashSuspect &item, ItemSource, TimePoint now, Output &output)
 {
-    if (applyExpiring(state, state.crashSuspects, item.fingerprint, item.crashes, item.timeToLive, now)) {
+    const State::ExpiringItem expiring {.version = item.crashes, .expiresAt = now + item.timeToLive};
+    if (applyExpiring(state, state.crashSuspects, item.fingerprint, expiring, now)) {
         report(state, item, output);
     }
 }
@@ -212,7 +212,8 @@
     }
     for (const auto &[endpoint, item] : state.leavingEndpoints) {
         if (bucketOf(endpoint.value()) == bucket) {
-            items.emplace_back(LeavingEndpoint {.endpoint = endpoint, .incarnation = item.version, .timeToLive = remaining(item, now)});
+            items.emplace_back(
+                LeavingEndpoint {.endpoint = endpoint, .version = item.version, .incarnation = item.incarnation, .timeToLive = remaining(item, now)});
         }
     }
     for (const auto &[fingerprint, item] : state.crashSuspects) {
@@ -239,7 +240,10 @@
         if (known == state.leavingEndpoints.end()) {
             return std::nullopt;
         }
-        return LeavingEndpoint {.endpoint = leaving->endpoint, .incarnation = known->second.version, .timeToLive = remaining(known->second, state.now)};
+        return LeavingEndpoint {.endpoint = leaving->endpoint,
+            .version = known->second.version,
+            .incarnation = known->second.incarnation,
+            .timeToLive = remaining(known->second, state.now)};
     }
     if (const auto *suspect = std::get_if<CrashSuspect>(&item)) {
         const auto known = state.crashSuspects.find(suspect->fingerprint);
--- a/lib/Router/CallerSession.cpp
+++ b/lib/Router/CallerSession.cpp
@@ -353,7 +353,7 @@
     }
     failedEndpoints_.push_back(endpoint);
     if (attemptEnd.leaving) {
-        state_.endpoints.markLeaving(endpoint, LeavingOrigin::Local);
+        state_.endpoints.markLeaving(endpoint, LeavingOrigin::Endpoint);
     }
     if (!attemptEnd.reached) {
         ++failedConnections_;
--- a/lib/Router/EndpointDirectory.cpp
+++ b/lib/Router/EndpointDirectory.cpp
@@ -2,23 +2,48 @@
 
 #include "mulberrywall/Support/Log.h"
 
+#include <xxhash.h>
+
 #include <utility>
 
 namespace mulberrywall::router
 {
 
+IncarnationHash hashIncarnation(std::string_view name)
+{
+    return name.empty() ? unknownIncarnation : XXH3_64bits(name.data(), name.size());
+}
+
 bool isLeaving(const LeavingMarks &marks)
 {
     return marks.endpointLeaves || marks.instanceLeaves;
 }
 
-void recordReport(LeavingMarks &marks, std::string_view incarnation, bool leaving)
+void recordAnnouncement(LeavingMarks &marks, IncarnationHash incarnation)
+{
+    marks.endpointLeaves = true;
+    marks.leavingIncarnation = incarnation != unknownIncarnation ? incarnation : marks.incarnation;
+}
+
+void recordReport(LeavingMarks &marks, IncarnationHash incarnation, bool leaving)
 {
-    const bool isNew = !marks.incarnation.empty() && !incarnation.empty() && incarnation != marks.incarnation;
-    if (!incarnation.empty()) {
+    if (incarnation != unknownIncarnation) {
         marks.incarnation = incarnation;
     }
-    marks.endpointLeaves = leaving || (marks.endpointLeaves && !isNew);
+    if (leaving) {
+        marks.endpointLeaves = true;
+        marks.leavingIncarnation = marks.incarnation;
+        return;
+    }
+    if (!marks.endpointLeaves || incarnation == unknownIncarnation) {
+        return;
+    }
+    if (marks.leavingIncarnation == unknownIncarnation) {
+        marks.leavingIncarnation = incarnation;
+    } else if (marks.leavingIncarnation != incarnation) {
+        marks.endpointLeaves = false;
+        marks.leavingIncarnation = unknownIncarnation;
+    }
 }
 
 void recordInstance(LeavingMarks &marks, std::string_view instance, platform::InstanceState state)
@@ -33,39 +58,77 @@
     marks.instanceLeaves = marks.instanceLeaves || state == platform::InstanceState::Leaving;
 }
 
-EndpointDirectory::EndpointDirectory(permits::PoolTable &pools, std::function<void(const support::EndpointId &)> announce)
+/// Only the owner of a pool asks its endpoints, once a second. An older report is from an earlier ownership, and the endpoint
+/// may have been restarted since.
+static constexpr std::chrono::seconds reportLifetime {5};
+
+static void forgetOldReport(LeavingMarks &marks)
+{
+    if (std::chrono::steady_clock::now() - marks.reportedAt > reportLifetime) {
+        marks.incarnation = unknownIncarnation;
+    }
+}
+
+/// Returns whether the other routers have to learn of the mark or of its incarnation.
+static bool isAnnounced(const LeavingMarks &before, const LeavingMarks &after, LeavingOrigin origin, IncarnationHash announced)
+{
+    switch (origin) {
+    case LeavingOrigin::Operator:
+        // The mark that is known here may be for an earlier incarnation.
+        return true;
+    case LeavingOrigin::Endpoint:
+        return after.endpointLeaves && (!before.endpointLeaves || after.leavingIncarnation != before.leavingIncarnation);
+    case LeavingOrigin::Peer:
+        return announced == unknownIncarnation && after.leavingIncarnation != unknownIncarnation;
+    }
+    return false;
+}
+
+EndpointDirectory::EndpointDirectory(permits::PoolTable &pools, Announce announce)
     : pools_(pools),
       announce_(std::move(announce))
 {
 }
 
-void EndpointDirectory::markLeaving(const support::EndpointId &endpoint, LeavingOrigin origin)
+void EndpointDirectory::markLeaving(const support::EndpointId &endpoint, LeavingOrigin origin, IncarnationHash incarnation)
 {
-    bool isNew = false;
+    bool mustAnnounce = false;
+    IncarnationHash marked = unknownIncarnation;
     {
         const std::scoped_lock lock(mutex_);
         LeavingMarks &marks = marks_[endpoint];
-        isNew = !marks.endpointLeaves;
-        marks.endpointLeaves = true;
+        if (origin == LeavingOrigin::Endpoint && marks.endpointLeaves) {
+            return;
+        }
+        const LeavingMarks before = marks;
+        forgetOldReport(marks);
+        recordAnnouncement(marks, incarnation);
+        marked = marks.leavingIncarnation;
+        mustAnnounce = isAnnounced(before, marks, origin, incarnation);
         publish();
     }
-    if (isNew && origin == LeavingOrigin::Local && announce_) {
-        announce_(endpoint);
+    if (mustAnnounce && announce_) {
+        announce_(endpoint, marked);
     }
 }
 
 void EndpointDirectory::recordReport(const support::EndpointId &endpoint, std::string_view incarnation, bool leaving)
 {
-    bool isNew = false;
+    bool mustAnnounce = false;
+    IncarnationHash marked = unknownIncarnation;
     {
         const std::scoped_lock lock(mutex_);
         LeavingMarks &marks = marks_[endpoint];
-        isNew = leaving && !marks.endpointLeaves;
-        router::recordReport(marks, incarnation, leaving);
+        const LeavingMarks before = marks;
+        forgetOldReport(marks);
+        router::recordReport(marks, hashIncarnation(incarnation), leaving);
+        marks.reportedAt = std::chrono::steady_clock::now();
+        marked = marks.leavingIncarnation;
+        mustAnnounce = isAnnounced(before, marks, LeavingOrigin::Endpoint, unknownIncarnation);
         publish();
     }
-    if (isNew && announce_) {
-        announce_(endpoint);
+    if (mustAnnounce && announce_) {
+        announce_(endpoint, marked);
     }
 }
 
--- a/lib/Router/EndpointWatcher.cpp
+++ b/lib/Router/EndpointWatcher.cpp
@@ -127,7 +127,7 @@
             return;
         }
         if (isTrue(*report, "leaving")) {
-            self->directory_.markLeaving(endpoint.id, LeavingOrigin::Local);
+            self->directory_.markLeaving(endpoint.id, LeavingOrigin::Endpoint);
         }
         const policy::LoadReport loadReport {.endpoint = endpoint.id,
             .running = static_cast<unsigned>(numberOf(*report, "running")),
--- a/lib/Router/PeerGroup.cpp
+++ b/lib/Router/PeerGroup.cpp
@@ -137,7 +137,8 @@
 
 void PeerGroup::announceLeaving(const support::EndpointId &endpoint, std::uint64_t incarnation)
 {
-    membership_->announce(membership::LeavingEndpoint {.endpoint = endpoint, .incarnation = incarnation});
+    // The wall clock orders the marks of one endpoint, whose incarnations are unordered names.
+    membership_->announce(membership::LeavingEndpoint {.endpoint = endpoint, .version = membership::incarnationFromClock(), .incarnation = incarnation});
 }
 
 void PeerGroup::fetchConfiguration(std::uint64_t minimumRevision, std::function<void(std::optional<permits::ConfigurationDocument>)> handler)
--- a/lib/Router/RouterService.cpp
+++ b/lib/Router/RouterService.cpp
@@ -41,7 +41,7 @@
     : context_(context),
       options_(std::move(options)),
       pools_(context, policy),
-      endpoints_(pools_, [this](const support::EndpointId &endpoint) { announceLeaving(endpoint); }),
+      endpoints_(pools_, [this](const support::EndpointId &endpoint, IncarnationHash incarnation) { announceLeaving(endpoint, incarnation); }),
       peers_(makePeerGroup()),
       configurationWatcher_(makeConfigurationWatcher()),
       state_ {.context = context,
@@ -64,7 +64,8 @@
     PeerGroupHandlers handlers {
         .provideConfiguration = [this](std::uint64_t minimumRevision) { return configurationWatcher_->provide(minimumRevision); },
         .revisionSeen = [this](std::uint64_t revision) { configurationWatcher_->revisionSeen(revision); },
-        .endpointLeaving = [this](const support::EndpointId &endpoint, std::uint64_t) { endpoints_.markLeaving(endpoint, LeavingOrigin::Peer); },
+        .endpointLeaving
+        = [this](const support::EndpointId &endpoint, IncarnationHash incarnation) { endpoints_.markLeaving(endpoint, LeavingOrigin::Peer, incarnation); },
     };
     return PeerGroup::create(context_, pools_, *options_.peers, std::move(handlers));
 }
@@ -135,11 +136,10 @@
           });
 }
 
-void RouterService::announceLeaving(const support::EndpointId &endpoint)
+void RouterService::announceLeaving(const support::EndpointId &endpoint, IncarnationHash incarnation)
 {
     if (peers_) {
-        // The wall clock orders the marks of one endpoint, whose incarnations are unordered names.
-        peers_->announceLeaving(endpoint, membership::incarnationFromClock());
+        peers_->announceLeaving(endpoint, incarnation);
     }
 }
 
@@ -350,7 +350,7 @@
             .title = "unknown endpoint",
             .detail = "the configuration has no endpoint '" + endpoint.value() + "'; see /v1/status"});
     }
-    endpoints_.markLeaving(endpoint, LeavingOrigin::Local);
+    endpoints_.markLeaving(endpoint, LeavingOrigin::Operator);
     return http::makeJsonResponse(http::Status::ok, json::serialize(json::object {{"endpoint", endpoint.value()}, {"leaving", true}}));
 }
 
--- a/unittests/Membership/CodecTest.cpp
+++ b/unittests/Membership/CodecTest.cpp
@@ -24,7 +24,7 @@
 {
     return {Member {.instance = support::InstanceId("router-3"), .dataCentre = support::DataCentreId("a"), .incarnation = 5, .state = MemberState::Dead},
         ConfigurationRevision {12},
-        LeavingEndpoint {.endpoint = support::EndpointId("runner-1"), .incarnation = 3, .timeToLive = std::chrono::seconds(9)},
+        LeavingEndpoint {.endpoint = support::EndpointId("runner-1"), .version = 2, .incarnation = 3, .timeToLive = std::chrono::seconds(9)},
         CrashSuspect {.fingerprint = 77, .crashes = 2, .timeToLive = std::chrono::seconds(600)},
         PoolLoad {.dataCentre = support::DataCentreId("b"),
             .pool = support::PoolId("model"),
--- a/unittests/Membership/StateMachineTest.cpp
+++ b/unittests/Membership/StateMachineTest.cpp
@@ -236,7 +236,7 @@
         });
     };
     ASSERT_TRUE(network.runUntil(split, seconds(60)));
-    network.announce(2, LeavingEndpoint {.endpoint = support::EndpointId("runner"), .incarnation = 4, .timeToLive = seconds(3'600)});
+    network.announce(2, LeavingEndpoint {.endpoint = support::EndpointId("runner"), .version = 1, .incarnation = 4, .timeToLive = seconds(3'600)});
     network.announce(20, ConfigurationRevision {9});
     network.runFor(seconds(60));
     EXPECT_TRUE(split());
@@ -329,7 +329,7 @@
     ASSERT_TRUE(network.runUntil([&] { return network.allSee(50); }, seconds(15)));
     network.announce(1, ConfigurationRevision {41});
     network.announce(2, ConfigurationRevision {40});
-    network.announce(3, LeavingEndpoint {.endpoint = support::EndpointId("runner"), .incarnation = 4, .timeToLive = seconds(60)});
+    network.announce(3, LeavingEndpoint {.endpoint = support::EndpointId("runner"), .version = 1, .incarnation = 4, .timeToLive = seconds(60)});
     network.announce(4, CrashSuspect {.fingerprint = 99, .crashes = 2, .timeToLive = seconds(60)});
     network.announce(5, CrashSuspect {.fingerprint = 99, .crashes = 1, .timeToLive = seconds(60)});
     const auto spread = network.runUntil(
@@ -344,6 +344,10 @@
     ASSERT_TRUE(spread);
     EXPECT_LE(*spread, seconds(3));
     EXPECT_FALSE(isLeaving(network.state(9), support::EndpointId("runner"), 5)) << "a restarted endpoint is not leaving";
+    network.announce(6, LeavingEndpoint {.endpoint = support::EndpointId("runner"), .version = 0, .incarnation = 5, .timeToLive = seconds(60)});
+    EXPECT_TRUE(network.runUntil(
+        [&] { return network.allRunning([](const State &state) { return isLeaving(state, support::EndpointId("runner"), 5); }); }, seconds(10)))
+        << "a later announcement of a router whose clock is behind is lost";
     network.runFor(seconds(70));
     EXPECT_TRUE(network.allRunning([](const State &state) { return state.leavingEndpoints.empty() && state.crashSuspects.empty(); }))
         << "items that members pass on must not outlive their time";
--- a/unittests/Router/LeavingTest.cpp
+++ b/unittests/Router/LeavingTest.cpp
@@ -17,20 +17,43 @@
 TEST(LeavingMarks, StayForOneIncarnation)
 {
     LeavingMarks marks;
-    recordReport(marks, "one", true);
-    recordReport(marks, "one", false);
+    recordReport(marks, 1, true);
+    recordReport(marks, 1, false);
     EXPECT_TRUE(isLeaving(marks));
-    recordReport(marks, "two", false);
+    recordReport(marks, 2, false);
     EXPECT_FALSE(isLeaving(marks));
 
     recordInstance(marks, "i-1", InstanceState::Leaving);
     recordInstance(marks, "i-1", InstanceState::Live);
-    recordReport(marks, "three", false);
+    recordReport(marks, 3, false);
     EXPECT_TRUE(isLeaving(marks));
     recordInstance(marks, "i-2", InstanceState::Live);
     EXPECT_FALSE(isLeaving(marks));
 }
 
+// Guards against a router, started after an endpoint was drained and restarted, that holds the new incarnation back, and
+// against one that forgets a mark because it has not seen the endpoint before.
+TEST(LeavingMarks, AnnouncedIncarnationIsNotTheRestartedOne)
+{
+    LeavingMarks restarted;
+    recordAnnouncement(restarted, 1);
+    EXPECT_TRUE(isLeaving(restarted));
+    recordReport(restarted, 2, false);
+    EXPECT_FALSE(isLeaving(restarted));
+
+    LeavingMarks same;
+    recordAnnouncement(same, 1);
+    recordReport(same, 1, false);
+    EXPECT_TRUE(isLeaving(same));
+
+    LeavingMarks unknown;
+    recordAnnouncement(unknown, unknownIncarnation);
+    recordReport(unknown, 1, false);
+    EXPECT_TRUE(isLeaving(unknown));
+    recordReport(unknown, 2, false);
+    EXPECT_FALSE(isLeaving(unknown));
+}
+
 // Guards against new work for an endpoint that refused because it leaves.
 TEST_F(RouterTest, RefusalWithLeavingStopsNewWork)
 {
