test: resend keyed calls past a slow or silent platform and a paused router

Cover what docs/proofs.md listed as not proved for AtMostOnce: the platform commits a claim without an answer, also with an outage right after it; it answers within and after the routers' timeouts; a router is paused after its claim was committed and before it dispatches, while the caller resends through the other one; resends through another data centre.

The platform stand-in answers /control without its latency, so that a test sees a commit before the router sees its answer.

--- a/test/AtMostOnce/AtMostOnceTest.cpp
+++ b/test/AtMostOnce/AtMostOnceTest.cpp
@@ -49,6 +49,24 @@
     postJson(deployment.service(1).port, "/control", behaviour);
 }
 
+DeploymentOptions withPlatform()
+{
+    DeploymentOptions options = twoServices();
+    options.platform = PlatformUse::Standin;
+    return options;
+}
+
+void controlPlatform(Deployment &deployment, const boost::json::object &behaviour)
+{
+    postJson(deployment.platform().port, "/control", behaviour);
+}
+
+/// Sends the call, again and again, until a router runs it or replays its response.
+void sendUntilServed(Deployment &deployment, const std::string &key)
+{
+    waitUntil("the call with the key " + key + " is served", [&] { return sendWithKey(deployment, 1, key, key).status == 200; });
+}
+
 void settle(Deployment &deployment)
 {
     setFaults(deployment, {});
@@ -98,9 +116,7 @@
 // Guards against a second run when a caller repeats its call with the same key, also through another router.
 TEST(AtMostOnce, ResentWithKey)
 {
-    DeploymentOptions options = twoServices();
-    options.platform = PlatformUse::Standin;
-    Deployment deployment(options);
+    Deployment deployment(withPlatform());
     for (const char *fault : {"", "drop-after-run"}) {
         control(deployment, {{"fault", fault}});
         const std::string body = std::string("keyed ") + fault;
@@ -116,9 +132,7 @@
 // Guards against two runs when the same call arrives at both routers at once.
 TEST(AtMostOnce, ResentAtTheSameTime)
 {
-    DeploymentOptions options = twoServices();
-    options.platform = PlatformUse::Standin;
-    Deployment deployment(options);
+    Deployment deployment(withPlatform());
     control(deployment, {{"delayMs", 200}});
     for (int round = 0; round < 5; ++round) {
         const std::string body = "round " + std::to_string(round);
@@ -138,9 +152,7 @@
 // Guards against a caller that gets the response of another request because both bear the same key.
 TEST(AtMostOnce, KeyOfAnotherRequest)
 {
-    DeploymentOptions options = twoServices();
-    options.platform = PlatformUse::Standin;
-    Deployment deployment(options);
+    Deployment deployment(withPlatform());
     EXPECT_EQ(sendWithKey(deployment, 0, "k", "first").status, 200U);
     const Reply reply = sendWithKey(deployment, 1, "k", "second");
     EXPECT_EQ(reply.status, 422U) << reply.body;
@@ -151,9 +163,7 @@
 // Guards against a claim that is lost with the router, or kept although the request certainly has not run.
 TEST(AtMostOnce, RouterKilledWhileTheCallRuns)
 {
-    DeploymentOptions options = twoServices();
-    options.platform = PlatformUse::Standin;
-    Deployment deployment(options);
+    Deployment deployment(withPlatform());
     control(deployment, {{"delayMs", 500}});
     Call call = deployment.serviceCall(0, "payment", "b");
     call.headers.emplace_back("Idempotency-Key", "k");
@@ -171,9 +181,7 @@
 // Guards against a proven "not run" that leaves the key used up, so that the caller can never send its request.
 TEST(AtMostOnce, RefusedCallKeepsItsKeyFree)
 {
-    DeploymentOptions options = twoServices();
-    options.platform = PlatformUse::Standin;
-    Deployment deployment(options);
+    Deployment deployment(withPlatform());
     control(deployment, {{"refuse", true}});
     EXPECT_EQ(sendWithKey(deployment, 0, "k", "b").outcome(), "not-run");
     control(deployment, {{"refuse", false}});
@@ -184,9 +192,7 @@
 // Guards against claims that are skipped while the table service is down or frozen.
 TEST(AtMostOnce, PlatformDown)
 {
-    DeploymentOptions options = twoServices();
-    options.platform = PlatformUse::Standin;
-    Deployment deployment(options);
+    Deployment deployment(withPlatform());
     deployment.platform().process->sendSignal(SIGKILL);
     deployment.platform().process->waitForEnd();
     const Reply reply = sendWithKey(deployment, 0, "k", "b");
@@ -194,6 +200,114 @@
     EXPECT_EQ(runsOf(deployment, "b"), 0U);
 }
 
+// Guards against a claim that counts as missing, or as another caller's, because the platform has committed it without an
+// answer, and against one that blocks its key for good although its request was refused.
+TEST(AtMostOnce, PlatformCommitsWithoutAnswer)
+{
+    Deployment deployment(withPlatform());
+    for (std::size_t index = 0; index < 6; ++index) {
+        const std::string key = "lost " + std::to_string(index);
+        controlPlatform(deployment, {{"loseAnswers", 1 + index % 3}});
+        const Reply reply = sendWithKey(deployment, index % 2, key, key);
+        EXPECT_EQ(reply.status, 200U) << reply.body;
+        EXPECT_NE(sendWithKey(deployment, 1 - index % 2, key, key).outcome(), "not-run");
+        EXPECT_EQ(runsOf(deployment, key), 1U);
+    }
+    const std::string key = "lost with an outage";
+    controlPlatform(deployment, {{"loseAnswers", 1}, {"outageAfterLostAnswer", 1}});
+    for (std::size_t router = 0; router < 2; ++router) {
+        EXPECT_EQ(sendWithKey(deployment, router, key, key).outcome(), "not-run");
+    }
+    EXPECT_EQ(runsOf(deployment, key), 0U);
+    controlPlatform(deployment, {{"outage", "none"}});
+    sendUntilServed(deployment, key);
+    EXPECT_EQ(runsOf(deployment, key), 1U);
+}
+
+// Guards against a second run when callers lose patience with a platform that answers late, or later than routers wait.
+TEST(AtMostOnce, PlatformIsSlow)
+{
+    Deployment deployment(withPlatform());
+    for (const int latencyMs : {300, 1'200}) {
+        controlPlatform(deployment, {{"latencyMs", latencyMs}});
+        const std::string key = "slow " + std::to_string(latencyMs);
+        std::vector<Call> calls;
+        for (std::size_t index = 0; index < 8; ++index) {
+            calls.push_back(deployment.serviceCall(index % 2, "payment", key));
+            calls.back().headers.emplace_back("Idempotency-Key", key);
+        }
+        ParallelCalls parallel(calls);
+        bool isServed = false;
+        for (const Reply &reply : parallel.wait()) {
+            EXPECT_TRUE(reply.complete()) << reply.error;
+            isServed = isServed || reply.status == 200;
+        }
+        EXPECT_EQ(runsOf(deployment, key), isServed ? 1U : 0U);
+        controlPlatform(deployment, {{"latencyMs", 0}});
+        sendUntilServed(deployment, key);
+        EXPECT_EQ(runsOf(deployment, key), 1U);
+    }
+}
+
+// Guards against a router that is paused after the platform has committed its claim and runs the call when it goes on,
+// while the caller's resend through the other router runs it as well.
+TEST(AtMostOnce, RouterPausedBeforeDispatch)
+{
+    Deployment deployment(withPlatform());
+    const auto commits = [&] {
+        const boost::json::object counters = getJson(deployment.platform().port, "/control");
+        return counters.contains("commits") ? counters.at("commits").to_number<std::uint64_t>() : 0;
+    };
+    for (std::size_t paused = 0; paused < 2; ++paused) {
+        const std::string key = "paused " + std::to_string(paused);
+        controlPlatform(deployment, {{"latencyMs", 900}});
+        const std::uint64_t before = commits();
+        Call call = deployment.serviceCall(paused, "payment", key);
+        call.headers.emplace_back("Idempotency-Key", key);
+        ParallelCalls first({call});
+        waitUntil("the claim is committed", [&] { return commits() > before; });
+        deployment.router(paused).process->sendSignal(SIGSTOP);
+        EXPECT_EQ(runsOf(deployment, key), 0U) << "the router was paused too late for this test";
+        controlPlatform(deployment, {{"latencyMs", 0}});
+        for (int resend = 0; resend < 2; ++resend) {
+            const Reply reply = sendWithKey(deployment, 1 - paused, key, key);
+            EXPECT_EQ(reply.outcome(), "may-have-run") << reply.status << reply.body;
+        }
+        deployment.router(paused).process->sendSignal(SIGCONT);
+        first.wait();
+        sendWithKey(deployment, 1 - paused, key, key);
+        EXPECT_EQ(runsOf(deployment, key), 1U);
+        for (std::size_t index = 0; index < 2; ++index) {
+            deployment.waitForMembers(index, 2);
+        }
+    }
+}
+
+// Guards against claims that hold in one data centre only.
+TEST(AtMostOnce, ResentThroughAnotherDataCentre)
+{
+    DeploymentOptions options = withPlatform();
+    options.dataCentres = {"dc-a", "dc-b"};
+    options.routers = 1;
+    options.services = 1;
+    Deployment deployment(options);
+    for (const char *fault : {"", "drop-after-run"}) {
+        control(deployment, {{"fault", fault}});
+        const std::string key = std::string("key ") + fault;
+        std::vector<Call> calls;
+        for (std::size_t index = 0; index < 4; ++index) {
+            calls.push_back(deployment.serviceCall(index % 2, "payment", key));
+            calls.back().headers.emplace_back("Idempotency-Key", key);
+        }
+        ParallelCalls(calls).wait();
+        for (std::size_t resend = 0; resend < 4; ++resend) {
+            const Reply reply = sendWithKey(deployment, resend % 2, key, key);
+            EXPECT_NE(reply.outcome(), "not-run") << reply.body;
+        }
+        EXPECT_EQ(runsOf(deployment, key), 1U) << key;
+    }
+}
+
 // Guards against a keyed call that runs unprotected while the table service cannot be reached.
 TEST(AtMostOnce, KeyedCallNeedsPlatform)
 {
--- a/test/Support/Platform/PlatformStandin.cpp
+++ b/test/Support/Platform/PlatformStandin.cpp
@@ -145,7 +145,9 @@
         std::chrono::milliseconds latency {};
         {
             const std::lock_guard lock(mutex_);
-            latency = options_.latency;
+            // A test that waits for an event behind a slow response must see the event first.
+            const auto target = exchange->request().target();
+            latency = http::pathOf({target.data(), target.size()}) == "/control" ? std::chrono::milliseconds(0) : options_.latency;
             answer = handle(exchange->request());
         }
         if (latency == std::chrono::milliseconds(0)) {
