test: cut the platform off during pushes of a configuration

Two tests for ConfigurationInForce: the platform is killed when one of six routers has read a revision, the others being paused until then; and one data centre is cut off from the platform during two pushes, with refused and with silent connections, and heals before a third.

--- a/test/ConfigurationInForce/RouterTest.cpp
+++ b/test/ConfigurationInForce/RouterTest.cpp
@@ -7,7 +7,10 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/json/serialize.hpp>
+
 #include <chrono>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -136,6 +139,55 @@
     expectEverywhere(2);
 }
 
+// Guards against a revision that is lost, or late at most routers, because the platform goes down when only one router has
+// read it.
+TEST_F(RouterRevisionTest, PlatformGoesDownAfterTheFirstRead)
+{
+    for (const char *dataCentre : {"dc-a", "dc-a", "dc-b", "dc-b", "dc-c", "dc-c"}) {
+        startRouter(dataCentre, platformPort_);
+    }
+    apply(100);
+    expectEverywhere(1);
+    for (std::size_t index = 1; index < routers_.size(); ++index) {
+        routers_[index].process->sendSignal(SIGSTOP);
+    }
+    apply(101);
+    waitUntil("the first router reads the revision", [&] { return revisionOf(routers_.front()) == 2; });
+    platform_.reset();
+    for (std::size_t index = 1; index < routers_.size(); ++index) {
+        routers_[index].process->sendSignal(SIGCONT);
+    }
+    expectEverywhere(2);
+}
+
+// Guards against a data centre that misses changes while it cannot reach the platform, or that falls back when it can again.
+TEST_F(RouterRevisionTest, DataCentreCutOffFromThePlatform)
+{
+    ChildProcess proxy({.name = "fault-proxy", .binary = PROXY_BINARY, .arguments = {"--seed", "1"}});
+    const std::uint16_t control = proxy.waitForPort();
+    const Reply route = send(
+        {.port = control, .method = "PUT", .target = "/routes/platform", .body = boost::json::serialize(boost::json::object {{"target", platformPort_}})});
+    const auto proxied = route.json().at("port").to_number<std::uint16_t>();
+    startRouter("dc-a", platformPort_);
+    startRouter("dc-b", platformPort_);
+    startRouter("dc-c", proxied);
+    startRouter("dc-c", proxied);
+    apply(100);
+    expectEverywhere(1);
+    // First refuses connections at once, then lets them hang.
+    std::int64_t revision = 1;
+    for (const boost::json::object &faults : {boost::json::object {{"cut", true}}, boost::json::object {{"pauseAccept", true}, {"swallowToTarget", true}}}) {
+        postJson(control, "/routes/platform/faults", faults);
+        apply(100 + static_cast<unsigned>(revision));
+        expectEverywhere(++revision);
+        apply(100 + static_cast<unsigned>(revision));
+        expectEverywhere(++revision);
+        postJson(control, "/routes/platform/faults", {});
+        apply(100 + static_cast<unsigned>(revision));
+        expectEverywhere(++revision);
+    }
+}
+
 // Guards against a stale answer of the store that takes a configuration back.
 TEST_F(RouterRevisionTest, NeverTakesAnOlderRevision)
 {
