http: refuse methods that cannot be forwarded and answer HEAD without a body

Cause: Beast throws when a request with an unregistered method, or a TRACE request with a body, is built for an endpoint. The exception left a handler of the worker pool, which ends the process, so one request of a caller with a valid key could end a router (found by reading while the fuzz targets were written; the process itself was not run into it). The server answered HEAD with a body, which a caller on a kept connection takes for the response to its next request, and a call with HEAD waited for the body that Content-Length announced until its timeout.

Ruled out: catching exceptions in the worker pool, since the request would then stay without an answer.

Change: the server answers 501 to an unknown method and 400 to TRACE with a body, both not run, and leaves out body and length in a response to HEAD; a call with HEAD ends after the header.

Before, with the old sources under address and undefined sanitizers: RefusesUnknownMethodAndTraceWithBody, SendsNoBodyForHead and ReadsResponseToHead fail, the last one after 30,009 ms. After: the 7 tests of HttpTests pass in 356 ms.

--- a/lib/Http/ClientCall.cpp
+++ b/lib/Http/ClientCall.cpp
@@ -37,6 +37,8 @@
     {
         parser_.header_limit(maxResponseHeaderBytes);
         parser_.body_limit(options.maxResponseBytes);
+        // The response to HEAD may state the length of a body that does not follow.
+        parser_.skip(request_.method() == Verb::head);
     }
 
     void connect()
--- a/lib/Http/Server.cpp
+++ b/lib/Http/Server.cpp
@@ -69,6 +69,20 @@
     return std::nullopt;
 }
 
+/// Requests that are valid HTTP, but that Beast refuses, by an exception, to build for an endpoint.
+std::optional<Problem> problemForRequest(const Request &request)
+{
+    if (request.method() == Verb::unknown) {
+        return Problem {.status = Status::not_implemented,
+            .title = "unknown method",
+            .detail = "the method '" + std::string(request.method_string()) + "' is not known; use a registered HTTP method"};
+    }
+    if (request.method() == Verb::trace && !request.body().empty()) {
+        return Problem {.status = Status::bad_request, .title = "malformed request", .detail = "a TRACE request must not have a body; send it without one"};
+    }
+    return std::nullopt;
+}
+
 class Connection;
 
 class ConnectionExchange final : public Exchange
@@ -142,7 +156,12 @@
         callerGone_ = nullptr;
         keepAlive_ = requestKeepAlive_ && !shared_->stopping;
         response.keep_alive(keepAlive_);
-        response.prepare_payload();
+        if (isHeadRequest_) {
+            // A body would be read as the next response. The length that GET would have is not known.
+            response.body().clear();
+        } else {
+            response.prepare_payload();
+        }
         auto message = std::make_shared<Response>(std::move(response));
         stream_.expires_after(shared_->options.writeTimeout);
         beast::http::async_write(stream_, *message, [self = shared_from_this(), message](const error_code &error, std::size_t) { self->onResponseEnd(error); });
@@ -217,12 +236,17 @@
             return;
         }
         requestKeepAlive_ = parser_->keep_alive();
+        isHeadRequest_ = parser_->get().method() == Verb::head;
         isExchangeActive_ = true;
         ++shared_->activeExchanges;
         if (isAboveLimit_) {
             refuseAboveLimit();
             return;
         }
+        if (const auto problem = problemForRequest(parser_->get())) {
+            respond(makeProblemResponse(*problem));
+            return;
+        }
         shared_->handler(std::make_shared<ConnectionExchange>(shared_from_this(), parser_->release()));
     }
 
@@ -257,6 +281,7 @@
         }
         support::log(support::Severity::Warning, "rejected a request that could not be read", {{"reason", error.message()}});
         requestKeepAlive_ = false;
+        isHeadRequest_ = parser_->is_header_done() && parser_->get().method() == Verb::head;
         respond(makeProblemResponse(*problem));
     }
 
@@ -332,6 +357,7 @@
     bool readTimedOut_ = false;
     bool keepAlive_ = true;
     bool requestKeepAlive_ = true;
+    bool isHeadRequest_ = false;
     bool isAboveLimit_ = false;
     bool isExchangeActive_ = false;
 };
--- a/unittests/Http/ServerTest.cpp
+++ b/unittests/Http/ServerTest.cpp
@@ -87,6 +87,39 @@
     EXPECT_NE(answer.find("408 Request Timeout"), std::string::npos) << answer;
 }
 
+// Guards against a method that no request to an endpoint can be built with, which ended the process.
+TEST_F(ServerTest, RefusesUnknownMethodAndTraceWithBody)
+{
+    const std::string answer = sendRaw("FOO / HTTP/1.1\r\n\r\nTRACE / HTTP/1.1\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 501 Not Implemented")) << answer;
+    EXPECT_NE(answer.find("HTTP/1.1 400 Bad Request"), std::string::npos) << answer;
+}
+
+// Guards against a body after the response to HEAD, which the caller takes for the response to its next request.
+TEST_F(ServerTest, SendsNoBodyForHead)
+{
+    const std::string answer = sendRaw("HEAD / HTTP/1.1\r\nContent-Length: 4\r\n\r\nechoFOO / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    const std::size_t headerEnd = answer.find("\r\n\r\n");
+    ASSERT_NE(headerEnd, std::string::npos) << answer;
+    EXPECT_EQ(answer.substr(headerEnd + 4, 12), "HTTP/1.1 501") << answer;
+}
+
+// Guards against a call that waits for a body that the response to HEAD announces and does not have.
+TEST_F(ServerTest, ReadsResponseToHead)
+{
+    tcp::acceptor acceptor(pool_.context(), {asio::ip::address_v4::loopback(), 0});
+    std::promise<WholeResponse> promise;
+    const auto call
+        = fetch(asio::make_strand(pool_.context()), {.peer = acceptor.local_endpoint()}, Request(Verb::head, "/", 11), [&promise](WholeResponse response) {
+              promise.set_value(std::move(response));
+          });
+    tcp::socket socket = acceptor.accept();
+    asio::write(socket, asio::buffer(std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n")));
+    const WholeResponse response = promise.get_future().get();
+    EXPECT_FALSE(response.result.error) << response.result.error.message();
+    EXPECT_EQ(response.result.stage, CallStage::ResponseComplete);
+}
+
 } // namespace
 
 } // namespace mulberrywall::http
