router: keep a status that has no registered name

Cause: Beast's result() is 0 for a status that it has no name for. The caller of a plain service got "HTTP/1.1 000" for 298, and 598 did not count as a server error, so that it was reported as completed.

Change: the attempt copies the number of the status.

Before, with the old source: RouterTest.StatusWithoutNameIsKept fails on both statuses. After: the 35 tests of RouterTests pass under address and undefined sanitizers.

--- a/lib/Router/Attempt.cpp
+++ b/lib/Router/Attempt.cpp
@@ -143,7 +143,9 @@
         return;
     }
     streaming_ = responseMode_ == ResponseMode::Stream && responseHeader.result() == http::Status::ok;
-    response_ = http::Response(responseHeader.result(), 11);
+    response_ = {};
+    // Not result(), which is 0 for a status that Beast has no name for.
+    response_.result(responseHeader.result_int());
     response_.set(http::Field::content_type, http::fieldValue(responseHeader, "Content-Type"));
     call_->readMore();
 }
--- a/unittests/Router/VerdictTest.cpp
+++ b/unittests/Router/VerdictTest.cpp
@@ -55,6 +55,20 @@
     EXPECT_EQ(endpoints_[0]->requests() + endpoints_[1]->requests(), 1U);
 }
 
+// Guards against a status without a registered name that the caller gets as 0, and that counts as no server error.
+TEST_F(RouterTest, StatusWithoutNameIsKept)
+{
+    addService([](const http::ExchangePtr &exchange) {
+        const bool fails = exchange->request().body() == "fail";
+        answer(exchange, static_cast<http::Status>(fails ? 598 : 298), "{}");
+    });
+    startRouter();
+    const Reply completed = call("payment", "pay");
+    EXPECT_EQ(completed.response.header.result_int(), 298U);
+    EXPECT_EQ(completed.outcome, "completed");
+    EXPECT_EQ(call("payment", "fail").outcome, "may-have-run");
+}
+
 // Guards against a deadline that the endpoint is not told, and that does not end the request when it hangs.
 TEST_F(RouterTest, DeadlineIsPropagatedAndEnds)
 {
