platform: treat a claim row whose response cannot be sent as unreadable

Cause: a stored response with a status such as 0 or 1000, a body with status 204, or a line end in its content type was replayed as it stood; Beast throws for some of these, which would end the process. Rows that this product writes have no such response, so that only a damaged row is concerned.

Change: such a row counts as claimed by another attempt (409, may have run), as other unreadable rows do.

--- a/include/mulberrywall/Platform/Claims.h
+++ b/include/mulberrywall/Platform/Claims.h
@@ -75,7 +75,7 @@
 
 std::string encodeClaim(const Claim &claim);
 
-/// Returns nothing when the text is no claim.
+/// Returns nothing when the text is no claim or its response cannot be sent.
 std::optional<Claim> parseClaim(std::string_view text);
 
 /// Decides what the row that the table has means for the request.
--- a/lib/Platform/Claims.cpp
+++ b/lib/Platform/Claims.cpp
@@ -9,6 +9,16 @@
 
 namespace json = boost::json;
 
+/// A response with another status, or with a line end in a header field, cannot be replayed as it was.
+static bool isReplayable(const StoredResponse &response)
+{
+    constexpr unsigned noContent = 204;
+    constexpr unsigned notModified = 304;
+    const bool isFinal = response.status >= 200 && response.status <= 599;
+    const bool mayHaveBody = response.status != noContent && response.status != notModified;
+    return isFinal && (mayHaveBody || response.body.empty()) && response.contentType.find_first_of(std::string_view("\r\n\0", 3)) == std::string::npos;
+}
+
 std::string claimKey(const ClaimRequest &request)
 {
     return request.organisation.value() + "/" + request.keyHash;
@@ -45,6 +55,9 @@
                 .contentType = std::string(members.at("contentType").as_string()),
                 .body = std::string(members.at("body").as_string()),
             };
+            if (!isReplayable(*claim.response)) {
+                return std::nullopt;
+            }
         }
         return claim;
     } catch (const std::exception &) {
--- a/unittests/Platform/ClaimsTest.cpp
+++ b/unittests/Platform/ClaimsTest.cpp
@@ -54,6 +54,15 @@
     EXPECT_EQ(replay.response, (StoredResponse {201, "text/plain", "done"}));
 }
 
+// Guards against a damaged row whose response cannot be sent, which would end the process.
+TEST(ClaimRowTest, ResponseThatCannotBeSentIsNoClaim)
+{
+    for (const StoredResponse &response : std::vector<StoredResponse> {{0, "", ""}, {100, "", ""}, {204, "", "x"}, {1'000, "", ""}, {200, "a\r\nb: c", ""}}) {
+        EXPECT_FALSE(parseClaim(encodeClaim({.attemptId = "a", .bodyHash = "b", .response = response}))) << response.status;
+    }
+    EXPECT_TRUE(parseClaim(encodeClaim({.attemptId = "a", .bodyHash = "b", .response = StoredResponse {204, "", ""}})));
+}
+
 // Guards against a release that deletes another attempt's claim, which would let the request run twice.
 TEST_F(ClaimsTest, ReleaseIsConditionalOnTheAttempt)
 {
