test: add a router with one mechanism of the policy switched off

Reason: no measurement shows what each mechanism of the policy contributes. Ruled out: a setting of the product, which would have to be kept working for ever; a second policy, since changed options of the standard one suffice. Before: no such program.

--- a/test/Support/Harness/Deployment.cpp
+++ b/test/Support/Harness/Deployment.cpp
@@ -54,7 +54,15 @@
     if (kind == "platform") {
         return PLATFORM_STANDIN_BINARY;
     }
-    return routerKind == RouterKind::Naive ? NAIVE_ROUTER_BINARY : MULBERRYWALL_ROUTER_BINARY;
+    switch (routerKind) {
+    case RouterKind::Product:
+        return MULBERRYWALL_ROUTER_BINARY;
+    case RouterKind::Naive:
+        return NAIVE_ROUTER_BINARY;
+    case RouterKind::Ablation:
+        return ABLATION_ROUTER_BINARY;
+    }
+    return {};
 }
 
 /// Returns the names of the tables [classes.<name>] as a TOML array.
@@ -143,7 +151,7 @@
             startRouter(dataCentre);
         }
     }
-    for (std::size_t index = 0; options_.routerKind == RouterKind::Product && routerCount() > 1 && index < routerCount(); ++index) {
+    for (std::size_t index = 0; options_.routerKind != RouterKind::Naive && routerCount() > 1 && index < routerCount(); ++index) {
         waitForMembers(index, routerCount());
     }
 }
@@ -208,16 +216,20 @@
 void Deployment::startRouter(const std::string &dataCentre)
 {
     auto node = std::make_unique<Node>(Node {.id = "router-" + std::to_string(routers_.size()), .dataCentre = dataCentre});
-    node->arguments = {"--instance",
-        node->id,
-        "--base",
-        (directory_ / "base.toml").string(),
-        "--overlay",
-        (directory_ / (dataCentre + ".toml")).string(),
-        "--caller-listen",
-        "127.0.0.1:0",
-        "--admin-listen",
-        "127.0.0.1:0"};
+    if (options_.routerKind == RouterKind::Ablation) {
+        node->arguments = {"--without", options_.without};
+    }
+    node->arguments.insert(node->arguments.end(),
+        {"--instance",
+            node->id,
+            "--base",
+            (directory_ / "base.toml").string(),
+            "--overlay",
+            (directory_ / (dataCentre + ".toml")).string(),
+            "--caller-listen",
+            "127.0.0.1:0",
+            "--admin-listen",
+            "127.0.0.1:0"});
     if (options_.routers * options_.dataCentres.size() > 1) {
         const std::string membership = freeAddress();
         seed_ = seed_.empty() ? membership : seed_;
--- a/test/Support/Harness/Deployment.h
+++ b/test/Support/Harness/Deployment.h
@@ -37,11 +37,15 @@
     Product,
     /// naive-router, the baseline of comparisons; its routers do not know each other.
     Naive,
+    /// ablation-router, the product with the mechanism of DeploymentOptions::without switched off.
+    Ablation,
 };
 
 struct DeploymentOptions
 {
     RouterKind routerKind = RouterKind::Product;
+    /// Mechanism that RouterKind::Ablation switches off.
+    std::string without;
     std::vector<std::string> dataCentres {"dc-a"};
     /// Numbers per data centre.
     unsigned routers = 1;
