--- a/benchmarks/LoadDriver/Driver.cpp
+++ b/benchmarks/LoadDriver/Driver.cpp
@@ -19,15 +19,20 @@
 namespace
 {
 
-/// Time between the start of the driver and the first intended arrival.
-constexpr std::chrono::milliseconds leadTime {200};
-
 http::Request makeRequest(const Traffic &traffic, const Arrival &arrival)
 {
-    http::Request request(http::Verb::post, "/v1/completions", 11);
+    const std::string target = traffic.service.empty() ? "/v1/completions" : "/services/" + traffic.service + "/" + traffic.requestClass;
+    http::Request request(http::Verb::post, target, 11);
     request.set(http::Field::host, "127.0.0.1");
-    request.set(http::Field::authorization, "Bearer " + traffic.key);
+    request.set(http::Field::authorization, "Bearer " + arrival.key);
     request.set(http::header::requestClass, traffic.requestClass);
+    if (!traffic.service.empty()) {
+        if (traffic.idempotencyKeys == KeyUse::OnePerCall) {
+            request.set(http::header::idempotencyKey, arrival.prompt);
+        }
+        request.body() = arrival.prompt;
+        return request;
+    }
     request.body()
         = json::serialize(json::object {{"model", traffic.model}, {"prompt", arrival.prompt}, {"max_tokens", arrival.outputTokens}, {"stream", true}});
     return request;
@@ -66,6 +71,7 @@
                 self->giveUp();
             }
         });
+        streams_ = scenario.traffic[arrival_.traffic].service.empty();
         const http::ClientCallOptions options {
             .peer = {asio::ip::address_v4::loopback(), port}, .headerTimeout = scenario.timeout, .idleTimeout = scenario.timeout};
         const auto self = shared_from_this();
@@ -93,7 +99,7 @@
     void takeData(std::string_view data)
     {
         pending_ += data;
-        if (status_ != http::Status::ok) {
+        if (status_ != http::Status::ok || !streams_) {
             return;
         }
         const Clock::time_point now = Clock::now();
@@ -123,11 +129,12 @@
     void end(const http::CallResult &result)
     {
         finish();
-        if (done_ && outcome_.tokens == arrival_.outputTokens) {
+        const bool whole = result.stage == http::CallStage::ResponseComplete;
+        const bool answered = streams_ ? done_ && outcome_.tokens == arrival_.outputTokens : whole && status_ == http::Status::ok;
+        if (answered) {
             outcome_.ending = Ending::Completed;
             return;
         }
-        const bool whole = result.stage == http::CallStage::ResponseComplete;
         outcome_.ending = whole && outcomeHeader_ == "not-run" ? Ending::Refused : Ending::Failed;
         if (!whole) {
             outcome_.reason = result.error.message();
@@ -161,23 +168,34 @@
     std::string outcomeHeader_;
     std::string pending_;
     std::string problem_;
+    bool streams_ = true;
     bool done_ = false;
     Clock::time_point lastToken_;
 };
 
+std::uint16_t portFor(const Routers &routers, std::size_t turn)
+{
+    for (std::size_t step = 0; step < routers.ports.size(); ++step) {
+        const std::size_t index = (turn + step) % routers.ports.size();
+        if (routers.live[index]) {
+            return routers.ports[index];
+        }
+    }
+    return routers.ports[turn % routers.ports.size()];
+}
+
 } // namespace
 
-std::vector<Outcome> drive(const Scenario &scenario, const std::vector<Arrival> &arrivals, const std::vector<std::uint16_t> &routerPorts)
+std::vector<Outcome> drive(const Scenario &scenario, const std::vector<Arrival> &arrivals, const Routers &routers, Clock::time_point start)
 {
     asio::io_context context(1);
     std::vector<Outcome> outcomes(arrivals.size());
-    const Clock::time_point start = Clock::now() + leadTime;
     std::vector<asio::steady_timer> timers;
     timers.reserve(arrivals.size());
     for (std::size_t index = 0; index < arrivals.size(); ++index) {
         const Clock::time_point due = start + std::chrono::duration_cast<Clock::duration>(arrivals[index].time);
         timers.emplace_back(context, due).async_wait([&, index, due](const boost::system::error_code &) {
-            std::make_shared<Run>(arrivals[index], due, outcomes[index])->start(context, scenario, routerPorts[index % routerPorts.size()]);
+            std::make_shared<Run>(arrivals[index], due, outcomes[index])->start(context, scenario, portFor(routers, index));
         });
     }
     context.run();
--- a/benchmarks/LoadDriver/Driver.h
+++ b/benchmarks/LoadDriver/Driver.h
@@ -2,9 +2,11 @@
 
 #include "Scenario.h"
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace mulberrywall::load
@@ -36,9 +38,26 @@
     std::size_t tokens = 0;
 };
 
-/// Sends every request at its time, whatever became of earlier ones, and returns the outcomes in the same order.
+/// Caller ports of the routers, as a load balancer in front of them knows them.
+struct Routers
+{
+    explicit Routers(std::vector<std::uint16_t> callerPorts)
+        : ports(std::move(callerPorts)),
+          live(ports.size())
+    {
+        for (std::atomic<bool> &entry : live) {
+            entry = true;
+        }
+    }
+
+    std::vector<std::uint16_t> ports;
+    /// A router that is not live gets no new requests. Safe to change from another thread.
+    std::vector<std::atomic<bool>> live;
+};
+
+/// Sends every request at its time after the start, whatever became of earlier ones, and returns the outcomes in the same order.
 ///
-/// Requests are spread over the ports in turn.
-std::vector<Outcome> drive(const Scenario &scenario, const std::vector<Arrival> &arrivals, const std::vector<std::uint16_t> &routerPorts);
+/// Requests are spread over the live routers in turn.
+std::vector<Outcome> drive(const Scenario &scenario, const std::vector<Arrival> &arrivals, const Routers &routers, Clock::time_point start);
 
 } // namespace mulberrywall::load
--- a/benchmarks/LoadDriver/Report.cpp
+++ b/benchmarks/LoadDriver/Report.cpp
@@ -21,6 +21,7 @@
     std::uint64_t goodputTokens = 0;
     std::map<std::string, std::uint64_t> refusals;
     std::map<std::string, std::uint64_t> failures;
+    std::vector<double> durationMs;
     std::vector<double> firstTokenMs;
     std::vector<double> gapMs;
     std::vector<double> sendDelayMs;
@@ -28,6 +29,9 @@
 
 bool attains(const Traffic &traffic, const Outcome &outcome)
 {
+    if (!traffic.service.empty()) {
+        return outcome.ending == Ending::Completed && outcome.duration <= traffic.completionTarget;
+    }
     if (outcome.ending != Ending::Completed || outcome.firstToken > traffic.firstTokenTarget) {
         return false;
     }
@@ -42,6 +46,7 @@
     switch (outcome.ending) {
     case Ending::Completed:
         ++summary.completed;
+        summary.durationMs.push_back(outcome.duration.count());
         summary.completedTokens += outcome.tokens;
         break;
     case Ending::Refused:
@@ -72,44 +77,71 @@
     const auto at = [&samples](double fraction) {
         return samples[static_cast<std::size_t>(fraction * static_cast<double>(samples.size() - 1))];
     };
-    return {{"p50", at(0.5)}, {"p95", at(0.95)}, {"p99", at(0.99)}, {"max", samples.back()}};
+    return {{"min", samples.front()}, {"p50", at(0.5)}, {"p95", at(0.95)}, {"p99", at(0.99)}, {"max", samples.back()}};
 }
 
 json::object render(const Summary &summary)
 {
     return {{"requests", summary.requests},
         {"completed", summary.completed},
+        {"attained", summary.attained},
         {"attainment", summary.requests == 0 ? 0.0 : static_cast<double>(summary.attained) / static_cast<double>(summary.requests)},
         {"completedTokens", summary.completedTokens},
         {"goodputTokens", summary.goodputTokens},
         {"refusals", json::object(summary.refusals.begin(), summary.refusals.end())},
         {"failures", json::object(summary.failures.begin(), summary.failures.end())},
         {"firstTokenMs", quantiles(summary.firstTokenMs)},
+        {"durationMs", quantiles(summary.durationMs)},
         {"betweenTokensMs", quantiles(summary.gapMs)},
         {"sendDelayMs", quantiles(summary.sendDelayMs)}};
 }
 
 } // namespace
 
-json::object makeReport(const Scenario &scenario, const std::vector<Arrival> &arrivals, const std::vector<Outcome> &outcomes, std::uint64_t engineTokens)
+json::object makeReport(const Scenario &scenario,
+    const std::vector<Arrival> &arrivals,
+    const std::vector<Outcome> &outcomes,
+    std::uint64_t engineTokens,
+    std::uint64_t repeatedRuns)
 {
     std::map<std::string, Summary> classes;
+    std::map<unsigned, Summary> modelTiers;
+    Summary shortWork;
+    Summary models;
     Summary total;
+    std::uint64_t offeredTokens = 0;
     for (std::size_t index = 0; index < outcomes.size(); ++index) {
         const Traffic &traffic = scenario.traffic[arrivals[index].traffic];
         add(classes[traffic.requestClass], traffic, outcomes[index]);
         add(total, traffic, outcomes[index]);
+        offeredTokens += arrivals[index].outputTokens;
+        if (traffic.service.empty()) {
+            add(models, traffic, outcomes[index]);
+            add(modelTiers[traffic.tier], traffic, outcomes[index]);
+        }
+        if (traffic.shortWork) {
+            add(shortWork, traffic, outcomes[index]);
+        }
     }
     json::object rendered;
     for (const auto &[name, summary] : classes) {
         rendered[name] = render(summary);
     }
+    json::object tiers;
+    for (const auto &[tier, summary] : modelTiers) {
+        tiers[std::to_string(tier)] = render(summary);
+    }
     const std::uint64_t wasted = engineTokens > total.completedTokens ? engineTokens - total.completedTokens : 0;
     return {{"seed", scenario.seed},
         {"durationSeconds", scenario.duration.count()},
         {"engineTokens", engineTokens},
         {"wastedTokens", wasted},
+        {"offeredTokens", offeredTokens},
+        {"repeatedRuns", repeatedRuns},
         {"total", render(total)},
+        {"models", render(models)},
+        {"modelTiers", tiers},
+        {"shortWork", render(shortWork)},
         {"classes", rendered}};
 }
 
--- a/benchmarks/LoadDriver/Scenario.cpp
+++ b/benchmarks/LoadDriver/Scenario.cpp
@@ -1,9 +1,12 @@
 #include "Scenario.h"
 
+#include <openssl/sha.h>
 #include <toml++/toml.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <limits>
 #include <numbers>
 #include <random>
 #include <stdexcept>
@@ -63,6 +66,9 @@
         {"class",
             "key",
             "model",
+            "service",
+            "idempotency-keys",
+            "short",
             "rate",
             "pattern",
             "period-s",
@@ -72,24 +78,99 @@
             "shared-prefixes",
             "shared-prefix-bytes",
             "first-token-ms",
-            "between-tokens-ms"});
+            "between-tokens-ms",
+            "completion-ms"});
     Traffic traffic;
     traffic.requestClass = table["class"].value_or(std::string());
-    traffic.key = table["key"].value_or(std::string(harness::acmeKey));
+    traffic.key = table["key"].value_or(std::string());
     traffic.model = table["model"].value_or(traffic.model);
+    traffic.service = table["service"].value_or(traffic.service);
+    traffic.idempotencyKeys = table["idempotency-keys"].value_or(false) ? KeyUse::OnePerCall : KeyUse::None;
+    traffic.shortWork = table["short"].value_or(traffic.shortWork);
     traffic.rate = table["rate"].value_or(traffic.rate);
     traffic.pattern = readPattern(table["pattern"].value_or(std::string("steady")));
     traffic.period = std::chrono::duration<double>(table["period-s"].value_or(traffic.period.count()));
     traffic.peak = table["peak"].value_or(traffic.peak);
     traffic.promptBytes = readLength(table, "prompt-bytes", {});
-    traffic.outputTokens = readLength(table, "output-tokens", {});
+    if (traffic.service.empty()) {
+        traffic.outputTokens = readLength(table, "output-tokens", {});
+    }
     traffic.sharedPrefixes = table["shared-prefixes"].value_or(traffic.sharedPrefixes);
     traffic.sharedPrefixBytes = table["shared-prefix-bytes"].value_or(traffic.sharedPrefixBytes);
     traffic.firstTokenTarget = std::chrono::duration<double, std::milli>(table["first-token-ms"].value_or(traffic.firstTokenTarget.count()));
     traffic.betweenTokensTarget = std::chrono::duration<double, std::milli>(table["between-tokens-ms"].value_or(traffic.betweenTokensTarget.count()));
+    traffic.completionTarget = std::chrono::duration<double, std::milli>(table["completion-ms"].value_or(traffic.completionTarget.count()));
     return traffic;
 }
 
+FaultAction readAction(const std::string &name)
+{
+    static const std::map<std::string, FaultAction> actions {{"slow-engines", FaultAction::SlowEngines},
+        {"restore-engines", FaultAction::RestoreEngines},
+        {"kill-engine", FaultAction::KillEngine},
+        {"restart-engine", FaultAction::RestartEngine},
+        {"kill-owner", FaultAction::KillOwner},
+        {"restart-owner", FaultAction::RestartOwner}};
+    const auto found = actions.find(name);
+    if (found == actions.end()) {
+        throw std::runtime_error("unknown action '" + name + "' of a fault");
+    }
+    return found->second;
+}
+
+Fault readFault(const toml::table &table)
+{
+    checkNames(table, {"set", "at-s", "action", "engines", "factor"});
+    Fault fault;
+    fault.set = table["set"].value_or(std::string());
+    fault.time = std::chrono::duration<double>(table["at-s"].value_or(0.0));
+    fault.action = readAction(table["action"].value_or(std::string()));
+    fault.engines = table["engines"].value_or(fault.engines);
+    fault.factor = table["factor"].value_or(fault.factor);
+    return fault;
+}
+
+std::string keyOf(const std::string &organisation)
+{
+    return organisation + "-key";
+}
+
+std::string hashOf(const std::string &key)
+{
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest {};
+    SHA256(reinterpret_cast<const unsigned char *>(key.data()), key.size(), digest.data());
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string text;
+    for (const unsigned char byte : digest) {
+        text += digits[byte >> 4U];
+        text += digits[byte & 15U];
+    }
+    return text;
+}
+
+/// Takes tier and idempotency of each traffic from its class, and configures the organisations.
+void applyClasses(Scenario &scenario)
+{
+    const toml::table document = toml::parse(scenario.deployment.classes);
+    const toml::table &classes = *document["classes"].as_table();
+    for (Traffic &traffic : scenario.traffic) {
+        const toml::table *entry = classes[traffic.requestClass].as_table();
+        if (entry == nullptr) {
+            throw std::runtime_error("the deployment has no class '" + traffic.requestClass + "'");
+        }
+        traffic.tier = (*entry)["tier"].value_or(traffic.tier);
+        traffic.nonIdempotent = (*entry)["idempotency"].value_or(std::string()) == "non-idempotent";
+    }
+    std::string allowed;
+    for (const auto &[name, value] : classes) {
+        allowed += (allowed.empty() ? "\"" : ", \"") + std::string(name.str()) + "\"";
+    }
+    for (const auto &[name, part] : scenario.organisations) {
+        scenario.deployment.furtherBase
+            += "\n[organisations." + name + "]\nkey-hashes = [\"" + hashOf(keyOf(name)) + "\"]\nallowed-classes = [" + allowed + "]\n";
+    }
+}
+
 std::vector<std::string> readTexts(const toml::table &table, std::string_view name)
 {
     std::vector<std::string> texts;
@@ -103,10 +184,22 @@
 
 harness::DeploymentOptions readDeployment(const toml::table &table)
 {
-    checkNames(table, {"routers", "engines", "maximum-concurrency", "queue-limit", "classes", "engine-arguments", "router-arguments"});
+    checkNames(table,
+        {"routers",
+            "engines",
+            "services",
+            "service-delay-ms",
+            "platform",
+            "maximum-concurrency",
+            "queue-limit",
+            "classes",
+            "engine-arguments",
+            "router-arguments"});
     harness::DeploymentOptions options;
     options.routers = table["routers"].value_or(options.routers);
     options.engines = table["engines"].value_or(options.engines);
+    options.services = table["services"].value_or(options.services);
+    options.platform = table["platform"].value_or(false) ? harness::PlatformUse::Standin : harness::PlatformUse::None;
     options.maximumConcurrency = table["maximum-concurrency"].value_or(options.maximumConcurrency);
     options.queueLimit = table["queue-limit"].value_or(options.queueLimit);
     options.classes = table["classes"].value_or(options.classes);
@@ -156,6 +249,43 @@
     return prompt;
 }
 
+/// Draws the organisations by their parts.
+class OrganisationKeys
+{
+public:
+    explicit OrganisationKeys(const std::map<std::string, double> &parts)
+    {
+        std::vector<double> weights;
+        for (const auto &[name, part] : parts) {
+            keys_.push_back(keyOf(name));
+            weights.push_back(part);
+        }
+        choice_ = std::discrete_distribution<std::size_t>(weights.begin(), weights.end());
+    }
+
+    std::string draw(Random &random)
+    {
+        return keys_.empty() ? std::string(harness::acmeKey) : keys_[choice_(random)];
+    }
+
+private:
+    std::vector<std::string> keys_;
+    std::discrete_distribution<std::size_t> choice_;
+};
+
+double meanFactor(const Traffic &traffic)
+{
+    switch (traffic.pattern) {
+    case Pattern::Steady:
+        return 1;
+    case Pattern::Burst:
+        return 1 + (traffic.peak - 1) * burstShareOfPeriod;
+    case Pattern::Swing:
+        return (1 + traffic.peak) / 2;
+    }
+    return 1;
+}
+
 } // namespace
 
 Scenario readScenario(const std::string &file)
@@ -166,13 +296,14 @@
     } catch (const toml::parse_error &error) {
         throw std::runtime_error(file + ":" + std::to_string(error.source().begin.line) + ": " + std::string(error.description()));
     }
-    checkNames(table, {"seed", "duration-s", "timeout-ms", "deployment", "traffic"});
+    checkNames(table, {"seed", "duration-s", "timeout-ms", "deployment", "organisations", "traffic", "fault"});
     Scenario scenario;
     scenario.seed = table["seed"].value_or(scenario.seed);
     scenario.duration = std::chrono::duration<double>(table["duration-s"].value_or(scenario.duration.count()));
     scenario.timeout = std::chrono::milliseconds(table["timeout-ms"].value_or(scenario.timeout.count()));
     if (const toml::table *deployment = table["deployment"].as_table()) {
         scenario.deployment = readDeployment(*deployment);
+        scenario.serviceDelay = std::chrono::milliseconds((*deployment)["service-delay-ms"].value_or(scenario.serviceDelay.count()));
     }
     const toml::array *traffic = table["traffic"].as_array();
     if (traffic == nullptr || traffic->empty()) {
@@ -181,12 +312,51 @@
     for (const toml::node &node : *traffic) {
         scenario.traffic.push_back(readTraffic(*node.as_table()));
     }
+    if (const toml::table *organisations = table["organisations"].as_table()) {
+        for (const auto &[name, part] : *organisations) {
+            scenario.organisations[std::string(name.str())] = part.value_or(1.0);
+        }
+    }
+    if (const toml::array *faults = table["fault"].as_array()) {
+        for (const toml::node &node : *faults) {
+            scenario.faults.push_back(readFault(*node.as_table()));
+        }
+    }
+    std::stable_sort(scenario.faults.begin(), scenario.faults.end(), [](const Fault &left, const Fault &right) { return left.time < right.time; });
+    applyClasses(scenario);
     return scenario;
 }
 
+void selectFaults(Scenario &scenario, const std::string &set)
+{
+    std::erase_if(scenario.faults, [&](const Fault &fault) { return fault.set != set; });
+    if (!set.empty() && scenario.faults.empty()) {
+        throw std::runtime_error("the scenario has no fault of the set '" + set + "'");
+    }
+}
+
+void keepTopTier(Scenario &scenario)
+{
+    std::erase_if(scenario.traffic, [](const Traffic &traffic) { return !traffic.service.empty(); });
+    unsigned top = std::numeric_limits<unsigned>::max();
+    for (const Traffic &traffic : scenario.traffic) {
+        top = std::min(top, traffic.tier);
+    }
+    std::erase_if(scenario.traffic, [top](const Traffic &traffic) { return traffic.tier != top; });
+}
+
+void makeSteady(Scenario &scenario)
+{
+    for (Traffic &traffic : scenario.traffic) {
+        traffic.rate *= meanFactor(traffic);
+        traffic.pattern = Pattern::Steady;
+    }
+}
+
 std::vector<Arrival> makeArrivals(const Scenario &scenario)
 {
     std::vector<Arrival> arrivals;
+    OrganisationKeys organisations(scenario.organisations);
     for (std::size_t index = 0; index < scenario.traffic.size(); ++index) {
         const Traffic &traffic = scenario.traffic[index];
         // Each traffic has its own sequence, so that a change of one leaves the others as they are.
@@ -198,8 +368,9 @@
                 std::string prompt = makePrompt(traffic, arrivals.size(), random);
                 arrivals.push_back({.time = std::chrono::duration<double>(time),
                     .traffic = index,
+                    .key = traffic.key.empty() ? organisations.draw(random) : traffic.key,
                     .prompt = std::move(prompt),
-                    .outputTokens = drawLength(traffic.outputTokens, random)});
+                    .outputTokens = traffic.service.empty() ? drawLength(traffic.outputTokens, random) : 0});
             }
         }
     }
