--- a/benchmarks/LoadDriver/compare.py
+++ b/benchmarks/LoadDriver/compare.py
@@ -163,7 +163,7 @@
 
 
 def cell(entry):
-    return f"{entry['median']:.4g} ({entry['min']:.4g} to {entry['max']:.4g})" if entry else "-"
+    return f"{entry['median']:.5g} ({entry['min']:.5g} to {entry['max']:.5g})" if entry else "-"
 
 
 def table(summaries):
@@ -187,7 +187,7 @@
     for step in range(5):
         y = bottom - height * step / 4
         parts.append(f'<line x1="{left}" y1="{y:.1f}" x2="{left + width}" y2="{y:.1f}" stroke="#ddd"/>')
-        parts.append(f'<text x="{left - 6}" y="{y + 4:.1f}" text-anchor="end">{ceiling * step / 4:.4g}</text>')
+        parts.append(f'<text x="{left - 6}" y="{y + 4:.1f}" text-anchor="end">{ceiling * step / 4:g}</text>')
     gap = width / len(summaries)
     for index, (case, summary) in enumerate(summaries.items()):
         if name not in summary:
