--- a/unittests/Permits/RoutedPermitsTest.cpp
+++ b/unittests/Permits/RoutedPermitsTest.cpp
@@ -34,7 +34,8 @@
         PermitRequest other = request;
         other.submission.excludedEndpoints = {copy.endpoint().id};
         const auto crashed = ask(ingress, other).getPermit();
-        owner().pools.recordSuspect(request.submission.fingerprint, 1);
+        owner().pools.recordSuspect(
+            {.fingerprint = request.submission.fingerprint, .crashes = 1, .expiresAt = std::chrono::steady_clock::now() + std::chrono::minutes(10)});
         crashed->finish({.outcome = policy::AttemptOutcome::EndpointFailed});
         return firstCommand(copy);
     }
