router: advertise peer addresses other than the listen addresses

Reason: a router announced the addresses it listens on, so that no address translation and no fault proxy could stand between two data centres. Connections to peers left from whatever address the system chose, so that a firewall or proxy in the path could not tell the data centre that they came from. Ruled out: an address per receiving data centre in the membership datagrams, which changes their layout; the fault proxy reading the peer protocol, which would tie the stand-in to it. The cost of control traffic was not measured again.

--- a/include/mulberrywall/Router/PeerGroup.h
+++ b/include/mulberrywall/Router/PeerGroup.h
@@ -26,6 +26,9 @@
     support::DataCentreId dataCentre;
     boost::asio::ip::tcp::endpoint peerListen;
     boost::asio::ip::udp::endpoint membershipListen;
+    /// What other routers connect to when it differs from the listen address, for example behind address translation.
+    std::optional<boost::asio::ip::tcp::endpoint> peerAdvertise;
+    std::optional<boost::asio::ip::udp::endpoint> membershipAdvertise;
     /// The same at all routers.
     std::string secret;
     /// Membership addresses of some other routers.
--- a/lib/Permits/PeerClient.cpp
+++ b/lib/Permits/PeerClient.cpp
@@ -9,8 +9,10 @@
 
 #include <capnp/rpc-twoparty.h>
 #include <kj/debug.h>
+#include <kj/io.h>
 
 #include <chrono>
+#include <sys/socket.h>
 
 namespace mulberrywall::permits
 {
@@ -22,6 +24,23 @@
     return duration.count() * kj::MILLISECONDS;
 }
 
+/// Connects from the address of the own listener, so that firewalls between data centres see one address per router.
+static kj::Promise<kj::Own<kj::AsyncIoStream>> connectFrom(
+    kj::AsyncIoContext &io, const boost::asio::ip::address &source, const boost::asio::ip::tcp::endpoint &target)
+{
+    const auto size = static_cast<unsigned>(target.size());
+    if (source.is_unspecified() || source.is_v4() != target.address().is_v4()) {
+        auto resolved = io.provider->getNetwork().getSockaddr(target.data(), size);
+        return resolved->connect().attach(kj::mv(resolved));
+    }
+    int descriptor = -1;
+    KJ_SYSCALL(descriptor = ::socket(target.data()->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    kj::AutoCloseFd socket(descriptor);
+    const boost::asio::ip::tcp::endpoint local(source, 0);
+    KJ_SYSCALL(::bind(socket, local.data(), static_cast<socklen_t>(local.size())));
+    return io.lowLevelProvider->wrapConnectingSocketFd(kj::mv(socket), target.data(), size);
+}
+
 struct PeerClient::Connection
 {
     Peer peer;
@@ -97,9 +116,9 @@
 kj::Promise<void> PeerClient::connect(Connection &connection)
 {
     kj::Timer &timer = loop_.io().provider->getTimer();
-    const auto &address = connection.peer.address;
-    auto resolved = loop_.io().provider->getNetwork().getSockaddr(address.data(), static_cast<unsigned>(address.size()));
-    auto connected = resolved->connect().attach(kj::mv(resolved)).then([this, &connection](kj::Own<kj::AsyncIoStream> stream) {
+    // A failure to make the socket has to end this connection only, like a refused connection.
+    auto opened = kj::evalNow([&] { return connectFrom(loop_.io(), options_.listen.address(), connection.peer.address); });
+    auto connected = opened.then([this, &connection](kj::Own<kj::AsyncIoStream> stream) {
         capnp::ReaderOptions options;
         options.traversalLimitInWords = options_.maxAnswerBytes / sizeof(capnp::word);
         connection.stream = kj::mv(stream);
--- a/lib/Router/PeerGroup.cpp
+++ b/lib/Router/PeerGroup.cpp
@@ -43,7 +43,10 @@
     driver.protocol.self.instance = options_.instance;
     driver.protocol.self.dataCentre = options_.dataCentre;
     driver.protocol.self.incarnation = incarnation;
-    driver.protocol.self.peerAddress = membership::toAddress(permits_->peers().localEndpoint());
+    driver.protocol.self.peerAddress = membership::toAddress(options_.peerAdvertise.value_or(permits_->peers().localEndpoint()));
+    if (options_.membershipAdvertise) {
+        driver.protocol.self.address = membership::toAddress(*options_.membershipAdvertise);
+    }
     for (const auto &seed : options_.seeds) {
         driver.protocol.seeds.push_back(membership::toAddress(seed));
     }
--- a/lib/Router/RouterProgram.cpp
+++ b/lib/Router/RouterProgram.cpp
@@ -38,6 +38,8 @@
     std::string dataCentre;
     std::string peerListen;
     std::string membershipListen;
+    std::string peerAdvertise;
+    std::string membershipAdvertise;
     std::string peerSecret;
     std::vector<std::string> seeds;
     unsigned drainGraceMs = 0;
@@ -81,6 +83,10 @@
     support::addSetting(app, "--peer-listen", settings.peerListen, "TCP address and port for other routers; empty means no other routers")
         ->check(checkOptionalListenAddress);
     support::addSetting(app, "--membership-listen", settings.membershipListen, "UDP address and port for other routers")->check(checkOptionalListenAddress);
+    support::addSetting(app, "--peer-advertise", settings.peerAdvertise, "TCP address that other routers connect to; empty means the listen address")
+        ->check(checkOptionalAddress);
+    support::addSetting(app, "--membership-advertise", settings.membershipAdvertise, "UDP address that other routers send to; empty means the listen address")
+        ->check(checkOptionalAddress);
     support::addSetting(app, "--peer-secret", settings.peerSecret, "secret that all routers share; prefer the environment variable");
     support::addSetting(app, "--seeds", settings.seeds, "membership addresses of some other routers")->delimiter(',')->check(support::checkAddress);
     support::addSetting(app, "--caller-listen", settings.callerListen, "address and port for callers")->check(support::checkListenAddress);
@@ -128,6 +134,12 @@
     peers.dataCentre = support::DataCentreId(settings.dataCentre);
     peers.peerListen = toTcp(settings.peerListen);
     peers.membershipListen = toUdp(settings.membershipListen);
+    if (!settings.peerAdvertise.empty()) {
+        peers.peerAdvertise = toTcp(settings.peerAdvertise);
+    }
+    if (!settings.membershipAdvertise.empty()) {
+        peers.membershipAdvertise = toUdp(settings.membershipAdvertise);
+    }
     peers.secret = settings.peerSecret;
     for (const std::string &seed : settings.seeds) {
         peers.seeds.push_back(toUdp(seed));
@@ -144,6 +156,9 @@
     if (!settings.peerListen.empty() && settings.peerSecret.empty()) {
         return "--peer-listen needs a secret; set MULBERRYWALL_PEER_SECRET";
     }
+    if (settings.peerListen.empty() && !(settings.peerAdvertise.empty() && settings.membershipAdvertise.empty())) {
+        return "--peer-advertise and --membership-advertise need --peer-listen; add it";
+    }
     if (settings.base.empty() != settings.overlay.empty()) {
         return "--base and --overlay belong together; give both or neither";
     }
