--- a/test/LeavingEndpoint/LeavingEndpointTest.cpp
+++ b/test/LeavingEndpoint/LeavingEndpointTest.cpp
@@ -114,9 +114,9 @@
     std::string outage = "none";
 };
 
-void PrintTo(const Notice &notice, std::ostream *stream)
+std::ostream &operator<<(std::ostream &stream, const Notice &notice)
 {
-    *stream << notice.name;
+    return stream << notice.name;
 }
 
 std::vector<Notice> allNotices()
