membership: bound incarnations and versions so that a refutation neither wraps nor is rejected

Cause: a claim about a member with the highest possible incarnation made it go on at incarnation 0, below what the others keep of it; a pool load with the highest version did the same to its owner. Only a peer with the shared secret can send either.

Change: the decoder rejects the highest number, and a refutation or an announcement stays at the one below it. A claim that a member is dead at that number can then not be refuted.

--- a/lib/Membership/Codec.cpp
+++ b/lib/Membership/Codec.cpp
@@ -156,7 +156,7 @@
     member.peerAddress = reader.address();
     member.incarnation = reader.number<std::uint64_t>();
     const auto state = reader.number<std::uint8_t>();
-    if (state > static_cast<std::uint8_t>(MemberState::Left) || member.instance.empty()) {
+    if (state > static_cast<std::uint8_t>(MemberState::Left) || member.instance.empty() || member.incarnation > highestVersion) {
         reader.fail();
         return member;
     }
@@ -188,6 +188,9 @@
     item.dataCentre = support::DataCentreId(reader.name());
     item.pool = support::PoolId(reader.name());
     item.version = reader.number<std::uint64_t>();
+    if (item.version > highestVersion) {
+        reader.fail();
+    }
     item.waiting = reader.number<std::uint32_t>();
     item.running = reader.number<std::uint32_t>();
     item.freeSlots = reader.number<std::uint32_t>();
--- a/lib/Membership/Codec.h
+++ b/lib/Membership/Codec.h
@@ -3,6 +3,7 @@
 #include "mulberrywall/Membership/Types.h"
 
 #include <cstddef>
+#include <limits>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -44,6 +45,9 @@
 
 inline constexpr std::size_t maxNameBytes = 96;
 
+/// Highest incarnation of a member and highest version of a pool load; adding one to a higher number would start at 0.
+inline constexpr std::uint64_t highestVersion = std::numeric_limits<std::uint64_t>::max() - 1;
+
 /// Encodes the message without its items.
 std::vector<std::uint8_t> encodeMessage(const Message &message);
 
--- a/lib/Membership/Commands.cpp
+++ b/lib/Membership/Commands.cpp
@@ -299,7 +299,7 @@
     if (auto *load = std::get_if<PoolLoad>(&item)) {
         const auto known = state.poolLoads.find({load->dataCentre, load->pool});
         if (known != state.poolLoads.end()) {
-            load->version = std::max(load->version, known->second.load.version + 1);
+            load->version = std::max(load->version, std::min(known->second.load.version + 1, highestVersion));
         }
     }
     applyItem(state, item, ItemSource::Gossip, now, output);
--- a/lib/Membership/Tables.cpp
+++ b/lib/Membership/Tables.cpp
@@ -71,7 +71,7 @@
         || (claim.incarnation == state.self.incarnation && claim.state == MemberState::Alive)) {
         return;
     }
-    state.self.incarnation = claim.incarnation + 1;
+    state.self.incarnation = std::min(claim.incarnation + 1, highestVersion);
     ++state.counters.refutations;
     report(state, state.self, output);
 }
--- a/unittests/Membership/CodecTest.cpp
+++ b/unittests/Membership/CodecTest.cpp
@@ -1,8 +1,11 @@
 #include "Codec.h"
 #include "Authenticator.h"
 
+#include "mulberrywall/Membership/StateMachine.h"
+
 #include <gtest/gtest.h>
 
+#include <limits>
 #include <random>
 
 namespace mulberrywall::membership
@@ -77,6 +80,30 @@
     }
 }
 
+// Guards against a member that starts again at incarnation 0 because somebody claimed the highest one for it.
+TEST(CodecTest, RejectsNumberThatCannotBeSurpassed)
+{
+    constexpr std::uint64_t highest = std::numeric_limits<std::uint64_t>::max();
+    const std::vector<Item> items {Member {.instance = support::InstanceId("router-1"), .incarnation = highest}, PoolLoad {.version = highest}};
+    for (const Item &item : items) {
+        std::vector<std::uint8_t> payload = encodeMessage(sampleMessage());
+        appendItem(payload, item, 1'200);
+        EXPECT_FALSE(decodeMessage(payload)) << item.index();
+    }
+}
+
+// Guards against a member whose refutation others reject because its incarnation is too high.
+TEST(CodecTest, RefutationStaysBelowTheBound)
+{
+    std::mt19937_64 random(1);
+    const TimePoint now {std::chrono::hours(1)};
+    State state = createState({.self = {.instance = support::InstanceId("router-1"), .incarnation = 1}}, now, random);
+    std::vector<std::uint8_t> payload = encodeMessage({.sender = support::InstanceId("router-2")});
+    appendItem(payload, Member {.instance = support::InstanceId("router-1"), .incarnation = highestVersion, .state = MemberState::Suspect}, 1'200);
+    EXPECT_EQ(receive(state, {}, payload, now, random).events.size(), 1U);
+    EXPECT_EQ(state.self.incarnation, highestVersion);
+}
+
 // Guards against a datagram that grows beyond its bound.
 TEST(CodecTest, DropsItemThatDoesNotFit)
 {
