permits: leave out pings that another answer replaces

Reason: a ping and its answer cost a good 200 B, three times a second on each connection with requests at stake. An ingress with 22 owners would spend most of its 21 KB/s on them.

Change: a router sends no ping while a call that it sent within the ping interval (acquire, progress, finish) has been answered. A call that waits in a queue proves nothing until it is answered, and then only if it is recent. Both sides have heard of each other within the interval, so the limits for silence hold; a pause is found up to one ping interval (300 ms) later than before.

Ruled out: longer ping intervals, which delay the loss of a paused owner on idle connections too.

Tests: PermitsTests pass; the new test ran 20 times, FrozenOwner and FrozenIngress 10 times each.

--- a/include/mulberrywall/Permits/PeerNetwork.h
+++ b/include/mulberrywall/Permits/PeerNetwork.h
@@ -24,7 +24,8 @@
     std::string secret;
     support::InstanceId instance;
     std::uint64_t incarnation = 0;
-    /// While requests wait or run at a peer, it is asked for a sign of life at this interval.
+    /// While requests wait or run at a peer, it is asked for a sign of life at this interval, unless it has answered
+    /// another call that was sent within the interval.
     std::chrono::milliseconds pingInterval {300};
     /// A peer that does not answer for this long counts as lost.
     std::chrono::milliseconds pingTimeout {1'000};
--- a/include/mulberrywall/Permits/Permit.h
+++ b/include/mulberrywall/Permits/Permit.h
@@ -58,7 +58,7 @@
     /// Sets who carries out the owner's commands; those that came before are passed on inside the call. Thread-safe.
     ///
     /// The handler is called by any thread and must not block.
-    void setCommandHandler(OwnerCommandHandler handler);
+    void setCommandHandler(const OwnerCommandHandler &handler);
     /// Passes a command of the owner to the holder. Thread-safe.
     void command(const OwnerCommand &command);
     /// Tells the owner how far the request is. May be called often; the owner is told at a bounded rate.
--- a/include/mulberrywall/Permits/RoutedPermits.h
+++ b/include/mulberrywall/Permits/RoutedPermits.h
@@ -15,8 +15,9 @@
 {
     OwnershipOptions ownership;
     PeerOptions peers;
-    /// Progress of all permits is reported at this interval, in one message to each owner. Each message has about 170 B
-    /// besides its permits, which 22 owners allow once a second; policy::SlowEndpointTuning::silence must be longer.
+    /// Progress of all permits is reported at this interval, in one message to each owner. Shorter intervals cost the
+    /// fixed part of each message and 8 B a permit more often (docs/CAPACITY.md); policy::SlowEndpointTuning::silence
+    /// must be longer.
     std::chrono::milliseconds progressInterval {1'000};
     /// Interval at which owners are compared with the membership, besides each change.
     std::chrono::milliseconds reviewInterval {250};
--- a/lib/Permits/PeerClient.cpp
+++ b/lib/Permits/PeerClient.cpp
@@ -36,6 +36,9 @@
     /// Calls under way and permits held.
     unsigned atStake = 0;
     steady_clock::time_point lastUsed = steady_clock::now();
+    /// When the latest call that was answered had been sent: both sides have heard of each other since. Shared with calls
+    /// that end after the connection.
+    std::shared_ptr<steady_clock::time_point> provenAt = std::make_shared<steady_clock::time_point>();
     /// Shared with the service that the peer calls, which ends some events after the connection.
     std::shared_ptr<NumberedPermits> permits = std::make_shared<NumberedPermits>();
     /// Permits with progress that was not sent yet.
@@ -181,6 +184,10 @@
     return timer.afterDelay(toKj(options_.pingInterval)).then([this, &connection, &timer]() -> kj::Promise<void> {
         if (connection.atStake > 0) {
             connection.lastUsed = steady_clock::now();
+            // Pings of busy connections would be half of the bytes that a node may spend on control.
+            if (connection.lastUsed - *connection.provenAt < options_.pingInterval) {
+                return pingWhileNeeded(connection);
+            }
             return timer.timeoutAfter(toKj(options_.pingTimeout), connection.service.pingRequest().send().ignoreResult()).then([this, &connection] {
                 return pingWhileNeeded(connection);
             });
@@ -227,7 +234,8 @@
         boost::asio::post(context_, [handler, result = std::move(result)]() mutable { handler(std::move(result)); });
     };
     auto answer = request.send().then(
-        [this, call, decodeAnswer, reply](auto &&response) mutable {
+        [this, call, decodeAnswer, reply, provenAt = connection.provenAt, sentAt = steady_clock::now()](auto &&response) mutable {
+            *provenAt = std::max(*provenAt, sentAt);
             const auto found = calls_.find(call);
             if (found == calls_.end() || found->second.answered) {
                 return;
@@ -356,6 +364,12 @@
     start<ConfigurationDocument>(call, connection, kj::mv(message), decodeAnswer, std::move(handler));
 }
 
+template <typename Request>
+void PeerClient::sendAndNote(Connection &connection, Request request)
+{
+    tasks_.add(request.send().ignoreResult().then([provenAt = connection.provenAt, sentAt = steady_clock::now()] { *provenAt = std::max(*provenAt, sentAt); }));
+}
+
 void PeerClient::recordProgress(std::uint64_t permit, const policy::Progress &progress)
 {
     const auto found = permits_.find(permit);
@@ -412,7 +426,7 @@
         firstTokens[index].setPermit(started[index]->number);
         firstTokens[index].setSinceFirstTokenMs(toWireMs(started[index]->progress.sinceFirstToken));
     }
-    tasks_.add(message.send().ignoreResult());
+    sendAndNote(connection, kj::mv(message));
 }
 
 void PeerClient::finish(std::uint64_t permit, const policy::Completion &completion)
@@ -426,7 +440,7 @@
     message.setOutputTokens(completion.outputTokens);
     message.setSinceLatestTokenMs(toWireMs(completion.sinceLatestToken));
     message.setSinceFirstTokenMs(toWireMs(completion.sinceFirstToken));
-    tasks_.add(message.send().ignoreResult());
+    sendAndNote(*found->second.connection, kj::mv(message));
     --found->second.connection->atStake;
     found->second.connection->permits->erase(found->second.number);
     permits_.erase(found);
--- a/lib/Permits/PeerClient.h
+++ b/lib/Permits/PeerClient.h
@@ -65,6 +65,8 @@
     void end(std::uint64_t call);
     template <typename Reader>
     std::shared_ptr<Permit> hold(Connection &connection, Reader permit, PermitAnswer answer);
+    template <typename Request>
+    void sendAndNote(Connection &connection, Request request);
     void sendProgressTo(Connection &connection);
 
     RpcLoop &loop_;
--- a/lib/Permits/Permit.cpp
+++ b/lib/Permits/Permit.cpp
@@ -17,7 +17,7 @@
     finish({.outcome = policy::AttemptOutcome::Cancelled, .outputTokens = outputTokens_});
 }
 
-void Permit::setCommandHandler(OwnerCommandHandler handler)
+void Permit::setCommandHandler(const OwnerCommandHandler &handler)
 {
     std::vector<OwnerCommand> waiting;
     {
--- a/unittests/Permits/RoutedPermitsTest.cpp
+++ b/unittests/Permits/RoutedPermitsTest.cpp
@@ -211,6 +211,21 @@
     thaw->set_value();
 }
 
+// Guards against an owner that pauses right after it has answered and is not asked for a sign of life any more: an answer
+// replaces a ping.
+TEST_F(RoutedPermitsTest, OwnerFrozenAfterAnAnswerHoldsNoRequests)
+{
+    addTwo();
+    TestRouter &frozen = owner();
+    ask(notOwner()).getPermit()->finish({.outcome = policy::AttemptOutcome::Completed});
+    ASSERT_TRUE(eventually([&] { return frozen.permits->peers().counters().permitsHeld == 0; }));
+    const auto thaw = freeze(frozen);
+    const auto start = std::chrono::steady_clock::now();
+    EXPECT_TRUE(ask(notOwner()).getPermit());
+    EXPECT_LT(std::chrono::steady_clock::now() - start, std::chrono::seconds(5));
+    thaw->set_value();
+}
+
 // Guards against a paused ingress that keeps slots for more than 2 s; the bound leaves room for a busy machine.
 TEST_F(RoutedPermitsTest, FrozenIngressLosesItsSlots)
 {
