--- a/benchmarks/Capacity/capacity.py
+++ b/benchmarks/Capacity/capacity.py
@@ -233,14 +233,14 @@
 
 
 def sweep_members(arguments):
-    for count in [3, 6, 12, 24]:
+    for count in arguments.points or [3, 6, 12, 24]:
         with Deployment(arguments.binaries, count) as deployment:
             time.sleep(3)  # start-up traffic is not part of the steady state
             yield {"routers": count, **idle_cost(deployment, arguments.seconds)}
 
 
 def sweep_requests(arguments):
-    for rate in [0, 60, 120, 240]:
+    for rate in arguments.points or [0, 60, 120, 240]:
         # Two routers in each data centre: half of the permits come from the other one.
         with Deployment(arguments.binaries, LOADED_ROUTERS) as deployment:
             ports = [router.caller for router in deployment.routers]
@@ -254,7 +254,7 @@
 
 def sweep_streams(arguments):
     tokens = 200
-    for streams in [0, 100, 200, 400]:
+    for streams in arguments.points or [0, 100, 200, 400]:
         # 50 ms between tokens whatever the batch, so that only the number of streams varies.
         engine = ["--base-token-us", "50000", "--batch-slope", "0", "--batch-limit", "1000"]
         with Deployment(arguments.binaries, LOADED_ROUTERS, engine_arguments=engine) as deployment:
@@ -274,19 +274,19 @@
 
 
 def sweep_organisations(arguments):
-    for organisations in [10, 1000, 2900]:
+    for organisations in arguments.points or [10, 1000, 2900]:
         with Deployment(arguments.binaries, 3, organisations=organisations) as deployment:
             yield {"organisations": organisations, **idle_cost(deployment, arguments.seconds)}
 
 
 def sweep_endpoints(arguments):
-    for endpoints in [0, 300, 1650]:
+    for endpoints in arguments.points or [0, 300, 1650]:
         with Deployment(arguments.binaries, 3, idle_endpoints=endpoints) as deployment:
             yield {"endpoints": endpoints, **idle_cost(deployment, arguments.seconds)}
 
 
 def sweep_changes(arguments):
-    for interval in [0, 5, 1]:
+    for interval in arguments.points or [0, 5, 1]:
         with Deployment(arguments.binaries, 6, organisations=arguments.organisations) as deployment:
             delays = []
             before = deployment.sample()
@@ -319,6 +319,7 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("sweep", choices=SWEEPS, help="size to vary")
+    parser.add_argument("--points", type=int, nargs="+", help="sizes to measure instead of the usual ones")
     parser.add_argument("--binaries", default="build/release/bin", help="folder of the built programs")
     parser.add_argument("--seconds", type=float, default=10.0, help="length of each measurement")
     parser.add_argument("--organisations", type=int, default=2900, help="organisations in the sweep of changes")
