test: wait for the owner's full limit before it is lost

Cause (inferred from the times, not seen in a trace): OwnerKilled and OwnerFrozen wait until the engine runs as many requests as the pool has slots. A pool whose owner has just started uses half of its slots until all routers have reported, at most for 2 s, and the 12 requests of 0.3 s are over by then on a busy machine, so that the wait ends in its deadline ("the slots are taken").

Change: the test waits until the owner reports all slots free before it sends requests. Nothing else of the test changes.

--- a/test/TierOrder/TierOrderTest.cpp
+++ b/test/TierOrder/TierOrderTest.cpp
@@ -113,6 +113,17 @@
     throw std::runtime_error("router 0 does not list the pool");
 }
 
+std::int64_t freeSlots(const Node &router)
+{
+    const boost::json::object status = getJson(router.adminPort, "/v1/status");
+    for (const boost::json::value &pool : status.at("pools").as_array()) {
+        if (pool.at("pool") == "m") {
+            return pool.at("freeSlots").to_number<std::int64_t>();
+        }
+    }
+    return 0;
+}
+
 /// Sends all calls to routers that do not own the pool.
 std::vector<Call> makeCallsBeside(const Deployment &deployment, std::size_t owner, std::string_view requestClass, std::size_t number)
 {
@@ -132,6 +143,8 @@
     Deployment deployment(options);
     const Node &engine = deployment.engine(0);
     const std::size_t owner = ownerIndex(deployment);
+    // A new owner uses half of the slots until all routers have reported, at most for 2 s; the calls would end within them.
+    waitUntil("the owner uses all slots", [&] { return freeSlots(deployment.router(owner)) == slots; });
     ParallelCalls low(makeCallsBeside(deployment, owner, "report", 12));
     waitUntil("the slots are taken", [&] { return countOf(engine, "running") == slots; });
     ParallelCalls high(makeCallsBeside(deployment, owner, "interactive", 8));
