--- a/test/TierOrder/TierOrderTest.cpp
+++ b/test/TierOrder/TierOrderTest.cpp
@@ -65,9 +65,21 @@
     }
 }
 
+/// A new owner uses half of the slots until all routers have reported, at most for 2 s; short calls would end within them.
+void waitForFullLimit(Deployment &deployment)
+{
+    const Node &owner = deployment.router(deployment.ownerIndex());
+    waitUntil("the owner uses all slots", [&] {
+        const boost::json::object status = getJson(owner.adminPort, "/v1/status");
+        const boost::json::array &pools = status.at("pools").as_array();
+        return std::any_of(pools.begin(), pools.end(), [](const boost::json::value &pool) { return pool.at("pool") == "m" && pool.at("freeSlots") == slots; });
+    });
+}
+
 void checkHighTierFindsRoom(unsigned routers)
 {
     Deployment deployment(smallPool(routers));
+    waitForFullLimit(deployment);
     const Node &engine = deployment.engine(0);
     ParallelCalls low(makeCalls(deployment, "report", 40));
     waitUntil("the slots are taken and the rest is queued or shed",
@@ -90,6 +102,7 @@
 void checkLowTierTakesNoRoom(unsigned routers)
 {
     Deployment deployment(smallPool(routers));
+    waitForFullLimit(deployment);
     const Node &engine = deployment.engine(0);
     ParallelCalls high(makeCalls(deployment, "interactive", slots + queueLimit));
     waitUntil("the slots are taken", [&] { return countOf(engine, "running") == slots; });
@@ -117,6 +130,7 @@
     options.queueLimit = 64;
     Deployment deployment(options);
     const Node &engine = deployment.engine(0);
+    waitForFullLimit(deployment);
     const std::size_t owner = deployment.ownerIndex();
     ParallelCalls low(makeCallsBeside(deployment, owner, "report", 12));
     waitUntil("the slots are taken", [&] { return countOf(engine, "running") == slots; });
