--- a/unittests/Policy/SlowEndpointsTest.cpp
+++ b/unittests/Policy/SlowEndpointsTest.cpp
@@ -41,8 +41,8 @@
                     streams.erase(permit);
                     note(complete(permit, time, {.outputTokens = streamTokens}));
                 } else if (tokens > 0 && time % reportInterval == 0ms) {
-                    const auto age = [&](std::uint64_t token) {
-                        return time - stream.startedAt - token * interval.at(stream.endpoint);
+                    const auto age = [this, startedAt = stream.startedAt, step = interval.at(stream.endpoint)](std::uint64_t token) {
+                        return time - startedAt - token * step;
                     };
                     const Progress report {.outputTokens = tokens, .sinceLatestToken = age(tokens), .sinceFirstToken = age(1)};
                     note(functions.recordProgress(pool.get(), permit, report, at(time)));
