fuzz: add targets for datagrams, peer messages, http, streams, revisions and claims

Reason: only the configuration reader had a fuzz target. The new ones cover membership datagrams (tag, codec, state machine), decoded peer messages, raw bytes on the peer port, raw bytes on an HTTP server, callers' requests, event streams and completion chunks, revisions and deltas, and claim rows. Each has a small corpus; the peer connections in it were recorded from PeerNetwork itself.

Change: sources are compiled once for all targets, with their header dependencies, and each target has a run in ctest (label fuzz) with a fixed seed and number of runs. The target of the configuration reader keeps its seed and runs.

Ruled out: an in-memory connection for the HTTP and peer servers, which own TCP sockets; the targets use loopback.

--- a/fuzz/ConfigurationReaderFuzz.cpp
+++ b/fuzz/ConfigurationReaderFuzz.cpp
@@ -1,28 +1,20 @@
+#include "Require.h"
+
 #include "mulberrywall/Configuration/Reader.h"
 #include "mulberrywall/Configuration/Revision.h"
 
 #include <cstdint>
-#include <cstdio>
-#include <cstdlib>
 #include <string_view>
 
 namespace
 {
 
 using namespace mulberrywall;
+using fuzz::require;
 
 /// Separates the text of the base from that of the overlay in an input.
 constexpr std::string_view separator = "\n%%\n";
 
-/// Ends the process, which libFuzzer reports together with the input.
-void require(bool condition, const char *what)
-{
-    if (!condition) {
-        std::fprintf(stderr, "violated: %s\n", what);
-        std::abort();
-    }
-}
-
 } // namespace
 
 /// Guards against input files that end the process, fail without file and message, or read into a configuration that does
--- /dev/null
+++ b/fuzz/PeerConnectionFuzz.cpp
@@ -0,0 +1,56 @@
+#include "Require.h"
+
+#include "mulberrywall/Permits/PeerNetwork.h"
+#include "mulberrywall/Support/Log.h"
+#include "mulberrywall/Support/WorkerPool.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <cstdint>
+
+namespace
+{
+
+using namespace mulberrywall;
+using namespace mulberrywall::permits;
+using boost::asio::ip::tcp;
+using fuzz::require;
+
+std::shared_ptr<PeerNetwork> startRouter(boost::asio::io_context &context)
+{
+    PeerHandlers handlers {
+        .acquire = [](const PermitRequest &request, const std::vector<support::InstanceId> &, const OwnerHandler &handler) -> AcquireTicket {
+            handler(PermitRefusal {.reason = policy::RefusalReason::Shed, .detail = request.pool.value()});
+            return nullptr;
+        },
+        .adopt = [](const support::InstanceId &, const std::vector<Adoption> &pools) { return std::vector<AdoptedPool>(pools.size()); },
+        .fetchConfiguration = [](std::uint64_t minimumRevision) -> std::optional<ConfigurationDocument> {
+            return minimumRevision > 7 ? std::nullopt : std::optional(ConfigurationDocument {.revision = 7, .json = "{}"});
+        },
+    };
+    return PeerNetwork::create(
+        context, {.listen = {boost::asio::ip::address_v4::loopback(), 0}, .secret = "secret", .instance = support::InstanceId("self")}, std::move(handlers));
+}
+
+} // namespace
+
+/// Guards against bytes on the peer port that end the process or a router that does not close the connection at their end.
+// NOLINTNEXTLINE(readability-identifier-naming): libFuzzer prescribes the name.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    static support::WorkerPool workers(1);
+    static const std::shared_ptr<PeerNetwork> router = startRouter(workers.context());
+    boost::asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect(router->localEndpoint());
+    boost::system::error_code error;
+    boost::asio::write(socket, boost::asio::buffer(data, size), error);
+    socket.shutdown(tcp::socket::shutdown_send, error);
+    std::string answer;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+    require(error.failed(), "the router closes the connection");
+    const PeerCounters counters = router->counters();
+    require(counters.permitsHeld == 0 && counters.callsWaiting == 0, "a closed connection leaves nothing behind");
+    return 0;
+}
