support: log an exception that leaves a handler and go on

Ruled out: ending the process on purpose, which turns one defect into an outage for every caller of the instance. Change: the workers log the exception and go on with the next handler. Before: std::terminate.

--- a/lib/Support/WorkerPool.cpp
+++ b/lib/Support/WorkerPool.cpp
@@ -7,18 +7,32 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
+#include <exception>
 #include <memory>
 #include <utility>
 
 namespace mulberrywall::support
 {
 
+/// An exception that leaves a handler ends that handler alone; it must not end the requests of all other callers.
+static void runHandlers(boost::asio::io_context &context)
+{
+    for (;;) {
+        try {
+            context.run();
+            return;
+        } catch (const std::exception &error) {
+            log(Severity::Error, "unexpected exception in a handler; report it as a defect", {{"reason", error.what()}});
+        }
+    }
+}
+
 WorkerPool::WorkerPool(unsigned threads)
     : context_(static_cast<int>(std::max(threads, 1U))),
       work_(boost::asio::make_work_guard(context_))
 {
     for (unsigned index = 0; index < std::max(threads, 1U); ++index) {
-        threads_.emplace_back([this] { context_.run(); });
+        threads_.emplace_back([this] { runHandlers(context_); });
     }
 }
 
