--- a/include/mulberrywall/Router/RouterService.h
+++ b/include/mulberrywall/Router/RouterService.h
@@ -65,9 +65,6 @@
 private:
     void handleCaller(const http::ExchangePtr &exchange);
     void handleAdmin(const http::ExchangePtr &exchange);
-    [[nodiscard]] http::Response answerAdmin(const http::Request &request);
-    [[nodiscard]] std::string renderStatus() const;
-    [[nodiscard]] http::Response drainEndpoint(const http::Request &request);
     [[nodiscard]] std::shared_ptr<PeerGroup> makePeerGroup();
     [[nodiscard]] std::shared_ptr<ConfigurationWatcher> makeConfigurationWatcher();
     void onRevision(const RevisionPtr &revision);
--- a/lib/Router/RouterService.cpp
+++ b/lib/Router/RouterService.cpp
@@ -1,13 +1,13 @@
 #include "mulberrywall/Router/RouterService.h"
 
 #include "mulberrywall/Configuration/RevisionStore.h"
+#include "mulberrywall/Router/AdminPages.h"
 #include "mulberrywall/Router/CallerRequest.h"
 #include "mulberrywall/Router/CallerSession.h"
 #include "mulberrywall/Support/Log.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 #include <utility>
@@ -238,7 +238,7 @@
 
 bool RouterService::isReady() const
 {
-    return state_.configuration.current() != nullptr && !state_.draining;
+    return router::isReady(state_);
 }
 
 boost::asio::ip::tcp::endpoint RouterService::callerEndpoint() const
@@ -298,131 +298,13 @@
 
 void RouterService::handleAdmin(const http::ExchangePtr &exchange)
 {
-    exchange->respond(answerAdmin(exchange->request()));
-}
-
-http::Response RouterService::answerAdmin(const http::Request &request)
-{
-    const std::string_view path = http::pathOf({request.target().data(), request.target().size()});
-    if (path == "/healthz") {
-        return http::makeJsonResponse(http::Status::ok, R"({"status":"alive"})");
-    }
-    if (path == "/readyz") {
-        const bool ready = isReady();
-        return http::makeJsonResponse(
-            ready ? http::Status::ok : http::Status::service_unavailable, ready ? R"({"status":"ready"})" : R"({"status":"not ready"})");
-    }
-    if (!options_.operatorKey.empty() && http::fieldValue(request, "Authorization") != "Bearer " + options_.operatorKey) {
-        return http::makeProblemResponse(
-            {.status = http::Status::unauthorized, .title = "operator key required", .detail = "send the operator key as 'Authorization: Bearer <key>'"});
-    }
-    if (path == "/metrics") {
-        http::Response response = http::makeJsonResponse(http::Status::ok, state_.metrics.renderPrometheus());
-        response.set(http::Field::content_type, "text/plain; version=0.0.4");
-        return response;
-    }
-    if (path == "/v1/status") {
-        return http::makeJsonResponse(http::Status::ok, renderStatus());
-    }
-    if (path == "/v1/drain") {
-        return drainEndpoint(request);
-    }
-    return http::makeProblemResponse(
-        {.status = http::Status::not_found, .title = "unknown path", .detail = "use /healthz, /readyz, /metrics, /v1/status or /v1/drain"});
-}
-
-http::Response RouterService::drainEndpoint(const http::Request &request)
-{
-    if (request.method() != http::Verb::post) {
-        return http::makeProblemResponse({.status = http::Status::method_not_allowed, .title = "method not allowed", .detail = "use POST for /v1/drain"});
-    }
-    json::error_code error;
-    const json::value body = json::parse(request.body(), error);
-    const json::value *name = !error && body.is_object() ? body.get_object().if_contains("endpoint") : nullptr;
-    if (name == nullptr || !name->is_string()) {
-        return http::makeProblemResponse(
-            {.status = http::Status::bad_request, .title = "malformed body", .detail = R"(send a JSON object such as {"endpoint":"engine-1"})"});
-    }
-    const support::EndpointId endpoint {std::string(name->get_string())};
-    const ConfigurationSnapshot configuration = state_.configuration.current();
-    if (configuration == nullptr || configuration::findEndpoint(*configuration, endpoint) == nullptr) {
-        return http::makeProblemResponse({.status = http::Status::not_found,
-            .title = "unknown endpoint",
-            .detail = "the configuration has no endpoint '" + endpoint.value() + "'; see /v1/status"});
-    }
-    endpoints_.markLeaving(endpoint, LeavingOrigin::Operator);
-    return http::makeJsonResponse(http::Status::ok, json::serialize(json::object {{"endpoint", endpoint.value()}, {"leaving", true}}));
-}
-
-/// Counts since the start of the process; peer bytes are those of the connections that are open.
-static json::object renderControlTraffic(PeerGroup &peers)
-{
-    const membership::Counters membership = peers.membershipCounters();
-    const permits::PeerCounters peer = peers.peerCounters();
-    return {{"membershipDatagramsSent", membership.datagramsSent},
-        {"membershipBytesSent", membership.bytesSent},
-        {"membershipBytesReceived", membership.bytesReceived},
-        {"membershipDatagramsMalformed", membership.malformed},
-        {"membershipDatagramsUnauthenticated", membership.unauthenticated},
-        {"peerBytesSent", peer.clientBytesSent},
-        {"peerBytesReceived", peer.clientBytesReceived},
-        {"peerPermitsHeld", peer.permitsHeld},
-        {"peerLoginsRefused", peer.loginsRefused}};
-}
-
-static json::object renderServiceLevels(const ServiceLevelWindows &serviceLevels)
-{
-    json::object classes;
-    for (const auto &[id, windows] : serviceLevels.summarize(std::chrono::steady_clock::now())) {
-        json::array list;
-        for (const WindowCounts &window : windows) {
-            list.push_back({{"seconds", window.window.count()},
-                {"requests", window.counts.requests},
-                {"withinTargets", window.counts.withinTargets},
-                {"goodputTokens", window.counts.goodputTokens},
-                {"wastedTokens", window.counts.wastedTokens}});
-        }
-        classes[id.value()] = std::move(list);
-    }
-    return classes;
-}
-
-std::string RouterService::renderStatus() const
-{
-    const ConfigurationSnapshot configuration = state_.configuration.current();
-    json::object status;
-    status["instance"] = options_.instance.value();
-    status["dataCentre"] = options_.dataCentre.value();
-    status["ready"] = isReady();
-    status["activeRequests"] = state_.activeRequests.load();
-    if (peers_) {
-        json::array members;
-        for (const membership::Member &member : peers_->liveMembers()) {
-            members.push_back({{"instance", member.instance.value()}, {"dataCentre", member.dataCentre.value()}});
-        }
-        status["members"] = std::move(members);
-        status["control"] = renderControlTraffic(*peers_);
-    }
-    if (configuration != nullptr) {
-        status["revision"] = configuration->revision;
-    }
-    status["serviceLevels"] = renderServiceLevels(state_.serviceLevels);
-    json::array pools;
-    for (const auto &[id, summary] : pools_.summarize()) {
-        pools.push_back({{"pool", id.value()},
-            {"owner", (peers_ ? peers_->ownerOf(id) : options_.instance).value()},
-            {"waiting", summary.waiting},
-            {"running", summary.running},
-            {"freeSlots", summary.freeSlots},
-            {"endpoints", summary.endpoints}});
-    }
-    status["pools"] = std::move(pools);
-    json::array leaving;
-    for (const support::EndpointId &id : endpoints_.leaving()) {
-        leaving.emplace_back(id.value());
-    }
-    status["leaving"] = std::move(leaving);
-    return json::serialize(status);
+    exchange->respond(answerAdminRequest({.state = state_,
+                                             .pools = pools_,
+                                             .peers = peers_.get(),
+                                             .instance = options_.instance,
+                                             .dataCentre = options_.dataCentre,
+                                             .operatorKey = options_.operatorKey},
+        exchange->request()));
 }
 
 } // namespace mulberrywall::router
