policy: remove the takeover limit that the product does not use

Cause: the reduced limit of a new owner stood twice: in OwnedPool (half of the concurrency until all routers have reported, at most 2 s) and in the policy, where only its own unit tests set it. Two such limits would multiply if both were on. Ruled out: moving OwnedPool's limit into the policy; the owner alone knows which routers have reported. Change: Takeover, PoolStart and finishTakeover are gone with their two unit tests; PoolOwnershipTest.NewOwnerStartsWithReducedLimit guards the limit that the product has, in the same two respects (reduced until all have reported, adopted requests counted once).

--- a/include/mulberrywall/Policy/PolicyFunctions.h
+++ b/include/mulberrywall/Policy/PolicyFunctions.h
@@ -38,8 +38,6 @@
     Decisions (*recordSuspect)(void *pool, const SuspectEntry &suspect, TimePoint now);
     /// Does what time alone makes due.
     Decisions (*advance)(void *pool, TimePoint now);
-    /// Ends the reduced limit of a pool that was taken over, for example because all ingresses have told their permits.
-    Decisions (*finishTakeover)(void *pool, TimePoint now);
 
     // Queries
     std::optional<TimePoint> (*nextWakeUp)(const void *pool);
--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -73,8 +73,6 @@
     /// Until then the endpoint takes no requests beside the suspect that runs on it.
     TimePoint exclusiveUntil;
     std::optional<LoadReport> report;
-    /// No requests that a former owner granted are missing.
-    bool adoptionComplete = false;
 };
 
 /// A request that holds a slot.
@@ -157,15 +155,6 @@
     bool changed = false;
 };
 
-/// Reduced limit of an owner that does not know yet what a former owner granted.
-struct Takeover
-{
-    /// Starts with the next command.
-    bool pending = false;
-    TimePoint startedAt;
-    TimePoint until;
-};
-
 /// State of one pool at its owner.
 struct Pool
 {
@@ -183,7 +172,6 @@
     /// Sum over active requests of their start times in seconds.
     double startSecondsSum = 0.0;
     CrashSuspects suspects;
-    Takeover takeover;
     LengthEstimates lengths;
     /// Set with the first output token. Until then requests count as calls of a plain service, whose speeds are in
     /// another unit.
--- a/include/mulberrywall/Policy/Tuning.h
+++ b/include/mulberrywall/Policy/Tuning.h
@@ -156,14 +156,6 @@
     std::chrono::milliseconds maximumTrial {2'000};
 };
 
-/// Reduced limit of a new owner.
-struct TakeoverTuning
-{
-    std::chrono::milliseconds bound {2'000};
-    /// Share of each endpoint's slots used until then; at least one slot.
-    double slotShare = 0.5;
-};
-
 /// Constants of the standard policy.
 struct Tuning
 {
@@ -177,7 +169,6 @@
     SlowEndpointTuning slowEndpoints;
     HedgingTuning hedging;
     CrashTuning crashes;
-    TakeoverTuning takeover;
 };
 
 } // namespace mulberrywall::policy
--- a/include/mulberrywall/Policy/Types.h
+++ b/include/mulberrywall/Policy/Types.h
@@ -180,20 +180,11 @@
     Progress progress;
 };
 
-/// How the owner came by the pool.
-enum class PoolStart : std::uint8_t {
-    Fresh,
-    /// Another owner may have granted permits that still run; limits are reduced at first.
-    TakenOver,
-};
-
 struct PoolOptions
 {
     std::size_t queueLimit = 256;
     std::vector<ClassSpec> classes;
     std::vector<OrganisationSpec> organisations;
-    /// Read when the pool is created only.
-    PoolStart start = PoolStart::Fresh;
     Tuning tuning;
 };
 
--- a/lib/Policy/EndpointSelection.cpp
+++ b/lib/Policy/EndpointSelection.cpp
@@ -3,7 +3,6 @@
 #include "mulberrywall/Policy/CrashSuspects.h"
 #include "mulberrywall/Policy/LongRequests.h"
 #include "mulberrywall/Policy/SlowEndpoints.h"
-#include "mulberrywall/Policy/Takeover.h"
 
 #include <algorithm>
 #include <functional>
@@ -149,7 +148,7 @@
         return 0;
     }
     const unsigned slots = currentLimit(endpoint.concurrency, endpoint.spec.maximumConcurrency);
-    return slotsByHealth(pool, endpoint, slotsDuringTakeover(pool, endpoint, slots, now), now);
+    return slotsByHealth(pool, endpoint, slots, now);
 }
 
 unsigned freeSlots(const Pool &pool, const EndpointState &endpoint, TimePoint now)
@@ -181,7 +180,6 @@
     }
     known = report;
     known->measuredAt = std::min(report.measuredAt, now);
-    noteReportDuringTakeover(pool, found->second, *known);
 }
 
 EndpointState *selectEndpoint(Pool &pool, const WaitingRequest &request, TimePoint now)
--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -11,7 +11,6 @@
 #include "mulberrywall/Policy/Pool.h"
 #include "mulberrywall/Policy/Scheduling.h"
 #include "mulberrywall/Policy/SlowEndpoints.h"
-#include "mulberrywall/Policy/Takeover.h"
 
 #include <algorithm>
 
@@ -38,7 +37,6 @@
 {
     Pool &pool = asPool(handle);
     pool.now = std::max(pool.now, now);
-    startTakeover(pool, now);
     averageTierLoads(pool, now);
     accrueMinimumShares(pool, now);
     for (auto &[id, endpoint] : pool.endpoints) {
@@ -76,7 +74,6 @@
 {
     auto pool = std::make_shared<Pool>();
     configure(pool.get(), options);
-    pool->takeover.pending = options.start == PoolStart::TakenOver;
     return pool;
 }
 
@@ -346,12 +343,6 @@
     return advance(handle, now);
 }
 
-Decisions finishTakeover(void *handle, TimePoint now)
-{
-    endTakeover(beginCommand(handle, now), now);
-    return advance(handle, now);
-}
-
 std::optional<TimePoint> nextWakeUp(const void *handle)
 {
     const Pool &pool = asPool(handle);
@@ -361,7 +352,6 @@
     std::optional<TimePoint> wakeUp = earliestDeadline(pool.queue);
     if (!pool.queue.requests.empty()) {
         wakeUp = earlier(wakeUp, nextBackoffEnd(pool, pool.now));
-        wakeUp = earlier(wakeUp, takeoverEnd(pool, pool.now));
         wakeUp = earlier(wakeUp, nextProbe(pool, pool.now));
         wakeUp = earlier(wakeUp, nextSuspectChange(pool, pool.now));
         if (pool.suspects.changed) {
@@ -435,7 +425,6 @@
     .adopt = adopt,
     .recordSuspect = recordSuspect,
     .advance = advance,
-    .finishTakeover = finishTakeover,
     .nextWakeUp = nextWakeUp,
     .summarize = summarize,
     .suspects = suspects,
