--- a/include/mulberrywall/Support/Settings.h
+++ b/include/mulberrywall/Support/Settings.h
@@ -38,10 +38,19 @@
 /// Adds --version and --check-settings, which every binary has.
 void addCommonFlags(CLI::App &app, bool &checkSettings);
 
-/// Parses the command line and calls run, which returns the process's exit code.
+/// What a program does with its settings.
+struct ProgramActions
+{
+    /// Checks what single settings cannot show, and reports it on standard error; may be empty.
+    std::function<ExitCode()> check;
+    /// Returns the process's exit code.
+    std::function<int()> run;
+};
+
+/// Parses the command line, checks the settings and runs the program.
 ///
 /// Wrong settings are reported on standard error and end in ExitCode::InvalidSettings. With --check-settings the
-/// settings are parsed and validated and run is not called.
-int parseAndRun(CLI::App &app, int argc, char **argv, const bool &checkSettings, const std::function<int()> &run);
+/// program is not run.
+int parseAndRun(CLI::App &app, int argc, char **argv, const bool &checkSettings, const ProgramActions &actions);
 
 } // namespace mulberrywall::support
--- a/lib/Router/RouterProgram.cpp
+++ b/lib/Router/RouterProgram.cpp
@@ -14,6 +14,7 @@
 #include <iostream>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace mulberrywall::router
@@ -227,12 +228,8 @@
     return support::ExitCode::Success;
 }
 
-int serve(Settings &settings, const RouterProgram &program)
+int serve(const Settings &settings, const RouterProgram &program, std::optional<configuration::SiteConfiguration> site)
 {
-    std::optional<configuration::SiteConfiguration> site;
-    if (const support::ExitCode code = prepare(settings, site); code != support::ExitCode::Success) {
-        return support::toInt(code);
-    }
     support::initializeLog({.processName = settings.programName, .instance = settings.instance});
     support::WorkerPool workers(settings.workers);
     std::promise<void> drained;
@@ -262,7 +259,16 @@
     bool checkSettings = false;
     addSettings(app, settings);
     support::addCommonFlags(app, checkSettings);
-    return support::parseAndRun(app, argc, argv, checkSettings, [&] { return serve(settings, program); });
+    std::optional<configuration::SiteConfiguration> site;
+    return support::parseAndRun(app,
+        argc,
+        argv,
+        checkSettings,
+        {.check = [&] { return prepare(settings, site); },
+            .run =
+                [&] {
+                    return serve(settings, program, std::move(site));
+                }});
 }
 
 } // namespace mulberrywall::router
--- a/lib/Support/Settings.cpp
+++ b/lib/Support/Settings.cpp
@@ -23,7 +23,7 @@
     app.add_flag("--check-settings", checkSettings, "check the settings, print the result and exit");
 }
 
-int parseAndRun(CLI::App &app, int argc, char **argv, const bool &checkSettings, const std::function<int()> &run)
+int parseAndRun(CLI::App &app, int argc, char **argv, const bool &checkSettings, const ProgramActions &actions)
 {
     try {
         app.parse(argc, argv);
@@ -33,11 +33,14 @@
         std::cerr << app.get_name() << ": " << error.what() << "; see --help\n";
         return toInt(ExitCode::InvalidSettings);
     }
+    if (const ExitCode code = actions.check ? actions.check() : ExitCode::Success; code != ExitCode::Success) {
+        return toInt(code);
+    }
     if (checkSettings) {
         std::cout << "settings are valid\n";
         return toInt(ExitCode::Success);
     }
-    return run();
+    return actions.run();
 }
 
 } // namespace mulberrywall::support
--- a/tools/mulberrywall-ctl/Main.cpp
+++ b/tools/mulberrywall-ctl/Main.cpp
@@ -167,7 +167,7 @@
         {"status", addStatus(app, settings)},
         {"drain", addDrain(app, settings)},
     };
-    return support::parseAndRun(app, argc, argv, checkSettings, [&] {
+    const auto run = [&] {
         const control::Console console {.output = std::cout, .errors = std::cerr};
         for (const auto &[name, command] : commands) {
             if (app.got_subcommand(name)) {
@@ -175,5 +175,6 @@
             }
         }
         return support::toInt(support::ExitCode::InvalidSettings);
-    });
+    };
+    return support::parseAndRun(app, argc, argv, checkSettings, {.run = run});
 }
--- a/unittests/Router/LimitsTest.cpp
+++ b/unittests/Router/LimitsTest.cpp
@@ -104,17 +104,34 @@
     EXPECT_EQ(drain(good, "Bearer operator"), http::Status::ok);
 }
 
+static int checkSettings(std::vector<std::string> arguments)
+{
+    arguments.insert(arguments.begin(), {"router", "--check-settings", "--instance", "router-1"});
+    std::vector<char *> pointers;
+    for (std::string &argument : arguments) {
+        pointers.push_back(argument.data());
+    }
+    const RouterProgram program {.name = "router", .description = "", .policy = policy::standardPolicy()};
+    return runRouterProgram(program, static_cast<int>(pointers.size()), pointers.data());
+}
+
+// Guards against --check-settings that accepts what the router refuses when it starts.
+TEST(RouterSettings, CombinationsAreChecked)
+{
+    const std::vector<std::string> good {"--data-centre", "a", "--peer-listen", "127.0.0.1:0", "--membership-listen", "127.0.0.1:0", "--peer-secret", "s"};
+    EXPECT_EQ(checkSettings(good), support::toInt(support::ExitCode::Success));
+    EXPECT_EQ(checkSettings({good.begin(), good.end() - 2}), support::toInt(support::ExitCode::InvalidSettings)) << "no secret";
+    EXPECT_EQ(checkSettings({good.begin() + 2, good.end()}), support::toInt(support::ExitCode::InvalidSettings)) << "no data centre";
+    EXPECT_EQ(checkSettings({"--data-centre", "a"}), support::toInt(support::ExitCode::InvalidSettings)) << "no source of a configuration";
+}
+
 // Guards against a wrong limit or grace that is taken for another one or for none.
 TEST(RouterSettings, BadLimitsAreRefused)
 {
-    const auto run = [](std::vector<std::string> arguments) {
-        arguments.insert(arguments.begin(), {"router", "--check-settings", "--instance", "router-1"});
-        std::vector<char *> pointers;
-        for (std::string &argument : arguments) {
-            pointers.push_back(argument.data());
-        }
-        const RouterProgram program {.name = "router", .description = "", .policy = policy::standardPolicy()};
-        return runRouterProgram(program, static_cast<int>(pointers.size()), pointers.data());
+    const auto run = [](const std::vector<std::string> &limit) {
+        std::vector<std::string> arguments {"--data-centre", "a", "--platform", "127.0.0.1:1"};
+        arguments.insert(arguments.end(), limit.begin(), limit.end());
+        return checkSettings(arguments);
     };
     for (const char *flag : {"--drain-grace-ms", "--drain-limit-ms", "--max-connections"}) {
         EXPECT_EQ(run({flag, "250"}), support::toInt(support::ExitCode::Success)) << flag;
