--- a/include/mulberrywall/Support/Settings.h
+++ b/include/mulberrywall/Support/Settings.h
@@ -53,4 +53,7 @@
 /// program is not run.
 int parseAndRun(CLI::App &app, int argc, char **argv, const bool &checkSettings, const ProgramActions &actions);
 
+/// Does the same for a program whose settings need no check beside their own ones.
+int parseAndRun(CLI::App &app, int argc, char **argv, const bool &checkSettings, const std::function<int()> &run);
+
 } // namespace mulberrywall::support
--- a/lib/Support/Settings.cpp
+++ b/lib/Support/Settings.cpp
@@ -43,4 +43,9 @@
     return actions.run();
 }
 
+int parseAndRun(CLI::App &app, int argc, char **argv, const bool &checkSettings, const std::function<int()> &run)
+{
+    return parseAndRun(app, argc, argv, checkSettings, ProgramActions {.run = run});
+}
+
 } // namespace mulberrywall::support
--- a/tools/mulberrywall-controller/Main.cpp
+++ b/tools/mulberrywall-controller/Main.cpp
@@ -101,7 +101,5 @@
     support::addSetting(app, "--max-loads", settings.maxLoads, "engines of the data centre that may load at the same time")->check(CLI::Range(1, 1'000));
     support::addCommonFlags(app, checkSettings);
     app.final_callback([&settings] { checkTimes(settings); });
-    return support::parseAndRun(app, argc, argv, checkSettings, {.run = [&settings] {
-        return run(settings);
-    }});
+    return support::parseAndRun(app, argc, argv, checkSettings, [&settings] { return run(settings); });
 }
--- a/tools/mulberrywall-ctl/Main.cpp
+++ b/tools/mulberrywall-ctl/Main.cpp
@@ -167,7 +167,7 @@
         {"status", addStatus(app, settings)},
         {"drain", addDrain(app, settings)},
     };
-    const auto run = [&] {
+    return support::parseAndRun(app, argc, argv, checkSettings, [&] {
         const control::Console console {.output = std::cout, .errors = std::cerr};
         for (const auto &[name, command] : commands) {
             if (app.got_subcommand(name)) {
@@ -175,6 +175,5 @@
             }
         }
         return support::toInt(support::ExitCode::InvalidSettings);
-    };
-    return support::parseAndRun(app, argc, argv, checkSettings, {.run = run});
+    });
 }
--- a/tools/mulberrywall-report/Main.cpp
+++ b/tools/mulberrywall-report/Main.cpp
@@ -115,7 +115,5 @@
     support::addSetting(*command, "--operator-key", settings.operatorKey, "operator key of the routers");
     support::addSetting(*command, "--format", settings.format, "text, json or svg")->check(CLI::IsMember({"text", "json", "svg"}));
     support::addSetting(*command, "--objective", settings.objective, "share of requests that must be within their targets")->check(CLI::Range(0.001, 0.9999));
-    return support::parseAndRun(app, argc, argv, checkSettings, {.run = [&settings] {
-        return burn(settings);
-    }});
+    return support::parseAndRun(app, argc, argv, checkSettings, [&settings] { return burn(settings); });
 }
