--- a/lib/Permits/PeerClient.cpp
+++ b/lib/Permits/PeerClient.cpp
@@ -16,6 +16,8 @@
 #include <limits>
 #include <utility>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace mulberrywall::permits
@@ -40,6 +42,9 @@
     int descriptor = -1;
     KJ_SYSCALL(descriptor = ::socket(target.data()->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     kj::AutoCloseFd socket(descriptor);
+    // As on the sockets that KJ makes itself; otherwise a permit waits for a delayed acknowledgement of up to 40 ms.
+    const int enabled = 1;
+    KJ_SYSCALL(::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled)));
     const boost::asio::ip::tcp::endpoint local(source, 0);
     KJ_SYSCALL(::bind(socket, local.data(), static_cast<socklen_t>(local.size())));
     return io.lowLevelProvider->wrapConnectingSocketFd(kj::mv(socket), target.data(), size);
