support: parse endpoint addresses and build call options in one place

Change: support::toEndpoint, http::makeCallOptions, router::hashKey; completed() and classesWithMinimumShare() move to the harness. No change of behaviour; tests keep their assertions and values.

--- a/benchmarks/LoadDriver/Scenario.cpp
+++ b/benchmarks/LoadDriver/Scenario.cpp
@@ -1,10 +1,10 @@
 #include "Scenario.h"
 
-#include <openssl/sha.h>
+#include "mulberrywall/Router/CallerRequest.h"
+
 #include <toml++/toml.h>
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <limits>
 #include <numbers>
@@ -135,19 +135,6 @@
     return organisation + "-key";
 }
 
-std::string hashOf(const std::string &key)
-{
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest {};
-    SHA256(reinterpret_cast<const unsigned char *>(key.data()), key.size(), digest.data());
-    constexpr std::string_view digits = "0123456789abcdef";
-    std::string text;
-    for (const unsigned char byte : digest) {
-        text += digits[byte >> 4U];
-        text += digits[byte & 15U];
-    }
-    return text;
-}
-
 /// Takes tier and idempotency of each traffic from its class, and configures the organisations.
 void applyClasses(Scenario &scenario)
 {
@@ -167,7 +154,7 @@
     }
     for (const auto &[name, part] : scenario.organisations) {
         scenario.deployment.furtherBase
-            += "\n[organisations." + name + "]\nkey-hashes = [\"" + hashOf(keyOf(name)) + "\"]\nallowed-classes = [" + allowed + "]\n";
+            += "\n[organisations." + name + "]\nkey-hashes = [\"" + router::hashKey(keyOf(name)) + "\"]\nallowed-classes = [" + allowed + "]\n";
     }
 }
 
--- a/include/mulberrywall/Http/ClientCall.h
+++ b/include/mulberrywall/Http/ClientCall.h
@@ -27,6 +27,12 @@
     std::size_t maxResponseBytes = 64 * 1024 * 1024;
 };
 
+/// Returns options in which each step of the call has the same timeout.
+[[nodiscard]] inline ClientCallOptions makeCallOptions(const boost::asio::ip::tcp::endpoint &peer, std::chrono::milliseconds timeout)
+{
+    return {.peer = peer, .connectTimeout = timeout, .headerTimeout = timeout, .idleTimeout = timeout};
+}
+
 /// How far a call came; the verdict of an attempt follows from it.
 enum class CallStage : std::uint8_t {
     Connecting,
--- a/include/mulberrywall/Support/Address.h
+++ b/include/mulberrywall/Support/Address.h
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -21,6 +22,9 @@
 /// Parses "127.0.0.1:7000" or "[::1]:7000"; the error names the text and the remedy.
 Result<boost::asio::ip::tcp::endpoint> parseAddress(std::string_view text, AddressUse use);
 
+/// Returns nothing when the address is not an IP address.
+std::optional<boost::asio::ip::tcp::endpoint> toEndpoint(const std::string &address, std::uint16_t port);
+
 /// Returns what is wrong with an address to connect to, or an empty text, as CLI11's checks want it.
 std::string checkAddress(const std::string &text);
 
--- a/lib/Configuration/Validation.cpp
+++ b/lib/Configuration/Validation.cpp
@@ -2,7 +2,7 @@
 
 #include "Values.h"
 
-#include <boost/asio/ip/address.hpp>
+#include "mulberrywall/Support/Address.h"
 
 #include <algorithm>
 #include <map>
@@ -135,9 +135,7 @@
     std::map<std::pair<std::string_view, std::uint16_t>, std::string_view> seen;
     for (const Endpoint &endpoint : configuration.endpoints) {
         const std::string &id = endpoint.id.value();
-        boost::system::error_code error;
-        boost::asio::ip::make_address(endpoint.address, error);
-        if (error) {
+        if (!support::toEndpoint(endpoint.address, endpoint.port)) {
             return fail(locate, {"endpoints", id, "address"}, "is \"" + endpoint.address + "\"; use an IP address");
         }
         const auto [found, inserted] = seen.emplace(std::pair<std::string_view, std::uint16_t>(endpoint.address, endpoint.port), id);
--- a/lib/Control/RouterCalls.cpp
+++ b/lib/Control/RouterCalls.cpp
@@ -35,12 +35,7 @@
         if (!options.operatorKey.empty()) {
             call.set(http::Field::authorization, "Bearer " + options.operatorKey);
         }
-        const http::ClientCallOptions callOptions {
-            .peer = router,
-            .connectTimeout = options.timeout,
-            .headerTimeout = options.timeout,
-            .idleTimeout = options.timeout,
-        };
+        const http::ClientCallOptions callOptions = http::makeCallOptions(router, options.timeout);
         const asio::any_io_executor strand = asio::make_strand(pool.context());
         asio::post(strand, [strand, callOptions, call = std::move(call), promise]() mutable {
             http::fetch(strand, callOptions, std::move(call), [promise](WholeResponse response) { promise->set_value(std::move(response)); });
--- a/lib/Orders/Controller.cpp
+++ b/lib/Orders/Controller.cpp
@@ -2,6 +2,7 @@
 
 #include "mulberrywall/Configuration/RevisionStore.h"
 #include "mulberrywall/Http/ClientCall.h"
+#include "mulberrywall/Support/Address.h"
 #include "mulberrywall/Support/Log.h"
 
 #include <boost/asio/dispatch.hpp>
@@ -282,16 +283,11 @@
 
     void callEngine(const DesiredEngine &engine, http::Request request, std::function<void(const WholeResponse &)> handler)
     {
-        error_code error;
-        const asio::ip::address address = asio::ip::make_address(engine.address, error);
         request.set(http::Field::host, engine.address);
-        const http::ClientCallOptions callOptions {
-            .peer = {address, engine.port},
-            .connectTimeout = options_.engineTimeout,
-            .headerTimeout = options_.engineTimeout,
-            .idleTimeout = options_.engineTimeout,
-            .maxResponseBytes = 1024 * 1024,
-        };
+        const auto address = support::toEndpoint(engine.address, engine.port);
+        http::ClientCallOptions callOptions
+            = http::makeCallOptions(address.value_or(asio::ip::tcp::endpoint(asio::ip::address(), engine.port)), options_.engineTimeout);
+        callOptions.maxResponseBytes = 1024 * 1024;
         http::fetch(strand_, callOptions, std::move(request), [self = shared_from_this(), handler = std::move(handler)](const WholeResponse &response) {
             if (!self->stopped_) {
                 handler(response);
--- a/lib/Router/Attempt.cpp
+++ b/lib/Router/Attempt.cpp
@@ -2,6 +2,7 @@
 
 #include "mulberrywall/Router/CompletionChunk.h"
 #include "mulberrywall/Router/EndpointProbe.h"
+#include "mulberrywall/Support/Address.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/error.hpp>
@@ -29,12 +30,7 @@
 
 static std::optional<boost::asio::ip::tcp::endpoint> addressOf(const configuration::Endpoint &endpoint)
 {
-    boost::system::error_code error;
-    const auto address = boost::asio::ip::make_address(endpoint.address, error);
-    if (error) {
-        return std::nullopt;
-    }
-    return boost::asio::ip::tcp::endpoint(address, endpoint.port);
+    return support::toEndpoint(endpoint.address, endpoint.port);
 }
 
 static http::Request makeUpstreamRequest(const CallerRequest &request, const AttemptOptions &options, const permits::Permit &permit)
@@ -123,10 +119,7 @@
     }
     http::Request request(http::Verb::delete_, "/v1/requests/" + request_.value(), 11);
     request.set(http::Field::host, permit_->endpoint().address);
-    http::fetch(executor_,
-        {.peer = *address, .connectTimeout = cancellationTimeout, .headerTimeout = cancellationTimeout, .idleTimeout = cancellationTimeout},
-        std::move(request),
-        [](const http::WholeResponse &) {});
+    http::fetch(executor_, http::makeCallOptions(*address, cancellationTimeout), std::move(request), [](const http::WholeResponse &) {});
 }
 
 static bool isAuthoritativeRefusal(const http::ResponseHeader &responseHeader)
--- a/lib/Router/EndpointWatcher.cpp
+++ b/lib/Router/EndpointWatcher.cpp
@@ -1,6 +1,7 @@
 #include "mulberrywall/Router/EndpointWatcher.h"
 
 #include "mulberrywall/Http/ClientCall.h"
+#include "mulberrywall/Support/Address.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/json/parse.hpp>
@@ -83,23 +84,19 @@
     std::chrono::milliseconds timeout,
     std::function<void(std::optional<json::object>)> handler)
 {
-    boost::system::error_code error;
-    const auto address = boost::asio::ip::make_address(endpoint.address, error);
-    if (error) {
+    const auto address = support::toEndpoint(endpoint.address, endpoint.port);
+    if (!address) {
         handler(std::nullopt);
         return;
     }
     http::Request request(http::Verb::get, target, 11);
     request.set(http::Field::host, endpoint.address);
-    http::fetch(executor,
-        {.peer = {address, endpoint.port}, .connectTimeout = timeout, .headerTimeout = timeout, .idleTimeout = timeout},
-        std::move(request),
-        [handler = std::move(handler)](const http::WholeResponse &response) {
-            boost::system::error_code parseError;
-            const json::value body = json::parse(response.body, parseError);
-            const bool usable = !response.result.error && response.status == http::Status::ok && !parseError && body.is_object();
-            handler(usable ? std::optional(body.get_object()) : std::nullopt);
-        });
+    http::fetch(executor, http::makeCallOptions(*address, timeout), std::move(request), [handler = std::move(handler)](const http::WholeResponse &response) {
+        boost::system::error_code parseError;
+        const json::value body = json::parse(response.body, parseError);
+        const bool usable = !response.result.error && response.status == http::Status::ok && !parseError && body.is_object();
+        handler(usable ? std::optional(body.get_object()) : std::nullopt);
+    });
 }
 
 static std::int64_t numberOf(const json::object &report, std::string_view member)
--- a/lib/Support/Address.cpp
+++ b/lib/Support/Address.cpp
@@ -8,6 +8,13 @@
 namespace mulberrywall::support
 {
 
+std::optional<boost::asio::ip::tcp::endpoint> toEndpoint(const std::string &address, std::uint16_t port)
+{
+    boost::system::error_code error;
+    const auto parsed = boost::asio::ip::make_address(address, error);
+    return error ? std::nullopt : std::optional(boost::asio::ip::tcp::endpoint(parsed, port));
+}
+
 Result<boost::asio::ip::tcp::endpoint> parseAddress(std::string_view text, AddressUse use)
 {
     const auto fail = [text] {
@@ -24,15 +31,14 @@
     const std::string_view portText = text.substr(separator + 1);
     std::uint16_t port = 0;
     const auto [end, parseError] = std::from_chars(portText.data(), portText.data() + portText.size(), port);
-    boost::system::error_code addressError;
-    const auto address = boost::asio::ip::make_address(std::string(host), addressError);
-    if (addressError || parseError != std::errc() || end != portText.data() + portText.size()) {
+    const auto endpoint = toEndpoint(std::string(host), port);
+    if (!endpoint || parseError != std::errc() || end != portText.data() + portText.size()) {
         return fail();
     }
     if (port == 0 && use == AddressUse::Connect) {
         return fail();
     }
-    return boost::asio::ip::tcp::endpoint(address, port);
+    return *endpoint;
 }
 
 static std::string describeFault(const std::string &text, AddressUse use)
--- a/test/EveryClassServed/EveryClassServedTest.cpp
+++ b/test/EveryClassServed/EveryClassServedTest.cpp
@@ -12,27 +12,10 @@
 
 constexpr std::size_t highClients = 24;
 
-std::string classesWithShare()
-{
-    return R"(
-[classes.interactive]
-tier = 0
-first-token = "30s"
-between-tokens = "1s"
-
-[classes.report]
-tier = 2
-first-token = "30s"
-between-tokens = "1s"
-minimum-share = 0.2
-maximum-wait = "1s"
-)";
-}
-
 void checkLowestClassIsServed(unsigned routers)
 {
     Deployment deployment(
-        {.routers = routers, .engines = 1, .maximumConcurrency = 4, .classes = classesWithShare(), .engineArguments = {"--batch-limit", "4"}});
+        {.routers = routers, .engines = 1, .maximumConcurrency = 4, .classes = classesWithMinimumShare(), .engineArguments = {"--batch-limit", "4"}});
     std::vector<Call> highCalls;
     std::vector<Call> lowCalls;
     for (std::size_t index = 0; index < highClients; ++index) {
--- a/test/Partition/PartitionTest.cpp
+++ b/test/Partition/PartitionTest.cpp
@@ -3,8 +3,6 @@
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
-
 /// Data centres that are cut off from each other, from the platform, or both.
 namespace mulberrywall::harness
 {
@@ -42,11 +40,6 @@
     return calls;
 }
 
-std::size_t completed(const std::vector<Reply> &replies)
-{
-    return static_cast<std::size_t>(std::count_if(replies.begin(), replies.end(), [](const Reply &reply) { return reply.done(); }));
-}
-
 void cutAndWait(Deployment &deployment, Link link)
 {
     deployment.setLink("dc-a", "dc-b", link);
@@ -112,19 +105,7 @@
 {
     DeploymentOptions options = twoDataCentres();
     options.queueLimit = 64;
-    options.classes = R"(
-[classes.interactive]
-tier = 0
-first-token = "30s"
-between-tokens = "1s"
-
-[classes.report]
-tier = 2
-first-token = "30s"
-between-tokens = "1s"
-minimum-share = 0.2
-maximum-wait = "1s"
-)";
+    options.classes = classesWithMinimumShare();
     Deployment deployment(options);
     cutAndWait(deployment, Link::Lost);
     constexpr std::size_t highClients = 24;
--- a/test/Support/Harness/Deployment.cpp
+++ b/test/Support/Harness/Deployment.cpp
@@ -109,6 +109,23 @@
 
 } // namespace
 
+std::string classesWithMinimumShare()
+{
+    return R"(
+[classes.interactive]
+tier = 0
+first-token = "30s"
+between-tokens = "1s"
+
+[classes.report]
+tier = 2
+first-token = "30s"
+between-tokens = "1s"
+minimum-share = 0.2
+maximum-wait = "1s"
+)";
+}
+
 std::string standardClasses()
 {
     return R"(
--- a/test/Support/Harness/Deployment.h
+++ b/test/Support/Harness/Deployment.h
@@ -22,6 +22,9 @@
 /// models, "payment" (non-idempotent) and "lookup" for plain services.
 std::string standardClasses();
 
+/// "interactive" (tier 0) and "report" (tier 2), of which the latter has a minimum share of a fifth after 1 s.
+std::string classesWithMinimumShare();
+
 enum class ProxyUse : std::uint8_t {
     None,
     /// Each endpoint is reached through a route of fault-proxy that bears the endpoint's id.
--- a/test/Support/Harness/ParallelCalls.h
+++ b/test/Support/Harness/ParallelCalls.h
@@ -2,6 +2,7 @@
 
 #include "Harness/Deployment.h"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <cstddef>
@@ -135,6 +136,12 @@
     std::vector<std::thread> threads_;
 };
 
+/// Returns how many of the replies are whole streams.
+inline std::size_t completed(const std::vector<Reply> &replies)
+{
+    return static_cast<std::size_t>(std::count_if(replies.begin(), replies.end(), [](const Reply &reply) { return reply.done(); }));
+}
+
 /// Makes the calls until every engine runs this many at once. A new owner of a pool grants only a share of the slots until it
 /// knows what runs there, so that a test which needs all slots taken has to wait for this first.
 inline void waitForAllSlots(Deployment &deployment, const std::vector<Call> &calls, std::uint64_t slots)
--- a/test/TierOrder/TierOrderTest.cpp
+++ b/test/TierOrder/TierOrderTest.cpp
@@ -38,11 +38,6 @@
     return calls;
 }
 
-std::size_t completed(const std::vector<Reply> &replies)
-{
-    return static_cast<std::size_t>(std::count_if(replies.begin(), replies.end(), [](const Reply &reply) { return reply.done(); }));
-}
-
 /// Returns the position of each request in the order in which the engine started them.
 std::map<std::string, std::size_t> startOrder(const Node &engine)
 {
