http: reuse idle connections and separate the caller's time limits

Cause: every attempt opened a connection, and one timeout covered idle time, header and body. Change: ConnectionPool keeps idle connections below the peer's Keep-Alive timeout and drops those with unexpected bytes; ClientCall can skip the late response of an earlier request; RequestLimits can change while the server runs; connections can close after their next response while the listener stays open. Ruled out: watching idle connections for their close, which costs a wake-up each; the check when one is taken suffices.

--- a/fuzz/HttpServerFuzz.cpp
+++ b/fuzz/HttpServerFuzz.cpp
@@ -27,7 +27,7 @@
 public:
     EchoServer()
         : server_(http::Server::create(context_,
-            {.listen = {boost::asio::ip::address_v4::loopback(), 0}, .maxHeaderBytes = 1'024, .maxBodyBytes = maxBodyBytes},
+            {.listen = {boost::asio::ip::address_v4::loopback(), 0}, .limits = {.maxHeaderBytes = 1'024, .maxBodyBytes = maxBodyBytes}},
             [](const http::ExchangePtr &exchange) {
                 const http::Request &request = exchange->request();
                 require(request.body().size() <= maxBodyBytes, "the body is bounded");
--- a/include/mulberrywall/Http/ClientCall.h
+++ b/include/mulberrywall/Http/ClientCall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mulberrywall/Http/ConnectionPool.h"
 #include "mulberrywall/Http/Message.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -25,6 +26,11 @@
     /// Longest wait between two pieces of the response.
     std::chrono::milliseconds idleTimeout {30'000};
     std::size_t maxResponseBytes = 64 * 1024 * 1024;
+    /// Source of idle connections, which also takes the connection back after a complete response; may be null.
+    std::shared_ptr<ConnectionPool> pool;
+    /// Longest time that sent bytes may stay unacknowledged before the connection counts as broken; 0 leaves it to the
+    /// system, which takes minutes to notice a peer that has lost power.
+    std::chrono::milliseconds unacknowledgedTimeout {0};
 };
 
 /// Returns options in which each step of the call has the same timeout.
@@ -47,6 +53,8 @@
 {
     boost::system::error_code error;
     CallStage stage = CallStage::Connecting;
+    /// The connection had carried other requests before.
+    bool reusedConnection = false;
 };
 
 struct ClientCallHandlers
@@ -59,7 +67,7 @@
     std::function<void(const CallResult &)> onEnd;
 };
 
-/// One HTTP request over a connection of its own, with a response that is read piece by piece.
+/// One HTTP request over a new or an idle connection, with a response that is read piece by piece.
 ///
 /// All calls and handlers run on the given executor, which must be a strand when several threads run it.
 class ClientCall
@@ -77,6 +85,10 @@
 
     /// Asks for the next piece; call it once after onHeader and once after each onBody.
     virtual void readMore() = 0;
+    /// Drops the response whose header was read and waits for the next one; instead of readMore after onHeader.
+    ///
+    /// An endpoint may answer twice, and the second response then comes in the place of the next request's.
+    virtual void skipResponse() = 0;
     /// Closes the connection; no handler is called afterwards.
     virtual void cancel() = 0;
     [[nodiscard]] virtual CallStage stage() const = 0;
--- a/include/mulberrywall/Http/Message.h
+++ b/include/mulberrywall/Http/Message.h
@@ -5,6 +5,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <chrono>
 #include <string>
 #include <string_view>
 
@@ -54,6 +55,8 @@
 /// Builds the response with the problem document and the outcome header.
 Response makeProblemResponse(const Problem &problem);
 
+/// Builds the response with the problem document and, unless the time is 0, a Retry-After field in whole seconds.
+Response makeRetryLaterResponse(const Problem &problem, std::chrono::milliseconds retryAfter);
 /// Builds a response with a JSON body.
 Response makeJsonResponse(Status status, std::string body);
 
--- a/include/mulberrywall/Http/Server.h
+++ b/include/mulberrywall/Http/Server.h
@@ -16,13 +16,23 @@
 namespace mulberrywall::http
 {
 
-struct ServerOptions
+/// What a caller may send and how long it may take; can change while the server runs.
+struct RequestLimits
 {
-    boost::asio::ip::tcp::endpoint listen;
     std::size_t maxHeaderBytes = 16 * 1024;
     std::size_t maxBodyBytes = 4 * 1024 * 1024;
-    /// Time that a caller has to send a whole request, and that an idle connection stays open.
-    std::chrono::milliseconds readTimeout {30'000};
+    /// Time that an idle connection stays open.
+    std::chrono::milliseconds idleTimeout {30'000};
+    /// Time from the first byte of a request to the end of its header.
+    std::chrono::milliseconds headerTimeout {30'000};
+    /// Time from the end of the header to the end of the body.
+    std::chrono::milliseconds bodyTimeout {30'000};
+};
+
+struct ServerOptions
+{
+    boost::asio::ip::tcp::endpoint listen;
+    RequestLimits limits;
     /// Time that a caller has to take each piece of a response.
     std::chrono::milliseconds writeTimeout {30'000};
     /// Connections above the limit get status 503 for their request; above twice the limit they are closed at once.
@@ -74,6 +84,10 @@
 
     virtual ~Server() = default;
     virtual void start() = 0;
+    /// Takes effect with the next request of each connection. Thread-safe.
+    virtual void setLimits(const RequestLimits &limits) = 0;
+    /// Goes on accepting, but lets each connection close after its next response, so that callers turn to other routers.
+    virtual void closeAfterResponses() = 0;
     /// Stops accepting after taking what the system has queued; connections finish their current request and close.
     virtual void stopAccepting() = 0;
     /// Address in use, with the port that the system chose when 0 was given.
--- a/lib/Http/ClientCall.cpp
+++ b/lib/Http/ClientCall.cpp
@@ -1,5 +1,6 @@
 #include "mulberrywall/Http/ClientCall.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
@@ -8,8 +9,14 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <array>
 #include <cassert>
+#include <cerrno>
+#include <charconv>
+#include <optional>
 #include <utility>
 
 namespace mulberrywall::http
@@ -26,6 +33,33 @@
 constexpr std::size_t bodyBufferBytes = 16 * 1024;
 constexpr std::uint32_t maxResponseHeaderBytes = 32 * 1024;
 
+error_code setUnacknowledgedTimeout(asio::ip::tcp::socket &socket, std::chrono::milliseconds timeout)
+{
+    const int milliseconds = static_cast<int>(timeout.count());
+    if (::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds)) != 0) {
+        return {errno, boost::system::system_category()};
+    }
+    return {};
+}
+
+/// Returns the timeout of a field such as "timeout=5, max=100"; 0 for one that cannot be read.
+std::optional<std::chrono::seconds> statedIdleTimeout(const ResponseHeader &responseHeader)
+{
+    constexpr std::string_view parameter = "timeout=";
+    const std::string_view text = fieldValue(responseHeader, "Keep-Alive");
+    if (text.empty()) {
+        return std::nullopt;
+    }
+    const std::size_t start = text.find(parameter);
+    if (start == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::string_view digits = text.substr(start + parameter.size());
+    unsigned seconds = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    return std::chrono::seconds(seconds);
+}
+
 class SocketCall final : public ClientCall, public std::enable_shared_from_this<SocketCall>
 {
 public:
@@ -35,14 +69,21 @@
           request_(std::move(request)),
           handlers_(std::move(handlers))
     {
-        parser_.header_limit(maxResponseHeaderBytes);
-        parser_.body_limit(options.maxResponseBytes);
-        // The response to HEAD may state the length of a body that does not follow.
-        parser_.skip(request_.method() == Verb::head);
+        resetParser();
     }
 
     void connect()
     {
+        std::optional<asio::ip::tcp::socket> idle;
+        if (options_.pool) {
+            idle = options_.pool->take(options_.peer, stream_.get_executor());
+        }
+        if (idle) {
+            reused_ = true;
+            stream_.socket() = std::move(*idle);
+            asio::post(stream_.get_executor(), [self = shared_from_this()] { self->onConnect({}); });
+            return;
+        }
         stream_.expires_after(options_.connectTimeout);
         stream_.async_connect(options_.peer, [self = shared_from_this()](const error_code &error) { self->onConnect(error); });
     }
@@ -52,15 +93,26 @@
         if (cancelled_) {
             return;
         }
-        if (parser_.is_done()) {
+        if (parser_->is_done()) {
+            if (skipping_) {
+                readHeader();
+                return;
+            }
             stage_ = CallStage::ResponseComplete;
             end({});
             return;
         }
-        parser_.get().body().data = bodyBuffer_.data();
-        parser_.get().body().size = bodyBuffer_.size();
+        parser_->get().body().data = bodyBuffer_.data();
+        parser_->get().body().size = bodyBuffer_.size();
         stream_.expires_after(options_.idleTimeout);
-        beast::http::async_read_some(stream_, buffer_, parser_, [self = shared_from_this()](const error_code &error, std::size_t) { self->onBody(error); });
+        beast::http::async_read_some(stream_, buffer_, *parser_, [self = shared_from_this()](const error_code &error, std::size_t) { self->onBody(error); });
+    }
+
+    void skipResponse() override
+    {
+        skipping_ = true;
+        stage_ = CallStage::RequestWritten;
+        readMore();
     }
 
     void cancel() override
@@ -76,6 +128,15 @@
     }
 
 private:
+    void resetParser()
+    {
+        parser_.emplace();
+        parser_->header_limit(maxResponseHeaderBytes);
+        parser_->body_limit(options_.maxResponseBytes);
+        // The response to HEAD may state the length of a body that does not follow.
+        parser_->skip(request_.method() == Verb::head);
+    }
+
     void onConnect(const error_code &error)
     {
         if (cancelled_) {
@@ -87,7 +148,13 @@
         }
         stage_ = CallStage::NothingWritten;
         error_code ignored;
-        stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+        if (!reused_) {
+            stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+            if (options_.unacknowledgedTimeout.count() > 0) {
+                // Without it the header timeout still ends the call.
+                ignored = setUnacknowledgedTimeout(stream_.socket(), options_.unacknowledgedTimeout);
+            }
+        }
         request_.prepare_payload();
         stream_.expires_after(options_.headerTimeout);
         beast::http::async_write(
@@ -106,9 +173,19 @@
             end(error);
             return;
         }
-        // After a partial write the endpoint may have answered already, for example with a refusal of a large body.
+        // After a partial write the endpoint may have answered already, for example with a refusal of a large body. The
+        // rest of the body is still due then, so that the connection cannot carry another request.
+        partlyWritten_ = error.failed();
+        readHeader();
+    }
+
+    void readHeader()
+    {
+        skipping_ = false;
+        resetParser();
+        stream_.expires_after(options_.headerTimeout);
         beast::http::async_read_header(
-            stream_, buffer_, parser_, [self = shared_from_this()](const error_code &readError, std::size_t) { self->onHeader(readError); });
+            stream_, buffer_, *parser_, [self = shared_from_this()](const error_code &readError, std::size_t) { self->onHeader(readError); });
     }
 
     void onHeader(const error_code &error)
@@ -125,7 +202,7 @@
             readMore();
             return;
         }
-        handlers_.onHeader(parser_.get().base());
+        handlers_.onHeader(parser_->get().base());
     }
 
     void onBody(error_code error)
@@ -136,8 +213,8 @@
         if (error == beast::http::error::need_buffer) {
             error = {};
         }
-        const std::size_t size = bodyBuffer_.size() - parser_.get().body().size;
-        if (size > 0) {
+        const std::size_t size = bodyBuffer_.size() - parser_->get().body().size;
+        if (size > 0 && !skipping_) {
             // An error behind the last piece is found again by the next read.
             handlers_.onBody(std::string_view(bodyBuffer_.data(), size));
             return;
@@ -153,9 +230,21 @@
     {
         assert(!ended_ && "a call ends once");
         ended_ = true;
-        stream_.close();
+        keepOrClose();
         const ClientCallHandlers handlers = std::exchange(handlers_, {});
-        handlers.onEnd({.error = error, .stage = stage_});
+        handlers.onEnd({.error = error, .stage = stage_, .reusedConnection = reused_});
+    }
+
+    /// Bytes behind the response belong to no request, so that the connection cannot be trusted with another one.
+    void keepOrClose()
+    {
+        const bool reusable = options_.pool && stage_ == CallStage::ResponseComplete && parser_->keep_alive() && !partlyWritten_ && buffer_.size() == 0;
+        if (!reusable) {
+            stream_.close();
+            return;
+        }
+        stream_.expires_never();
+        options_.pool->put(options_.peer, stream_.release_socket(), statedIdleTimeout(parser_->get().base()));
     }
 
     ClientCallOptions options_;
@@ -163,9 +252,12 @@
     Request request_;
     ClientCallHandlers handlers_;
     beast::flat_buffer buffer_;
-    beast::http::response_parser<beast::http::buffer_body> parser_;
+    std::optional<beast::http::response_parser<beast::http::buffer_body>> parser_;
     std::array<char, bodyBufferBytes> bodyBuffer_ {};
     CallStage stage_ = CallStage::Connecting;
+    bool reused_ = false;
+    bool partlyWritten_ = false;
+    bool skipping_ = false;
     bool cancelled_ = false;
     bool ended_ = false;
 };
--- a/lib/Http/Message.cpp
+++ b/lib/Http/Message.cpp
@@ -40,6 +40,15 @@
     return response;
 }
 
+Response makeRetryLaterResponse(const Problem &problem, std::chrono::milliseconds retryAfter)
+{
+    Response response = makeProblemResponse(problem);
+    if (retryAfter.count() > 0) {
+        response.set(Field::retry_after, std::to_string(std::chrono::ceil<std::chrono::seconds>(retryAfter).count()));
+    }
+    return response;
+}
+
 std::string_view pathOf(std::string_view target)
 {
     return target.substr(0, target.find('?'));
--- a/lib/Http/Server.cpp
+++ b/lib/Http/Server.cpp
@@ -19,6 +19,7 @@
 
 #include <array>
 #include <atomic>
+#include <mutex>
 #include <optional>
 #include <utility>
 
@@ -40,27 +41,38 @@
 {
     ServerOptions options;
     RequestHandler handler;
+    /// Guards limits; no other lock is taken under it.
+    mutable std::mutex limitsMutex;
+    RequestLimits limits;
+    std::atomic<bool> closeAfterResponses {false};
     std::atomic<std::size_t> connections {0};
     std::atomic<std::size_t> activeExchanges {0};
     std::atomic<bool> stopping {false};
+
+    [[nodiscard]] RequestLimits currentLimits() const
+    {
+        const std::scoped_lock lock(limitsMutex);
+        return limits;
+    }
 };
 
-std::optional<Problem> problemForReadError(const error_code &error, const ServerOptions &options)
+std::optional<Problem> problemForReadError(const error_code &error, const RequestLimits &limits)
 {
     if (error == beast::http::error::header_limit) {
         return Problem {.status = Status::request_header_fields_too_large,
             .title = "request header too large",
-            .detail = "the request header exceeds " + std::to_string(options.maxHeaderBytes) + " bytes; send fewer or shorter fields"};
+            .detail = "the request header exceeds " + std::to_string(limits.maxHeaderBytes) + " bytes; send fewer or shorter fields"};
     }
     if (error == beast::http::error::body_limit) {
         return Problem {.status = Status::payload_too_large,
             .title = "request body too large",
-            .detail = "the request body exceeds " + std::to_string(options.maxBodyBytes) + " bytes; send a shorter request"};
+            .detail = "the request body exceeds " + std::to_string(limits.maxBodyBytes) + " bytes; send a shorter request"};
     }
     if (error == beast::error::timeout) {
         return Problem {.status = Status::request_timeout,
             .title = "request timed out",
-            .detail = "the request did not arrive within " + std::to_string(options.readTimeout.count()) + " ms; send it faster"};
+            .detail = "the header did not arrive within " + std::to_string(limits.headerTimeout.count()) + " ms, or the body within "
+                + std::to_string(limits.bodyTimeout.count()) + " ms after it; send the request faster"};
     }
     if (error.category() == make_error_code(beast::http::error::bad_method).category() && error != beast::http::error::end_of_stream
         && error != beast::http::error::partial_message) {
@@ -144,17 +156,28 @@
 
     void readRequest()
     {
+        limits_ = shared_->currentLimits();
         parser_.emplace();
-        parser_->header_limit(static_cast<std::uint32_t>(shared_->options.maxHeaderBytes));
-        parser_->body_limit(shared_->options.maxBodyBytes);
-        startReadTimer();
-        beast::http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](const error_code &error, std::size_t) { self->onRequest(error); });
+        parser_->header_limit(static_cast<std::uint32_t>(limits_.maxHeaderBytes));
+        parser_->body_limit(limits_.maxBodyBytes);
+        if (buffer_.size() > 0) {
+            readHeader();
+            return;
+        }
+        startReadTimer(limits_.idleTimeout);
+        stream_.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code &error) {
+            if (error) {
+                self->close();
+                return;
+            }
+            self->readHeader();
+        });
     }
 
     void respond(Response response)
     {
         callerGone_ = nullptr;
-        keepAlive_ = requestKeepAlive_ && !shared_->stopping;
+        keepAlive_ = mayKeepAlive();
         response.keep_alive(keepAlive_);
         if (isHeadRequest_) {
             // A body would be read as the next response. The length that GET would have is not known.
@@ -169,7 +192,7 @@
 
     void startStream(ResponseHeader responseHeader, Exchange::WriteHandler handler)
     {
-        keepAlive_ = requestKeepAlive_ && !shared_->stopping;
+        keepAlive_ = mayKeepAlive();
         auto message = std::make_shared<beast::http::response<beast::http::empty_body>>(std::move(responseHeader));
         message->version(11);
         message->chunked(true);
@@ -212,12 +235,30 @@
     }
 
 private:
+    void readHeader()
+    {
+        startReadTimer(limits_.headerTimeout);
+        beast::http::async_read_header(stream_, buffer_, *parser_, [self = shared_from_this()](const error_code &error, std::size_t) {
+            if (error || self->parser_->is_done()) {
+                self->onRequest(error);
+                return;
+            }
+            self->readBody();
+        });
+    }
+
+    void readBody()
+    {
+        startReadTimer(limits_.bodyTimeout);
+        beast::http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](const error_code &error, std::size_t) { self->onRequest(error); });
+    }
+
     /// The stream's own timeout would close the socket, and the caller could not be told why.
-    void startReadTimer()
+    void startReadTimer(std::chrono::milliseconds timeout)
     {
         stream_.expires_never();
         readTimedOut_ = false;
-        readTimer_.expires_after(shared_->options.readTimeout);
+        readTimer_.expires_after(timeout);
         readTimer_.async_wait([weak = weak_from_this()](const error_code &error) {
             const auto self = weak.lock();
             if (error || !self) {
@@ -250,6 +291,11 @@
         shared_->handler(std::make_shared<ConnectionExchange>(shared_from_this(), parser_->release()));
     }
 
+    [[nodiscard]] bool mayKeepAlive() const
+    {
+        return requestKeepAlive_ && !shared_->stopping && !shared_->closeAfterResponses;
+    }
+
     void refuseAboveLimit()
     {
         support::log(
@@ -274,7 +320,7 @@
             close();
             return;
         }
-        std::optional<Problem> problem = problemForReadError(error, shared_->options);
+        std::optional<Problem> problem = problemForReadError(error, limits_);
         if (!problem) {
             close();
             return;
@@ -350,6 +396,8 @@
     beast::tcp_stream stream_;
     asio::steady_timer readTimer_;
     std::shared_ptr<ServerShared> shared_;
+    /// In force for the request that is being read.
+    RequestLimits limits_;
     beast::flat_buffer buffer_;
     std::optional<beast::http::request_parser<beast::http::string_body>> parser_;
     std::function<void()> callerGone_;
@@ -416,6 +464,7 @@
           shared_(std::make_shared<ServerShared>())
     {
         shared_->options = options;
+        shared_->limits = options.limits;
         shared_->handler = std::move(handler);
     }
 
@@ -424,6 +473,17 @@
         accept();
     }
 
+    void setLimits(const RequestLimits &limits) override
+    {
+        const std::scoped_lock lock(shared_->limitsMutex);
+        shared_->limits = limits;
+    }
+
+    void closeAfterResponses() override
+    {
+        shared_->closeAfterResponses = true;
+    }
+
     void stopAccepting() override
     {
         shared_->stopping = true;
--- a/test/Support/Platform/PlatformStandin.cpp
+++ b/test/Support/Platform/PlatformStandin.cpp
@@ -112,7 +112,7 @@
     void listen()
     {
         server_ = http::Server::create(
-            context_, {.listen = options_.listen, .maxBodyBytes = 64 * 1024 * 1024}, [self = weak_from_this()](const ExchangePtr &exchange) {
+            context_, {.listen = options_.listen, .limits = {.maxBodyBytes = 64 * 1024 * 1024}}, [self = weak_from_this()](const ExchangePtr &exchange) {
                 if (const auto platform = self.lock()) {
                     platform->onRequest(exchange);
                 }
--- a/unittests/Http/ServerTest.cpp
+++ b/unittests/Http/ServerTest.cpp
@@ -24,7 +24,11 @@
 protected:
     ServerTest()
     {
-        ServerOptions options {.listen = {asio::ip::make_address("127.0.0.1"), 0}, .maxBodyBytes = 1000, .readTimeout = std::chrono::milliseconds(300)};
+        ServerOptions options {.listen = {asio::ip::make_address("127.0.0.1"), 0},
+            .limits = {.maxBodyBytes = 1000,
+                .idleTimeout = std::chrono::milliseconds(300),
+                .headerTimeout = std::chrono::milliseconds(300),
+                .bodyTimeout = std::chrono::milliseconds(300)}};
         server_ = Server::create(
             pool_.context(), options, [](const ExchangePtr &exchange) { exchange->respond(makeJsonResponse(Status::ok, exchange->request().body())); });
         server_->start();
