--- a/include/mulberrywall/Configuration/Model.h
+++ b/include/mulberrywall/Configuration/Model.h
@@ -55,6 +55,8 @@
 struct Organisation
 {
     support::OrganisationId id;
+    /// Replaces the tier of the class of each of its requests.
+    std::optional<support::Tier> tier;
     /// SHA-256 of each accepted bearer key, in lower-case hexadecimal.
     std::vector<std::string> keyHashes;
     std::vector<support::ClassId> allowedClasses;
@@ -104,6 +106,47 @@
     friend bool operator==(const Pool &, const Pool &) = default;
 };
 
+/// One of the pools that share the requests of a route.
+struct RouteTarget
+{
+    support::PoolId pool;
+    unsigned weight = 1;
+
+    friend bool operator==(const RouteTarget &, const RouteTarget &) = default;
+};
+
+/// Sends the requests of a host whose path begins with the prefix to pools.
+struct Route
+{
+    std::string host;
+    /// Begins and ends with a slash. The longest matching prefix of a host wins.
+    std::string prefix;
+    support::ClassId requestClass;
+    std::vector<RouteTarget> targets;
+    /// Longest time until the final response; 0 means that only the caller's deadline counts.
+    std::chrono::milliseconds timeout {0};
+    /// Endpoints that may run one request of a caller.
+    unsigned maximumAttempts = 1;
+    bool streams = false;
+    /// A broken stream may go on at another endpoint.
+    bool resumable = false;
+    /// Requests need no key.
+    bool isPublic = false;
+
+    friend bool operator==(const Route &, const Route &) = default;
+};
+
+/// What callers may send and how long they may take.
+struct CallerLimits
+{
+    std::size_t maxHeaderBytes = 16 * 1024;
+    std::size_t maxBodyBytes = 4 * 1024 * 1024;
+    std::chrono::milliseconds headerTimeout {30'000};
+    std::chrono::milliseconds idleTimeout {30'000};
+
+    friend bool operator==(const CallerLimits &, const CallerLimits &) = default;
+};
+
 /// The configuration of one site: the base file merged with the site's overlay.
 struct SiteConfiguration
 {
@@ -114,6 +157,10 @@
     std::vector<Organisation> organisations;
     std::vector<Pool> pools;
     std::vector<Endpoint> endpoints;
+    /// Empty where the path names the pool.
+    std::vector<Route> routes;
+    /// Replaces the limits of the settings.
+    std::optional<CallerLimits> callerLimits;
 
     friend bool operator==(const SiteConfiguration &, const SiteConfiguration &) = default;
 };
--- a/include/mulberrywall/Policy/Types.h
+++ b/include/mulberrywall/Policy/Types.h
@@ -29,6 +29,8 @@
     Resume,
 };
 
+std::string_view toString(AttemptPurpose purpose);
+
 /// Asks for a permit to run one request on one endpoint of the pool.
 struct Submission
 {
--- a/include/mulberrywall/Router/ActiveConfiguration.h
+++ b/include/mulberrywall/Router/ActiveConfiguration.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <mutex>
+#include <vector>
 
 namespace mulberrywall::router
 {
@@ -24,6 +25,9 @@
     /// Puts the configuration in force if nothing is in force yet or its revision is higher.
     ConfigurationChange offer(configuration::SiteConfiguration candidate);
 
+    /// Replaces the endpoints of the configuration in force; does nothing before the first configuration.
+    void setEndpoints(const std::vector<configuration::Endpoint> &endpoints);
+
     /// Returns nullptr before the first configuration.
     [[nodiscard]] ConfigurationSnapshot current() const;
 
--- a/include/mulberrywall/Router/Attempt.h
+++ b/include/mulberrywall/Router/Attempt.h
@@ -3,6 +3,7 @@
 #include "mulberrywall/Http/ClientCall.h"
 #include "mulberrywall/Permits/Permit.h"
 #include "mulberrywall/Router/CallerRequest.h"
+#include "mulberrywall/Router/Dialect.h"
 #include "mulberrywall/Router/ServerSentEvents.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -29,6 +30,12 @@
     unsigned number = 1;
     /// Tokens that the caller has already received from earlier attempts.
     std::uint64_t resumeFrom = 0;
+    /// Id of the last event that the caller has received.
+    std::string lastEventId;
+    /// Idle connections to endpoints; null opens a new one for each attempt.
+    std::shared_ptr<http::ConnectionPool> connections;
+    /// See http::ClientCallOptions.
+    std::chrono::milliseconds unacknowledgedTimeout {0};
     /// Used when it is less urgent than the priority of the permit.
     std::uint8_t enginePriority = 0;
 };
@@ -53,6 +60,7 @@
 {
     /// Whole event including the empty line that ends it.
     std::string raw;
+    std::string id;
     bool isToken = false;
     /// Tokens of the attempt up to and including this event.
     std::uint64_t attemptTokens = 0;
@@ -74,10 +82,13 @@
 class Attempt : public std::enable_shared_from_this<Attempt>
 {
 public:
-    Attempt(boost::asio::any_io_executor executor, const AttemptOptions &options, std::shared_ptr<permits::Permit> permit);
+    /// The dialect must outlive the attempt.
+    Attempt(boost::asio::any_io_executor executor, const Dialect &dialect, AttemptOptions options, std::shared_ptr<permits::Permit> permit);
 
     /// Sends the request with the permit's priority and the time that is left until its deadline.
-    void start(const CallerRequest &request, AttemptHandlers handlers);
+    ///
+    /// The attempt keeps the request until it ends.
+    void start(std::shared_ptr<const CallerRequest> request, AttemptHandlers handlers);
     /// Asks for more events; call it once after each onEvents.
     void readMore();
     /// Closes the connection and asks the endpoint to stop; no handler is called afterwards.
@@ -89,6 +100,11 @@
     {
         return permit_->endpoint();
     }
+    /// What the caller gets of the endpoint's header; valid from the first event or the complete response on.
+    [[nodiscard]] const http::ResponseHeader &callerHeader() const noexcept
+    {
+        return response_.base();
+    }
     /// Tokens of this attempt alone.
     [[nodiscard]] std::uint64_t outputTokens() const noexcept
     {
@@ -104,16 +120,16 @@
     void onWholeResponse();
     void end(AttemptEnd attemptEnd);
     void requestCancellation();
+    void onStreamEnd();
 
     boost::asio::any_io_executor executor_;
+    const Dialect &dialect_;
     AttemptOptions options_;
     std::shared_ptr<permits::Permit> permit_;
     /// Shared so that a handler that cancels the attempt does not destroy itself while it runs.
     std::shared_ptr<const AttemptHandlers> handlers_;
     std::shared_ptr<http::ClientCall> call_;
-    support::RequestId request_;
-    configuration::PoolKind poolKind_ = configuration::PoolKind::ModelEngine;
-    ResponseMode responseMode_ = ResponseMode::Whole;
+    std::shared_ptr<const CallerRequest> request_;
     bool streaming_ = false;
     /// The connection broke, and the endpoint is asked whether it lives.
     bool probing_ = false;
--- a/include/mulberrywall/Router/CallerRequest.h
+++ b/include/mulberrywall/Router/CallerRequest.h
@@ -4,7 +4,9 @@
 #include "mulberrywall/Http/Message.h"
 #include "mulberrywall/Policy/Types.h"
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -17,6 +19,15 @@
     Stream,
 };
 
+/// The budget that the retries of a request are taken from.
+struct RetryAllowance
+{
+    /// Requests with the same name share a budget.
+    std::string budget;
+    /// Retries that 100 requests earn.
+    unsigned percent = 0;
+};
+
 /// A caller's request after all checks that need nothing but the request and the configuration.
 struct CallerRequest
 {
@@ -31,6 +42,11 @@
     std::uint64_t prefixHash = 0;
     std::uint32_t promptTokens = 0;
     policy::TimePoint deadline = policy::TimePoint::max();
+    /// Endpoints that may run the request; 0 means the router's own bound.
+    unsigned maximumAttempts = 0;
+    /// The stream may go on at another endpoint whatever the endpoint states about itself.
+    bool isResumable = false;
+    RetryAllowance retryAllowance;
     /// The request for the endpoint, without the fields that depend on the attempt.
     http::Request upstream;
 };
@@ -44,8 +60,11 @@
 std::variant<CallerRequest, http::Problem> parseCallerRequest(
     const http::Request &request, const configuration::SiteConfiguration &configuration, policy::TimePoint now);
 
-/// Builds the response for a problem, with a Retry-After field in whole seconds unless the time is 0.
-http::Response makeRetryLaterResponse(const http::Problem &problem, std::chrono::milliseconds retryAfter);
+/// Parses a number of milliseconds above 0 and of at most a day; nothing when the text is no such number.
+std::optional<std::chrono::milliseconds> parseTimeout(std::string_view text);
+
+/// Identifies a request that is sent again: same organisation, target and body.
+policy::Fingerprint fingerprintOf(const CallerRequest &request);
 
 /// Returns the SHA-256 of a bearer key in lower-case hexadecimal, as the configuration stores it.
 std::string hashKey(std::string_view key);
--- a/include/mulberrywall/Router/CallerSession.h
+++ b/include/mulberrywall/Router/CallerSession.h
@@ -58,7 +58,8 @@
     void onAttemptFailed(const AttemptPtr &attempt, AttemptEnd attemptEnd);
     void continueAfter(const AttemptPtr &attempt, AttemptEnd attemptEnd);
     [[nodiscard]] std::vector<support::EndpointId> excludedEndpoints(policy::AttemptPurpose purpose) const;
-    [[nodiscard]] http::ResponseHeader streamHeader() const;
+    void breakStream(const http::Problem &problem);
+    [[nodiscard]] bool mayResume(const AttemptPtr &attempt) const;
     void complete(AttemptEnd attemptEnd);
     void fail(http::Problem problem, std::chrono::milliseconds retryAfter = {});
     void failWith(http::Response response);
@@ -70,7 +71,7 @@
 
     RouterState &state_;
     http::ExchangePtr exchange_;
-    CallerRequest request_;
+    std::shared_ptr<const CallerRequest> request_;
     RunningTicket runningTicket_;
     boost::asio::steady_timer deadlineTimer_;
     boost::asio::steady_timer hedgeTimer_;
@@ -88,6 +89,9 @@
     unsigned attemptsWithoutToken_ = 0;
     unsigned failedConnections_ = 0;
     std::uint64_t deliveredTokens_ = 0;
+    std::string lastEventId_;
+    /// Header of the stream, from the attempt that began it.
+    http::ResponseHeader streamHeader_;
     /// The least urgent priority that an owner has asked for. Engines cannot change that of a running request, so it
     /// counts for the next attempt.
     std::uint8_t enginePriority_ = 0;
--- a/include/mulberrywall/Router/RouterService.h
+++ b/include/mulberrywall/Router/RouterService.h
@@ -14,14 +14,28 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace mulberrywall::router
 {
 
+/// Whether model engines are asked for their load and state.
+enum class EndpointReports : std::uint8_t {
+    Polled,
+    None,
+};
+
+enum class DrainMode : std::uint8_t {
+    Refuse,
+    /// Serve them and close their connections afterwards; refuse those that come after the grace.
+    Serve,
+};
+
 struct RouterServiceOptions
 {
     support::InstanceId instance;
@@ -31,14 +45,21 @@
     /// Key for the admin listener; empty lets everybody in.
     std::string operatorKey;
     RouterOptions router;
+    /// Interface towards callers and endpoints; must outlive the service.
+    const Dialect *dialect = &productDialect();
     /// Table service and instance list; without it there are no claims and no configuration changes.
     std::optional<platform::PlatformOptions> platform;
+    /// Further address for the pages of the admin listener, such as one that metrics are read from.
+    std::optional<boost::asio::ip::tcp::endpoint> metricsListen;
     /// Other routers; without it this router owns all pools of its configuration.
     std::optional<PeerGroupOptions> peers;
     ConfigurationWatcherOptions configurationWatcher;
-    /// Time at shutdown during which the listener stays open and new requests are refused, so that the load balancer
-    /// notices before callers find the port closed.
+    EndpointReports endpointReports = EndpointReports::Polled;
+    /// Time at shutdown during which the listener stays open, so that the load balancer notices before callers find the
+    /// port closed.
     std::chrono::milliseconds drainGrace {0};
+    /// What happens to new requests during the grace.
+    DrainMode drainMode = DrainMode::Refuse;
     /// Longest time that running requests get at shutdown after the grace period; 0 means no limit.
     std::chrono::milliseconds drainLimit {0};
 };
@@ -54,6 +75,12 @@
     void start();
     /// Puts a configuration in force if its revision is higher.
     ConfigurationChange configure(configuration::SiteConfiguration configuration);
+    /// Replaces the endpoints of the configuration in force.
+    void setEndpoints(const std::vector<configuration::Endpoint> &endpoints);
+    /// Notes that the configuration in force was the latest one at the given time.
+    void renewConfiguration(support::BootClock::time_point provenAt);
+    /// See RouterOptions.
+    void setConfigurationLifetime(std::optional<std::chrono::milliseconds> lifetime);
     /// Refuses new requests, lets running ones end and then calls the handler. Call once.
     void drain(std::function<void()> handler);
 
@@ -65,13 +92,17 @@
 private:
     void handleCaller(const http::ExchangePtr &exchange);
     void handleAdmin(const http::ExchangePtr &exchange);
+    /// Empty when requests are served.
+    [[nodiscard]] std::string reasonNotToServe(const ConfigurationSnapshot &configuration) const;
+    void applyCallerLimits(const configuration::SiteConfiguration &configuration);
+    [[nodiscard]] std::shared_ptr<http::Server> makeMetricsServer();
     [[nodiscard]] std::shared_ptr<PeerGroup> makePeerGroup();
     [[nodiscard]] std::shared_ptr<ConfigurationWatcher> makeConfigurationWatcher();
     void onRevision(const RevisionPtr &revision);
     void announceLeaving(const support::EndpointId &endpoint, IncarnationHash incarnation);
     void startWatchers();
     void stopWatchers();
-    void closeListener();
+    void endGrace();
     void waitUntilIdle();
     void endDrain();
 
@@ -85,11 +116,15 @@
     RouterState state_;
     std::shared_ptr<http::Server> callerServer_;
     std::shared_ptr<http::Server> adminServer_;
+    /// Null without a second address for the admin pages.
+    std::shared_ptr<http::Server> metricsServer_;
     std::shared_ptr<EndpointWatcher> endpointWatcher_;
     std::shared_ptr<platform::InstanceList> instanceList_;
     boost::asio::steady_timer drainTimer_;
     policy::TimePoint drainDeadline_ = policy::TimePoint::max();
     std::function<void()> onDrained_;
+    /// New requests are refused because the process ends.
+    std::atomic<bool> refusing_ {false};
 };
 
 } // namespace mulberrywall::router
--- a/include/mulberrywall/Router/RouterState.h
+++ b/include/mulberrywall/Router/RouterState.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "mulberrywall/Http/ConnectionPool.h"
 #include "mulberrywall/Permits/Permit.h"
 #include "mulberrywall/Platform/ClaimBatch.h"
 #include "mulberrywall/Router/ActiveConfiguration.h"
+#include "mulberrywall/Router/ConfigurationLease.h"
+#include "mulberrywall/Router/Dialect.h"
 #include "mulberrywall/Router/EndpointDirectory.h"
 #include "mulberrywall/Router/HedgeDelay.h"
 #include "mulberrywall/Router/OrganisationLimits.h"
@@ -16,6 +19,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstddef>
+#include <optional>
 
 namespace mulberrywall::router
 {
@@ -30,6 +34,16 @@
     /// Attempts for one request, the first included.
     unsigned maximumAttempts = 3;
     NextStep (*decideNextStep)(const FailedAttempt &) = router::decideNextStep;
+    /// Time after which an endpoint that acknowledges nothing counts as lost; 0 leaves it to the system.
+    std::chrono::milliseconds unacknowledgedTimeout {0};
+    /// Keep connections to endpoints open for later requests.
+    bool reusesConnections = false;
+    /// Retries that a budget allows at once.
+    double retryBurst = 50.0;
+    /// Time for which a configuration may be used without a proof that it is in force; nothing means for ever.
+    std::optional<std::chrono::milliseconds> configurationLifetime;
+    /// Resumes are taken from the retry budget like retries.
+    bool resumesTakeBudget = false;
 };
 
 /// What the caller sessions of a router share; outlives them all.
@@ -37,14 +51,18 @@
 {
     boost::asio::io_context &context;
     RouterOptions options;
+    const Dialect &dialect;
     permits::PermitSource permits;
     /// Null when the router has no platform; requests with an idempotency key are refused then.
     std::shared_ptr<platform::ClaimBatch> claims;
     EndpointDirectory &endpoints;
     ActiveConfiguration configuration;
+    ConfigurationLease lease {options.configurationLifetime};
     support::MetricsRegistry metrics;
     ServiceLevelWindows serviceLevels;
-    RetryBudgets retryBudgets;
+    RetryBudgets retryBudgets {options.retryBurst};
+    /// Null when each attempt opens a new connection.
+    std::shared_ptr<http::ConnectionPool> connections = options.reusesConnections ? std::make_shared<http::ConnectionPool>() : nullptr;
     HedgeDelays hedgeDelays;
     OrganisationLimits organisationLimits;
     std::atomic<std::size_t> activeRequests {0};
--- a/include/mulberrywall/Router/ServerSentEvents.h
+++ b/include/mulberrywall/Router/ServerSentEvents.h
@@ -15,6 +15,8 @@
     std::string raw;
     /// Content of its data lines, joined by line feeds.
     std::string data;
+    /// Value of the id line; empty without one.
+    std::string id;
 };
 
 /// Splits a byte stream into server-sent events; keeps an incomplete event until the rest arrives.
--- a/lib/Policy/Types.cpp
+++ b/lib/Policy/Types.cpp
@@ -3,6 +3,21 @@
 namespace mulberrywall::policy
 {
 
+std::string_view toString(AttemptPurpose purpose)
+{
+    switch (purpose) {
+    case AttemptPurpose::First:
+        return "first";
+    case AttemptPurpose::Retry:
+        return "retry";
+    case AttemptPurpose::Hedge:
+        return "hedge";
+    case AttemptPurpose::Resume:
+        return "resume";
+    }
+    return "first";
+}
+
 std::string_view toString(RefusalReason reason)
 {
     switch (reason) {
--- a/lib/Router/ActiveConfiguration.cpp
+++ b/lib/Router/ActiveConfiguration.cpp
@@ -16,6 +16,17 @@
     return ConfigurationChange::Accepted;
 }
 
+void ActiveConfiguration::setEndpoints(const std::vector<configuration::Endpoint> &endpoints)
+{
+    const std::scoped_lock lock(mutex_);
+    if (!current_) {
+        return;
+    }
+    configuration::SiteConfiguration changed = *current_;
+    changed.endpoints = endpoints;
+    current_ = std::make_shared<const configuration::SiteConfiguration>(std::move(changed));
+}
+
 ConfigurationSnapshot ActiveConfiguration::current() const
 {
     const std::scoped_lock lock(mutex_);
--- a/lib/Router/AdminPages.cpp
+++ b/lib/Router/AdminPages.cpp
@@ -14,9 +14,20 @@
 
 namespace json = boost::json;
 
+/// Share of the configuration's lifetime after which a router without a fresh proof stops being ready.
+static constexpr double readyLeaseShare = 0.6;
+
 bool isReady(const RouterState &state)
 {
-    return state.configuration.current() != nullptr && !state.draining;
+    if (state.configuration.current() == nullptr || state.draining) {
+        return false;
+    }
+    if (!state.options.configurationLifetime) {
+        return true;
+    }
+    // Callers should turn to other routers before this one has to refuse them.
+    const auto age = state.lease.age(support::BootClock::now());
+    return age && *age <= readyLeaseShare * *state.options.configurationLifetime;
 }
 
 static http::Response drainEndpoint(const AdminContext &admin, const http::Request &request)
--- a/lib/Router/Attempt.cpp
+++ b/lib/Router/Attempt.cpp
@@ -1,7 +1,5 @@
 #include "mulberrywall/Router/Attempt.h"
 
-#include "mulberrywall/Router/CompletionChunk.h"
-#include "mulberrywall/Router/EndpointProbe.h"
 #include "mulberrywall/Support/Address.h"
 
 #include <boost/asio/post.hpp>
@@ -21,9 +19,10 @@
 static constexpr std::chrono::milliseconds cancellationTimeout {1'000};
 static constexpr unsigned firstServerError = 500;
 
-Attempt::Attempt(boost::asio::any_io_executor executor, const AttemptOptions &options, std::shared_ptr<permits::Permit> permit)
+Attempt::Attempt(boost::asio::any_io_executor executor, const Dialect &dialect, AttemptOptions options, std::shared_ptr<permits::Permit> permit)
     : executor_(std::move(executor)),
-      options_(options),
+      dialect_(dialect),
+      options_(std::move(options)),
       permit_(std::move(permit))
 {
 }
@@ -33,28 +32,19 @@
     return support::toEndpoint(endpoint.address, endpoint.port);
 }
 
-static http::Request makeUpstreamRequest(const CallerRequest &request, const AttemptOptions &options, const permits::Permit &permit)
+static std::optional<std::chrono::milliseconds> timeLeft(const CallerRequest &request)
 {
-    http::Request upstream = request.upstream;
-    upstream.set(http::Field::host, permit.endpoint().address);
-    upstream.set(http::header::priority, std::to_string(std::max(permit.enginePriority(), options.enginePriority)));
-    upstream.set(http::header::attempt, std::to_string(options.number));
-    if (options.resumeFrom > 0) {
-        upstream.set(http::header::resumeFrom, std::to_string(options.resumeFrom));
-    }
-    if (request.deadline != policy::TimePoint::max()) {
-        const auto left = std::chrono::ceil<std::chrono::milliseconds>(request.deadline - std::chrono::steady_clock::now());
-        upstream.set(http::header::timeoutMs, std::to_string(std::max<std::int64_t>(left.count(), 1)));
+    if (request.deadline == policy::TimePoint::max()) {
+        return std::nullopt;
     }
-    return upstream;
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(request.deadline - std::chrono::steady_clock::now());
+    return std::max(left, std::chrono::milliseconds(1));
 }
 
-void Attempt::start(const CallerRequest &request, AttemptHandlers handlers)
+void Attempt::start(std::shared_ptr<const CallerRequest> request, AttemptHandlers handlers)
 {
     handlers_ = std::make_shared<const AttemptHandlers>(std::move(handlers));
-    request_ = request.id;
-    poolKind_ = request.poolKind;
-    responseMode_ = request.responseMode;
+    request_ = std::move(request);
     permit_->setCommandHandler([weak = weak_from_this(), executor = executor_](const permits::OwnerCommand &command) {
         boost::asio::post(executor, [weak, command] {
             const auto self = weak.lock();
@@ -70,15 +60,23 @@
             .reason = "endpoint '" + permit_->endpoint().id.value() + "' has no valid IP address; correct the configuration"});
         return;
     }
-    const bool stream = responseMode_ == ResponseMode::Stream;
+    const bool stream = request_->responseMode == ResponseMode::Stream;
+    const AttemptFacts facts {.endpoint = permit_->endpoint(),
+        .number = options_.number,
+        .enginePriority = std::max(permit_->enginePriority(), options_.enginePriority),
+        .resumeFrom = options_.resumeFrom,
+        .lastEventId = options_.lastEventId,
+        .timeLeft = timeLeft(*request_)};
     const http::ClientCallOptions callOptions {.peer = *address,
         .connectTimeout = options_.connectTimeout,
         .headerTimeout = stream ? options_.stallTimeout : options_.responseTimeout,
-        .idleTimeout = options_.stallTimeout};
+        .idleTimeout = options_.stallTimeout,
+        .pool = options_.connections,
+        .unacknowledgedTimeout = options_.unacknowledgedTimeout};
     const auto self = shared_from_this();
     call_ = http::ClientCall::start(executor_,
         callOptions,
-        makeUpstreamRequest(request, options_, *permit_),
+        dialect_.makeAttemptRequest(*request_, facts),
         {.onHeader = [self](const http::ResponseHeader &responseHeader) { self->onHeader(responseHeader); },
             .onBody = [self](std::string_view data) { self->onBody(data); },
             .onEnd =
@@ -110,45 +108,44 @@
     return verdict;
 }
 
-/// Some engines go on after their connection has closed.
 void Attempt::requestCancellation()
 {
     const auto address = addressOf(permit_->endpoint());
-    if (poolKind_ != configuration::PoolKind::ModelEngine || !address) {
+    auto cancellation = dialect_.makeCancellation(*request_, permit_->endpoint());
+    if (!cancellation || !address) {
         return;
     }
-    http::Request request(http::Verb::delete_, "/v1/requests/" + request_.value(), 11);
-    request.set(http::Field::host, permit_->endpoint().address);
-    http::fetch(executor_, http::makeCallOptions(*address, cancellationTimeout), std::move(request), [](const http::WholeResponse &) {});
-}
-
-static bool isAuthoritativeRefusal(const http::ResponseHeader &responseHeader)
-{
-    const http::Status status = responseHeader.result();
-    const bool refused = status == http::Status::too_many_requests || status == http::Status::service_unavailable;
-    return refused && http::fieldValue(responseHeader, http::header::notRun) == "1";
+    http::fetch(executor_, http::makeCallOptions(*address, cancellationTimeout), std::move(*cancellation), [](const http::WholeResponse &) {});
 }
 
 void Attempt::onHeader(const http::ResponseHeader &responseHeader)
 {
     const auto self = shared_from_this();
-    if (isAuthoritativeRefusal(responseHeader)) {
-        const bool leaving = http::fieldValue(responseHeader, http::header::leaving) == "1";
+    switch (const HeaderKind kind = dialect_.classifyHeader(*request_, responseHeader)) {
+    case HeaderKind::Answer:
+        break;
+    case HeaderKind::Refusal:
+    case HeaderKind::LeavingRefusal:
         std::exchange(call_, nullptr)->cancel();
-        end({.verdict = Verdict::NotRun, .outcome = AttemptOutcome::NotRun, .reason = "the endpoint refused the request", .leaving = leaving});
+        end({.verdict = Verdict::NotRun,
+            .outcome = AttemptOutcome::NotRun,
+            .reason = "the endpoint refused the request with status " + std::to_string(responseHeader.result_int()),
+            .leaving = kind == HeaderKind::LeavingRefusal});
         return;
-    }
-    const std::string_view answerId = http::fieldValue(responseHeader, http::header::requestId);
-    if (!answerId.empty() && !isIdOf(answerId, request_.value())) {
+    case HeaderKind::EarlierRequest:
+        call_->skipResponse();
+        return;
+    case HeaderKind::OtherRequest:
         std::exchange(call_, nullptr)->cancel();
         end({.reason = "the endpoint sent the response of another request"});
         return;
+    case HeaderKind::Malformed:
+        std::exchange(call_, nullptr)->cancel();
+        end({.reason = "the endpoint sent a response that is not its own: status " + std::to_string(responseHeader.result_int())});
+        return;
     }
-    streaming_ = responseMode_ == ResponseMode::Stream && responseHeader.result() == http::Status::ok;
-    response_ = {};
-    // Not result(), which is 0 for a status that Beast has no name for.
-    response_.result(responseHeader.result_int());
-    response_.set(http::Field::content_type, http::fieldValue(responseHeader, "Content-Type"));
+    streaming_ = request_->responseMode == ResponseMode::Stream && responseHeader.result() == http::Status::ok;
+    response_ = http::Response(dialect_.makeCallerHeader(*request_, responseHeader));
     call_->readMore();
 }
 
@@ -163,11 +160,6 @@
     call_->readMore();
 }
 
-static bool isErrorEvent(const ServerSentEvent &event)
-{
-    return event.raw.starts_with("event: error") || event.raw.starts_with("event:error");
-}
-
 /// Returns why a chunk ends the attempt; nothing for one that belongs to the answer.
 static std::optional<AttemptEnd> endOf(ChunkKind kind)
 {
@@ -192,14 +184,14 @@
     std::vector<StreamEvent> checked;
     std::optional<AttemptEnd> attemptEnd;
     for (ServerSentEvent &event : events_.feed(data)) {
-        const ChunkKind kind = isErrorEvent(event) ? ChunkKind::Error : classifyChunk(event.data, request_.value());
+        const ChunkKind kind = dialect_.classifyEvent(event, request_->id.value());
         attemptEnd = endOf(kind);
         if (attemptEnd) {
             break;
         }
         const bool isToken = kind == ChunkKind::Token;
         outputTokens_ += isToken ? 1 : 0;
-        checked.push_back({.raw = std::move(event.raw), .isToken = isToken, .attemptTokens = outputTokens_});
+        checked.push_back({.raw = std::move(event.raw), .id = std::move(event.id), .isToken = isToken, .attemptTokens = outputTokens_});
     }
     if (attemptEnd) {
         std::exchange(call_, nullptr)->cancel();
@@ -243,7 +235,7 @@
         return;
     case http::CallStage::ResponseComplete:
         if (streaming_) {
-            end({.reason = "the stream ended without its end event"});
+            onStreamEnd();
             return;
         }
         onWholeResponse();
@@ -251,13 +243,29 @@
     }
 }
 
+void Attempt::onStreamEnd()
+{
+    switch (dialect_.streamEnding) {
+    case StreamEnding::EndEvent:
+        end({.reason = "the stream ended without its end event"});
+        return;
+    case StreamEnding::ResponseEnd:
+        if (events_.hasIncompleteEvent()) {
+            end({.reason = "the stream ended inside an event"});
+            return;
+        }
+        end({.verdict = Verdict::Completed, .outcome = AttemptOutcome::Completed});
+        return;
+    }
+}
+
 /// Broken connections that counted as crashes would make suspects of all requests on a living endpoint.
 void Attempt::onConnectionBroken(const boost::system::error_code &error)
 {
     const auto address = addressOf(permit_->endpoint());
     assert(address && "the attempt was connected");
     probing_ = true;
-    probeEndpoint(executor_, *address, poolKind_, [self = shared_from_this(), error](ProbeResult result) {
+    dialect_.probeEndpoint(executor_, *address, request_->poolKind, [self = shared_from_this(), error](ProbeResult result) {
         self->probing_ = false;
         const bool crashed = result == ProbeResult::Crashed;
         self->end({.outcome = crashed ? AttemptOutcome::EndpointFailed : AttemptOutcome::ConnectionLost,
@@ -273,14 +281,12 @@
         end({.outcome = AttemptOutcome::Cancelled, .reason = "the endpoint answered with status " + std::to_string(status), .response = std::move(response_)});
         return;
     }
-    if (poolKind_ == configuration::PoolKind::ModelEngine && response_.result() == http::Status::ok) {
-        const auto completion = readWholeCompletion(response_.body(), request_.value());
-        if (!completion || !completion->ownRequest) {
-            end({.reason = completion ? "the endpoint sent the response of another request" : "the endpoint sent a response that is not JSON"});
-            return;
-        }
-        outputTokens_ = completion->outputTokens;
+    auto tokens = dialect_.readWholeResponse(*request_, response_);
+    if (auto *reason = std::get_if<std::string>(&tokens)) {
+        end({.reason = std::move(*reason)});
+        return;
     }
+    outputTokens_ = std::get<std::uint64_t>(tokens);
     end({.verdict = Verdict::Completed, .outcome = AttemptOutcome::Completed, .response = std::move(response_)});
 }
 
--- a/lib/Router/CallerRequest.cpp
+++ b/lib/Router/CallerRequest.cpp
@@ -29,15 +29,6 @@
     return {.status = status, .title = std::move(title), .detail = std::move(detail), .verdict = support::Verdict::NotRun};
 }
 
-http::Response makeRetryLaterResponse(const http::Problem &problem, std::chrono::milliseconds retryAfter)
-{
-    http::Response response = http::makeProblemResponse(problem);
-    if (retryAfter.count() > 0) {
-        response.set(http::Field::retry_after, std::to_string(std::chrono::ceil<std::chrono::seconds>(retryAfter).count()));
-    }
-    return response;
-}
-
 std::string hashKey(std::string_view key)
 {
     std::array<unsigned char, SHA256_DIGEST_LENGTH> digest {};
@@ -89,18 +80,27 @@
     return *requestClass;
 }
 
+std::optional<std::chrono::milliseconds> parseTimeout(std::string_view text)
+{
+    std::int64_t milliseconds = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+    if (error != std::errc {} || end != text.data() + text.size() || milliseconds <= 0 || milliseconds > maximumTimeout.count()) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(milliseconds);
+}
+
 static std::variant<policy::TimePoint, http::Problem> chooseDeadline(const http::Request &request, policy::TimePoint now)
 {
     const std::string_view text = http::fieldValue(request, http::header::timeoutMs);
     if (text.empty()) {
         return policy::TimePoint::max();
     }
-    std::int64_t milliseconds = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
-    if (error != std::errc {} || end != text.data() + text.size() || milliseconds <= 0 || milliseconds > maximumTimeout.count()) {
+    const std::optional<std::chrono::milliseconds> timeout = parseTimeout(text);
+    if (!timeout) {
         return makeProblem(http::Status::bad_request, "invalid timeout", "Mulberrywall-Timeout-Ms must be a whole number of milliseconds from 1 to 86400000");
     }
-    return now + std::chrono::milliseconds(milliseconds);
+    return now + *timeout;
 }
 
 static std::optional<http::Problem> checkPool(const configuration::SiteConfiguration &configuration, const support::PoolId &id, configuration::PoolKind kind)
@@ -188,10 +188,12 @@
     return makeProblem(http::Status::not_found, "unknown path", "use /v1/chat/completions, /v1/completions, /v1/models or /services/<name>/");
 }
 
-static policy::Fingerprint fingerprintOf(const CallerRequest &request)
+policy::Fingerprint fingerprintOf(const CallerRequest &request)
 {
     const std::string &organisation = request.organisation.id.value();
-    const std::uint64_t seed = XXH3_64bits(organisation.data(), organisation.size());
+    std::uint64_t seed = XXH3_64bits(organisation.data(), organisation.size());
+    const auto target = request.upstream.target();
+    seed = XXH3_64bits_withSeed(target.data(), target.size(), seed);
     return XXH3_64bits_withSeed(request.upstream.body().data(), request.upstream.body().size(), seed);
 }
 
@@ -211,6 +213,7 @@
         return std::move(*problem);
     }
     result.requestClass = std::get<configuration::RequestClass>(std::move(requestClass));
+    result.retryAllowance = {.budget = result.requestClass.id.value(), .percent = result.requestClass.retryBudgetPercent};
     const auto deadline = chooseDeadline(request, now);
     if (const auto *problem = std::get_if<http::Problem>(&deadline)) {
         return *problem;
--- a/lib/Router/CallerSession.cpp
+++ b/lib/Router/CallerSession.cpp
@@ -13,8 +13,6 @@
 using policy::AttemptPurpose;
 using support::Verdict;
 
-static constexpr std::string_view endEvent = "data: [DONE]\n\n";
-
 /// Values of the attribute "result" in logs and metrics that the service levels depend on.
 static constexpr std::string_view completedResult = "completed";
 static constexpr std::string_view callerGoneResult = "caller-gone";
@@ -22,7 +20,7 @@
 CallerSession::CallerSession(RouterState &state, http::ExchangePtr exchange, CallerRequest request, RunningTicket runningTicket)
     : state_(state),
       exchange_(std::move(exchange)),
-      request_(std::move(request)),
+      request_(std::make_shared<const CallerRequest>(std::move(request))),
       runningTicket_(std::move(runningTicket)),
       deadlineTimer_(exchange_->executor()),
       hedgeTimer_(exchange_->executor()),
@@ -57,9 +55,9 @@
             self->onCallerGone();
         }
     });
-    state_.retryBudgets.recordRequest(request_.requestClass);
+    state_.retryBudgets.recordRequest(request_->retryAllowance);
     armDeadline();
-    if (!needsClaim(request_)) {
+    if (!needsClaim(*request_)) {
         acquirePermit(AttemptPurpose::First);
         return;
     }
@@ -69,7 +67,7 @@
             .detail = "this router has no table service for idempotency keys; start it with --platform, or send the request without a key"});
         return;
     }
-    claim_ = std::make_unique<ClaimGuard>(state_.claims, makeClaimRequest(request_));
+    claim_ = std::make_unique<ClaimGuard>(state_.claims, makeClaimRequest(*request_));
     claim_->claim([self = shared_from_this()](const platform::ClaimResult &result) {
         boost::asio::dispatch(self->exchange_->executor(), [self, result] { self->onClaimed(result); });
     });
@@ -91,15 +89,15 @@
     ended_ = true;
     verdict_ = verdictOf(result.outcome);
     recordEnd(toString(result.outcome));
-    exchange_->respond(makeClaimResponse(result, request_.id));
+    exchange_->respond(makeClaimResponse(result, request_->id));
 }
 
 void CallerSession::armDeadline()
 {
-    if (request_.deadline == policy::TimePoint::max()) {
+    if (request_->deadline == policy::TimePoint::max()) {
         return;
     }
-    deadlineTimer_.expires_at(request_.deadline);
+    deadlineTimer_.expires_at(request_->deadline);
     deadlineTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
         const auto self = weak.lock();
         if (!error && self) {
@@ -114,9 +112,9 @@
         return;
     }
     stopWork();
-    fail({.status = http::Status::gateway_timeout,
+    fail({.status = verdict_ == Verdict::NotRun ? state_.dialect.expiredStatus : http::Status::gateway_timeout,
         .title = "deadline expired",
-        .detail = "the request did not end within the caller's Mulberrywall-Timeout-Ms; allow more time or send a shorter request",
+        .detail = "the request did not end within its deadline; allow more time or send a shorter request",
         .verdict = verdict_});
 }
 
@@ -127,7 +125,7 @@
         excluded.push_back(attempt->endpoint().id);
     }
     const ConfigurationSnapshot configuration = state_.configuration.current();
-    if (purpose != AttemptPurpose::Resume || configuration == nullptr) {
+    if (purpose != AttemptPurpose::Resume || request_->isResumable || configuration == nullptr) {
         return excluded;
     }
     for (const configuration::Endpoint &endpoint : configuration->endpoints) {
@@ -140,16 +138,16 @@
 
 void CallerSession::acquirePermit(AttemptPurpose purpose)
 {
-    permits::PermitRequest permitRequest {.request = request_.id,
-        .pool = request_.pool,
-        .submission = {.requestClass = request_.requestClass.id,
-            .organisation = request_.organisation.id,
-            .fingerprint = request_.fingerprint,
-            .prefixHash = request_.prefixHash,
-            .promptTokens = request_.promptTokens,
+    permits::PermitRequest permitRequest {.request = request_->id,
+        .pool = request_->pool,
+        .submission = {.requestClass = request_->requestClass.id,
+            .organisation = request_->organisation.id,
+            .fingerprint = request_->fingerprint,
+            .prefixHash = request_->prefixHash,
+            .promptTokens = request_->promptTokens,
             .purpose = purpose,
             .excludedEndpoints = excludedEndpoints(purpose),
-            .deadline = request_.deadline}};
+            .deadline = request_->deadline}};
     permits::AcquireTicket &ticket = purpose == AttemptPurpose::Hedge ? hedgeTicket_ : ticket_;
     ticket = state_.permits.acquire(std::move(permitRequest), [self = shared_from_this(), purpose](permits::PermitResult result) {
         boost::asio::dispatch(
@@ -157,17 +155,16 @@
     });
 }
 
-static http::Problem makeRefusalProblem(const permits::PermitRefusal &refusal, Verdict verdict)
+static http::Problem makeRefusalProblem(const permits::PermitRefusal &refusal, Verdict verdict, http::Status expiredStatus)
 {
     std::string detail = "no capacity: " + std::string(policy::toString(refusal.reason)) + "; send the request again later";
     if (!refusal.detail.empty()) {
         detail += " (" + refusal.detail + ")";
     }
     const bool expired = refusal.reason == policy::RefusalReason::DeadlineExpired;
-    return {.status = expired ? http::Status::gateway_timeout : http::Status::service_unavailable,
-        .title = "refused",
-        .detail = std::move(detail),
-        .verdict = verdict};
+    // Earlier attempts may have run, and then the request is not refused but failed.
+    const http::Status refusedStatus = verdict == Verdict::NotRun ? http::Status::service_unavailable : http::Status::bad_gateway;
+    return {.status = expired ? expiredStatus : refusedStatus, .title = "refused", .detail = std::move(detail), .verdict = verdict};
 }
 
 void CallerSession::onPermitResult(AttemptPurpose purpose, permits::PermitResult result)
@@ -181,11 +178,12 @@
         return;
     }
     if (const auto *refusal = std::get_if<permits::PermitRefusal>(&result)) {
-        fail(makeRefusalProblem(*refusal, verdict_), refusal->retryAfter);
+        fail(makeRefusalProblem(*refusal, verdict_, verdict_ == Verdict::NotRun ? state_.dialect.expiredStatus : http::Status::gateway_timeout),
+            refusal->retryAfter);
         return;
     }
     auto &permit = std::get<std::shared_ptr<permits::Permit>>(result);
-    if (purpose == AttemptPurpose::Resume && !permit->endpoint().support.resume) {
+    if (purpose == AttemptPurpose::Resume && !request_->isResumable && !permit->endpoint().support.resume) {
         // The configuration changed while the request waited.
         failedEndpoints_.push_back(permit->endpoint().id);
         permit->finish({.outcome = policy::AttemptOutcome::Cancelled});
@@ -197,11 +195,11 @@
 
 void CallerSession::armHedge()
 {
-    const configuration::RequestClass &requestClass = request_.requestClass;
+    const configuration::RequestClass &requestClass = request_->requestClass;
     if (requestClass.hedgeBudgetPercent == 0 || requestClass.idempotency != configuration::Idempotency::Idempotent) {
         return;
     }
-    hedgeTimer_.expires_after(state_.hedgeDelays.delay(requestClass, request_.responseMode));
+    hedgeTimer_.expires_after(state_.hedgeDelays.delay(requestClass, request_->responseMode));
     hedgeTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
         const auto self = weak.lock();
         if (!error && self) {
@@ -223,7 +221,7 @@
 {
     hedgeTicket_ = nullptr;
     auto *permit = std::get_if<std::shared_ptr<permits::Permit>>(&result);
-    const std::string &requestClass = request_.requestClass.id.value();
+    const std::string &requestClass = request_->requestClass.id.value();
     if (permit == nullptr) {
         state_.metrics.increment("mulberrywall_hedges_total", {{"class", requestClass}, {"result", "denied"}});
         return;
@@ -254,21 +252,31 @@
     std::erase(running_, attempt);
     verdict_ = support::combine(verdict_, attempt->cancel());
     state_.metrics.increment(
-        "mulberrywall_wasted_tokens_total", {{"class", request_.requestClass.id.value()}, {"reason", "cancelled"}}, attempt->outputTokens());
-    state_.serviceLevels.record(request_.requestClass.id, {.wastedTokens = attempt->outputTokens()}, std::chrono::steady_clock::now());
+        "mulberrywall_wasted_tokens_total", {{"class", request_->requestClass.id.value()}, {"reason", "cancelled"}}, attempt->outputTokens());
+    state_.serviceLevels.record(request_->requestClass.id, {.wastedTokens = attempt->outputTokens()}, std::chrono::steady_clock::now());
 }
 
 void CallerSession::startAttempt(AttemptPurpose purpose, std::shared_ptr<permits::Permit> permit)
 {
     ++attempts_;
     ++attemptsWithoutToken_;
-    const AttemptOptions options {.connectTimeout = state_.options.connectTimeout,
+    AttemptOptions options {.connectTimeout = state_.options.connectTimeout,
         .stallTimeout = state_.options.stallTimeout,
         .responseTimeout = state_.options.responseTimeout,
         .number = attempts_,
         .resumeFrom = deliveredTokens_,
+        .lastEventId = lastEventId_,
+        .connections = state_.connections,
+        .unacknowledgedTimeout = state_.options.unacknowledgedTimeout,
         .enginePriority = enginePriority_};
-    const auto attempt = std::make_shared<Attempt>(exchange_->executor(), options, std::move(permit));
+    support::log(support::Severity::Info,
+        "attempt started",
+        {{"request", request_->id.value()},
+            {"endpoint", permit->endpoint().id.value()},
+            {"purpose", policy::toString(purpose)},
+            {"number", attempts_},
+            {"enginePriority", std::max(permit->enginePriority(), enginePriority_)}});
+    const auto attempt = std::make_shared<Attempt>(exchange_->executor(), state_.dialect, std::move(options), std::move(permit));
     running_.push_back(attempt);
     // A hedged attempt is measured from the start of the first one, so that hedging does not shorten its own delay.
     if (purpose != AttemptPurpose::Hedge) {
@@ -305,16 +313,6 @@
         .verdict = verdict_});
 }
 
-http::ResponseHeader CallerSession::streamHeader() const
-{
-    http::ResponseHeader responseHeader;
-    responseHeader.result(http::Status::ok);
-    responseHeader.set(http::Field::content_type, "text/event-stream");
-    responseHeader.set(http::Field::cache_control, "no-store");
-    responseHeader.set(http::header::requestId, request_.id.value());
-    return responseHeader;
-}
-
 void CallerSession::onEvents(const AttemptPtr &attempt, const std::vector<StreamEvent> &events)
 {
     if (!source_) {
@@ -329,6 +327,9 @@
         }
         text += event.raw;
         deliveredTokens_ += event.isToken ? 1 : 0;
+        if (!event.id.empty()) {
+            lastEventId_ = event.id;
+        }
         if (deliveredTokens_ == 1 && !firstTokenAt_) {
             firstTokenAt_ = std::chrono::steady_clock::now();
         }
@@ -336,13 +337,16 @@
     if (attempt->outputTokens() > 0) {
         attemptsWithoutToken_ = 0;
     }
-    relay_->write(text, streamHeader());
+    if (!relay_->isStarted()) {
+        streamHeader_ = attempt->callerHeader();
+    }
+    relay_->write(text, streamHeader_);
 }
 
 void CallerSession::recordFirstToken()
 {
     const auto time = std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - attemptStartedAt_);
-    state_.hedgeDelays.record(request_.requestClass.id, request_.responseMode, time);
+    state_.hedgeDelays.record(request_->requestClass.id, request_->responseMode, time);
 }
 
 void CallerSession::onAttemptEnd(const AttemptPtr &attempt, AttemptEnd attemptEnd)
@@ -350,6 +354,9 @@
     std::erase(running_, attempt);
     verdict_ = support::combine(verdict_, attemptEnd.verdict);
     if (attemptEnd.verdict == Verdict::Completed) {
+        if (!relay_->isStarted()) {
+            streamHeader_ = attempt->callerHeader();
+        }
         choose(attempt);
         complete(std::move(attemptEnd));
         return;
@@ -362,7 +369,7 @@
     const support::EndpointId endpoint = attempt->endpoint().id;
     support::log(support::Severity::Warning,
         "attempt failed",
-        {{"request", request_.id.value()},
+        {{"request", request_->id.value()},
             {"endpoint", endpoint.value()},
             {"reason", attemptEnd.reason},
             {"verdict", support::toString(attemptEnd.verdict)},
@@ -389,23 +396,27 @@
 void CallerSession::continueAfter(const AttemptPtr &attempt, AttemptEnd attemptEnd)
 {
     const NextStep next = state_.options.decideNextStep({.verdict = attemptEnd.verdict,
-        .idempotency = request_.requestClass.idempotency,
+        .idempotency = request_->requestClass.idempotency,
         .deliveredTokens = deliveredTokens_,
-        .endpointResumes = attempt->endpoint().support.resume,
+        .endpointResumes = mayResume(attempt),
         .attemptsWithoutToken = attemptsWithoutToken_,
-        .maximumAttempts = state_.options.maximumAttempts,
+        .maximumAttempts = request_->maximumAttempts == 0 ? state_.options.maximumAttempts : request_->maximumAttempts,
         .failedConnections = failedConnections_});
     switch (next) {
     case NextStep::Retry:
         // A failed connection has cost no endpoint any work; charging it would let one dead endpoint use up the budget.
-        if (!attemptEnd.reached || state_.retryBudgets.takeRetry(request_.requestClass)) {
+        if (!attemptEnd.reached || state_.retryBudgets.takeRetry(request_->retryAllowance)) {
             acquirePermit(AttemptPurpose::Retry);
             return;
         }
-        state_.metrics.increment("mulberrywall_retries_denied_total", {{"class", request_.requestClass.id.value()}});
+        state_.metrics.increment("mulberrywall_retries_denied_total", {{"class", request_->requestClass.id.value()}});
         break;
     case NextStep::Resume:
-        state_.metrics.increment("mulberrywall_resumes_total", {{"class", request_.requestClass.id.value()}});
+        if (state_.options.resumesTakeBudget && attemptEnd.reached && !state_.retryBudgets.takeRetry(request_->retryAllowance)) {
+            state_.metrics.increment("mulberrywall_retries_denied_total", {{"class", request_->requestClass.id.value()}});
+            break;
+        }
+        state_.metrics.increment("mulberrywall_resumes_total", {{"class", request_->requestClass.id.value()}});
         acquirePermit(AttemptPurpose::Resume);
         return;
     case NextStep::Fail:
@@ -420,6 +431,11 @@
     fail({.status = status, .title = title, .detail = "the attempt failed: " + attemptEnd.reason, .verdict = verdict_});
 }
 
+bool CallerSession::mayResume(const AttemptPtr &attempt) const
+{
+    return request_->isResumable || attempt->endpoint().support.resume;
+}
+
 void CallerSession::complete(AttemptEnd attemptEnd)
 {
     if (!relay_->isStarted()) {
@@ -430,15 +446,14 @@
     verdict_ = Verdict::Completed;
     recordEnd(completedResult);
     if (!attemptEnd.response) {
-        relay_->finish(endEvent, streamHeader());
+        relay_->finish(state_.dialect.endEvent, streamHeader_);
         return;
     }
     http::Response response = std::move(*attemptEnd.response);
     if (claim_) {
         claim_->complete(response);
     }
-    response.set(http::header::outcome, support::toString(verdict_));
-    response.set(http::header::requestId, request_.id.value());
+    state_.dialect.addOutcome(response, *request_, verdict_);
     exchange_->respond(std::move(response));
 }
 
@@ -446,21 +461,32 @@
 {
     ended_ = true;
     recordEnd("failed");
-    response.set(http::header::outcome, support::toString(verdict_));
-    response.set(http::header::requestId, request_.id.value());
+    state_.dialect.addOutcome(response, *request_, verdict_);
     exchange_->respond(std::move(response));
 }
 
 void CallerSession::fail(http::Problem problem, std::chrono::milliseconds retryAfter)
 {
     ended_ = true;
-    problem.requestId = request_.id.value();
+    problem.requestId = request_->id.value();
     recordEnd("failed");
     if (relay_->isStarted()) {
-        relay_->finish(renderEvent("error", http::renderProblem(problem)), streamHeader());
+        breakStream(problem);
+        return;
+    }
+    releaseClaimAndRespond(state_.dialect.makeProblemResponse(problem, retryAfter));
+}
+
+void CallerSession::breakStream(const http::Problem &problem)
+{
+    switch (state_.dialect.streamBreak) {
+    case StreamBreak::ErrorEvent:
+        relay_->finish(renderEvent("error", http::renderProblem(problem)), streamHeader_);
+        return;
+    case StreamBreak::ClosedConnection:
+        relay_->abort();
         return;
     }
-    releaseClaimAndRespond(makeRetryLaterResponse(problem, retryAfter));
 }
 
 void CallerSession::releaseClaimAndRespond(http::Response response)
@@ -498,16 +524,16 @@
 void CallerSession::recordEnd(std::string_view result)
 {
     const std::chrono::duration<double> duration = std::chrono::steady_clock::now() - startedAt_;
-    const std::string &requestClass = request_.requestClass.id.value();
+    const std::string &requestClass = request_->requestClass.id.value();
     recordServiceLevel(result, duration);
     state_.metrics.increment("mulberrywall_requests_total", {{"class", requestClass}, {"result", result}, {"outcome", support::toString(verdict_)}});
     state_.metrics.observe("mulberrywall_request_seconds", duration.count(), {{"class", requestClass}});
     support::log(support::Severity::Info,
         "request ended",
-        {{"request", request_.id.value()},
+        {{"request", request_->id.value()},
             {"class", requestClass},
-            {"organisation", request_.organisation.id.value()},
-            {"pool", request_.pool.value()},
+            {"organisation", request_->organisation.id.value()},
+            {"pool", request_->pool.value()},
             {"result", result},
             {"outcome", support::toString(verdict_)},
             {"attempts", attempts_},
@@ -524,10 +550,10 @@
         if (firstTokenAt_) {
             timing.firstToken = *firstTokenAt_ - startedAt_;
         }
-        const bool met = meetsTargets(timing, request_.requestClass.targets);
+        const bool met = meetsTargets(timing, request_->requestClass.targets);
         counts = {.requests = 1, .withinTargets = met ? 1U : 0U, .goodputTokens = met ? deliveredTokens_ : 0U};
     }
-    state_.serviceLevels.record(request_.requestClass.id, counts, std::chrono::steady_clock::now());
+    state_.serviceLevels.record(request_->requestClass.id, counts, std::chrono::steady_clock::now());
 }
 
 } // namespace mulberrywall::router
--- a/lib/Router/ClaimGuard.cpp
+++ b/lib/Router/ClaimGuard.cpp
@@ -98,7 +98,7 @@
     }
     http::Problem problem = makeClaimProblem(result);
     problem.requestId = request.value();
-    return makeRetryLaterResponse(problem, result.outcome == ClaimOutcome::Unavailable ? unavailableRetryAfter : std::chrono::milliseconds(0));
+    return http::makeRetryLaterResponse(problem, result.outcome == ClaimOutcome::Unavailable ? unavailableRetryAfter : std::chrono::milliseconds(0));
 }
 
 ClaimGuard::ClaimGuard(std::shared_ptr<platform::ClaimBatch> batch, platform::ClaimRequest request)
--- /dev/null
+++ b/lib/Router/EndpointRegistry.cpp
@@ -0,0 +1,79 @@
+#include "mulberrywall/Router/EndpointRegistry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberrywall::router
+{
+
+void noteStoreRegained(EndpointRegistry &registry, EndpointRegistry::TimePoint now)
+{
+    registry.graceEnd = now + registrationGrace;
+}
+
+bool recordEntry(EndpointRegistry &registry, RegisteredEndpoint entry)
+{
+    const support::EndpointId id = entry.endpoint.id;
+    registry.lapsed.erase(id);
+    const auto found = registry.entries.find(id);
+    if (found == registry.entries.end()) {
+        registry.entries.emplace(id, std::move(entry));
+        return true;
+    }
+    if (found->second == entry) {
+        return false;
+    }
+    found->second = std::move(entry);
+    return true;
+}
+
+bool removeEntry(EndpointRegistry &registry, const support::EndpointId &id, EndpointRegistry::TimePoint now)
+{
+    const auto found = registry.entries.find(id);
+    if (found == registry.entries.end()) {
+        return false;
+    }
+    if (now < registry.graceEnd && !found->second.leaving) {
+        registry.lapsed.try_emplace(id, registry.graceEnd);
+        return false;
+    }
+    registry.lapsed.erase(id);
+    registry.entries.erase(found);
+    return true;
+}
+
+bool removeLapsed(EndpointRegistry &registry, EndpointRegistry::TimePoint now)
+{
+    bool changed = false;
+    std::erase_if(registry.lapsed, [&](const auto &lapse) {
+        if (lapse.second > now) {
+            return false;
+        }
+        registry.entries.erase(lapse.first);
+        changed = true;
+        return true;
+    });
+    return changed;
+}
+
+std::vector<configuration::Endpoint> usableEndpoints(const EndpointRegistry &registry)
+{
+    std::vector<configuration::Endpoint> result;
+    for (const auto &[id, entry] : registry.entries) {
+        if (!entry.leaving) {
+            result.push_back(entry.endpoint);
+        }
+    }
+    return result;
+}
+
+std::optional<EndpointRegistry::TimePoint> nextLapse(const EndpointRegistry &registry)
+{
+    std::optional<EndpointRegistry::TimePoint> next;
+    for (const auto &[id, time] : registry.lapsed) {
+        next = next ? std::min(*next, time) : time;
+    }
+    return next;
+}
+
+} // namespace mulberrywall::router
--- /dev/null
+++ b/lib/Router/ProductDialect.cpp
@@ -0,0 +1,135 @@
+#include "mulberrywall/Router/Dialect.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberrywall::router
+{
+
+namespace json = boost::json;
+
+static std::string renderModels(const configuration::SiteConfiguration &configuration)
+{
+    json::array models;
+    for (const configuration::Pool &pool : configuration.pools) {
+        if (pool.kind == configuration::PoolKind::ModelEngine) {
+            models.push_back({{"id", pool.id.value()}, {"object", "model"}, {"owned_by", "mulberrywall"}});
+        }
+    }
+    return json::serialize(json::object {{"object", "list"}, {"data", std::move(models)}});
+}
+
+static std::optional<http::Response> answerModels(const http::Request &request, const configuration::SiteConfiguration &configuration)
+{
+    if (http::pathOf({request.target().data(), request.target().size()}) != "/v1/models") {
+        return std::nullopt;
+    }
+    const auto organisation = authorize(request, configuration);
+    const auto *problem = std::get_if<http::Problem>(&organisation);
+    return problem != nullptr ? http::makeProblemResponse(*problem) : http::makeJsonResponse(http::Status::ok, renderModels(configuration));
+}
+
+static http::Request makeAttemptRequest(const CallerRequest &request, const AttemptFacts &facts)
+{
+    http::Request upstream = request.upstream;
+    upstream.set(http::Field::host, facts.endpoint.address);
+    upstream.set(http::header::priority, std::to_string(facts.enginePriority));
+    upstream.set(http::header::attempt, std::to_string(facts.number));
+    if (facts.resumeFrom > 0) {
+        upstream.set(http::header::resumeFrom, std::to_string(facts.resumeFrom));
+    }
+    if (facts.timeLeft) {
+        upstream.set(http::header::timeoutMs, std::to_string(facts.timeLeft->count()));
+    }
+    return upstream;
+}
+
+static HeaderKind classifyHeader(const CallerRequest &request, const http::ResponseHeader &responseHeader)
+{
+    const http::Status status = responseHeader.result();
+    const bool refused = status == http::Status::too_many_requests || status == http::Status::service_unavailable;
+    if (refused && http::fieldValue(responseHeader, http::header::notRun) == "1") {
+        const bool leaving = http::fieldValue(responseHeader, http::header::leaving) == "1";
+        return leaving ? HeaderKind::LeavingRefusal : HeaderKind::Refusal;
+    }
+    const std::string_view answerId = http::fieldValue(responseHeader, http::header::requestId);
+    const bool own = answerId.empty() || isIdOf(answerId, request.id.value());
+    return own ? HeaderKind::Answer : HeaderKind::OtherRequest;
+}
+
+static http::ResponseHeader makeCallerHeader(const CallerRequest &request, const http::ResponseHeader &responseHeader)
+{
+    http::ResponseHeader result;
+    if (request.responseMode == ResponseMode::Stream && responseHeader.result() == http::Status::ok) {
+        result.result(http::Status::ok);
+        result.set(http::Field::content_type, "text/event-stream");
+        result.set(http::Field::cache_control, "no-store");
+        result.set(http::header::requestId, request.id.value());
+        return result;
+    }
+    // Not result(), which is 0 for a status that Beast has no name for.
+    result.result(responseHeader.result_int());
+    result.set(http::Field::content_type, http::fieldValue(responseHeader, "Content-Type"));
+    return result;
+}
+
+static ChunkKind classifyEvent(const ServerSentEvent &event, std::string_view requestId)
+{
+    const bool isError = event.raw.starts_with("event: error") || event.raw.starts_with("event:error");
+    return isError ? ChunkKind::Error : classifyChunk(event.data, requestId);
+}
+
+static std::variant<std::uint64_t, std::string> readWholeResponse(const CallerRequest &request, const http::Response &response)
+{
+    if (request.poolKind != configuration::PoolKind::ModelEngine || response.result() != http::Status::ok) {
+        return std::uint64_t {0};
+    }
+    const auto completion = readWholeCompletion(response.body(), request.id.value());
+    if (!completion) {
+        return "the endpoint sent a response that is not JSON";
+    }
+    if (!completion->ownRequest) {
+        return "the endpoint sent the response of another request";
+    }
+    return completion->outputTokens;
+}
+
+/// Some engines go on after their connection has closed.
+static std::optional<http::Request> makeCancellation(const CallerRequest &request, const configuration::Endpoint &endpoint)
+{
+    if (request.poolKind != configuration::PoolKind::ModelEngine) {
+        return std::nullopt;
+    }
+    http::Request cancellation(http::Verb::delete_, "/v1/requests/" + request.id.value(), 11);
+    cancellation.set(http::Field::host, endpoint.address);
+    return cancellation;
+}
+
+static void addOutcome(http::Response &response, const CallerRequest &request, support::Verdict verdict)
+{
+    response.set(http::header::outcome, support::toString(verdict));
+    response.set(http::header::requestId, request.id.value());
+}
+
+const Dialect &productDialect()
+{
+    static constexpr Dialect dialect {.parseRequest = parseCallerRequest,
+        .answerLocally = answerModels,
+        .makeAttemptRequest = makeAttemptRequest,
+        .classifyHeader = classifyHeader,
+        .makeCallerHeader = makeCallerHeader,
+        .classifyEvent = classifyEvent,
+        .readWholeResponse = readWholeResponse,
+        .makeCancellation = makeCancellation,
+        .probeEndpoint = router::probeEndpoint,
+        .addOutcome = addOutcome,
+        .makeProblemResponse = http::makeRetryLaterResponse,
+        .endEvent = "data: [DONE]\n\n"};
+    return dialect;
+}
+
+} // namespace mulberrywall::router
--- a/lib/Router/RetryBudget.cpp
+++ b/lib/Router/RetryBudget.cpp
@@ -7,7 +7,7 @@
 
 void recordRequest(RetryBudget &budget, unsigned percent)
 {
-    budget.tokens = std::min(RetryBudget::capacity, budget.tokens + percent / 100.0);
+    budget.tokens = std::min(budget.capacity, budget.tokens + percent / 100.0);
 }
 
 bool takeRetry(RetryBudget &budget, unsigned percent)
@@ -19,16 +19,26 @@
     return true;
 }
 
-void RetryBudgets::recordRequest(const configuration::RequestClass &requestClass)
+RetryBudgets::RetryBudgets(double capacity)
+    : capacity_(capacity)
+{
+}
+
+RetryBudget &RetryBudgets::find(const std::string &name)
+{
+    return budgets_.try_emplace(name, RetryBudget {.capacity = capacity_, .tokens = capacity_}).first->second;
+}
+
+void RetryBudgets::recordRequest(const RetryAllowance &allowance)
 {
     const std::scoped_lock lock(mutex_);
-    router::recordRequest(budgets_[requestClass.id], requestClass.retryBudgetPercent);
+    router::recordRequest(find(allowance.budget), allowance.percent);
 }
 
-bool RetryBudgets::takeRetry(const configuration::RequestClass &requestClass)
+bool RetryBudgets::takeRetry(const RetryAllowance &allowance)
 {
     const std::scoped_lock lock(mutex_);
-    return router::takeRetry(budgets_[requestClass.id], requestClass.retryBudgetPercent);
+    return router::takeRetry(find(allowance.budget), allowance.percent);
 }
 
 } // namespace mulberrywall::router
--- /dev/null
+++ b/lib/Router/RouteTable.cpp
@@ -0,0 +1,148 @@
+#include "mulberrywall/Router/RouteTable.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberrywall::router
+{
+
+static std::uint64_t hashOf(std::string_view text, std::uint64_t seed = 0)
+{
+    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+const configuration::Route *findRoute(const configuration::SiteConfiguration &configuration, std::string_view host, std::string_view path)
+{
+    const configuration::Route *best = nullptr;
+    for (const configuration::Route &route : configuration.routes) {
+        if (route.host != host || !path.starts_with(route.prefix)) {
+            continue;
+        }
+        if (best == nullptr || route.prefix.size() > best->prefix.size()) {
+            best = &route;
+        }
+    }
+    return best;
+}
+
+const configuration::RouteTarget *chooseTarget(const configuration::Route &route, const support::RequestId &id)
+{
+    std::uint64_t sum = 0;
+    for (const configuration::RouteTarget &target : route.targets) {
+        sum += target.weight;
+    }
+    if (sum == 0) {
+        return nullptr;
+    }
+    std::uint64_t position = hashOf(id.value()) % sum;
+    for (const configuration::RouteTarget &target : route.targets) {
+        if (position < target.weight) {
+            return &target;
+        }
+        position -= target.weight;
+    }
+    return nullptr;
+}
+
+support::ClassId classForTier(const support::ClassId &requestClass, support::Tier tier)
+{
+    return support::ClassId(requestClass.value() + "/tier-" + std::to_string(tier));
+}
+
+std::uint64_t sharedPromptHash(std::span<const PromptPart> parts)
+{
+    if (parts.size() < 2) {
+        return 0;
+    }
+    std::uint64_t hash = 0;
+    for (const PromptPart &part : parts.first(parts.size() - 1)) {
+        hash = hashOf(part.id, hash);
+    }
+    return hash == 0 ? 1 : hash;
+}
+
+static http::Problem makeProblem(const RoutedFields &fields, http::Status status, std::string title, std::string detail)
+{
+    return {.status = status, .title = std::move(title), .detail = std::move(detail), .verdict = support::Verdict::NotRun, .requestId = fields.id.value()};
+}
+
+/// A public route takes every request; its requests without a known key belong to one nameless organisation.
+static std::variant<configuration::Organisation, http::Problem> findOrganisation(
+    const RoutedFields &fields, const configuration::Route &route, const configuration::SiteConfiguration &configuration)
+{
+    const configuration::Organisation *organisation = nullptr;
+    if (!fields.key.empty()) {
+        organisation = configuration::findOrganisationByKeyHash(configuration, hashKey(fields.key));
+    }
+    if (organisation != nullptr) {
+        return *organisation;
+    }
+    if (route.isPublic || configuration.organisations.empty()) {
+        return configuration::Organisation {};
+    }
+    return makeProblem(fields,
+        http::Status::unauthorized,
+        fields.key.empty() ? "missing key" : "unknown key",
+        "send a valid key of an organisation as 'Authorization: Bearer <key>'");
+}
+
+static const configuration::RequestClass *findClassFor(
+    const configuration::SiteConfiguration &configuration, const configuration::Route &route, const configuration::Organisation &organisation)
+{
+    if (organisation.tier) {
+        const auto *ofTier = configuration::findClass(configuration, classForTier(route.requestClass, *organisation.tier));
+        if (ofTier != nullptr) {
+            return ofTier;
+        }
+    }
+    return configuration::findClass(configuration, route.requestClass);
+}
+
+/// Returns the earlier of the caller's deadline and the route's; TimePoint::max() without any.
+static policy::TimePoint deadlineOf(const RoutedFields &fields, const configuration::Route &route, policy::TimePoint now)
+{
+    policy::TimePoint deadline = policy::TimePoint::max();
+    if (route.timeout.count() > 0) {
+        deadline = now + route.timeout;
+    }
+    if (fields.timeout) {
+        deadline = std::min(deadline, now + *fields.timeout);
+    }
+    return deadline;
+}
+
+std::variant<CallerRequest, http::Problem> routeRequest(
+    const RoutedFields &fields, std::string_view path, const configuration::SiteConfiguration &configuration, policy::TimePoint now)
+{
+    const configuration::Route *route = findRoute(configuration, fields.host, path);
+    if (route == nullptr) {
+        return makeProblem(
+            fields, http::Status::not_found, "unknown route", "no route matches this host and path; correct them or ask the operator for a route");
+    }
+    auto organisation = findOrganisation(fields, *route, configuration);
+    if (auto *problem = std::get_if<http::Problem>(&organisation)) {
+        return std::move(*problem);
+    }
+    CallerRequest result {.id = fields.id, .organisation = std::get<configuration::Organisation>(std::move(organisation))};
+    const configuration::RequestClass *requestClass = findClassFor(configuration, *route, result.organisation);
+    const configuration::RouteTarget *target = chooseTarget(*route, fields.id);
+    const configuration::Pool *pool = target == nullptr ? nullptr : configuration::findPool(configuration, target->pool);
+    if (requestClass == nullptr || pool == nullptr) {
+        return makeProblem(fields, http::Status::service_unavailable, "incomplete route", "the route has no class or no pool; ask the operator to correct it");
+    }
+    result.requestClass = *requestClass;
+    result.pool = pool->id;
+    result.poolKind = pool->kind;
+    result.responseMode = route->streams ? ResponseMode::Stream : ResponseMode::Whole;
+    result.prefixHash = sharedPromptHash(fields.promptParts);
+    result.promptTokens = fields.promptTokens;
+    result.deadline = deadlineOf(fields, *route, now);
+    result.maximumAttempts = route->maximumAttempts;
+    result.isResumable = route->resumable;
+    result.retryAllowance = {.budget = pool->id.value(), .percent = requestClass->retryBudgetPercent};
+    return result;
+}
+
+} // namespace mulberrywall::router
--- a/lib/Router/RouterProgram.cpp
+++ b/lib/Router/RouterProgram.cpp
@@ -184,8 +184,8 @@
     options.dataCentre = support::DataCentreId(settings.dataCentre);
     options.peers = makePeerOptions(settings);
     options.callerServer.listen = toTcp(settings.callerListen);
-    options.callerServer.maxBodyBytes = settings.maxBodyBytes;
-    options.callerServer.readTimeout = std::chrono::milliseconds(settings.readTimeoutMs);
+    const std::chrono::milliseconds readTimeout(settings.readTimeoutMs);
+    options.callerServer.limits = {.maxBodyBytes = settings.maxBodyBytes, .idleTimeout = readTimeout, .headerTimeout = readTimeout, .bodyTimeout = readTimeout};
     options.callerServer.maxConnections = settings.maxConnections;
     options.drainGrace = std::chrono::milliseconds(settings.drainGraceMs);
     options.drainLimit = std::chrono::milliseconds(settings.drainLimitMs);
--- a/lib/Router/RouterService.cpp
+++ b/lib/Router/RouterService.cpp
@@ -6,20 +6,17 @@
 #include "mulberrywall/Router/CallerSession.h"
 #include "mulberrywall/Support/Log.h"
 
-#include <boost/json/array.hpp>
-#include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
-
 #include <utility>
 
 namespace mulberrywall::router
 {
 
-namespace json = boost::json;
-
 /// Interval at which a draining router looks whether its last request has ended.
 static constexpr std::chrono::milliseconds drainPollInterval {20};
 
+/// Time after which another router has probably taken over the callers of one that cannot serve.
+static constexpr std::chrono::milliseconds notReadyRetryAfter {500};
+
 static std::shared_ptr<platform::ClaimBatch> makeClaims(boost::asio::io_context &context, const std::optional<platform::PlatformOptions> &platform)
 {
     return platform ? platform::ClaimBatch::create(context.get_executor(), {.platform = *platform}) : nullptr;
@@ -46,16 +43,26 @@
       configurationWatcher_(makeConfigurationWatcher()),
       state_ {.context = context,
           .options = options_.router,
+          .dialect = *options_.dialect,
           .permits = peers_ ? peers_->source() : permits::makeLocalSource(pools_),
           .claims = makeClaims(context, options_.platform),
           .endpoints = endpoints_},
       callerServer_(http::Server::create(context, options_.callerServer, [this](const http::ExchangePtr &exchange) { handleCaller(exchange); })),
       adminServer_(http::Server::create(context, options_.adminServer, [this](const http::ExchangePtr &exchange) { handleAdmin(exchange); })),
+      metricsServer_(makeMetricsServer()),
       endpointWatcher_(std::make_shared<EndpointWatcher>(context, makeEndpointWatcherOptions(peers_), state_.configuration, pools_, endpoints_)),
       drainTimer_(context)
 {
 }
 
+std::shared_ptr<http::Server> RouterService::makeMetricsServer()
+{
+    if (!options_.metricsListen) {
+        return nullptr;
+    }
+    return http::Server::create(context_, {.listen = *options_.metricsListen}, [this](const http::ExchangePtr &exchange) { handleAdmin(exchange); });
+}
+
 std::shared_ptr<PeerGroup> RouterService::makePeerGroup()
 {
     if (!options_.peers) {
@@ -114,6 +121,9 @@
 {
     startWatchers();
     adminServer_->start();
+    if (metricsServer_) {
+        metricsServer_->start();
+    }
     callerServer_->start();
     support::log(support::Severity::Info, "listening", {{"listener", "caller"}, {"port", callerEndpoint().port()}});
     support::log(support::Severity::Info, "listening", {{"listener", "admin"}, {"port", adminEndpoint().port()}});
@@ -125,7 +135,9 @@
         peers_->start();
     }
     configurationWatcher_->start();
-    endpointWatcher_->start();
+    if (options_.endpointReports == EndpointReports::Polled) {
+        endpointWatcher_->start();
+    }
     if (!options_.platform) {
         return;
     }
@@ -149,6 +161,7 @@
     const ConfigurationChange change = state_.configuration.offer(std::move(configuration));
     if (change == ConfigurationChange::Accepted) {
         const ConfigurationSnapshot current = state_.configuration.current();
+        applyCallerLimits(*current);
         pools_.configure(*current);
         endpoints_.applyConfiguration(*current);
         if (peers_) {
@@ -159,10 +172,52 @@
     return change;
 }
 
+void RouterService::applyCallerLimits(const configuration::SiteConfiguration &configuration)
+{
+    if (!configuration.callerLimits) {
+        return;
+    }
+    const configuration::CallerLimits &limits = *configuration.callerLimits;
+    callerServer_->setLimits({.maxHeaderBytes = limits.maxHeaderBytes,
+        .maxBodyBytes = limits.maxBodyBytes,
+        .idleTimeout = limits.idleTimeout,
+        .headerTimeout = limits.headerTimeout});
+}
+
+void RouterService::setEndpoints(const std::vector<configuration::Endpoint> &endpoints)
+{
+    state_.configuration.setEndpoints(endpoints);
+    const ConfigurationSnapshot current = state_.configuration.current();
+    if (current == nullptr) {
+        return;
+    }
+    pools_.configure(*current);
+    endpoints_.applyConfiguration(*current);
+    support::log(support::Severity::Info, "endpoints changed", {{"endpoints", endpoints.size()}, {"revision", current->revision}});
+}
+
+void RouterService::renewConfiguration(support::BootClock::time_point provenAt)
+{
+    state_.lease.renew(provenAt);
+}
+
+void RouterService::setConfigurationLifetime(std::optional<std::chrono::milliseconds> lifetime)
+{
+    state_.lease.setLifetime(lifetime);
+}
+
 void RouterService::drain(std::function<void()> handler)
 {
     onDrained_ = std::move(handler);
     state_.draining = true;
+    switch (options_.drainMode) {
+    case DrainMode::Refuse:
+        refusing_ = true;
+        break;
+    case DrainMode::Serve:
+        callerServer_->closeAfterResponses();
+        break;
+    }
     support::log(support::Severity::Info, "draining", {{"activeRequests", state_.activeRequests.load()}});
     if (options_.drainLimit.count() > 0) {
         drainDeadline_ = std::chrono::steady_clock::now() + options_.drainGrace + options_.drainLimit;
@@ -170,14 +225,18 @@
     drainTimer_.expires_after(options_.drainGrace);
     drainTimer_.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
-            closeListener();
+            endGrace();
         }
     });
 }
 
-void RouterService::closeListener()
+void RouterService::endGrace()
 {
-    callerServer_->stopAccepting();
+    refusing_ = true;
+    // A listener that is open to refuse requests tells callers to turn to other routers; a closed one only fails them.
+    if (options_.drainMode == DrainMode::Refuse) {
+        callerServer_->stopAccepting();
+    }
     if (peers_) {
         // While this router counts as a live member, the others take it for the owner of its pools and refuse to own them, so
         // that requests waiting here and there would wait for its last stream to end.
@@ -251,44 +310,52 @@
     return adminServer_->localEndpoint();
 }
 
-static std::string renderModels(const configuration::SiteConfiguration &configuration)
+std::string RouterService::reasonNotToServe(const ConfigurationSnapshot &configuration) const
 {
-    json::array models;
-    for (const configuration::Pool &pool : configuration.pools) {
-        if (pool.kind == configuration::PoolKind::ModelEngine) {
-            models.push_back({{"id", pool.id.value()}, {"object", "model"}, {"owned_by", "mulberrywall"}});
-        }
+    if (refusing_) {
+        return "the router is shutting down";
+    }
+    if (configuration == nullptr) {
+        return "the router has no configuration yet";
+    }
+    if (!state_.lease.isValid(support::BootClock::now())) {
+        return "the router cannot confirm that its configuration is in force";
     }
-    return json::serialize(json::object {{"object", "list"}, {"data", std::move(models)}});
+    return {};
 }
 
 void RouterService::handleCaller(const http::ExchangePtr &exchange)
 {
     const ConfigurationSnapshot configuration = state_.configuration.current();
-    if (state_.draining || configuration == nullptr) {
-        const std::string detail
-            = configuration == nullptr ? "the router has no configuration yet; try another instance" : "the router is shutting down; try another instance";
-        exchange->respond(http::makeProblemResponse({.status = http::Status::service_unavailable, .title = "not ready", .detail = detail}));
+    if (const std::string reason = reasonNotToServe(configuration); !reason.empty()) {
+        support::log(support::Severity::Warning, "request refused", {{"reason", reason}});
+        state_.metrics.increment("mulberrywall_rejected_total", {{"reason", "not ready"}});
+        exchange->respond(state_.dialect.makeProblemResponse(
+            {.status = http::Status::service_unavailable, .title = "not ready", .detail = reason + "; try another instance"}, notReadyRetryAfter));
         return;
     }
     const http::Request &request = exchange->request();
-    if (http::pathOf({request.target().data(), request.target().size()}) == "/v1/models") {
-        auto organisation = authorize(request, *configuration);
-        const auto *problem = std::get_if<http::Problem>(&organisation);
-        exchange->respond(problem != nullptr ? http::makeProblemResponse(*problem) : http::makeJsonResponse(http::Status::ok, renderModels(*configuration)));
+    if (auto response = state_.dialect.answerLocally(request, *configuration)) {
+        exchange->respond(std::move(*response));
         return;
     }
-    auto parsed = parseCallerRequest(request, *configuration, std::chrono::steady_clock::now());
+    auto parsed = state_.dialect.parseRequest(request, *configuration, std::chrono::steady_clock::now());
     if (const auto *problem = std::get_if<http::Problem>(&parsed)) {
+        support::log(support::Severity::Info,
+            "request rejected",
+            {{"request", problem->requestId},
+                {"reason", problem->title},
+                {"status", static_cast<unsigned>(problem->status)},
+                {"revision", configuration->revision}});
         state_.metrics.increment("mulberrywall_rejected_total", {{"reason", problem->title}});
-        exchange->respond(http::makeProblemResponse(*problem));
+        exchange->respond(state_.dialect.makeProblemResponse(*problem, {}));
         return;
     }
     auto callerRequest = std::get<CallerRequest>(std::move(parsed));
     auto admission = state_.organisationLimits.admit(callerRequest.organisation, std::chrono::steady_clock::now());
     if (const auto *limit = std::get_if<LimitReached>(&admission)) {
         state_.metrics.increment("mulberrywall_rejected_total", {{"reason", "organisation limit"}});
-        exchange->respond(makeRetryLaterResponse(
+        exchange->respond(http::makeRetryLaterResponse(
             {.status = http::Status::too_many_requests, .title = "organisation limit", .detail = limit->detail, .requestId = callerRequest.id.value()},
             limit->retryAfter));
         return;
--- a/lib/Router/ServerSentEvents.cpp
+++ b/lib/Router/ServerSentEvents.cpp
@@ -1,32 +1,42 @@
 #include "mulberrywall/Router/ServerSentEvents.h"
 
+#include <optional>
+
 namespace mulberrywall::router
 {
 
-static std::string extractData(std::string_view event)
+/// Returns the value of a line "name: value", or nothing when the line has another name.
+static std::optional<std::string_view> valueOf(std::string_view line, std::string_view name)
 {
-    constexpr std::string_view prefix = "data:";
-    std::string data;
-    while (!event.empty()) {
-        const std::size_t lineEnd = event.find('\n');
-        std::string_view line = event.substr(0, lineEnd);
-        event = lineEnd == std::string_view::npos ? std::string_view() : event.substr(lineEnd + 1);
-        if (!line.starts_with(prefix)) {
-            continue;
-        }
-        line.remove_prefix(prefix.size());
-        if (line.starts_with(' ')) {
-            line.remove_prefix(1);
-        }
+    if (!line.starts_with(name) || line.size() == name.size() || line[name.size()] != ':') {
+        return std::nullopt;
+    }
+    line.remove_prefix(name.size() + 1);
+    if (line.starts_with(' ')) {
+        line.remove_prefix(1);
+    }
+    return line;
+}
+
+static ServerSentEvent parseEvent(std::string_view raw)
+{
+    ServerSentEvent event {.raw = std::string(raw)};
+    std::string_view rest = raw;
+    while (!rest.empty()) {
+        const std::size_t lineEnd = rest.find('\n');
+        std::string_view line = rest.substr(0, lineEnd);
+        rest = lineEnd == std::string_view::npos ? std::string_view() : rest.substr(lineEnd + 1);
         if (line.ends_with('\r')) {
             line.remove_suffix(1);
         }
-        if (!data.empty()) {
-            data += '\n';
+        if (const auto id = valueOf(line, "id")) {
+            event.id = *id;
+        } else if (const auto data = valueOf(line, "data")) {
+            event.data += event.data.empty() ? "" : "\n";
+            event.data += *data;
         }
-        data += line;
     }
-    return data;
+    return event;
 }
 
 std::vector<ServerSentEvent> ServerSentEventParser::feed(std::string_view piece)
@@ -42,7 +52,7 @@
         // An empty line ends an event. Lines end in LF or CRLF.
         if (line.empty() || line == "\r") {
             const std::string_view raw = text.substr(eventStart, lineStart_ - eventStart);
-            events.push_back({.raw = std::string(raw), .data = extractData(raw)});
+            events.push_back(parseEvent(raw));
             eventStart = lineStart_;
         }
     }
--- a/lib/Support/Log.cpp
+++ b/lib/Support/Log.cpp
@@ -5,6 +5,8 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/log/core.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
@@ -15,6 +17,7 @@
 #include <atomic>
 #include <iostream>
 #include <string>
+#include <utility>
 
 namespace mulberrywall::support
 {
@@ -40,6 +43,43 @@
     return minimum;
 }
 
+/// Lines that may wait for the output.
+constexpr std::size_t maxWaitingLines = 4'096;
+
+std::atomic<std::uint64_t> &droppedLines()
+{
+    static std::atomic<std::uint64_t> count {0};
+    return count;
+}
+
+/// Counts the lines that find the queue full and leaves them out.
+struct CountAndDrop
+{
+    template <typename Lock>
+    static bool on_overflow(const boost::log::record_view &, Lock &)
+    {
+        droppedLines().fetch_add(1, std::memory_order_relaxed);
+        return false;
+    }
+    static void on_queue_space_available()
+    {
+    }
+    static void interrupt()
+    {
+    }
+};
+
+using Backend = boost::log::sinks::text_ostream_backend;
+using SynchronousSink = boost::log::sinks::synchronous_sink<Backend>;
+using AsynchronousSink = boost::log::sinks::asynchronous_sink<Backend, boost::log::sinks::bounded_fifo_queue<maxWaitingLines, CountAndDrop>>;
+
+/// The sink whose thread has to be stopped at the end; null with synchronous delivery.
+boost::shared_ptr<AsynchronousSink> &asynchronousSink()
+{
+    static boost::shared_ptr<AsynchronousSink> sink;
+    return sink;
+}
+
 using Logger = boost::log::sources::severity_logger_mt<Severity>;
 
 Logger &logger()
@@ -72,16 +112,36 @@
 
 void initializeLog(const LogOptions &options)
 {
-    using Backend = boost::log::sinks::text_ostream_backend;
-    using Sink = boost::log::sinks::synchronous_sink<Backend>;
-
     processIdentity() = {.name = std::string(options.processName), .instance = std::string(options.instance)};
     minimumSeverity() = options.minimum;
     auto backend = boost::make_shared<Backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
+    std::ostream &output = options.output == LogOutput::StandardOutput ? std::cout : std::cerr;
+    backend->add_stream(boost::shared_ptr<std::ostream>(&output, boost::null_deleter()));
     backend->auto_flush(true);
+    flushLog();
+    switch (options.delivery) {
+    case LogDelivery::Synchronous:
+        boost::log::core::get()->add_sink(boost::make_shared<SynchronousSink>(backend));
+        return;
+    case LogDelivery::Asynchronous:
+        asynchronousSink() = boost::make_shared<AsynchronousSink>(backend);
+        boost::log::core::get()->add_sink(asynchronousSink());
+        return;
+    }
+}
+
+void flushLog()
+{
     boost::log::core::get()->remove_all_sinks();
-    boost::log::core::get()->add_sink(boost::make_shared<Sink>(backend));
+    if (const boost::shared_ptr<AsynchronousSink> sink = std::exchange(asynchronousSink(), nullptr)) {
+        sink->stop();
+        sink->flush();
+    }
+}
+
+std::uint64_t droppedLogLines()
+{
+    return droppedLines().load(std::memory_order_relaxed);
 }
 
 void log(Severity severity, std::string_view message, std::initializer_list<LogAttribute> attributes)
--- a/unittests/Router/LimitsTest.cpp
+++ b/unittests/Router/LimitsTest.cpp
@@ -19,7 +19,7 @@
     while (takeRetry(budget, 10)) {
         ++retries;
     }
-    EXPECT_EQ(retries, RetryBudget::capacity);
+    EXPECT_EQ(retries, budget.capacity);
     for (int request = 0; request < 11; ++request) {
         recordRequest(budget, 10);
     }
--- /dev/null
+++ b/unittests/Router/RouteTableTest.cpp
@@ -0,0 +1,101 @@
+#include "mulberrywall/Router/RouteTable.h"
+
+#include <gtest/gtest.h>
+
+namespace mulberrywall::router
+{
+
+class RouteTableTest : public testing::Test
+{
+protected:
+    RouteTableTest()
+    {
+        site_.pools.push_back({.id = support::PoolId("p")});
+        site_.classes.push_back({.id = support::ClassId("c"), .tier = 2});
+        site_.classes.push_back({.id = classForTier(support::ClassId("c"), 0), .tier = 0});
+        site_.organisations.push_back({.id = support::OrganisationId("plain"), .keyHashes = {hashKey("k")}});
+        site_.organisations.push_back({.id = support::OrganisationId("urgent"), .tier = 0, .keyHashes = {hashKey("u")}});
+        addRoute("/a/");
+    }
+
+    configuration::Route &addRoute(const std::string &prefix)
+    {
+        site_.routes.push_back({.host = "h", .prefix = prefix, .requestClass = support::ClassId("c"), .targets = {{.pool = support::PoolId("p")}}});
+        return site_.routes.back();
+    }
+
+    [[nodiscard]] CallerRequest route(std::string_view key, std::string_view path = "/a/x") const
+    {
+        auto result = routeRequest({.id = support::RequestId("r"), .host = "h", .key = key}, path, site_, now_);
+        EXPECT_TRUE(std::holds_alternative<CallerRequest>(result));
+        return std::get<CallerRequest>(std::move(result));
+    }
+
+    configuration::SiteConfiguration site_;
+    policy::TimePoint now_ {std::chrono::seconds(10)};
+};
+
+TEST_F(RouteTableTest, PrefersTheLongestPrefixOfTheHost)
+{
+    addRoute("/a/b/");
+    EXPECT_EQ(findRoute(site_, "h", "/a/b/c")->prefix, "/a/b/");
+    EXPECT_EQ(findRoute(site_, "h", "/a/c")->prefix, "/a/");
+    EXPECT_EQ(findRoute(site_, "h", "/a"), nullptr);
+    EXPECT_EQ(findRoute(site_, "other", "/a/b/c"), nullptr);
+}
+
+TEST_F(RouteTableTest, SplitsRequestsByWeight)
+{
+    configuration::Route &split = addRoute("/s/");
+    split.targets = {{.pool = support::PoolId("p"), .weight = 90}, {.pool = support::PoolId("q"), .weight = 10}, {.pool = support::PoolId("z"), .weight = 0}};
+    unsigned first = 0;
+    constexpr unsigned requests = 2'000;
+    for (unsigned index = 0; index < requests; ++index) {
+        const configuration::RouteTarget *target = chooseTarget(split, support::RequestId("id-" + std::to_string(index)));
+        ASSERT_NE(target, nullptr);
+        ASSERT_NE(target->pool.value(), "z");
+        first += target->pool.value() == "p" ? 1 : 0;
+    }
+    EXPECT_NEAR(first, 0.9 * requests, 0.03 * requests);
+    split.targets.clear();
+    EXPECT_EQ(chooseTarget(split, support::RequestId("id")), nullptr);
+}
+
+TEST_F(RouteTableTest, LetsTheOrganisationsTierReplaceThatOfTheRoute)
+{
+    EXPECT_EQ(route("k").requestClass.tier, 2);
+    EXPECT_EQ(route("u").requestClass.tier, 0);
+}
+
+TEST_F(RouteTableTest, AsksForAKeyUnlessTheRouteIsPublicOrThereAreNoOrganisations)
+{
+    const auto refused = routeRequest({.id = support::RequestId("r"), .host = "h", .key = "wrong"}, "/a/x", site_, now_);
+    ASSERT_TRUE(std::holds_alternative<http::Problem>(refused));
+    EXPECT_EQ(std::get<http::Problem>(refused).status, http::Status::unauthorized);
+    addRoute("/public/").isPublic = true;
+    EXPECT_TRUE(route("", "/public/x").organisation.id.empty());
+    site_.organisations.clear();
+    EXPECT_TRUE(route("").organisation.id.empty());
+}
+
+TEST_F(RouteTableTest, TakesTheEarlierOfBothDeadlines)
+{
+    site_.routes.front().timeout = std::chrono::milliseconds(5000);
+    const RoutedFields fields {.id = support::RequestId("r"), .host = "h", .key = "k", .timeout = std::chrono::milliseconds(8000)};
+    EXPECT_EQ(std::get<CallerRequest>(routeRequest(fields, "/a/x", site_, now_)).deadline, now_ + std::chrono::milliseconds(5000));
+    site_.routes.front().timeout = std::chrono::milliseconds(9000);
+    EXPECT_EQ(std::get<CallerRequest>(routeRequest(fields, "/a/x", site_, now_)).deadline, now_ + std::chrono::milliseconds(8000));
+}
+
+/// Guards against requests about one subject that go to different engines because their last parts differ.
+TEST_F(RouteTableTest, HashesOnlyTheSharedPartsOfAPrompt)
+{
+    const std::vector<PromptPart> first {{.id = "system"}, {.id = "subject"}, {.id = "own-1"}};
+    const std::vector<PromptPart> second {{.id = "system"}, {.id = "subject"}, {.id = "own-2"}};
+    const std::vector<PromptPart> other {{.id = "system"}, {.id = "elsewhere"}, {.id = "own-1"}};
+    EXPECT_EQ(sharedPromptHash(first), sharedPromptHash(second));
+    EXPECT_NE(sharedPromptHash(first), sharedPromptHash(other));
+    EXPECT_EQ(sharedPromptHash(std::span(first).first(1)), 0U);
+}
+
+} // namespace mulberrywall::router
