--- a/cmake/Mulberrywall.cmake
+++ b/cmake/Mulberrywall.cmake
@@ -14,7 +14,11 @@
 endif()
 
 add_library(mulberrywallOptions INTERFACE)
-target_compile_options(mulberrywallOptions INTERFACE -Wall -Wextra -Werror -Wno-missing-field-initializers)
+option(MULBERRYWALL_WARNINGS_AS_ERRORS "Stop the build at warnings; for the presets that CI uses" OFF)
+target_compile_options(mulberrywallOptions INTERFACE -Wall -Wextra -Wno-missing-field-initializers)
+if(MULBERRYWALL_WARNINGS_AS_ERRORS)
+    target_compile_options(mulberrywallOptions INTERFACE -Werror)
+endif()
 target_include_directories(mulberrywallOptions INTERFACE ${PROJECT_SOURCE_DIR}/include)
 target_compile_definitions(mulberrywallOptions INTERFACE
     BOOST_ALL_DYN_LINK
--- a/tools/mulberrywall-router/Main.cpp
+++ b/tools/mulberrywall-router/Main.cpp
@@ -1,4 +1,8 @@
-#include "mulberrywall/Router/RouterProgram.h"
+#include "NodeProgram.h"
+
+#include "platform/NodeSettings.h"
+
+#include <cstdlib>
 
 int main(int argc, char **argv)
 {
@@ -9,5 +13,8 @@
         .description = "routes language-model requests to endpoints by service level",
         .policy = policy::standardPolicy(),
     };
+    if (const char *nodeFile = std::getenv(platform::nodeFileVariable)) {
+        return router::runNodeProgram(program, nodeFile, argc, argv);
+    }
     return router::runRouterProgram(program, argc, argv);
 }
--- /dev/null
+++ b/tools/mulberrywall-router/NodeProgram.cpp
@@ -0,0 +1,277 @@
+#include "NodeProgram.h"
+
+#include "platform/Dialect.h"
+#include "platform/EndpointEntry.h"
+#include "platform/NodeSettings.h"
+#include "platform/OperatorDocument.h"
+#include "platform/StoreClient.h"
+
+#include "mulberrywall/Router/RouterService.h"
+#include "mulberrywall/Router/StoreFeed.h"
+#include "mulberrywall/Support/Log.h"
+#include "mulberrywall/Support/Settings.h"
+#include "mulberrywall/Support/WorkerPool.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/system/system_error.hpp>
+
+#include <csignal>
+#include <filesystem>
+#include <future>
+#include <iostream>
+#include <utility>
+
+namespace mulberrywall::router
+{
+
+namespace
+{
+
+/// A quarter of a core runs one thread.
+constexpr unsigned workerThreads = 1;
+constexpr double percentPerUnit = 100.0;
+
+/// The load balancer asks every second and needs two misses; callers have found other routers after this share of the
+/// time that the platform leaves a process to end. Requests that come later might be cut.
+constexpr double drainGraceShare = 0.35;
+/// The rest up to this share goes to running requests.
+constexpr double drainEndShare = 0.92;
+
+constexpr std::chrono::milliseconds connectTimeout {400};
+/// Packets that are lost are sent again within some hundred milliseconds.
+constexpr std::chrono::milliseconds unacknowledgedTimeout {1'500};
+/// Callers' deadlines end requests; this bound only ends what no deadline ends.
+constexpr std::chrono::milliseconds endpointSilence {120'000};
+
+/// Routers among which the retry slack is divided. The platform does not tell their number; with more of them the
+/// budget of all together is larger than the platform's by the same factor.
+constexpr double assumedRouters = 10.0;
+
+/// Share of the key removal bound that one call may wait for changes: two lost calls still leave time for a third.
+constexpr double configurationWaitShare = 0.4;
+constexpr std::chrono::milliseconds maximumWait {3'000};
+
+constexpr std::chrono::seconds settingsPollInterval {1};
+
+std::chrono::milliseconds scale(std::chrono::milliseconds time, double factor)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time * factor);
+}
+
+std::optional<std::chrono::milliseconds> configurationLifetime(const platform::NodeSettings &settings)
+{
+    if (settings.keyRemovalBound.count() == 0) {
+        return std::nullopt;
+    }
+    return settings.keyRemovalBound;
+}
+
+RouterServiceOptions makeServiceOptions(const platform::NodeSettings &settings, std::uint16_t metricsPort)
+{
+    RouterServiceOptions options;
+    options.instance = settings.instance;
+    options.dataCentre = settings.dataCentre;
+    options.callerServer.listen = settings.callerListen;
+    options.adminServer.listen = settings.readinessListen;
+    if (metricsPort != 0) {
+        options.metricsListen = boost::asio::ip::tcp::endpoint(settings.callerListen.address(), metricsPort);
+    }
+    options.router = {.connectTimeout = connectTimeout,
+        .stallTimeout = endpointSilence,
+        .responseTimeout = endpointSilence,
+        .unacknowledgedTimeout = unacknowledgedTimeout,
+        .reusesConnections = true,
+        .retryBurst = settings.retries.slack / assumedRouters,
+        .configurationLifetime = configurationLifetime(settings),
+        .resumesTakeBudget = true};
+    options.dialect = &platform::dialect();
+    options.endpointReports = EndpointReports::None;
+    options.drainGrace = scale(settings.terminationGrace, drainGraceShare);
+    options.drainLimit = scale(settings.terminationGrace, drainEndShare - drainGraceShare);
+    options.drainMode = DrainMode::Serve;
+    return options;
+}
+
+StoreFeedSources makeSources(const std::shared_ptr<platform::StoreClient> &client, const platform::NodeSettings &settings)
+{
+    const platform::DocumentContext context {.dataCentre = settings.dataCentre, .retryPercent = static_cast<unsigned>(settings.retries.ratio * percentPerUnit)};
+    return {.configuration = makeTableSource(client, platform::operatorTable),
+        .endpoints = makeTableSource(client, platform::endpointTable),
+        .readConfiguration = [context](const TableRow &row) -> std::optional<std::variant<configuration::SiteConfiguration, RowProblem>> {
+            if (row.key != platform::operatorDocumentKey || row.deleted) {
+                return std::nullopt;
+            }
+            auto read = platform::readOperatorDocument(row.value, context);
+            if (const auto *problem = std::get_if<platform::DocumentProblem>(&read)) {
+                return RowProblem {problem->text};
+            }
+            return std::get<configuration::SiteConfiguration>(std::move(read));
+        },
+        .readEndpoint = [](const TableRow &row) -> std::variant<RegisteredEndpoint, RowProblem> {
+            auto read = platform::readEndpointEntry(row.key, row.value);
+            if (const auto *problem = std::get_if<platform::EntryProblem>(&read)) {
+                return RowProblem {problem->text};
+            }
+            return std::get<RegisteredEndpoint>(std::move(read));
+        }};
+}
+
+StoreFeedOptions makeFeedOptions(const platform::NodeSettings &settings)
+{
+    StoreFeedOptions options {.configurationWait = maximumWait, .endpointsWait = maximumWait};
+    if (settings.keyRemovalBound.count() > 0) {
+        options.configurationWait = std::min(maximumWait, scale(settings.keyRemovalBound, configurationWaitShare));
+    }
+    return options;
+}
+
+StoreFeedHandlers makeFeedHandlers(RouterService &service)
+{
+    return {.configurationChanged = [&service](configuration::SiteConfiguration configuration) { service.configure(std::move(configuration)); },
+        .configurationProven = [&service](support::BootClock::time_point provenAt) { service.renewConfiguration(provenAt); },
+        .endpointsChanged =
+            [&service](const std::vector<configuration::Endpoint> &endpoints) {
+                service.setEndpoints(endpoints);
+            }};
+}
+
+/// Reads the settings file again on SIGHUP and when it has changed.
+///
+/// What other processes rely on, such as listen addresses, holds until the process ends.
+class SettingsWatcher : public std::enable_shared_from_this<SettingsWatcher>
+{
+public:
+    SettingsWatcher(
+        boost::asio::io_context &context, std::string path, platform::NodeSettings settings, std::function<void(const platform::NodeSettings &)> apply)
+        : signals_(context, SIGHUP),
+          timer_(context),
+          path_(std::move(path)),
+          settings_(std::move(settings)),
+          apply_(std::move(apply)),
+          modified_(modificationTime())
+    {
+    }
+
+    void start()
+    {
+        waitForSignal();
+        poll();
+    }
+
+private:
+    [[nodiscard]] std::filesystem::file_time_type modificationTime() const
+    {
+        std::error_code error;
+        const auto time = std::filesystem::last_write_time(path_, error);
+        return error ? std::filesystem::file_time_type::min() : time;
+    }
+
+    void waitForSignal()
+    {
+        signals_.async_wait([self = shared_from_this()](const boost::system::error_code &error, int) {
+            if (error) {
+                return;
+            }
+            self->reload("signal");
+            self->waitForSignal();
+        });
+    }
+
+    void poll()
+    {
+        timer_.expires_after(settingsPollInterval);
+        timer_.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+            if (error) {
+                return;
+            }
+            if (self->modificationTime() != self->modified_) {
+                self->reload("file changed");
+            }
+            self->poll();
+        });
+    }
+
+    void reload(std::string_view cause)
+    {
+        modified_ = modificationTime();
+        auto read = platform::readNodeFile(path_);
+        if (const auto *problem = std::get_if<platform::SettingsProblem>(&read)) {
+            support::log(support::Severity::Error, "settings not reloaded; the old ones stay in force", {{"cause", cause}, {"reason", problem->text}});
+            return;
+        }
+        const bool changed = std::get<platform::NodeSettings>(read) != settings_;
+        settings_ = std::get<platform::NodeSettings>(std::move(read));
+        support::log(support::Severity::Info, "settings reloaded", {{"cause", cause}, {"changed", changed}});
+        if (changed) {
+            apply_(settings_);
+        }
+    }
+
+    boost::asio::signal_set signals_;
+    boost::asio::steady_timer timer_;
+    std::string path_;
+    platform::NodeSettings settings_;
+    std::function<void(const platform::NodeSettings &)> apply_;
+    std::filesystem::file_time_type modified_;
+};
+
+int serve(const platform::NodeSettings &settings, const RouterProgram &program, const std::string &nodeFile, std::uint16_t metricsPort)
+{
+    support::initializeLog({.processName = program.name,
+        .instance = settings.instance.value(),
+        .output = support::LogOutput::StandardOutput,
+        .delivery = support::LogDelivery::Asynchronous});
+    support::WorkerPool workers(workerThreads);
+    std::promise<void> drained;
+    try {
+        RouterService service(workers.context(), makeServiceOptions(settings, metricsPort), program.policy);
+        const auto client = std::make_shared<platform::StoreClient>(workers.context(), platform::StoreClientOptions {.address = settings.store});
+        const auto feed = std::make_shared<StoreFeed>(workers.context(), makeFeedOptions(settings), makeSources(client, settings), makeFeedHandlers(service));
+        const auto watcher
+            = std::make_shared<SettingsWatcher>(workers.context(), nodeFile, settings, [client, &service](const platform::NodeSettings &changed) {
+                  client->setAddress(changed.store);
+                  service.setConfigurationLifetime(configurationLifetime(changed));
+              });
+        support::onTerminationSignal(workers.context(), [&service, &drained] { service.drain([&drained] { drained.set_value(); }); });
+        service.start();
+        feed->start();
+        watcher->start();
+        drained.get_future().wait();
+        workers.stop();
+        workers.join();
+    } catch (const boost::system::system_error &error) {
+        support::log(support::Severity::Error, "could not start; check the listen addresses", {{"reason", error.what()}});
+        support::flushLog();
+        return support::toInt(support::ExitCode::Failure);
+    }
+    support::log(support::Severity::Info, "stopped");
+    support::flushLog();
+    return support::toInt(support::ExitCode::Success);
+}
+
+} // namespace
+
+int runNodeProgram(const RouterProgram &program, const std::string &nodeFile, int argc, char **argv)
+{
+    CLI::App app(program.description + ", on the platform whose settings file is " + nodeFile, program.name);
+    bool checkSettings = false;
+    std::uint16_t metricsPort = 0;
+    support::addSetting(app, "--metrics-port", metricsPort, "port on the callers' address for metrics; 0 means none");
+    support::addCommonFlags(app, checkSettings);
+    platform::NodeSettings settings;
+    const auto readSettings = [&] {
+        auto read = platform::readNodeFile(nodeFile);
+        if (const auto *problem = std::get_if<platform::SettingsProblem>(&read)) {
+            std::cerr << program.name << ": " << problem->text << '\n';
+            return support::ExitCode::InvalidSettings;
+        }
+        settings = std::get<platform::NodeSettings>(std::move(read));
+        return support::ExitCode::Success;
+    };
+    return support::parseAndRun(app, argc, argv, checkSettings, {.check = readSettings, .run = [&] {
+                                                                     return serve(settings, program, nodeFile, metricsPort);
+                                                                 }});
+}
+
+} // namespace mulberrywall::router
--- /dev/null
+++ b/unittests/Adapter/EndpointEntryTest.cpp
@@ -0,0 +1,46 @@
+#include "platform/EndpointEntry.h"
+
+#include <gtest/gtest.h>
+
+namespace mulberrywall::platform
+{
+
+static bool isRefused(std::string_view text)
+{
+    return std::holds_alternative<EntryProblem>(readEndpointEntry("i-1", text));
+}
+
+TEST(EndpointEntry, ReadsAReadyAndALeavingEndpoint)
+{
+    const auto read = readEndpointEntry("i-1",
+        R"({"service":"s1","address":"10.128.0.9:8080","zone":"west","version":"v1","slots":64,"state":"ready","coldLeftMs":0,"seq":4,"born":1700000000123})");
+    ASSERT_TRUE(std::holds_alternative<router::RegisteredEndpoint>(read));
+    const auto &entry = std::get<router::RegisteredEndpoint>(read);
+    EXPECT_EQ(entry.endpoint.id.value(), "i-1");
+    EXPECT_EQ(entry.endpoint.address, "10.128.0.9");
+    EXPECT_EQ(entry.endpoint.port, 8080);
+    EXPECT_EQ(entry.endpoint.pools.front().value(), "s1");
+    EXPECT_EQ(entry.endpoint.maximumConcurrency, 64U);
+    EXPECT_EQ(entry.incarnation, 1700000000123);
+    EXPECT_FALSE(entry.leaving);
+
+    const auto leaving = readEndpointEntry("i-1", R"({"service":"s1","address":"10.128.0.9:8080","zone":"west","slots":6,"state":"draining"})");
+    EXPECT_TRUE(std::get<router::RegisteredEndpoint>(leaving).leaving);
+}
+
+/// Guards against a damaged entry that is used with default values, or that stops the others from being read.
+TEST(EndpointEntry, RefusesDamagedEntries)
+{
+    EXPECT_TRUE(isRefused(""));
+    EXPECT_TRUE(isRefused("\x01\xff"));
+    EXPECT_TRUE(isRefused("[]"));
+    EXPECT_TRUE(isRefused(R"({"service":"s1","zone":"west","slots":6,"state":"ready"})"));
+    EXPECT_TRUE(isRefused(R"({"service":"s1","address":"host:80","zone":"west","slots":6,"state":"ready"})"));
+    EXPECT_TRUE(isRefused(R"({"service":"s1","address":"10.0.0.1:80","zone":"west","slots":"6","state":"ready"})"));
+    EXPECT_TRUE(isRefused(R"({"service":"s1","address":"10.0.0.1:80","zone":"west","slots":0,"state":"ready"})"));
+    EXPECT_TRUE(isRefused(R"({"service":"s1","address":"10.0.0.1:80","zone":"west","slots":-1,"state":"ready"})"));
+    EXPECT_TRUE(isRefused(R"({"service":["s1"],"address":"10.0.0.1:80","zone":"west","slots":6,"state":"ready"})"));
+    EXPECT_TRUE(isRefused(R"({"service":"s1","address":"10.0.0.1:80","zone":"west","slots":6,"state":"asleep"})"));
+}
+
+} // namespace mulberrywall::platform
--- /dev/null
+++ b/unittests/Adapter/NodeSettingsTest.cpp
@@ -0,0 +1,62 @@
+#include "platform/NodeSettings.h"
+
+#include <gtest/gtest.h>
+
+namespace mulberrywall::platform
+{
+
+static constexpr std::string_view completeSettings = R"({
+    "nodeName": "edge-west-1", "zone": "west", "unknownField": {"a": [1, 2]},
+    "listen": {"front": "10.1.0.40:8227", "ready": "10.1.0.40:8220"},
+    "bounds": {"graceS": 8, "strictRevoke": true, "revokeMs": 5000, "retryRatio": 0.25, "retrySlack": 54.0},
+    "platform": {"address": "10.200.1.7:8223"}})";
+
+static std::string problemOf(std::string_view text)
+{
+    const auto read = readNodeSettings(text);
+    const auto *problem = std::get_if<SettingsProblem>(&read);
+    return problem == nullptr ? std::string() : problem->text;
+}
+
+TEST(NodeSettings, ReadsPlaceAndBoundsAndIgnoresUnknownFields)
+{
+    const auto read = readNodeSettings(completeSettings);
+    ASSERT_TRUE(std::holds_alternative<NodeSettings>(read));
+    const NodeSettings &settings = std::get<NodeSettings>(read);
+    EXPECT_EQ(settings.instance.value(), "edge-west-1");
+    EXPECT_EQ(settings.dataCentre.value(), "west");
+    EXPECT_EQ(settings.callerListen.port(), 8227);
+    EXPECT_EQ(settings.readinessListen.port(), 8220);
+    EXPECT_EQ(settings.store.port(), 8223);
+    EXPECT_EQ(settings.terminationGrace, std::chrono::seconds(8));
+    EXPECT_EQ(settings.keyRemovalBound, std::chrono::seconds(5));
+    EXPECT_DOUBLE_EQ(settings.retries.ratio, 0.25);
+    EXPECT_DOUBLE_EQ(settings.retries.slack, 54.0);
+}
+
+/// Guards against a lease on the configuration where the platform sets no bound for keys that were taken away.
+TEST(NodeSettings, HasNoKeyRemovalBoundUnlessItIsStrict)
+{
+    const auto read = readNodeSettings(R"({"nodeName": "a", "zone": "z", "listen": {"front": "10.1.0.1:1", "ready": "10.1.0.1:2"},
+        "bounds": {"strictRevoke": false, "revokeMs": 5000}, "platform": {"address": "10.1.0.2:3"}})");
+    ASSERT_TRUE(std::holds_alternative<NodeSettings>(read));
+    EXPECT_EQ(std::get<NodeSettings>(read).keyRemovalBound.count(), 0);
+}
+
+TEST(NodeSettings, NamesTheFieldThatIsMissingOrWrong)
+{
+    EXPECT_NE(problemOf("{").find("not a JSON object"), std::string::npos);
+    EXPECT_NE(problemOf(R"({"zone": "z"})").find("'nodeName'"), std::string::npos);
+    EXPECT_NE(problemOf(R"({"nodeName": 7, "zone": "z"})").find("'nodeName'"), std::string::npos);
+    EXPECT_NE(problemOf(R"({"nodeName": "a", "zone": "z", "listen": {"front": "nowhere"}})").find("'listen.front'"), std::string::npos);
+    EXPECT_NE(
+        problemOf(R"({"nodeName": "a", "zone": "z", "listen": {"front": "10.1.0.1:1", "ready": "10.1.0.1:2"}})").find("'platform.address'"), std::string::npos);
+}
+
+TEST(NodeSettings, ReportsAFileThatCannotBeOpened)
+{
+    const auto read = readNodeFile("/nonexistent/settings.json");
+    ASSERT_TRUE(std::holds_alternative<SettingsProblem>(read));
+}
+
+} // namespace mulberrywall::platform
--- /dev/null
+++ b/unittests/Adapter/OperatorDocumentTest.cpp
@@ -0,0 +1,96 @@
+#include "platform/OperatorDocument.h"
+
+#include "mulberrywall/Router/CallerRequest.h"
+#include "mulberrywall/Router/RouteTable.h"
+
+#include <gtest/gtest.h>
+
+namespace mulberrywall::platform
+{
+
+using configuration::Idempotency;
+using configuration::SiteConfiguration;
+
+static constexpr std::string_view document = R"({"version": 7,
+    "routes": [
+        {"name": "long", "host": "h.example", "prefix": "/a/", "type": "stream", "timeoutMs": 8000, "sloMs": 2500, "priority": 2,
+         "split": [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}], "attempts": 1, "resumable": false, "itlTargetMs": 2000},
+        {"name": "short", "host": "h.example", "prefix": "/b/", "type": "stream", "timeoutMs": 5000, "sloMs": 800, "priority": 1,
+         "service": "s1", "attempts": 2, "resumable": true, "itlTargetMs": 800},
+        {"name": "pay", "host": "h.example", "prefix": "/c/", "type": "unsafe", "timeoutMs": 4000, "sloMs": 300, "service": "s2", "public": true},
+        {"name": "look", "host": "h.example", "prefix": "/d/", "type": "safe", "timeoutMs": 4000, "sloMs": 300, "service": "s2"}],
+    "services": [{"name": "s1", "engine": {"slots": 64}}, {"name": "s2", "maxConns": 100}],
+    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+    "tenants": [{"name": "t1", "apiKeys": ["k1", "k2"], "priority": 0}, {"name": "t2", "apiKeys": []}]})";
+
+static SiteConfiguration read()
+{
+    auto result = readOperatorDocument(document, {.dataCentre = support::DataCentreId("west"), .retryPercent = 20});
+    EXPECT_TRUE(std::holds_alternative<SiteConfiguration>(result));
+    return std::get<SiteConfiguration>(std::move(result));
+}
+
+static const configuration::RequestClass &classOf(const SiteConfiguration &site, const std::string &id)
+{
+    const auto *found = configuration::findClass(site, support::ClassId(id));
+    EXPECT_NE(found, nullptr) << id;
+    return *found;
+}
+
+TEST(OperatorDocument, ReadsRoutesWithTheirTargets)
+{
+    const SiteConfiguration site = read();
+    EXPECT_EQ(site.revision, 7U);
+    ASSERT_EQ(site.routes.size(), 4U);
+    EXPECT_EQ(site.routes[0].targets.size(), 2U);
+    EXPECT_EQ(site.routes[0].targets[0].weight, 90U);
+    EXPECT_EQ(site.routes[1].targets.front().pool.value(), "s1");
+    EXPECT_TRUE(site.routes[1].resumable);
+    EXPECT_EQ(site.routes[1].maximumAttempts, 2U);
+    EXPECT_TRUE(site.routes[2].isPublic);
+    EXPECT_FALSE(site.routes[2].streams);
+    EXPECT_EQ(site.routes[0].timeout, std::chrono::milliseconds(8000));
+}
+
+/// Guards against a second run of a stream that cannot be resumed, which the document does not mark as unsafe.
+TEST(OperatorDocument, RepeatsOnlySafeRequestsAndResumableStreams)
+{
+    const SiteConfiguration site = read();
+    EXPECT_EQ(classOf(site, "long").idempotency, Idempotency::NonIdempotent);
+    EXPECT_EQ(classOf(site, "short").idempotency, Idempotency::Idempotent);
+    EXPECT_EQ(classOf(site, "pay").idempotency, Idempotency::NonIdempotent);
+    EXPECT_EQ(classOf(site, "look").idempotency, Idempotency::Idempotent);
+}
+
+TEST(OperatorDocument, MakesAClassForEachTierThatAnOrganisationHas)
+{
+    const SiteConfiguration site = read();
+    EXPECT_EQ(classOf(site, "long").tier, 2);
+    EXPECT_EQ(classOf(site, "long/tier-0").tier, 0);
+    EXPECT_EQ(classOf(site, "long/tier-0").targets, classOf(site, "long").targets);
+}
+
+TEST(OperatorDocument, TellsEnginesFromPlainServices)
+{
+    const SiteConfiguration site = read();
+    EXPECT_EQ(site.pools[0].kind, configuration::PoolKind::ModelEngine);
+    EXPECT_EQ(site.pools[1].kind, configuration::PoolKind::PlainService);
+    EXPECT_EQ(site.callerLimits->idleTimeout, std::chrono::seconds(15));
+    EXPECT_NE(configuration::findOrganisationByKeyHash(site, router::hashKey("k2")), nullptr);
+}
+
+TEST(OperatorDocument, SaysWhatIsWrong)
+{
+    const DocumentContext context;
+    const auto isRefused = [&](std::string_view text) {
+        return std::holds_alternative<DocumentProblem>(readOperatorDocument(text, context));
+    };
+    EXPECT_TRUE(isRefused("{"));
+    EXPECT_TRUE(isRefused(R"({"routes": []})"));
+    EXPECT_TRUE(isRefused(R"({"version": 1, "routes": [7]})"));
+    EXPECT_TRUE(isRefused(R"({"version": 1, "routes": [{"name": "r", "host": "h", "prefix": "/a/"}]})"));
+    EXPECT_TRUE(isRefused(R"({"version": 1, "tenants": [{"name": "t", "apiKeys": [1]}]})"));
+    EXPECT_TRUE(isRefused(R"({"version": 1, "services": [{}]})"));
+}
+
+} // namespace mulberrywall::platform
--- /dev/null
+++ b/unittests/Adapter/StoreClientTest.cpp
@@ -0,0 +1,116 @@
+#include "platform/StoreClient.h"
+
+#include "mulberrywall/Http/Server.h"
+#include "mulberrywall/Support/WorkerPool.h"
+
+#include <gtest/gtest.h>
+
+#include <future>
+#include <mutex>
+
+namespace mulberrywall::platform
+{
+
+using router::TableAnswer;
+using router::TableStatus;
+
+TEST(RowsAnswer, ReadsRowsAndVersion)
+{
+    const RowsAnswer read = readRowsAnswer(
+        200, R"({"rows":[{"table":"op","part":"","key":"config","value":"aGVsbG8=","ver":412},{"key":"b","deleted":true}],"truncated":true,"ver":530})");
+    EXPECT_EQ(read.answer.status, TableStatus::Ok);
+    EXPECT_EQ(read.answer.version, 530U);
+    EXPECT_TRUE(read.truncated);
+    ASSERT_EQ(read.answer.rows.size(), 2U);
+    EXPECT_EQ(read.answer.rows[0].value, "hello");
+    EXPECT_TRUE(read.answer.rows[1].deleted);
+}
+
+/// Guards against a damaged answer that looks like an empty table, which would make all endpoints leave.
+TEST(RowsAnswer, TellsDamagedAnswersFromEmptyTables)
+{
+    EXPECT_EQ(readRowsAnswer(200, R"({"rows":[],"ver":1})").answer.status, TableStatus::Ok);
+    EXPECT_EQ(readRowsAnswer(200, R"({"rows":[]})").answer.status, TableStatus::Unavailable);
+    EXPECT_EQ(readRowsAnswer(200, R"({"ver":1})").answer.status, TableStatus::Unavailable);
+    EXPECT_EQ(readRowsAnswer(200, "<html>").answer.status, TableStatus::Unavailable);
+    EXPECT_EQ(readRowsAnswer(429, "").answer.status, TableStatus::Unavailable);
+    EXPECT_EQ(readRowsAnswer(503, R"({"rows":[],"ver":1})").answer.status, TableStatus::Unavailable);
+    EXPECT_EQ(readRowsAnswer(410, "").answer.status, TableStatus::HistoryGone);
+}
+
+TEST(RowsAnswer, KeepsARowWhoseValueCannotBeDecoded)
+{
+    const RowsAnswer read = readRowsAnswer(200, R"({"rows":[{"key":"a","value":"%%%"},{"key":"b","value":7},{"value":"eA=="}],"ver":2})");
+    ASSERT_EQ(read.answer.rows.size(), 2U);
+    EXPECT_EQ(read.answer.rows[0].value, "");
+    EXPECT_EQ(read.answer.rows[1].value, "");
+}
+
+/// A store in this process that answers with prepared bodies and remembers what it was asked.
+class StoreClientTest : public testing::Test
+{
+protected:
+    StoreClientTest()
+        : server_(http::Server::create(
+            workers_.context(), {.listen = {boost::asio::ip::make_address("127.0.0.1"), 0}}, [this](const http::ExchangePtr &exchange) { answer(exchange); }))
+    {
+        server_->start();
+    }
+
+    ~StoreClientTest() override
+    {
+        workers_.stop();
+        workers_.join();
+    }
+
+    void answer(const http::ExchangePtr &exchange)
+    {
+        const std::scoped_lock lock(mutex_);
+        targets_.emplace_back(exchange->request().target().data(), exchange->request().target().size());
+        if (bodies_.empty()) {
+            held_.push_back(exchange);
+            return;
+        }
+        exchange->respond(http::makeJsonResponse(http::Status::ok, bodies_.front()));
+        bodies_.erase(bodies_.begin());
+    }
+
+    std::shared_ptr<StoreClient> makeClient()
+    {
+        return std::make_shared<StoreClient>(
+            workers_.context(), StoreClientOptions {.address = server_->localEndpoint(), .answerTimeout = std::chrono::milliseconds(200)});
+    }
+
+    support::WorkerPool workers_ {2};
+    std::mutex mutex_;
+    std::vector<std::string> bodies_;
+    std::vector<std::string> targets_;
+    std::vector<http::ExchangePtr> held_;
+    std::shared_ptr<http::Server> server_;
+};
+
+TEST_F(StoreClientTest, ReadsATableInPagesAndGoesOnFromTheFirstPagesVersion)
+{
+    bodies_ = {R"({"rows":[{"key":"a","value":""}],"truncated":true,"ver":5})", R"({"rows":[{"key":"b","value":""}],"truncated":false,"ver":9})"};
+    std::promise<TableAnswer> promise;
+    makeClient()->readTable("servers", [&promise](TableAnswer answer) { promise.set_value(std::move(answer)); });
+    const TableAnswer answer = promise.get_future().get();
+    EXPECT_EQ(answer.status, TableStatus::Ok);
+    EXPECT_EQ(answer.rows.size(), 2U);
+    EXPECT_EQ(answer.version, 5U);
+    ASSERT_EQ(targets_.size(), 2U);
+    EXPECT_NE(targets_[1].find("from=a%00"), std::string::npos);
+}
+
+/// Guards against a follower that waits for ever on a connection that fell silent.
+TEST_F(StoreClientTest, GivesUpOnASilentConnection)
+{
+    std::promise<TableAnswer> promise;
+    makeClient()->awaitChanges("op", 7, std::chrono::milliseconds(100), [&promise](TableAnswer answer) { promise.set_value(std::move(answer)); });
+    const TableAnswer answer = promise.get_future().get();
+    EXPECT_EQ(answer.status, TableStatus::Unavailable);
+    EXPECT_FALSE(answer.reason.empty());
+    EXPECT_EQ(targets_.front(), "/mulberrywall/rows-feed?table=op&sinceRev=7&waitMs=100");
+}
+
+} // namespace mulberrywall::platform
