policy: place prompts by what engines hold and what waits there, over all routers

Ruled out: one owner of the queue for all zones, since every kill, freeze or cut would cost a takeover within targets of 300 ms; polling the engines' reports, which are late and priced. Change: PromptPlacement estimates the first token from unread tokens of this router and its peers; LoadExchange sends what a router runs to the others in whole, replaceable datagrams; RouterMesh joins them by the membership protocol with a secret that the first router puts in the store. Logs show waiting, first token and longest pause of a request.

--- a/fuzz/MembershipFuzz.cpp
+++ b/fuzz/MembershipFuzz.cpp
@@ -1,7 +1,7 @@
 #include "Require.h"
 
-#include "../lib/Membership/Authenticator.h"
 #include "../lib/Membership/Codec.h"
+#include "mulberrywall/Membership/Authenticator.h"
 
 #include "mulberrywall/Membership/StateMachine.h"
 
--- a/include/mulberrywall/Configuration/Model.h
+++ b/include/mulberrywall/Configuration/Model.h
@@ -92,6 +92,8 @@
     std::vector<support::PoolId> pools;
     unsigned maximumConcurrency = 8;
     EndpointSupport support;
+    /// Changes with each start of the endpoint's process; 0 when it is not known.
+    std::int64_t incarnation = 0;
 
     friend bool operator==(const Endpoint &, const Endpoint &) = default;
 };
--- a/include/mulberrywall/Permits/PoolOwner.h
+++ b/include/mulberrywall/Permits/PoolOwner.h
@@ -58,8 +58,10 @@
     void setOwnership(OwnershipState ownership, const support::InstanceId &newOwner);
     void recordLoadReport(const policy::LoadReport &report);
     void recordSuspect(const policy::SuspectEntry &suspect);
+    void recordPeerRequests(const policy::PeerReport &report);
 
     // Queries
+    [[nodiscard]] std::vector<policy::PeerRequest> runningRequests() const;
     [[nodiscard]] OwnershipState ownership() const;
     [[nodiscard]] policy::PoolSummary summarize() const;
     [[nodiscard]] std::vector<policy::SuspectEntry> suspects() const;
--- a/include/mulberrywall/Policy/PolicyFunctions.h
+++ b/include/mulberrywall/Policy/PolicyFunctions.h
@@ -36,12 +36,16 @@
     Decisions (*adopt)(void *pool, const RunningRequest &running, TimePoint now);
     /// Learns from another router that a request crashed endpoints.
     Decisions (*recordSuspect)(void *pool, const SuspectEntry &suspect, TimePoint now);
+    /// Replaces what is known of the requests that another router runs.
+    Decisions (*recordPeerRequests)(void *pool, const PeerReport &report, TimePoint now);
     /// Does what time alone makes due.
     Decisions (*advance)(void *pool, TimePoint now);
 
     // Queries
     std::optional<TimePoint> (*nextWakeUp)(const void *pool);
     PoolSummary (*summarize)(const void *pool);
+    /// Returns the running requests, to tell other routers.
+    std::vector<PeerRequest> (*runningRequests)(const void *pool);
     /// Returns the crash suspects to tell other owners, ordered by fingerprint.
     std::vector<SuspectEntry> (*suspects)(const void *pool);
     /// Returns the time after dispatch from which a hedged attempt of the class is worth its cost, if any is.
--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -54,6 +54,30 @@
     std::optional<PermitId> probe;
 };
 
+/// A shared beginning of prompts that an endpoint has read.
+struct CachedPrefix
+{
+    std::uint32_t tokens = 0;
+    TimePoint usedAt;
+};
+
+/// Prompts that an endpoint holds and reads, as far as routers have sent them there.
+struct PromptCache
+{
+    std::unordered_map<std::uint64_t, CachedPrefix> prefixes;
+    std::uint64_t heldTokens = 0;
+    /// Tokens of this router's requests that the endpoint still has to read.
+    std::uint64_t readingTokens = 0;
+};
+
+/// What another router runs on an endpoint.
+struct PeerLoad
+{
+    double unreadTokens = 0.0;
+    unsigned running = 0;
+    TimePoint reportedAt;
+};
+
 /// What the pool knows about an endpoint.
 struct EndpointState
 {
@@ -73,6 +97,8 @@
     /// Until then the endpoint takes no requests beside the suspect that runs on it.
     TimePoint exclusiveUntil;
     std::optional<LoadReport> report;
+    PromptCache prompts;
+    std::map<support::InstanceId, PeerLoad> peers;
 };
 
 /// A request that holds a slot.
@@ -99,6 +125,11 @@
     std::optional<TimePoint> crashNotedAt;
     /// Length of the answer from which on the request has outlived its earlier crash; set for suspects only.
     std::optional<std::uint64_t> outlivesCrashAt;
+    /// Prompt tokens that the endpoint had to read when the request started, and those of other requests before them.
+    std::uint32_t unreadTokens = 0;
+    std::uint32_t unreadAhead = 0;
+    /// Tokens that the endpoint still reads; 0 from the first output on.
+    std::uint32_t readingTokens = 0;
     /// Adopted requests started at an unknown time.
     bool adopted = false;
 };
@@ -176,6 +207,8 @@
     /// Set with the first output token. Until then requests count as calls of a plain service, whose speeds are in
     /// another unit.
     bool producesTokens = false;
+    /// Speed at which engines read prompts.
+    Average promptTokensPerSecond;
     /// Time from grant to completion over all classes.
     Average holdSeconds;
     std::uint64_t grants = 0;
--- /dev/null
+++ b/include/mulberrywall/Policy/PromptPlacement.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "mulberrywall/Policy/Pool.h"
+
+#include <span>
+
+/// Answers bursts of long prompts beside short urgent ones, and subjects that many requests share.
+///
+/// An engine reads the prompts that it admitted one after another, so that a short request waits for the long ones
+/// before it. A part that it read before costs nothing, but one that another engine holds has to be read again. The
+/// choice weighs both: the tokens that wait at an engine, of this router and of its peers, and the tokens that the
+/// engine would have to read for the request.
+namespace mulberrywall::policy
+{
+
+/// Returns the tokens that the engine has to read for the request, as far as is known.
+std::uint32_t unreadTokens(const EndpointState &endpoint, const Submission &submission);
+
+/// Returns the estimated time until the endpoint sends the first token of the request.
+std::chrono::duration<double> estimatedFirstToken(const Pool &pool, const EndpointState &endpoint, const Submission &submission, TimePoint now);
+
+/// Returns the endpoint that suits the prompt best, or nullptr without candidates.
+EndpointState *placePrompt(const Pool &pool, std::span<EndpointState *const> candidates, const Submission &submission, TimePoint now);
+
+/// Notes that the endpoint reads the request's prompt from now on.
+void notePromptStart(Pool &pool, ActiveRequest &request, TimePoint now);
+
+/// Notes that the endpoint has read the prompt, and learns its speed. Call it before the first token is counted.
+void notePromptRead(Pool &pool, ActiveRequest &request, TimePoint firstTokenAt, TimePoint now);
+
+/// Notes that the request ends, whether or not its prompt was read.
+void notePromptEnd(ActiveRequest &request);
+
+/// Forgets what an endpoint held, after a restart or a crash.
+void forgetPrompts(EndpointState &endpoint);
+
+/// Replaces what is known of a peer's requests.
+void recordPeerRequests(Pool &pool, const PeerReport &report, TimePoint now);
+
+/// Returns the running requests of this router for its peers.
+std::vector<PeerRequest> runningRequests(const Pool &pool);
+
+} // namespace mulberrywall::policy
--- a/include/mulberrywall/Policy/Tuning.h
+++ b/include/mulberrywall/Policy/Tuning.h
@@ -94,6 +94,26 @@
     std::chrono::milliseconds maximumBackoff {5'000};
 };
 
+/// Placement of prompts whose shared parts are known.
+struct PlacementTuning
+{
+    /// Reading speed of an engine until it was observed.
+    double defaultTokensPerSecond = 50'000.0;
+    /// Requests with fewer unread tokens say little about the reading speed.
+    std::uint32_t minimumSampleTokens = 2'000;
+    /// Delay of the first token by each request that runs already.
+    std::chrono::milliseconds delayPerRunning {3};
+    /// Waiting this multiple of the time that a shared part takes to read is better than reading it on one engine more.
+    double rereadWeight = 5.0;
+    /// Bound on that waiting, as a share of the first-token target.
+    double maximumTargetShare = 0.6;
+    /// Shared parts that an engine is taken to hold at most.
+    std::uint64_t cacheTokens = 400'000;
+    /// A peer's report counts for this long; peers repeat theirs several times meanwhile.
+    std::chrono::milliseconds peerLifetime {1'500};
+    double minimumRelativeSpeed = 0.1;
+};
+
 /// Detection of slow endpoints by their speed against the pool's median.
 struct SlowEndpointTuning
 {
@@ -166,6 +186,7 @@
     LongRequestTuning longRequests;
     ConcurrencyTuning concurrency;
     SelectionTuning selection;
+    PlacementTuning placement;
     SlowEndpointTuning slowEndpoints;
     HedgingTuning hedging;
     CrashTuning crashes;
--- a/include/mulberrywall/Policy/Types.h
+++ b/include/mulberrywall/Policy/Types.h
@@ -41,6 +41,8 @@
     /// Hash of the prompt's leading part, for prefix cache affinity; 0 means none.
     std::uint64_t prefixHash = 0;
     std::uint32_t promptTokens = 0;
+    /// Tokens of the leading part that the prefix hash stands for; nothing when the caller does not tell.
+    std::optional<std::uint32_t> sharedPromptTokens;
     AttemptPurpose purpose = AttemptPurpose::First;
     /// Endpoints this request must not run on, for example where an earlier attempt failed.
     std::vector<support::EndpointId> excludedEndpoints;
@@ -161,6 +163,8 @@
     support::EndpointId id;
     unsigned maximumConcurrency = 8;
     bool prefixCache = false;
+    /// Changes with each start of the endpoint's process; 0 when it is not known.
+    std::int64_t incarnation = 0;
     /// A leaving endpoint gets no new work and disappears when its last request has ended.
     bool leaving = false;
 };
@@ -174,6 +178,25 @@
     TimePoint measuredAt;
 };
 
+/// A request that another router runs on an endpoint of the pool.
+struct PeerRequest
+{
+    support::EndpointId endpoint;
+    std::uint64_t prefixHash = 0;
+    std::uint32_t sharedTokens = 0;
+    /// Prompt tokens that the endpoint still has to read; 0 once it sends output.
+    std::uint32_t unreadTokens = 0;
+
+    friend bool operator==(const PeerRequest &, const PeerRequest &) = default;
+};
+
+/// All requests that one other router runs in the pool.
+struct PeerReport
+{
+    support::InstanceId router;
+    std::vector<PeerRequest> requests;
+};
+
 /// A request that runs already, told to a new owner of the pool by the request's ingress.
 struct RunningRequest
 {
--- a/include/mulberrywall/Router/CallerRequest.h
+++ b/include/mulberrywall/Router/CallerRequest.h
@@ -41,6 +41,8 @@
     policy::Fingerprint fingerprint = 0;
     std::uint64_t prefixHash = 0;
     std::uint32_t promptTokens = 0;
+    /// Tokens of the part that the prefix hash stands for; nothing when the caller does not tell.
+    std::optional<std::uint32_t> sharedPromptTokens;
     policy::TimePoint deadline = policy::TimePoint::max();
     /// Endpoints that may run the request; 0 means the router's own bound.
     unsigned maximumAttempts = 0;
--- a/include/mulberrywall/Router/CallerSession.h
+++ b/include/mulberrywall/Router/CallerSession.h
@@ -53,6 +53,9 @@
     void startAttempt(policy::AttemptPurpose purpose, std::shared_ptr<permits::Permit> permit);
     void onEvents(const AttemptPtr &attempt, const std::vector<StreamEvent> &events);
     void recordFirstToken();
+    void recordPause();
+    /// Milliseconds from the request to its first token; -1 without one.
+    [[nodiscard]] std::int64_t firstTokenMs() const;
     void onOwnerCommand(const permits::OwnerCommand &command);
     void onAttemptEnd(const AttemptPtr &attempt, AttemptEnd attemptEnd);
     void onAttemptFailed(const AttemptPtr &attempt, AttemptEnd attemptEnd);
@@ -97,6 +100,10 @@
     std::uint8_t enginePriority_ = 0;
     /// When the first token was handed to the caller's connection.
     std::optional<policy::TimePoint> firstTokenAt_;
+    policy::TimePoint lastTokenAt_;
+    std::chrono::milliseconds longestPause_ {0};
+    /// Time that the first attempt waited for its permit.
+    std::chrono::milliseconds queued_ {0};
     support::Verdict verdict_ = support::Verdict::NotRun;
     bool ended_ = false;
     policy::TimePoint startedAt_;
--- a/include/mulberrywall/Router/EndpointRegistry.h
+++ b/include/mulberrywall/Router/EndpointRegistry.h
@@ -18,8 +18,6 @@
     support::DataCentreId dataCentre;
     /// The endpoint ends its running requests and takes no new ones.
     bool leaving = false;
-    /// Changes with each start of the endpoint's process.
-    std::int64_t incarnation = 0;
 
     friend bool operator==(const RegisteredEndpoint &, const RegisteredEndpoint &) = default;
 };
--- a/include/mulberrywall/Router/RouteTable.h
+++ b/include/mulberrywall/Router/RouteTable.h
@@ -46,6 +46,9 @@
 /// Returns the hash of the parts that other requests share, which is all but the last one; 0 when there are none.
 std::uint64_t sharedPromptHash(std::span<const PromptPart> parts);
 
+/// Returns the tokens of those parts.
+std::uint32_t sharedPromptTokens(std::span<const PromptPart> parts);
+
 /// Checks route and key and describes the request; the caller adds the request for the endpoint.
 ///
 /// All problems have the verdict NotRun.
--- a/include/mulberrywall/Router/RouterService.h
+++ b/include/mulberrywall/Router/RouterService.h
@@ -86,6 +86,11 @@
 
     // Queries
     [[nodiscard]] bool isReady() const;
+    /// The pools that this router decides about; valid as long as the service.
+    [[nodiscard]] permits::PoolTable &pools()
+    {
+        return pools_;
+    }
     [[nodiscard]] boost::asio::ip::tcp::endpoint callerEndpoint() const;
     [[nodiscard]] boost::asio::ip::tcp::endpoint adminEndpoint() const;
 
--- a/lib/Membership/Authenticator.cpp
+++ b/lib/Membership/Authenticator.cpp
@@ -1,4 +1,4 @@
-#include "Authenticator.h"
+#include "mulberrywall/Membership/Authenticator.h"
 
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
--- a/lib/Membership/UdpDriver.cpp
+++ b/lib/Membership/UdpDriver.cpp
@@ -1,6 +1,6 @@
 #include "mulberrywall/Membership/UdpDriver.h"
 
-#include "Authenticator.h"
+#include "mulberrywall/Membership/Authenticator.h"
 
 #include "mulberrywall/Support/Log.h"
 
--- a/lib/Permits/PoolOwner.cpp
+++ b/lib/Permits/PoolOwner.cpp
@@ -37,6 +37,7 @@
         specs.push_back({.id = endpoint.id,
             .maximumConcurrency = endpoint.maximumConcurrency,
             .prefixCache = endpoint.support.prefixCache,
+            .incarnation = endpoint.incarnation,
             .leaving = leaving.contains(endpoint.id)});
     }
     std::vector<Notification> notifications;
@@ -170,6 +171,17 @@
     execute([&] { return functions_.recordLoadReport(pool_.get(), report, now()); });
 }
 
+void OwnedPool::recordPeerRequests(const policy::PeerReport &report)
+{
+    execute([&] { return functions_.recordPeerRequests(pool_.get(), report, now()); });
+}
+
+std::vector<policy::PeerRequest> OwnedPool::runningRequests() const
+{
+    const std::scoped_lock lock(mutex_);
+    return functions_.runningRequests(pool_.get());
+}
+
 policy::PoolSummary OwnedPool::summarize() const
 {
     const std::scoped_lock lock(mutex_);
--- a/lib/Policy/ActiveRequests.cpp
+++ b/lib/Policy/ActiveRequests.cpp
@@ -1,6 +1,7 @@
 #include "mulberrywall/Policy/ActiveRequests.h"
 
 #include "mulberrywall/Policy/FailureBackoff.h"
+#include "mulberrywall/Policy/PromptPlacement.h"
 
 #include <algorithm>
 #include <cassert>
@@ -88,6 +89,7 @@
         permit, ActiveRequest {.submission = std::move(request.submission), .tier = request.tier, .endpoint = &endpoint, .startedAt = now, .progressAt = now});
     assert(added && "a permit must be granted only once");
     setWork(entry->second, request.work);
+    notePromptStart(pool, entry->second, now);
     return entry->second;
 }
 
@@ -121,6 +123,7 @@
     if (knownTokens == 0) {
         const TimePoint firstAt = std::clamp(now - progress.sinceFirstToken, request.progressAt, latestAt);
         observeFirstToken(pool, request, firstAt, now);
+        notePromptRead(pool, request, firstAt, now);
         // Tokens of one time tell nothing about the time between them.
         request.firstTokens = firstAt < latestAt ? 1 : progress.outputTokens;
         request.firstProgressAt = firstAt;
@@ -176,6 +179,7 @@
     EndpointState &endpoint = *found->second.endpoint;
     const bool wasLong = found->second.isLong;
     setWork(found->second, 0.0);
+    notePromptEnd(found->second);
     --pool.loadByTier.at(found->second.tier).running;
     pool.startSecondsSum -= secondsBetween(TimePoint {}, found->second.startedAt);
     pool.active.erase(found);
--- a/lib/Policy/EndpointSelection.cpp
+++ b/lib/Policy/EndpointSelection.cpp
@@ -2,6 +2,7 @@
 
 #include "mulberrywall/Policy/CrashSuspects.h"
 #include "mulberrywall/Policy/LongRequests.h"
+#include "mulberrywall/Policy/PromptPlacement.h"
 #include "mulberrywall/Policy/SlowEndpoints.h"
 
 #include <algorithm>
@@ -194,6 +195,13 @@
     if (all.empty()) {
         return nullptr;
     }
+    if (request.submission.sharedPromptTokens) {
+        std::vector<EndpointState *> endpoints;
+        for (const Candidate &candidate : all) {
+            endpoints.push_back(candidate.endpoint);
+        }
+        return placePrompt(pool, endpoints, request.submission, now);
+    }
     if (isWorthAffinity(pool, request)) {
         if (const Candidate *affine = affineCandidate(all, pool, request)) {
             return affine->endpoint;
--- /dev/null
+++ b/lib/Policy/PromptPlacement.cpp
@@ -0,0 +1,188 @@
+#include "mulberrywall/Policy/PromptPlacement.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace mulberrywall::policy
+{
+
+namespace
+{
+
+/// What waits and runs at an endpoint.
+struct Backlog
+{
+    double unreadTokens = 0.0;
+    unsigned running = 0;
+};
+
+bool isFresh(const PeerLoad &load, const PlacementTuning &tuning, TimePoint now)
+{
+    return now - load.reportedAt <= tuning.peerLifetime;
+}
+
+Backlog backlogOf(const Pool &pool, const EndpointState &endpoint, TimePoint now)
+{
+    Backlog result {.unreadTokens = static_cast<double>(endpoint.prompts.readingTokens), .running = endpoint.running};
+    for (const auto &[peer, load] : endpoint.peers) {
+        if (isFresh(load, pool.options.tuning.placement, now)) {
+            result.unreadTokens += load.unreadTokens;
+            result.running += load.running;
+        }
+    }
+    return result;
+}
+
+double readingSpeed(const Pool &pool, const EndpointState &endpoint)
+{
+    const double tokensPerSecond
+        = pool.promptTokensPerSecond.samples > 0 ? pool.promptTokensPerSecond.value : pool.options.tuning.placement.defaultTokensPerSecond;
+    return tokensPerSecond * std::clamp(endpoint.slow.relativeSpeed, pool.options.tuning.placement.minimumRelativeSpeed, 1.0);
+}
+
+bool holds(const EndpointState &endpoint, std::uint64_t prefix)
+{
+    return prefix != 0 && endpoint.prompts.prefixes.contains(prefix);
+}
+
+/// Drops the prefixes that were not used for the longest time while an engine's memory cannot hold them all.
+void dropOldest(PromptCache &cache, std::uint64_t capacity)
+{
+    while (cache.heldTokens > capacity && !cache.prefixes.empty()) {
+        const auto oldest = std::min_element(
+            cache.prefixes.begin(), cache.prefixes.end(), [](const auto &left, const auto &right) { return left.second.usedAt < right.second.usedAt; });
+        cache.heldTokens -= oldest->second.tokens;
+        cache.prefixes.erase(oldest);
+    }
+}
+
+void notePrefix(const Pool &pool, EndpointState &endpoint, std::uint64_t prefix, std::uint32_t tokens, TimePoint now)
+{
+    if (prefix == 0 || tokens == 0) {
+        return;
+    }
+    PromptCache &cache = endpoint.prompts;
+    const auto [entry, added] = cache.prefixes.try_emplace(prefix, CachedPrefix {.tokens = tokens});
+    entry->second.usedAt = now;
+    if (added) {
+        cache.heldTokens += tokens;
+        dropOldest(cache, pool.options.tuning.placement.cacheTokens);
+    }
+}
+
+/// Returns the time that a request should rather wait than have an endpoint read its shared part again.
+double rereadSeconds(const Pool &pool, const EndpointState &endpoint, const Submission &submission)
+{
+    const PlacementTuning &tuning = pool.options.tuning.placement;
+    const double readSeconds = submission.sharedPromptTokens.value_or(0) / readingSpeed(pool, endpoint);
+    const ClassState *requestClass = findClass(pool, submission.requestClass);
+    if (requestClass == nullptr) {
+        return readSeconds;
+    }
+    const double target = std::chrono::duration<double>(requestClass->spec.firstTokenTarget).count();
+    return std::min(tuning.rereadWeight * readSeconds, tuning.maximumTargetShare * target);
+}
+
+} // namespace
+
+std::uint32_t unreadTokens(const EndpointState &endpoint, const Submission &submission)
+{
+    const std::uint32_t shared = std::min(submission.sharedPromptTokens.value_or(0), submission.promptTokens);
+    return holds(endpoint, submission.prefixHash) ? submission.promptTokens - shared : submission.promptTokens;
+}
+
+std::chrono::duration<double> estimatedFirstToken(const Pool &pool, const EndpointState &endpoint, const Submission &submission, TimePoint now)
+{
+    const Backlog backlog = backlogOf(pool, endpoint, now);
+    const double reading = (backlog.unreadTokens + unreadTokens(endpoint, submission)) / readingSpeed(pool, endpoint);
+    const double sharing = backlog.running * std::chrono::duration<double>(pool.options.tuning.placement.delayPerRunning).count();
+    return std::chrono::duration<double>(reading + sharing);
+}
+
+EndpointState *placePrompt(const Pool &pool, std::span<EndpointState *const> candidates, const Submission &submission, TimePoint now)
+{
+    const bool isHeld
+        = std::any_of(pool.endpoints.begin(), pool.endpoints.end(), [&](const auto &entry) { return holds(entry.second, submission.prefixHash); });
+    EndpointState *best = nullptr;
+    double bestSeconds = std::numeric_limits<double>::max();
+    for (EndpointState *endpoint : candidates) {
+        double seconds = estimatedFirstToken(pool, *endpoint, submission, now).count();
+        if (isHeld && !holds(*endpoint, submission.prefixHash)) {
+            seconds += rereadSeconds(pool, *endpoint, submission);
+        }
+        const bool isBetter = seconds < bestSeconds || (seconds == bestSeconds && endpoint->lastGrant < best->lastGrant);
+        if (isBetter) {
+            best = endpoint;
+            bestSeconds = seconds;
+        }
+    }
+    return best;
+}
+
+void notePromptStart(Pool &pool, ActiveRequest &request, TimePoint now)
+{
+    EndpointState &endpoint = *request.endpoint;
+    request.unreadTokens = unreadTokens(endpoint, request.submission);
+    request.unreadAhead = static_cast<std::uint32_t>(backlogOf(pool, endpoint, now).unreadTokens);
+    request.readingTokens = request.unreadTokens;
+    endpoint.prompts.readingTokens += request.readingTokens;
+    notePrefix(pool, endpoint, request.submission.prefixHash, request.submission.sharedPromptTokens.value_or(0), now);
+}
+
+void notePromptEnd(ActiveRequest &request)
+{
+    request.endpoint->prompts.readingTokens -= request.readingTokens;
+    request.readingTokens = 0;
+}
+
+void notePromptRead(Pool &pool, ActiveRequest &request, TimePoint firstTokenAt, TimePoint now)
+{
+    notePromptEnd(request);
+    const PlacementTuning &tuning = pool.options.tuning.placement;
+    if (request.adopted || request.unreadTokens < tuning.minimumSampleTokens) {
+        return;
+    }
+    const double seconds = secondsBetween(request.startedAt, firstTokenAt);
+    if (seconds > 0.0) {
+        observe(pool.promptTokensPerSecond, (request.unreadTokens + request.unreadAhead) / seconds, now);
+    }
+}
+
+void forgetPrompts(EndpointState &endpoint)
+{
+    endpoint.prompts.prefixes.clear();
+    endpoint.prompts.heldTokens = 0;
+}
+
+void recordPeerRequests(Pool &pool, const PeerReport &report, TimePoint now)
+{
+    for (auto &[id, endpoint] : pool.endpoints) {
+        endpoint.peers.erase(report.router);
+    }
+    for (const PeerRequest &request : report.requests) {
+        const auto found = pool.endpoints.find(request.endpoint);
+        if (found == pool.endpoints.end()) {
+            continue;
+        }
+        PeerLoad &load = found->second.peers[report.router];
+        load.reportedAt = now;
+        load.unreadTokens += request.unreadTokens;
+        ++load.running;
+        notePrefix(pool, found->second, request.prefixHash, request.sharedTokens, now);
+    }
+}
+
+std::vector<PeerRequest> runningRequests(const Pool &pool)
+{
+    std::vector<PeerRequest> result;
+    result.reserve(pool.active.size());
+    for (const auto &[permit, request] : pool.active) {
+        result.push_back({.endpoint = request.endpoint->spec.id,
+            .prefixHash = request.submission.prefixHash,
+            .sharedTokens = request.submission.sharedPromptTokens.value_or(0),
+            .unreadTokens = request.readingTokens});
+    }
+    return result;
+}
+
+} // namespace mulberrywall::policy
--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -9,6 +9,7 @@
 #include "mulberrywall/Policy/MinimumShare.h"
 #include "mulberrywall/Policy/PolicyFunctions.h"
 #include "mulberrywall/Policy/Pool.h"
+#include "mulberrywall/Policy/PromptPlacement.h"
 #include "mulberrywall/Policy/Scheduling.h"
 #include "mulberrywall/Policy/SlowEndpoints.h"
 
@@ -262,6 +263,7 @@
         noteFailure(*request.endpoint, pool.options.tuning.selection, now);
         noteEndpointCrash(pool, request, now, decisions);
         noteLengthAtCrash(pool, request);
+        forgetPrompts(*request.endpoint);
         return;
     case AttemptOutcome::Cancelled:
         return;
@@ -308,7 +310,11 @@
         endpoint.spec.leaving = true;
     }
     for (const EndpointSpec &spec : endpoints) {
-        pool.endpoints[spec.id].spec = spec;
+        EndpointState &endpoint = pool.endpoints[spec.id];
+        if (endpoint.spec.incarnation != spec.incarnation) {
+            forgetPrompts(endpoint);
+        }
+        endpoint.spec = spec;
     }
     std::erase_if(pool.endpoints, [](const auto &entry) { return entry.second.spec.leaving && entry.second.running == 0; });
     enforceSlowBound(pool);
@@ -343,6 +349,17 @@
     return advance(handle, now);
 }
 
+Decisions recordPeerReport(void *handle, const PeerReport &report, TimePoint now)
+{
+    recordPeerRequests(beginCommand(handle, now), report, now);
+    return {};
+}
+
+std::vector<PeerRequest> listRunningRequests(const void *handle)
+{
+    return runningRequests(asPool(handle));
+}
+
 std::optional<TimePoint> nextWakeUp(const void *handle)
 {
     const Pool &pool = asPool(handle);
@@ -424,9 +441,11 @@
     .recordLoadReport = recordLoadReport,
     .adopt = adopt,
     .recordSuspect = recordSuspect,
+    .recordPeerRequests = recordPeerReport,
     .advance = advance,
     .nextWakeUp = nextWakeUp,
     .summarize = summarize,
+    .runningRequests = listRunningRequests,
     .suspects = suspects,
     .hedgeDelay = hedgeDelay,
     .endpointStatus = endpointStatus,
--- a/lib/Router/CallerSession.cpp
+++ b/lib/Router/CallerSession.cpp
@@ -145,6 +145,7 @@
             .fingerprint = request_->fingerprint,
             .prefixHash = request_->prefixHash,
             .promptTokens = request_->promptTokens,
+            .sharedPromptTokens = request_->sharedPromptTokens,
             .purpose = purpose,
             .excludedEndpoints = excludedEndpoints(purpose),
             .deadline = request_->deadline}};
@@ -283,6 +284,7 @@
         attemptStartedAt_ = std::chrono::steady_clock::now();
     }
     if (purpose == AttemptPurpose::First) {
+        queued_ = std::chrono::duration_cast<std::chrono::milliseconds>(attemptStartedAt_ - startedAt_);
         armHedge();
     }
     const auto self = shared_from_this();
@@ -334,6 +336,7 @@
             firstTokenAt_ = std::chrono::steady_clock::now();
         }
     }
+    recordPause();
     if (attempt->outputTokens() > 0) {
         attemptsWithoutToken_ = 0;
     }
@@ -343,6 +346,21 @@
     relay_->write(text, streamHeader_);
 }
 
+void CallerSession::recordPause()
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (lastTokenAt_ != policy::TimePoint {}) {
+        longestPause_ = std::max(longestPause_, std::chrono::duration_cast<std::chrono::milliseconds>(now - lastTokenAt_));
+    }
+    lastTokenAt_ = now;
+}
+
+std::int64_t CallerSession::firstTokenMs() const
+{
+    constexpr std::int64_t none = -1;
+    return firstTokenAt_ ? std::chrono::duration_cast<std::chrono::milliseconds>(*firstTokenAt_ - startedAt_).count() : none;
+}
+
 void CallerSession::recordFirstToken()
 {
     const auto time = std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - attemptStartedAt_);
@@ -538,6 +556,9 @@
             {"outcome", support::toString(verdict_)},
             {"attempts", attempts_},
             {"outputTokens", deliveredTokens_},
+            {"queuedMs", queued_.count()},
+            {"firstTokenMs", firstTokenMs()},
+            {"longestPauseMs", longestPause_.count()},
             {"seconds", duration.count()}});
 }
 
--- a/lib/Router/PeerGroup.cpp
+++ b/lib/Router/PeerGroup.cpp
@@ -1,5 +1,6 @@
 #include "mulberrywall/Router/PeerGroup.h"
 
+#include "mulberrywall/Router/SuspectExchange.h"
 #include "mulberrywall/Support/Log.h"
 
 #include <boost/asio/post.hpp>
@@ -112,19 +113,13 @@
         return;
     }
     if (const auto *suspect = std::get_if<membership::CrashSuspect>(&item)) {
-        pools_.recordSuspect(
-            {.fingerprint = suspect->fingerprint, .crashes = suspect->crashes, .expiresAt = std::chrono::steady_clock::now() + suspect->timeToLive});
+        recordSuspect(pools_, *suspect);
     }
 }
 
 void PeerGroup::exchangeSuspects()
 {
-    const auto now = std::chrono::steady_clock::now();
-    for (const policy::SuspectEntry &suspect : pools_.suspects()) {
-        // Rounded down, so that the suspicion does not grow with each router that it passes through.
-        const auto left = std::chrono::floor<std::chrono::seconds>(suspect.expiresAt - now);
-        membership_->announce(membership::CrashSuspect {.fingerprint = suspect.fingerprint, .crashes = suspect.crashes, .timeToLive = left});
-    }
+    announceSuspects(pools_, *membership_);
     suspectTimer_.expires_after(options_.suspectInterval);
     suspectTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
         const auto self = weak.lock();
--- a/lib/Router/RouteTable.cpp
+++ b/lib/Router/RouteTable.cpp
@@ -63,6 +63,15 @@
     return hash == 0 ? 1 : hash;
 }
 
+std::uint32_t sharedPromptTokens(std::span<const PromptPart> parts)
+{
+    std::uint32_t tokens = 0;
+    for (const PromptPart &part : parts.first(parts.empty() ? 0 : parts.size() - 1)) {
+        tokens += part.tokens;
+    }
+    return tokens;
+}
+
 static http::Problem makeProblem(const RoutedFields &fields, http::Status status, std::string title, std::string detail)
 {
     return {.status = status, .title = std::move(title), .detail = std::move(detail), .verdict = support::Verdict::NotRun, .requestId = fields.id.value()};
@@ -138,6 +147,9 @@
     result.responseMode = route->streams ? ResponseMode::Stream : ResponseMode::Whole;
     result.prefixHash = sharedPromptHash(fields.promptParts);
     result.promptTokens = fields.promptTokens;
+    if (pool->kind == configuration::PoolKind::ModelEngine) {
+        result.sharedPromptTokens = sharedPromptTokens(fields.promptParts);
+    }
     result.deadline = deadlineOf(fields, *route, now);
     result.maximumAttempts = route->maximumAttempts;
     result.isResumable = route->resumable;
--- /dev/null
+++ b/lib/Router/RouterMesh.cpp
@@ -0,0 +1,140 @@
+#include "mulberrywall/Router/RouterMesh.h"
+
+#include "mulberrywall/Router/SuspectExchange.h"
+#include "mulberrywall/Support/Log.h"
+
+#include <boost/asio/post.hpp>
+
+#include <utility>
+#include <variant>
+
+namespace mulberrywall::router
+{
+
+/// Interval at which the store is asked for the secret until it answers.
+static constexpr std::chrono::milliseconds secretRetryInterval {1'000};
+static constexpr std::chrono::milliseconds suspectInterval {1'000};
+
+RouterMesh::RouterMesh(boost::asio::io_context &context, permits::PoolTable &pools, RouterMeshOptions options, AgreeOnValue agreeOnSecret)
+    : context_(context),
+      pools_(pools),
+      options_(std::move(options)),
+      agreeOnSecret_(std::move(agreeOnSecret)),
+      timer_(context)
+{
+}
+
+void RouterMesh::start()
+{
+    askForSecret();
+}
+
+void RouterMesh::askForSecret()
+{
+    agreeOnSecret_(support::makeRandomId(), [self = shared_from_this()](std::optional<std::string> secret) {
+        boost::asio::post(self->context_, [self, secret = std::move(secret)] {
+            if (self->stopped_) {
+                return;
+            }
+            if (secret) {
+                self->join(*secret);
+                return;
+            }
+            self->timer_.expires_after(secretRetryInterval);
+            self->timer_.async_wait([self](const boost::system::error_code &error) {
+                if (!error && !self->stopped_) {
+                    self->askForSecret();
+                }
+            });
+        });
+    });
+}
+
+void RouterMesh::join(const std::string &secret)
+{
+    try {
+        loads_ = permits::LoadExchange::create(
+            context_, pools_, {.instance = options_.instance, .listen = options_.loadListen, .secret = secret}, [weak = weak_from_this()] {
+                const auto self = weak.lock();
+                return self ? self->peerAddresses() : std::vector<boost::asio::ip::udp::endpoint>();
+            });
+        membership::DriverOptions driver {.listen = options_.membershipListen, .secret = secret};
+        driver.protocol.self.instance = options_.instance;
+        driver.protocol.self.dataCentre = options_.dataCentre;
+        driver.protocol.self.incarnation = membership::incarnationFromClock();
+        // The members of a mesh have no peer service; the address is that of the load exchange.
+        driver.protocol.self.peerAddress = membership::toAddress(loads_->localEndpoint());
+        for (const auto &seed : options_.seeds) {
+            driver.protocol.seeds.push_back(membership::toAddress(seed));
+        }
+        membership_ = membership::UdpDriver::create(context_, driver);
+    } catch (const boost::system::system_error &error) {
+        support::log(support::Severity::Error, "could not join the other routers; serving alone", {{"reason", error.what()}});
+        loads_ = nullptr;
+        return;
+    }
+    subscription_ = membership_->subscribe([weak = weak_from_this()](const membership::Item &item) {
+        if (const auto self = weak.lock()) {
+            self->onItem(item);
+        }
+    });
+    membership_->start();
+    loads_->start();
+    exchangeSuspects();
+    support::log(support::Severity::Info, "joined the other routers", {{"port", membership_->localEndpoint().port()}});
+}
+
+void RouterMesh::onItem(const membership::Item &item)
+{
+    if (const auto *member = std::get_if<membership::Member>(&item)) {
+        support::log(support::Severity::Info,
+            "member changed",
+            {{"member", member->instance.value()}, {"dataCentre", member->dataCentre.value()}, {"live", membership::isLive(member->state)}});
+        return;
+    }
+    if (const auto *suspect = std::get_if<membership::CrashSuspect>(&item)) {
+        recordSuspect(pools_, *suspect);
+    }
+}
+
+void RouterMesh::exchangeSuspects()
+{
+    announceSuspects(pools_, *membership_);
+    timer_.expires_after(suspectInterval);
+    timer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self && !self->stopped_) {
+            self->exchangeSuspects();
+        }
+    });
+}
+
+std::vector<boost::asio::ip::udp::endpoint> RouterMesh::peerAddresses() const
+{
+    std::vector<boost::asio::ip::udp::endpoint> result;
+    for (const membership::Member &member : membership_->liveMembers()) {
+        if (member.instance != options_.instance) {
+            result.push_back(membership::toUdpEndpoint(member.peerAddress));
+        }
+    }
+    return result;
+}
+
+void RouterMesh::leave()
+{
+    if (membership_) {
+        membership_->leave([] {});
+    }
+}
+
+void RouterMesh::stop()
+{
+    stopped_ = true;
+    timer_.cancel();
+    if (membership_) {
+        membership_->stop();
+        loads_->stop();
+    }
+}
+
+} // namespace mulberrywall::router
--- a/test/Support/Naive/NaivePolicy.cpp
+++ b/test/Support/Naive/NaivePolicy.cpp
@@ -241,6 +241,16 @@
     return summary;
 }
 
+Decisions recordPeerRequests(void * /*handle*/, const PeerReport & /*report*/, TimePoint /*now*/)
+{
+    return {};
+}
+
+std::vector<PeerRequest> runningRequests(const void * /*handle*/)
+{
+    return {};
+}
+
 std::vector<SuspectEntry> suspects(const void * /*handle*/)
 {
     return {};
@@ -278,9 +288,11 @@
     .recordLoadReport = recordLoadReport,
     .adopt = adopt,
     .recordSuspect = recordSuspect,
+    .recordPeerRequests = recordPeerRequests,
     .advance = advance,
     .nextWakeUp = nextWakeUp,
     .summarize = summarize,
+    .runningRequests = runningRequests,
     .suspects = suspects,
     .hedgeDelay = hedgeDelay,
     .endpointStatus = endpointStatus,
--- a/tools/mulberrywall-router/NodeProgram.cpp
+++ b/tools/mulberrywall-router/NodeProgram.cpp
@@ -6,6 +6,7 @@
 #include "platform/OperatorDocument.h"
 #include "platform/StoreClient.h"
 
+#include "mulberrywall/Router/RouterMesh.h"
 #include "mulberrywall/Router/RouterService.h"
 #include "mulberrywall/Router/StoreFeed.h"
 #include "mulberrywall/Support/Log.h"
@@ -136,6 +137,31 @@
             }};
 }
 
+/// Table and key of the secret that all routers share.
+constexpr std::string_view ownTable = "mulberrywall";
+constexpr std::string_view secretKey = "peer-secret";
+
+/// Returns nullptr when the platform has no ports for routers among themselves.
+std::shared_ptr<RouterMesh> makeMesh(
+    boost::asio::io_context &context, RouterService &service, const platform::NodeSettings &settings, const std::shared_ptr<platform::StoreClient> &client)
+{
+    if (settings.firstPeerPort == 0) {
+        return nullptr;
+    }
+    const boost::asio::ip::address own = settings.callerListen.address();
+    RouterMeshOptions options {.instance = settings.instance,
+        .dataCentre = settings.dataCentre,
+        .membershipListen = {own, settings.firstPeerPort},
+        .loadListen = {own, static_cast<std::uint16_t>(settings.firstPeerPort + 1)}};
+    for (const boost::asio::ip::address &seed : settings.seeds) {
+        options.seeds.emplace_back(seed, settings.firstPeerPort);
+    }
+    return std::make_shared<RouterMesh>(
+        context, service.pools(), std::move(options), [client](std::string candidate, std::function<void(std::optional<std::string>)> handler) {
+            client->createRow(ownTable, secretKey, std::move(candidate), std::move(handler));
+        });
+}
+
 /// Reads the settings file again on SIGHUP and when it has changed.
 ///
 /// What other processes rely on, such as listen addresses, holds until the process ends.
@@ -233,9 +259,18 @@
                   client->setAddress(changed.store);
                   service.setConfigurationLifetime(configurationLifetime(changed));
               });
-        support::onTerminationSignal(workers.context(), [&service, &drained] { service.drain([&drained] { drained.set_value(); }); });
+        const auto mesh = makeMesh(workers.context(), service, settings, client);
+        support::onTerminationSignal(workers.context(), [&service, &drained, mesh] {
+            if (mesh) {
+                mesh->leave();
+            }
+            service.drain([&drained] { drained.set_value(); });
+        });
         service.start();
         feed->start();
+        if (mesh) {
+            mesh->start();
+        }
         watcher->start();
         drained.get_future().wait();
         workers.stop();
--- a/unittests/Adapter/EndpointEntryTest.cpp
+++ b/unittests/Adapter/EndpointEntryTest.cpp
@@ -21,7 +21,7 @@
     EXPECT_EQ(entry.endpoint.port, 8080);
     EXPECT_EQ(entry.endpoint.pools.front().value(), "s1");
     EXPECT_EQ(entry.endpoint.maximumConcurrency, 64U);
-    EXPECT_EQ(entry.incarnation, 1700000000123);
+    EXPECT_EQ(entry.endpoint.incarnation, 1700000000123);
     EXPECT_FALSE(entry.leaving);
 
     const auto leaving = readEndpointEntry("i-1", R"({"service":"s1","address":"10.128.0.9:8080","zone":"west","slots":6,"state":"draining"})");
--- a/unittests/Membership/CodecTest.cpp
+++ b/unittests/Membership/CodecTest.cpp
@@ -1,5 +1,5 @@
 #include "Codec.h"
-#include "Authenticator.h"
+#include "mulberrywall/Membership/Authenticator.h"
 
 #include "mulberrywall/Membership/StateMachine.h"
 
