policy: keep long prompts away from streams whose pauses they would spoil

Ruled out: late first events as the main cause. Change: streams are counted by pause target, over all routers; a placement that makes one miss its target costs 400 ms.

--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -61,6 +61,9 @@
     TimePoint usedAt;
 };
 
+/// Streams by the longest pause between tokens that their targets allow.
+using StreamsByPause = std::map<std::chrono::milliseconds, unsigned>;
+
 /// Prompts that an endpoint holds and reads, as far as routers have sent them there.
 struct PromptCache
 {
@@ -68,6 +71,8 @@
     std::uint64_t heldTokens = 0;
     /// Tokens of this router's requests that the endpoint still has to read.
     std::uint64_t readingTokens = 0;
+    /// This router's requests at the endpoint.
+    StreamsByPause streams;
 };
 
 /// What another router runs on an endpoint.
@@ -75,6 +80,7 @@
 {
     double unreadTokens = 0.0;
     unsigned running = 0;
+    StreamsByPause streams;
     TimePoint reportedAt;
 };
 
@@ -130,6 +136,8 @@
     std::uint32_t unreadAhead = 0;
     /// Tokens that the endpoint still reads; 0 from the first output on.
     std::uint32_t readingTokens = 0;
+    /// Longest pause that the request's target allows; 0 for a request that was not placed by its prompt.
+    std::chrono::milliseconds pauseTarget {0};
     /// Adopted requests started at an unknown time.
     bool adopted = false;
 };
@@ -186,6 +194,13 @@
     bool changed = false;
 };
 
+/// The longest time that an engine took lately to read one prompt.
+struct LongestRead
+{
+    double seconds = 0.0;
+    TimePoint notedAt;
+};
+
 /// State of one pool at its owner.
 struct Pool
 {
@@ -209,6 +224,7 @@
     bool producesTokens = false;
     /// Speed at which engines read prompts.
     Average promptTokensPerSecond;
+    LongestRead longestRead;
     /// Time from grant to completion over all classes.
     Average holdSeconds;
     std::uint64_t grants = 0;
--- a/include/mulberrywall/Policy/PromptPlacement.h
+++ b/include/mulberrywall/Policy/PromptPlacement.h
@@ -9,16 +9,14 @@
 /// An engine reads the prompts that it admitted one after another, so that a short request waits for the long ones
 /// before it. A part that it read before costs nothing, but one that another engine holds has to be read again. The
 /// choice weighs both: the tokens that wait at an engine, of this router and of its peers, and the tokens that the
-/// engine would have to read for the request.
+/// engine would have to read for the request. While an engine reads, the streams that it runs pause; a long prompt avoids
+/// engines whose streams would miss their targets, and such streams gather on few engines.
 namespace mulberrywall::policy
 {
 
 /// Returns the tokens that the engine has to read for the request, as far as is known.
 std::uint32_t unreadTokens(const EndpointState &endpoint, const Submission &submission);
 
-/// Returns the estimated time until the endpoint sends the first token of the request.
-std::chrono::duration<double> estimatedFirstToken(const Pool &pool, const EndpointState &endpoint, const Submission &submission, TimePoint now);
-
 /// Returns the endpoint that suits the prompt best, or nullptr without candidates.
 EndpointState *placePrompt(const Pool &pool, std::span<EndpointState *const> candidates, const Submission &submission, TimePoint now);
 
--- a/include/mulberrywall/Policy/Tuning.h
+++ b/include/mulberrywall/Policy/Tuning.h
@@ -107,6 +107,16 @@
     double rereadWeight = 5.0;
     /// Bound on that waiting, as a share of the first-token target.
     double maximumTargetShare = 0.6;
+    /// A stream misses its pause target when the engine reads for longer than this share of the pause at once.
+    double pauseShare = 0.6;
+    /// A prompt rather waits this long, or is read again elsewhere, than makes one stream miss its pause target.
+    std::chrono::milliseconds delayPerMissedPause {400};
+    /// Streams with short pauses gather on the same engines, which long prompts then avoid: each such stream makes an
+    /// engine look faster by this time.
+    std::chrono::milliseconds gainPerSheltered {5};
+    unsigned maximumSheltered = 10;
+    /// Long prompts are expected for this long after the last one.
+    std::chrono::milliseconds longestReadLifetime {10'000};
     /// Shared parts that an engine is taken to hold at most.
     std::uint64_t cacheTokens = 400'000;
     /// A peer's report counts for this long; peers repeat theirs several times meanwhile.
--- a/include/mulberrywall/Policy/Types.h
+++ b/include/mulberrywall/Policy/Types.h
@@ -186,6 +186,8 @@
     std::uint32_t sharedTokens = 0;
     /// Prompt tokens that the endpoint still has to read; 0 once it sends output.
     std::uint32_t unreadTokens = 0;
+    /// Longest pause between tokens that the request's target allows.
+    std::chrono::milliseconds pauseTarget {0};
 
     friend bool operator==(const PeerRequest &, const PeerRequest &) = default;
 };
--- a/lib/Permits/LoadReport.capnp
+++ b/lib/Permits/LoadReport.capnp
@@ -22,4 +22,6 @@
   sharedTokens @2 :UInt32;
   # Prompt tokens that the endpoint still has to read.
   unreadTokens @3 :UInt32;
+  # Longest pause between tokens that the request's target allows, in milliseconds.
+  pauseTargetMs @4 :UInt32;
 }
--- a/lib/Permits/LoadReportCodec.cpp
+++ b/lib/Permits/LoadReportCodec.cpp
@@ -31,6 +31,7 @@
             list[position].setPrefixHash(request.prefixHash);
             list[position].setSharedTokens(request.sharedTokens);
             list[position].setUnreadTokens(request.unreadTokens);
+            list[position].setPauseTargetMs(static_cast<std::uint32_t>(request.pauseTarget.count()));
         }
     }
     kj::VectorOutputStream stream;
@@ -48,7 +49,8 @@
             requests.push_back({.endpoint = support::EndpointId(request.getEndpoint().cStr()),
                 .prefixHash = request.getPrefixHash(),
                 .sharedTokens = request.getSharedTokens(),
-                .unreadTokens = request.getUnreadTokens()});
+                .unreadTokens = request.getUnreadTokens(),
+                .pauseTarget = std::chrono::milliseconds(request.getPauseTargetMs())});
         }
         report.pools.emplace_back(support::PoolId(pool.getPool().cStr()), std::move(requests));
     }
--- a/lib/Policy/PromptPlacement.cpp
+++ b/lib/Policy/PromptPlacement.cpp
@@ -14,8 +14,16 @@
 {
     double unreadTokens = 0.0;
     unsigned running = 0;
+    StreamsByPause streams;
 };
 
+void addStreams(StreamsByPause &sum, const StreamsByPause &streams)
+{
+    for (const auto &[pause, count] : streams) {
+        sum[pause] += count;
+    }
+}
+
 bool isFresh(const PeerLoad &load, const PlacementTuning &tuning, TimePoint now)
 {
     return now - load.reportedAt <= tuning.peerLifetime;
@@ -23,11 +31,12 @@
 
 Backlog backlogOf(const Pool &pool, const EndpointState &endpoint, TimePoint now)
 {
-    Backlog result {.unreadTokens = static_cast<double>(endpoint.prompts.readingTokens), .running = endpoint.running};
+    Backlog result {.unreadTokens = static_cast<double>(endpoint.prompts.readingTokens), .running = endpoint.running, .streams = endpoint.prompts.streams};
     for (const auto &[peer, load] : endpoint.peers) {
         if (isFresh(load, pool.options.tuning.placement, now)) {
             result.unreadTokens += load.unreadTokens;
             result.running += load.running;
+            addStreams(result.streams, load.streams);
         }
     }
     return result;
@@ -70,6 +79,70 @@
     }
 }
 
+std::chrono::milliseconds pauseTargetOf(const Pool &pool, const Submission &submission)
+{
+    const ClassState *requestClass = findClass(pool, submission.requestClass);
+    return requestClass == nullptr ? std::chrono::milliseconds(0) : requestClass->spec.betweenTokensTarget;
+}
+
+/// Returns the number of streams that would miss their pause targets if the engine read for the given time at once.
+unsigned missedPauses(const StreamsByPause &streams, double readSeconds, const PlacementTuning &tuning)
+{
+    unsigned count = 0;
+    for (const auto &[pause, number] : streams) {
+        if (readSeconds > tuning.pauseShare * std::chrono::duration<double>(pause).count()) {
+            count += number;
+        }
+    }
+    return count;
+}
+
+/// Returns whether long prompts that are about could make the stream miss its pause target.
+bool needsShelter(const Pool &pool, std::chrono::milliseconds pause, TimePoint now)
+{
+    const PlacementTuning &tuning = pool.options.tuning.placement;
+    if (now - pool.longestRead.notedAt > tuning.longestReadLifetime) {
+        return false;
+    }
+    return pool.longestRead.seconds > tuning.pauseShare * std::chrono::duration<double>(pause).count();
+}
+
+void noteRead(Pool &pool, double seconds, TimePoint now)
+{
+    const bool isOld = now - pool.longestRead.notedAt > pool.options.tuning.placement.longestReadLifetime;
+    if (isOld || seconds >= pool.longestRead.seconds) {
+        pool.longestRead = {.seconds = seconds, .notedAt = now};
+    }
+}
+
+unsigned streamsUpTo(const StreamsByPause &streams, std::chrono::milliseconds pause)
+{
+    unsigned count = 0;
+    for (const auto &[target, number] : streams) {
+        count += target <= pause ? number : 0;
+    }
+    return count;
+}
+
+/// Returns the delay that stands for the pauses between tokens that the placement spoils; negative where it shelters the
+/// stream from long prompts.
+double pauseCost(const Pool &pool, const EndpointState &endpoint, const Submission &submission, const Backlog &backlog, TimePoint now)
+{
+    const PlacementTuning &tuning = pool.options.tuning.placement;
+    const double speed = readingSpeed(pool, endpoint);
+    const double own = unreadTokens(endpoint, submission) / speed;
+    const double waiting = backlog.unreadTokens / speed;
+    // Streams that miss their targets because of what waits already are no reason to go elsewhere.
+    const unsigned missed = missedPauses(backlog.streams, waiting + own, tuning) - missedPauses(backlog.streams, waiting, tuning);
+    double seconds = missed * std::chrono::duration<double>(tuning.delayPerMissedPause).count();
+    const std::chrono::milliseconds pause = pauseTargetOf(pool, submission);
+    if (needsShelter(pool, pause, now)) {
+        const unsigned sheltered = std::min(streamsUpTo(backlog.streams, pause), tuning.maximumSheltered);
+        seconds -= sheltered * std::chrono::duration<double>(tuning.gainPerSheltered).count();
+    }
+    return seconds;
+}
+
 /// Returns the time that a request should rather wait than have an endpoint read its shared part again.
 double rereadSeconds(const Pool &pool, const EndpointState &endpoint, const Submission &submission)
 {
@@ -91,12 +164,12 @@
     return holds(endpoint, submission.prefixHash) ? submission.promptTokens - shared : submission.promptTokens;
 }
 
-std::chrono::duration<double> estimatedFirstToken(const Pool &pool, const EndpointState &endpoint, const Submission &submission, TimePoint now)
+/// Returns the estimated time until the endpoint sends the first token of the request.
+static double firstTokenSeconds(const Pool &pool, const EndpointState &endpoint, const Submission &submission, const Backlog &backlog)
 {
-    const Backlog backlog = backlogOf(pool, endpoint, now);
     const double reading = (backlog.unreadTokens + unreadTokens(endpoint, submission)) / readingSpeed(pool, endpoint);
     const double sharing = backlog.running * std::chrono::duration<double>(pool.options.tuning.placement.delayPerRunning).count();
-    return std::chrono::duration<double>(reading + sharing);
+    return reading + sharing;
 }
 
 EndpointState *placePrompt(const Pool &pool, std::span<EndpointState *const> candidates, const Submission &submission, TimePoint now)
@@ -106,7 +179,8 @@
     EndpointState *best = nullptr;
     double bestSeconds = std::numeric_limits<double>::max();
     for (EndpointState *endpoint : candidates) {
-        double seconds = estimatedFirstToken(pool, *endpoint, submission, now).count();
+        const Backlog backlog = backlogOf(pool, *endpoint, now);
+        double seconds = firstTokenSeconds(pool, *endpoint, submission, backlog) + pauseCost(pool, *endpoint, submission, backlog, now);
         if (isHeld && !holds(*endpoint, submission.prefixHash)) {
             seconds += rereadSeconds(pool, *endpoint, submission);
         }
@@ -127,17 +201,33 @@
     request.readingTokens = request.unreadTokens;
     endpoint.prompts.readingTokens += request.readingTokens;
     notePrefix(pool, endpoint, request.submission.prefixHash, request.submission.sharedPromptTokens.value_or(0), now);
+    if (!request.submission.sharedPromptTokens) {
+        return;
+    }
+    request.pauseTarget = pauseTargetOf(pool, request.submission);
+    ++endpoint.prompts.streams[request.pauseTarget];
+    noteRead(pool, request.unreadTokens / readingSpeed(pool, endpoint), now);
 }
 
-void notePromptEnd(ActiveRequest &request)
+static void stopReading(ActiveRequest &request)
 {
     request.endpoint->prompts.readingTokens -= request.readingTokens;
     request.readingTokens = 0;
 }
 
+void notePromptEnd(ActiveRequest &request)
+{
+    stopReading(request);
+    StreamsByPause &streams = request.endpoint->prompts.streams;
+    const auto found = request.submission.sharedPromptTokens ? streams.find(request.pauseTarget) : streams.end();
+    if (found != streams.end() && --found->second == 0) {
+        streams.erase(found);
+    }
+}
+
 void notePromptRead(Pool &pool, ActiveRequest &request, TimePoint firstTokenAt, TimePoint now)
 {
-    notePromptEnd(request);
+    stopReading(request);
     const PlacementTuning &tuning = pool.options.tuning.placement;
     if (request.adopted || request.unreadTokens < tuning.minimumSampleTokens) {
         return;
@@ -168,6 +258,10 @@
         load.reportedAt = now;
         load.unreadTokens += request.unreadTokens;
         ++load.running;
+        if (request.pauseTarget.count() > 0) {
+            ++load.streams[request.pauseTarget];
+        }
+        noteRead(pool, request.unreadTokens / readingSpeed(pool, found->second), now);
         notePrefix(pool, found->second, request.prefixHash, request.sharedTokens, now);
     }
 }
@@ -180,7 +274,8 @@
         result.push_back({.endpoint = request.endpoint->spec.id,
             .prefixHash = request.submission.prefixHash,
             .sharedTokens = request.submission.sharedPromptTokens.value_or(0),
-            .unreadTokens = request.readingTokens});
+            .unreadTokens = request.readingTokens,
+            .pauseTarget = request.pauseTarget});
     }
     return result;
 }
