policy: shelter streams with short prompts and short pauses on some engines

Cause: with all engines reading long prompts no engine was safe for drafts (pauses of 500 ms and 300 ms). Change: engines are chosen in an order by hash, the same at all routers, one for each 12 such streams, at most a third.

--- a/include/mulberrywall/Policy/EndpointSelection.h
+++ b/include/mulberrywall/Policy/EndpointSelection.h
@@ -5,6 +5,9 @@
 namespace mulberrywall::policy
 {
 
+/// Returns the weight of the endpoint in an order that is the same at all routers and differs by seed.
+std::uint64_t rendezvousWeight(std::uint64_t seed, const support::EndpointId &endpoint);
+
 /// Returns how many requests the endpoint may run at once now.
 unsigned slotLimit(const Pool &pool, const EndpointState &endpoint, TimePoint now);
 
--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -71,8 +71,9 @@
     std::uint64_t heldTokens = 0;
     /// Tokens of this router's requests that the endpoint still has to read.
     std::uint64_t readingTokens = 0;
-    /// This router's requests at the endpoint.
+    /// This router's requests at the endpoint, and those among them whose prompts are short.
     StreamsByPause streams;
+    StreamsByPause shortStreams;
 };
 
 /// What another router runs on an endpoint.
@@ -81,6 +82,7 @@
     double unreadTokens = 0.0;
     unsigned running = 0;
     StreamsByPause streams;
+    StreamsByPause shortStreams;
     TimePoint reportedAt;
 };
 
@@ -138,6 +140,7 @@
     std::uint32_t readingTokens = 0;
     /// Longest pause that the request's target allows; 0 for a request that was not placed by its prompt.
     std::chrono::milliseconds pauseTarget {0};
+    bool hasShortPrompt = false;
     /// Adopted requests started at an unknown time.
     bool adopted = false;
 };
--- a/lib/Policy/PromptPlacement.cpp
+++ b/lib/Policy/PromptPlacement.cpp
@@ -1,7 +1,12 @@
 #include "mulberrywall/Policy/PromptPlacement.h"
 
+#include "mulberrywall/Policy/EndpointSelection.h"
+
 #include <algorithm>
 #include <limits>
+#include <set>
+#include <utility>
+#include <vector>
 
 namespace mulberrywall::policy
 {
@@ -15,6 +20,8 @@
     double unreadTokens = 0.0;
     unsigned running = 0;
     StreamsByPause streams;
+    /// Those among them whose prompts are short.
+    StreamsByPause shortStreams;
 };
 
 void addStreams(StreamsByPause &sum, const StreamsByPause &streams)
@@ -31,12 +38,16 @@
 
 Backlog backlogOf(const Pool &pool, const EndpointState &endpoint, TimePoint now)
 {
-    Backlog result {.unreadTokens = static_cast<double>(endpoint.prompts.readingTokens), .running = endpoint.running, .streams = endpoint.prompts.streams};
+    Backlog result {.unreadTokens = static_cast<double>(endpoint.prompts.readingTokens),
+        .running = endpoint.running,
+        .streams = endpoint.prompts.streams,
+        .shortStreams = endpoint.prompts.shortStreams};
     for (const auto &[peer, load] : endpoint.peers) {
         if (isFresh(load, pool.options.tuning.placement, now)) {
             result.unreadTokens += load.unreadTokens;
             result.running += load.running;
             addStreams(result.streams, load.streams);
+            addStreams(result.shortStreams, load.shortStreams);
         }
     }
     return result;
@@ -115,18 +126,49 @@
     }
 }
 
-unsigned streamsUpTo(const StreamsByPause &streams, std::chrono::milliseconds pause)
+bool isLongRead(const Pool &pool, const EndpointState &endpoint, double tokens)
+{
+    return tokens / readingSpeed(pool, endpoint) > pool.options.tuning.placement.longReadShare * pool.longestRead.seconds;
+}
+
+/// Returns the number of running streams with short prompts, of this router and its peers, that long prompts could spoil.
+unsigned streamsToShelter(const Pool &pool, TimePoint now)
 {
     unsigned count = 0;
-    for (const auto &[target, number] : streams) {
-        count += target <= pause ? number : 0;
+    for (const auto &[id, endpoint] : pool.endpoints) {
+        for (const auto &[pause, number] : backlogOf(pool, endpoint, now).shortStreams) {
+            count += needsShelter(pool, pause, now) ? number : 0;
+        }
     }
     return count;
 }
 
-/// Returns the delay that stands for the pauses between tokens that the placement spoils; negative where it shelters the
-/// stream from long prompts.
-double pauseCost(const Pool &pool, const EndpointState &endpoint, const Submission &submission, const Backlog &backlog, TimePoint now)
+/// Chooses the engines that long prompts avoid. All routers choose the same ones, in an order by hash, for nearly the same
+/// number of streams.
+std::set<const EndpointState *> shelteredEndpoints(const Pool &pool, TimePoint now)
+{
+    const PlacementTuning &tuning = pool.options.tuning.placement;
+    std::vector<std::pair<std::uint64_t, const EndpointState *>> order;
+    for (const auto &[id, endpoint] : pool.endpoints) {
+        if (!endpoint.spec.leaving) {
+            order.emplace_back(rendezvousWeight(0, id), &endpoint);
+        }
+    }
+    if (order.size() < tuning.minimumEndpointsToShelter || pool.longestRead.seconds == 0.0) {
+        return {};
+    }
+    std::sort(order.begin(), order.end());
+    const auto most = static_cast<std::size_t>(tuning.maximumShelterShare * static_cast<double>(order.size()));
+    const std::size_t needed = 1 + streamsToShelter(pool, now) / tuning.streamsPerShelter;
+    std::set<const EndpointState *> result;
+    for (const auto &[hash, endpoint] : std::span(order).first(std::min(needed, most))) {
+        result.insert(endpoint);
+    }
+    return result;
+}
+
+/// Returns the delay that stands for the pauses between tokens that the placement spoils.
+double pauseCost(const Pool &pool, const EndpointState &endpoint, const Submission &submission, const Backlog &backlog, bool isSheltered, TimePoint now)
 {
     const PlacementTuning &tuning = pool.options.tuning.placement;
     const double speed = readingSpeed(pool, endpoint);
@@ -135,10 +177,13 @@
     // Streams that miss their targets because of what waits already are no reason to go elsewhere.
     const unsigned missed = missedPauses(backlog.streams, waiting + own, tuning) - missedPauses(backlog.streams, waiting, tuning);
     double seconds = missed * std::chrono::duration<double>(tuning.delayPerMissedPause).count();
-    const std::chrono::milliseconds pause = pauseTargetOf(pool, submission);
-    if (needsShelter(pool, pause, now)) {
-        const unsigned sheltered = std::min(streamsUpTo(backlog.streams, pause), tuning.maximumSheltered);
-        seconds -= sheltered * std::chrono::duration<double>(tuning.gainPerSheltered).count();
+    const bool isShort = !isLongRead(pool, endpoint, submission.sharedPromptTokens.value_or(0));
+    const bool needsIt = isShort && needsShelter(pool, pauseTargetOf(pool, submission), now);
+    if (needsIt && !isSheltered) {
+        seconds += std::chrono::duration<double>(tuning.delayOutsideShelter).count();
+    }
+    if (isSheltered && isLongRead(pool, endpoint, unreadTokens(endpoint, submission))) {
+        seconds += std::chrono::duration<double>(tuning.delayAtShelter).count();
     }
     return seconds;
 }
@@ -176,11 +221,13 @@
 {
     const bool isHeld
         = std::any_of(pool.endpoints.begin(), pool.endpoints.end(), [&](const auto &entry) { return holds(entry.second, submission.prefixHash); });
+    const std::set<const EndpointState *> sheltered = shelteredEndpoints(pool, now);
     EndpointState *best = nullptr;
     double bestSeconds = std::numeric_limits<double>::max();
     for (EndpointState *endpoint : candidates) {
         const Backlog backlog = backlogOf(pool, *endpoint, now);
-        double seconds = firstTokenSeconds(pool, *endpoint, submission, backlog) + pauseCost(pool, *endpoint, submission, backlog, now);
+        double seconds
+            = firstTokenSeconds(pool, *endpoint, submission, backlog) + pauseCost(pool, *endpoint, submission, backlog, sheltered.contains(endpoint), now);
         if (isHeld && !holds(*endpoint, submission.prefixHash)) {
             seconds += rereadSeconds(pool, *endpoint, submission);
         }
@@ -205,8 +252,12 @@
         return;
     }
     request.pauseTarget = pauseTargetOf(pool, request.submission);
-    ++endpoint.prompts.streams[request.pauseTarget];
     noteRead(pool, request.unreadTokens / readingSpeed(pool, endpoint), now);
+    ++endpoint.prompts.streams[request.pauseTarget];
+    request.hasShortPrompt = !isLongRead(pool, endpoint, *request.submission.sharedPromptTokens);
+    if (request.hasShortPrompt) {
+        ++endpoint.prompts.shortStreams[request.pauseTarget];
+    }
 }
 
 static void stopReading(ActiveRequest &request)
@@ -215,16 +266,26 @@
     request.readingTokens = 0;
 }
 
-void notePromptEnd(ActiveRequest &request)
+static void removeStream(StreamsByPause &streams, std::chrono::milliseconds pause)
 {
-    stopReading(request);
-    StreamsByPause &streams = request.endpoint->prompts.streams;
-    const auto found = request.submission.sharedPromptTokens ? streams.find(request.pauseTarget) : streams.end();
+    const auto found = streams.find(pause);
     if (found != streams.end() && --found->second == 0) {
         streams.erase(found);
     }
 }
 
+void notePromptEnd(ActiveRequest &request)
+{
+    stopReading(request);
+    if (!request.submission.sharedPromptTokens) {
+        return;
+    }
+    removeStream(request.endpoint->prompts.streams, request.pauseTarget);
+    if (request.hasShortPrompt) {
+        removeStream(request.endpoint->prompts.shortStreams, request.pauseTarget);
+    }
+}
+
 void notePromptRead(Pool &pool, ActiveRequest &request, TimePoint firstTokenAt, TimePoint now)
 {
     stopReading(request);
@@ -258,10 +319,13 @@
         load.reportedAt = now;
         load.unreadTokens += request.unreadTokens;
         ++load.running;
+        noteRead(pool, request.unreadTokens / readingSpeed(pool, found->second), now);
         if (request.pauseTarget.count() > 0) {
             ++load.streams[request.pauseTarget];
         }
-        noteRead(pool, request.unreadTokens / readingSpeed(pool, found->second), now);
+        if (request.pauseTarget.count() > 0 && !isLongRead(pool, found->second, request.sharedTokens)) {
+            ++load.shortStreams[request.pauseTarget];
+        }
         notePrefix(pool, found->second, request.prefixHash, request.sharedTokens, now);
     }
 }
