--- a/include/mulberrywall/Support/BootClock.h
+++ b/include/mulberrywall/Support/BootClock.h
@@ -14,7 +14,8 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<BootClock>;
-    static constexpr bool is_steady = true;
+    // The name is that of the standard's clock requirements.
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming)
 
     static time_point now() noexcept;
 };
--- a/lib/Router/AdminPages.cpp
+++ b/lib/Router/AdminPages.cpp
@@ -1,6 +1,7 @@
 #include "mulberrywall/Router/AdminPages.h"
 
 #include "mulberrywall/Http/Server.h"
+#include "mulberrywall/Support/Log.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -140,6 +141,7 @@
             {.status = http::Status::unauthorized, .title = "operator key required", .detail = "send the operator key as 'Authorization: Bearer <key>'"});
     }
     if (path == "/metrics") {
+        admin.state.metrics.setGauge("mulberrywall_log_lines_dropped", static_cast<double>(support::droppedLogLines()));
         http::Response response = http::makeJsonResponse(http::Status::ok, admin.state.metrics.renderPrometheus());
         response.set(http::Field::content_type, "text/plain; version=0.0.4");
         return response;
--- a/lib/Router/CallerSession.cpp
+++ b/lib/Router/CallerSession.cpp
@@ -13,6 +13,9 @@
 using policy::AttemptPurpose;
 using support::Verdict;
 
+/// Time after which endpoints that refused a request may have room again.
+static constexpr std::chrono::milliseconds refusedRetryAfter {500};
+
 /// Values of the attribute "result" in logs and metrics that the service levels depend on.
 static constexpr std::string_view completedResult = "completed";
 static constexpr std::string_view callerGoneResult = "caller-gone";
@@ -446,7 +449,8 @@
     }
     const std::string title = relay_->isStarted() ? "stream broken" : "endpoint failed";
     const http::Status status = verdict_ == Verdict::NotRun ? http::Status::service_unavailable : http::Status::bad_gateway;
-    fail({.status = status, .title = title, .detail = "the attempt failed: " + attemptEnd.reason, .verdict = verdict_});
+    const std::chrono::milliseconds retryAfter = verdict_ == Verdict::NotRun ? refusedRetryAfter : std::chrono::milliseconds(0);
+    fail({.status = status, .title = title, .detail = "the attempt failed: " + attemptEnd.reason, .verdict = verdict_}, retryAfter);
 }
 
 bool CallerSession::mayResume(const AttemptPtr &attempt) const
--- a/lib/Router/RouterService.cpp
+++ b/lib/Router/RouterService.cpp
@@ -328,7 +328,10 @@
 {
     const ConfigurationSnapshot configuration = state_.configuration.current();
     if (const std::string reason = reasonNotToServe(configuration); !reason.empty()) {
-        support::log(support::Severity::Warning, "request refused", {{"reason", reason}});
+        constexpr std::int64_t unproven = -1;
+        const auto leaseAge = state_.lease.age(support::BootClock::now());
+        support::log(
+            support::Severity::Warning, "request refused", {{"reason", reason}, {"leaseAgeMs", leaseAge ? std::int64_t {leaseAge->count()} : unproven}});
         state_.metrics.increment("mulberrywall_rejected_total", {{"reason", "not ready"}});
         exchange->respond(state_.dialect.makeProblemResponse(
             {.status = http::Status::service_unavailable, .title = "not ready", .detail = reason + "; try another instance"}, notReadyRetryAfter));
--- a/lib/Support/Log.cpp
+++ b/lib/Support/Log.cpp
@@ -52,6 +52,8 @@
     return count;
 }
 
+// NOLINTBEGIN(readability-identifier-naming): the names are those that Boost.Log calls.
+
 /// Counts the lines that find the queue full and leaves them out.
 struct CountAndDrop
 {
@@ -69,6 +71,8 @@
     }
 };
 
+// NOLINTEND(readability-identifier-naming)
+
 using Backend = boost::log::sinks::text_ostream_backend;
 using SynchronousSink = boost::log::sinks::synchronous_sink<Backend>;
 using AsynchronousSink = boost::log::sinks::asynchronous_sink<Backend, boost::log::sinks::bounded_fifo_queue<maxWaitingLines, CountAndDrop>>;
--- a/tools/mulberrywall-router/NodeProgram.cpp
+++ b/tools/mulberrywall-router/NodeProgram.cpp
@@ -49,8 +49,9 @@
 /// budget of all together is larger than the platform's by the same factor.
 constexpr double assumedRouters = 10.0;
 
-/// Share of the key removal bound that one call may wait for changes: two lost calls still leave time for a third.
-constexpr double configurationWaitShare = 0.4;
+/// Share of the key removal bound that one call may wait for changes. What a call proves is as old as the call, so that a
+/// router that loses the store goes on serving for the rest of the bound.
+constexpr double configurationWaitShare = 0.2;
 constexpr std::chrono::milliseconds maximumWait {3'000};
 
 constexpr std::chrono::seconds settingsPollInterval {1};
--- /dev/null
+++ b/unittests/Adapter/PlatformPathTest.cpp
@@ -0,0 +1,384 @@
+#include "platform/Dialect.h"
+
+#include "mulberrywall/Http/ClientCall.h"
+#include "mulberrywall/Router/RouterService.h"
+#include "mulberrywall/Support/WorkerPool.h"
+
+#include <boost/asio/strand.hpp>
+
+#include <gtest/gtest.h>
+
+#include <future>
+#include <mutex>
+#include <thread>
+
+namespace mulberrywall::platform
+{
+
+using std::chrono::milliseconds;
+
+/// An endpoint that speaks the platform's dialect; the script answers each request.
+class ScriptedServer
+{
+public:
+    using Script = std::function<void(const http::ExchangePtr &)>;
+
+    ScriptedServer(support::WorkerPool &workers, Script script)
+        : script_(std::move(script)),
+          server_(http::Server::create(workers.context(), {.listen = {boost::asio::ip::address_v4::loopback(), 0}}, [this](const http::ExchangePtr &exchange) {
+              {
+                  const std::scoped_lock lock(mutex_);
+                  requests_.push_back(exchange->request());
+              }
+              script_(exchange);
+          }))
+    {
+        server_->start();
+    }
+
+    [[nodiscard]] std::uint16_t port() const
+    {
+        return server_->localEndpoint().port();
+    }
+    [[nodiscard]] std::size_t openConnections() const
+    {
+        return server_->connectionCount();
+    }
+    [[nodiscard]] std::vector<http::Request> requests() const
+    {
+        const std::scoped_lock lock(mutex_);
+        return requests_;
+    }
+
+private:
+    Script script_;
+    mutable std::mutex mutex_;
+    std::vector<http::Request> requests_;
+    std::shared_ptr<http::Server> server_;
+};
+
+static void addProof(http::ResponseHeader &header, const http::Request &request)
+{
+    header.set("Mulberrywall-Request-Id", http::fieldValue(request, "Mulberrywall-Request-Id"));
+    header.set("Mulberrywall-Server-Seal", "seal");
+}
+
+static void answer(const http::ExchangePtr &exchange, http::Status status, std::string body)
+{
+    http::Response response(status, 11);
+    addProof(response, exchange->request());
+    response.body() = std::move(body);
+    exchange->respond(std::move(response));
+}
+
+static void refuse(const http::ExchangePtr &exchange)
+{
+    http::Response response(http::Status::service_unavailable, 11);
+    response.set("Mulberrywall-Not-Run", "1");
+    exchange->respond(std::move(response));
+}
+
+static std::string event(unsigned id)
+{
+    return "id: " + std::to_string(id) + "\ndata: token" + std::to_string(id) + "\n\n";
+}
+
+/// Sends events up to the last one, from behind the Last-Event-Id of the request, and then ends or breaks off.
+static void stream(const http::ExchangePtr &exchange, unsigned last, bool breaksOff)
+{
+    const std::string_view from = http::fieldValue(exchange->request(), "Last-Event-Id");
+    const unsigned first = from.empty() ? 1 : static_cast<unsigned>(std::stoul(std::string(from))) + 1;
+    std::string events;
+    for (unsigned id = first; id <= last; ++id) {
+        events += event(id);
+    }
+    if (breaksOff) {
+        events += "id: " + std::to_string(last + 1) + "\nda";
+    }
+    http::ResponseHeader header;
+    header.result(http::Status::ok);
+    header.set("Content-Type", "text/event-stream");
+    addProof(header, exchange->request());
+    exchange->startStream(header, [exchange, events, breaksOff](const boost::system::error_code &) {
+        exchange->writeChunk(events, [exchange, breaksOff](const boost::system::error_code &) {
+            if (breaksOff) {
+                exchange->abortStream();
+            } else {
+                exchange->finishStream();
+            }
+        });
+    });
+}
+
+/// The router's service with the platform's dialect before scripted endpoints.
+class PlatformPathTest : public testing::Test
+{
+protected:
+    PlatformPathTest()
+    {
+        options_.instance = support::InstanceId("router");
+        options_.callerServer.listen = {boost::asio::ip::address_v4::loopback(), 0};
+        options_.adminServer.listen = {boost::asio::ip::address_v4::loopback(), 0};
+        options_.dialect = &dialect();
+        options_.endpointReports = router::EndpointReports::None;
+        options_.drainMode = router::DrainMode::Serve;
+        options_.drainGrace = milliseconds(300);
+        options_.router.reusesConnections = true;
+        options_.router.resumesTakeBudget = true;
+        addRoute("/safe/", configuration::Idempotency::Idempotent);
+        addRoute("/unsafe/", configuration::Idempotency::NonIdempotent);
+        addRoute("/stream/", configuration::Idempotency::NonIdempotent).streams = true;
+        configuration::Route &resumable = addRoute("/resumable/", configuration::Idempotency::Idempotent);
+        resumable.streams = true;
+        resumable.resumable = true;
+        site_.pools.push_back({.id = support::PoolId("p"), .kind = configuration::PoolKind::PlainService});
+        site_.revision = 1;
+    }
+
+    ~PlatformPathTest() override
+    {
+        workers_.stop();
+        workers_.join();
+    }
+
+    configuration::Route &addRoute(const std::string &prefix, configuration::Idempotency idempotency)
+    {
+        site_.classes.push_back({.id = support::ClassId(prefix), .idempotency = idempotency, .retryBudgetPercent = 20});
+        site_.routes.push_back({.host = "h",
+            .prefix = prefix,
+            .requestClass = support::ClassId(prefix),
+            .targets = {{.pool = support::PoolId("p")}},
+            .timeout = std::chrono::seconds(5),
+            .maximumAttempts = 2});
+        return site_.routes.back();
+    }
+
+    ScriptedServer &addEndpoint(ScriptedServer::Script script)
+    {
+        servers_.push_back(std::make_unique<ScriptedServer>(workers_, std::move(script)));
+        site_.endpoints.push_back({.id = support::EndpointId("e" + std::to_string(servers_.size())),
+            .address = "127.0.0.1",
+            .port = servers_.back()->port(),
+            .pools = {support::PoolId("p")},
+            .maximumConcurrency = 8});
+        return *servers_.back();
+    }
+
+    void start()
+    {
+        service_ = std::make_unique<router::RouterService>(workers_.context(), options_, policy::standardPolicy());
+        service_->configure(site_);
+        service_->start();
+    }
+
+    http::WholeResponse send(const std::string &target, const std::string &id)
+    {
+        http::Request request(http::Verb::post, target, 11);
+        request.set("Host", "h");
+        request.set("Mulberrywall-Request-Id", id);
+        request.set("Mulberrywall-Deadline-Ms", "4000");
+        std::promise<http::WholeResponse> promise;
+        const auto call = http::fetch(
+            boost::asio::make_strand(workers_.context()), {.peer = service_->callerEndpoint()}, std::move(request), [&promise](http::WholeResponse response) {
+                promise.set_value(std::move(response));
+            });
+        return promise.get_future().get();
+    }
+
+    [[nodiscard]] std::size_t arrivals() const
+    {
+        std::size_t count = 0;
+        for (const auto &server : servers_) {
+            count += server->requests().size();
+        }
+        return count;
+    }
+
+    support::WorkerPool workers_ {2};
+    router::RouterServiceOptions options_;
+    configuration::SiteConfiguration site_;
+    std::vector<std::unique_ptr<ScriptedServer>> servers_;
+    std::unique_ptr<router::RouterService> service_;
+};
+
+TEST_F(PlatformPathTest, PassesOnAWholeAnswer)
+{
+    const ScriptedServer &server = addEndpoint([](const http::ExchangePtr &exchange) { answer(exchange, http::Status::created, "booked"); });
+    start();
+    const http::WholeResponse response = send("/unsafe/x?y=1", "r1");
+    EXPECT_EQ(response.status, http::Status::created);
+    EXPECT_EQ(response.body, "booked");
+    EXPECT_EQ(response.header["Mulberrywall-Server-Seal"], "seal");
+    const http::Request arrived = server.requests().at(0);
+    EXPECT_EQ(arrived.target(), "/unsafe/x?y=1");
+    EXPECT_EQ(arrived["Mulberrywall-Expect-Instance"], "e1");
+}
+
+TEST_F(PlatformPathTest, PassesOnAWholeStream)
+{
+    addEndpoint([](const http::ExchangePtr &exchange) { stream(exchange, 5, false); });
+    start();
+    const http::WholeResponse response = send("/stream/", "r1");
+    EXPECT_EQ(response.status, http::Status::ok);
+    EXPECT_EQ(response.body, event(1) + event(2) + event(3) + event(4) + event(5));
+}
+
+/// Guards against a second run of an unsafe request, and against a caller that is told that it has not run.
+TEST_F(PlatformPathTest, RunsAnUnsafeRequestOnceWhenItsAnswerIsLost)
+{
+    addEndpoint([](const http::ExchangePtr &exchange) { exchange->abortStream(); });
+    addEndpoint([](const http::ExchangePtr &exchange) { exchange->abortStream(); });
+    start();
+    EXPECT_EQ(send("/unsafe/", "r1").status, http::Status::bad_gateway);
+    EXPECT_EQ(arrivals(), 1U);
+}
+
+TEST_F(PlatformPathTest, RunsASafeRequestAgainWhenItsAnswerIsLost)
+{
+    addEndpoint([](const http::ExchangePtr &exchange) { exchange->abortStream(); });
+    addEndpoint([](const http::ExchangePtr &exchange) { answer(exchange, http::Status::ok, "balance"); });
+    start();
+    for (unsigned index = 0; index < 4; ++index) {
+        const http::WholeResponse response = send("/safe/", "r" + std::to_string(index));
+        EXPECT_EQ(response.status, http::Status::ok);
+        EXPECT_EQ(response.body, "balance");
+    }
+}
+
+TEST_F(PlatformPathTest, TriesAnotherEndpointAfterAProvenRefusal)
+{
+    addEndpoint(refuse);
+    addEndpoint([](const http::ExchangePtr &exchange) { answer(exchange, http::Status::ok, "done"); });
+    start();
+    for (unsigned index = 0; index < 4; ++index) {
+        EXPECT_EQ(send("/unsafe/", "r" + std::to_string(index)).body, "done");
+    }
+}
+
+TEST_F(PlatformPathTest, TellsTheCallerWhenEveryEndpointRefuses)
+{
+    addEndpoint(refuse);
+    addEndpoint(refuse);
+    start();
+    const http::WholeResponse response = send("/unsafe/", "r1");
+    EXPECT_EQ(response.status, http::Status::service_unavailable);
+    EXPECT_FALSE(response.header["Retry-After"].empty());
+}
+
+/// Guards against a refusal that is passed on although nothing proves that the request has not run.
+TEST_F(PlatformPathTest, DoesNotPromiseWhatAnEndpointDidNot)
+{
+    addEndpoint([](const http::ExchangePtr &exchange) { answer(exchange, http::Status::service_unavailable, "busy"); });
+    start();
+    EXPECT_EQ(send("/unsafe/", "r1").status, http::Status::bad_gateway);
+}
+
+TEST_F(PlatformPathTest, PassesOnAFailureOfTheEndpointUnchanged)
+{
+    addEndpoint([](const http::ExchangePtr &exchange) { answer(exchange, http::Status::internal_server_error, "failed"); });
+    start();
+    const http::WholeResponse response = send("/unsafe/", "r1");
+    EXPECT_EQ(response.status, http::Status::internal_server_error);
+    EXPECT_EQ(response.body, "failed");
+    EXPECT_EQ(response.header["Mulberrywall-Server-Seal"], "seal");
+    EXPECT_EQ(arrivals(), 1U);
+}
+
+/// Guards against events that are missing, repeated or cut when a stream goes on at another endpoint.
+TEST_F(PlatformPathTest, ResumesABrokenStreamBehindItsLastWholeEvent)
+{
+    std::atomic<unsigned> runs {0};
+    const auto script = [&runs](const http::ExchangePtr &exchange) {
+        const bool first = runs.fetch_add(1) == 0;
+        stream(exchange, first ? 3 : 6, first);
+    };
+    addEndpoint(script);
+    addEndpoint(script);
+    start();
+    const http::WholeResponse response = send("/resumable/", "r1");
+    EXPECT_FALSE(response.result.error);
+    EXPECT_EQ(response.body, event(1) + event(2) + event(3) + event(4) + event(5) + event(6));
+    EXPECT_EQ(arrivals(), 2U);
+}
+
+/// Guards against a broken stream that looks complete.
+TEST_F(PlatformPathTest, LeavesAStreamIncompleteThatCannotBeResumed)
+{
+    addEndpoint([](const http::ExchangePtr &exchange) { stream(exchange, 3, true); });
+    addEndpoint([](const http::ExchangePtr &exchange) { stream(exchange, 3, true); });
+    start();
+    const http::WholeResponse response = send("/stream/", "r1");
+    EXPECT_NE(response.result.stage, http::CallStage::ResponseComplete);
+    EXPECT_EQ(arrivals(), 1U);
+}
+
+/// Guards against keys that work for ever at a router which cannot reach the store.
+TEST_F(PlatformPathTest, RefusesRequestsWhenTheConfigurationIsNotConfirmed)
+{
+    addEndpoint([](const http::ExchangePtr &exchange) { answer(exchange, http::Status::ok, "done"); });
+    options_.router.configurationLifetime = milliseconds(150);
+    start();
+    EXPECT_EQ(send("/safe/", "r1").status, http::Status::service_unavailable);
+    EXPECT_FALSE(service_->isReady());
+    service_->renewConfiguration(support::BootClock::now());
+    EXPECT_TRUE(service_->isReady());
+    EXPECT_EQ(send("/safe/", "r2").status, http::Status::ok);
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (send("/safe/", "r3").status == http::Status::ok && std::chrono::steady_clock::now() < deadline) {
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    EXPECT_EQ(send("/safe/", "r4").status, http::Status::service_unavailable);
+}
+
+/// Guards against requests that are accepted late in a shutdown and cut at its end.
+TEST_F(PlatformPathTest, ServesDuringTheGraceOfAShutdownAndRefusesAfterIt)
+{
+    std::mutex mutex;
+    std::vector<http::ExchangePtr> held;
+    addEndpoint([&](const http::ExchangePtr &exchange) {
+        if (exchange->request().target() == "/safe/slow") {
+            const std::scoped_lock lock(mutex);
+            held.push_back(exchange);
+            return;
+        }
+        answer(exchange, http::Status::ok, "done");
+    });
+    start();
+    std::future<http::WholeResponse> slow = std::async(std::launch::async, [this] { return send("/safe/slow", "slow"); });
+    while (arrivals() == 0) {
+        std::this_thread::yield();
+    }
+    std::promise<void> drained;
+    boost::asio::post(workers_.context(), [&] { service_->drain([&drained] { drained.set_value(); }); });
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (service_->isReady() && std::chrono::steady_clock::now() < deadline) {
+        std::this_thread::yield();
+    }
+    const http::WholeResponse during = send("/safe/", "r1");
+    EXPECT_EQ(during.status, http::Status::ok);
+    EXPECT_EQ(during.header["Connection"], "close");
+    while (send("/safe/", "r2").status == http::Status::ok && std::chrono::steady_clock::now() < deadline) {
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    EXPECT_EQ(send("/safe/", "r3").status, http::Status::service_unavailable);
+    {
+        const std::scoped_lock lock(mutex);
+        answer(held.front(), http::Status::ok, "late");
+        held.clear();
+    }
+    EXPECT_EQ(slow.get().body, "late");
+    EXPECT_EQ(drained.get_future().wait_for(std::chrono::seconds(5)), std::future_status::ready);
+}
+
+/// Guards against a new connection for each request where the endpoint keeps its connections open.
+TEST_F(PlatformPathTest, ReusesConnectionsToEndpoints)
+{
+    const ScriptedServer &server = addEndpoint([](const http::ExchangePtr &exchange) { answer(exchange, http::Status::ok, "done"); });
+    start();
+    for (unsigned index = 0; index < 5; ++index) {
+        EXPECT_EQ(send("/safe/", "r" + std::to_string(index)).status, http::Status::ok);
+    }
+    EXPECT_EQ(server.openConnections(), 1U);
+}
+
+} // namespace mulberrywall::platform
