policy: name the reserved engines by the usual term and test the burst that they answer

Cause: the names of the engines that long prompts avoid were figurative, and no test showed that one stays free of them. Ruled out: a change of behaviour; only names, comments and a test differ.

--- a/include/mulberrywall/Policy/PromptPlacement.h
+++ b/include/mulberrywall/Policy/PromptPlacement.h
@@ -10,7 +10,7 @@
 /// before it. A part that it read before costs nothing, but one that another engine holds has to be read again. The
 /// choice weighs both: the tokens that wait at an engine, of this router and of its peers, and the tokens that the
 /// engine would have to read for the request. While an engine reads, the streams that it runs pause; a long prompt avoids
-/// engines whose streams would miss their targets, and such streams gather on few engines.
+/// engines whose streams would miss their targets, and some engines are reserved for streams with short prompts.
 namespace mulberrywall::policy
 {
 
--- a/include/mulberrywall/Policy/Tuning.h
+++ b/include/mulberrywall/Policy/Tuning.h
@@ -111,17 +111,17 @@
     double pauseShare = 0.6;
     /// A prompt rather waits this long, or is read again elsewhere, than makes one stream miss its pause target.
     std::chrono::milliseconds delayPerMissedPause {400};
-    /// Streams with short pauses that one sheltered engine is meant for.
-    unsigned streamsPerShelter = 12;
-    /// Bound on the part of the pool that is sheltered, and pool size from which on an engine is.
-    double maximumShelterShare = 1.0 / 3.0;
-    std::size_t minimumEndpointsToShelter = 4;
+    /// Streams with short pauses for which one engine is reserved.
+    unsigned streamsPerReserved = 12;
+    /// Bound on the reserved part of the pool, and pool size from which on an engine is reserved.
+    double maximumReservedShare = 1.0 / 3.0;
+    std::size_t minimumEndpointsToReserve = 4;
     /// A prompt is long when an engine reads it for more than this share of the longest read.
     double longReadShare = 0.3;
-    /// A long prompt rather waits this long elsewhere than goes to a sheltered engine.
-    std::chrono::milliseconds delayAtShelter {300};
-    /// A stream with short pauses rather waits this long for a sheltered engine than runs elsewhere.
-    std::chrono::milliseconds delayOutsideShelter {60};
+    /// A long prompt rather waits this long elsewhere than goes to a reserved engine.
+    std::chrono::milliseconds delayAtReserved {300};
+    /// A stream with short pauses rather waits this long for a reserved engine than runs elsewhere.
+    std::chrono::milliseconds delayOutsideReserved {60};
     /// Long prompts are expected for this long after the last one.
     std::chrono::milliseconds longestReadLifetime {10'000};
     /// Shared parts that an engine is taken to hold at most.
--- a/lib/Policy/PromptPlacement.cpp
+++ b/lib/Policy/PromptPlacement.cpp
@@ -109,7 +109,7 @@
 }
 
 /// Returns whether long prompts that are about could make the stream miss its pause target.
-bool needsShelter(const Pool &pool, std::chrono::milliseconds pause, TimePoint now)
+bool needsReserve(const Pool &pool, std::chrono::milliseconds pause, TimePoint now)
 {
     const PlacementTuning &tuning = pool.options.tuning.placement;
     if (now - pool.longestRead.notedAt > tuning.longestReadLifetime) {
@@ -131,21 +131,23 @@
     return tokens / readingSpeed(pool, endpoint) > pool.options.tuning.placement.longReadShare * pool.longestRead.seconds;
 }
 
-/// Returns the number of running streams with short prompts, of this router and its peers, that long prompts could spoil.
-unsigned streamsToShelter(const Pool &pool, TimePoint now)
+/// Returns the number of running streams with short prompts, of this router and its peers, that long prompts could make
+/// miss their pause targets.
+unsigned streamsNeedingReserve(const Pool &pool, TimePoint now)
 {
     unsigned count = 0;
     for (const auto &[id, endpoint] : pool.endpoints) {
         for (const auto &[pause, number] : backlogOf(pool, endpoint, now).shortStreams) {
-            count += needsShelter(pool, pause, now) ? number : 0;
+            count += needsReserve(pool, pause, now) ? number : 0;
         }
     }
     return count;
 }
 
-/// Chooses the engines that long prompts avoid. All routers choose the same ones, in an order by hash, for nearly the same
-/// number of streams.
-std::set<const EndpointState *> shelteredEndpoints(const Pool &pool, TimePoint now)
+/// Chooses the engines that are reserved for streams with short prompts and short pauses; long prompts avoid them.
+///
+/// All routers choose the same ones, in an order by hash, for nearly the same number of streams.
+std::set<const EndpointState *> reservedEndpoints(const Pool &pool, TimePoint now)
 {
     const PlacementTuning &tuning = pool.options.tuning.placement;
     std::vector<std::pair<std::uint64_t, const EndpointState *>> order;
@@ -154,12 +156,12 @@
             order.emplace_back(rendezvousWeight(0, id), &endpoint);
         }
     }
-    if (order.size() < tuning.minimumEndpointsToShelter || pool.longestRead.seconds == 0.0) {
+    if (order.size() < tuning.minimumEndpointsToReserve || pool.longestRead.seconds == 0.0) {
         return {};
     }
     std::sort(order.begin(), order.end());
-    const auto most = static_cast<std::size_t>(tuning.maximumShelterShare * static_cast<double>(order.size()));
-    const std::size_t needed = 1 + streamsToShelter(pool, now) / tuning.streamsPerShelter;
+    const auto most = static_cast<std::size_t>(tuning.maximumReservedShare * static_cast<double>(order.size()));
+    const std::size_t needed = 1 + streamsNeedingReserve(pool, now) / tuning.streamsPerReserved;
     std::set<const EndpointState *> result;
     for (const auto &[hash, endpoint] : std::span(order).first(std::min(needed, most))) {
         result.insert(endpoint);
@@ -167,8 +169,8 @@
     return result;
 }
 
-/// Returns the delay that stands for the pauses between tokens that the placement spoils.
-double pauseCost(const Pool &pool, const EndpointState &endpoint, const Submission &submission, const Backlog &backlog, bool isSheltered, TimePoint now)
+/// Returns the delay that stands for the pause targets that the placement makes streams miss.
+double pauseCost(const Pool &pool, const EndpointState &endpoint, const Submission &submission, const Backlog &backlog, bool isReserved, TimePoint now)
 {
     const PlacementTuning &tuning = pool.options.tuning.placement;
     const double speed = readingSpeed(pool, endpoint);
@@ -178,12 +180,12 @@
     const unsigned missed = missedPauses(backlog.streams, waiting + own, tuning) - missedPauses(backlog.streams, waiting, tuning);
     double seconds = missed * std::chrono::duration<double>(tuning.delayPerMissedPause).count();
     const bool isShort = !isLongRead(pool, endpoint, submission.sharedPromptTokens.value_or(0));
-    const bool needsIt = isShort && needsShelter(pool, pauseTargetOf(pool, submission), now);
-    if (needsIt && !isSheltered) {
-        seconds += std::chrono::duration<double>(tuning.delayOutsideShelter).count();
+    const bool needsIt = isShort && needsReserve(pool, pauseTargetOf(pool, submission), now);
+    if (needsIt && !isReserved) {
+        seconds += std::chrono::duration<double>(tuning.delayOutsideReserved).count();
     }
-    if (isSheltered && isLongRead(pool, endpoint, unreadTokens(endpoint, submission))) {
-        seconds += std::chrono::duration<double>(tuning.delayAtShelter).count();
+    if (isReserved && isLongRead(pool, endpoint, unreadTokens(endpoint, submission))) {
+        seconds += std::chrono::duration<double>(tuning.delayAtReserved).count();
     }
     return seconds;
 }
@@ -221,13 +223,13 @@
 {
     const bool isHeld
         = std::any_of(pool.endpoints.begin(), pool.endpoints.end(), [&](const auto &entry) { return holds(entry.second, submission.prefixHash); });
-    const std::set<const EndpointState *> sheltered = shelteredEndpoints(pool, now);
+    const std::set<const EndpointState *> reserved = reservedEndpoints(pool, now);
     EndpointState *best = nullptr;
     double bestSeconds = std::numeric_limits<double>::max();
     for (EndpointState *endpoint : candidates) {
         const Backlog backlog = backlogOf(pool, *endpoint, now);
         double seconds
-            = firstTokenSeconds(pool, *endpoint, submission, backlog) + pauseCost(pool, *endpoint, submission, backlog, sheltered.contains(endpoint), now);
+            = firstTokenSeconds(pool, *endpoint, submission, backlog) + pauseCost(pool, *endpoint, submission, backlog, reserved.contains(endpoint), now);
         if (isHeld && !holds(*endpoint, submission.prefixHash)) {
             seconds += rereadSeconds(pool, *endpoint, submission);
         }
--- a/unittests/Policy/PromptPlacementTest.cpp
+++ b/unittests/Policy/PromptPlacementTest.cpp
@@ -1,6 +1,7 @@
 #include "PolicyFixture.h"
 
 #include <map>
+#include <set>
 
 namespace mulberrywall::policy
 {
@@ -104,6 +105,33 @@
     EXPECT_EQ(place(shortPrompt(), milliseconds(70)), other) << "its small shared part is read again sooner than the long prompt ends; held by " << holder;
 }
 
+/// A burst of long prompts: one engine stays free of them for streams whose pause targets they would make miss.
+TEST_F(PromptPlacementTest, ReservesAnEngineForStreamsWithShortPauses)
+{
+    PoolOptions options;
+    options.classes = {tierClass(0), tierClass(2)};
+    options.classes[0].betweenTokensTarget = milliseconds(300);
+    options.classes[1].betweenTokensTarget = milliseconds(2'000);
+    std::vector<EndpointSpec> specs;
+    for (unsigned index = 0; index < 6; ++index) {
+        specs.push_back(endpointSpec("engine-" + std::to_string(index), 64));
+    }
+    start(options, specs);
+    const Submission first = longPrompt(100);
+    place(first);
+    finish(first.permit, milliseconds(400));
+
+    std::set<std::string> reading;
+    for (std::uint64_t subject = 1; subject <= 5; ++subject) {
+        reading.insert(place(longPrompt(subject), milliseconds(500)));
+    }
+    EXPECT_EQ(reading.size(), 5U);
+    // More at once would read for longer than their own pauses allow.
+    for (unsigned index = 0; index < 4; ++index) {
+        EXPECT_FALSE(reading.contains(place(shortPrompt(), milliseconds(510))));
+    }
+}
+
 /// Guards against routers that load the same engine because none knows of the others' requests.
 TEST_F(PromptPlacementTest, CountsWhatOtherRoutersHaveSent)
 {
