router: remove what nothing uses and read bearer keys, expired statuses and reserved streams in one place

ConnectionPool::discard, idleConnections and CallResult::reusedConnection had no caller; the bearer scheme was parsed by authorize and by platform/Dialect; the status of an expired request was chosen twice; each placement summed every engine's whole backlog a second time for its short streams alone.

--- a/include/mulberrywall/Http/ClientCall.h
+++ b/include/mulberrywall/Http/ClientCall.h
@@ -53,8 +53,6 @@
 {
     boost::system::error_code error;
     CallStage stage = CallStage::Connecting;
-    /// The connection had carried other requests before.
-    bool reusedConnection = false;
 };
 
 struct ClientCallHandlers
--- a/include/mulberrywall/Http/ConnectionPool.h
+++ b/include/mulberrywall/Http/ConnectionPool.h
@@ -30,18 +30,12 @@
 public:
     explicit ConnectionPool(ConnectionPoolOptions options = {});
 
-    // Commands
     /// Returns the connection that was idle for the shortest time, on the given executor.
     ///
     /// Connections that the peer has closed, or on which it has sent something without a request, are closed.
     std::optional<boost::asio::ip::tcp::socket> take(const boost::asio::ip::tcp::endpoint &peer, const boost::asio::any_io_executor &executor);
     /// Keeps a connection; without a stated timeout for the default idle time.
     void put(const boost::asio::ip::tcp::endpoint &peer, boost::asio::ip::tcp::socket socket, std::optional<std::chrono::seconds> statedTimeout);
-    /// Closes all idle connections to a peer, for example after one of them fell silent.
-    void discard(const boost::asio::ip::tcp::endpoint &peer);
-
-    // Queries
-    [[nodiscard]] std::size_t idleConnections() const;
 
 private:
     struct IdleConnection
@@ -53,7 +47,7 @@
     void closeExpired();
 
     ConnectionPoolOptions options_;
-    mutable std::mutex mutex_;
+    std::mutex mutex_;
     std::map<boost::asio::ip::tcp::endpoint, std::vector<IdleConnection>> idle_;
 };
 
--- a/include/mulberrywall/Router/CallerRequest.h
+++ b/include/mulberrywall/Router/CallerRequest.h
@@ -53,6 +53,9 @@
     http::Request upstream;
 };
 
+/// Returns the key of the request's Authorization field; empty without one of the scheme "Bearer".
+std::string_view bearerKey(const http::Request &request);
+
 /// Checks the bearer key. The problem names what is missing and never repeats the key.
 std::variant<configuration::Organisation, http::Problem> authorize(const http::Request &request, const configuration::SiteConfiguration &configuration);
 
--- a/include/mulberrywall/Router/CallerSession.h
+++ b/include/mulberrywall/Router/CallerSession.h
@@ -62,6 +62,7 @@
     void continueAfter(const AttemptPtr &attempt, AttemptEnd attemptEnd);
     [[nodiscard]] std::vector<support::EndpointId> excludedEndpoints(policy::AttemptPurpose purpose) const;
     void breakStream(const http::Problem &problem);
+    [[nodiscard]] http::Status expiredStatus() const;
     [[nodiscard]] bool mayResume(const AttemptPtr &attempt) const;
     void complete(AttemptEnd attemptEnd);
     void fail(http::Problem problem, std::chrono::milliseconds retryAfter = {});
--- a/lib/Http/ClientCall.cpp
+++ b/lib/Http/ClientCall.cpp
@@ -232,7 +232,7 @@
         ended_ = true;
         keepOrClose();
         const ClientCallHandlers handlers = std::exchange(handlers_, {});
-        handlers.onEnd({.error = error, .stage = stage_, .reusedConnection = reused_});
+        handlers.onEnd({.error = error, .stage = stage_});
     }
 
     /// Bytes behind the response belong to no request, so that the connection cannot be trusted with another one.
--- a/lib/Http/ConnectionPool.cpp
+++ b/lib/Http/ConnectionPool.cpp
@@ -87,22 +87,6 @@
     connections.push_back({.socket = std::move(socket), .usableUntil = std::chrono::steady_clock::now() + idleTime});
 }
 
-void ConnectionPool::discard(const tcp::endpoint &peer)
-{
-    const std::scoped_lock lock(mutex_);
-    idle_.erase(peer);
-}
-
-std::size_t ConnectionPool::idleConnections() const
-{
-    const std::scoped_lock lock(mutex_);
-    std::size_t count = 0;
-    for (const auto &[peer, connections] : idle_) {
-        count += connections.size();
-    }
-    return count;
-}
-
 void ConnectionPool::closeExpired()
 {
     const auto now = std::chrono::steady_clock::now();
--- a/lib/Policy/PromptPlacement.cpp
+++ b/lib/Policy/PromptPlacement.cpp
@@ -20,8 +20,6 @@
     double unreadTokens = 0.0;
     unsigned running = 0;
     StreamsByPause streams;
-    /// Those among them whose prompts are short.
-    StreamsByPause shortStreams;
 };
 
 void addStreams(StreamsByPause &sum, const StreamsByPause &streams)
@@ -38,16 +36,12 @@
 
 Backlog backlogOf(const Pool &pool, const EndpointState &endpoint, TimePoint now)
 {
-    Backlog result {.unreadTokens = static_cast<double>(endpoint.prompts.readingTokens),
-        .running = endpoint.running,
-        .streams = endpoint.prompts.streams,
-        .shortStreams = endpoint.prompts.shortStreams};
+    Backlog result {.unreadTokens = static_cast<double>(endpoint.prompts.readingTokens), .running = endpoint.running, .streams = endpoint.prompts.streams};
     for (const auto &[peer, load] : endpoint.peers) {
         if (isFresh(load, pool.options.tuning.placement, now)) {
             result.unreadTokens += load.unreadTokens;
             result.running += load.running;
             addStreams(result.streams, load.streams);
-            addStreams(result.shortStreams, load.shortStreams);
         }
     }
     return result;
@@ -136,10 +130,18 @@
 unsigned streamsNeedingReserve(const Pool &pool, TimePoint now)
 {
     unsigned count = 0;
-    for (const auto &[id, endpoint] : pool.endpoints) {
-        for (const auto &[pause, number] : backlogOf(pool, endpoint, now).shortStreams) {
+    const auto add = [&](const StreamsByPause &streams) {
+        for (const auto &[pause, number] : streams) {
             count += needsReserve(pool, pause, now) ? number : 0;
         }
+    };
+    for (const auto &[id, endpoint] : pool.endpoints) {
+        add(endpoint.prompts.shortStreams);
+        for (const auto &[peer, load] : endpoint.peers) {
+            if (isFresh(load, pool.options.tuning.placement, now)) {
+                add(load.shortStreams);
+            }
+        }
     }
     return count;
 }
--- a/lib/Router/CallerRequest.cpp
+++ b/lib/Router/CallerRequest.cpp
@@ -42,14 +42,20 @@
     return text;
 }
 
-std::variant<configuration::Organisation, http::Problem> authorize(const http::Request &request, const configuration::SiteConfiguration &configuration)
+std::string_view bearerKey(const http::Request &request)
 {
     constexpr std::string_view scheme = "Bearer ";
-    const std::string_view authorization = http::fieldValue(request, "Authorization");
-    if (!authorization.starts_with(scheme)) {
+    const std::string_view value = http::fieldValue(request, "Authorization");
+    return value.starts_with(scheme) ? value.substr(scheme.size()) : std::string_view();
+}
+
+std::variant<configuration::Organisation, http::Problem> authorize(const http::Request &request, const configuration::SiteConfiguration &configuration)
+{
+    const std::string_view key = bearerKey(request);
+    if (key.empty()) {
         return makeProblem(http::Status::unauthorized, "missing key", "send the organisation's key as 'Authorization: Bearer <key>'");
     }
-    const std::string hash = hashKey(authorization.substr(scheme.size()));
+    const std::string hash = hashKey(key);
     const configuration::Organisation *organisation = configuration::findOrganisationByKeyHash(configuration, hash);
     if (organisation == nullptr) {
         return makeProblem(http::Status::unauthorized, "unknown key", "the key belongs to no organisation; ask the operator for a valid key");
--- a/lib/Router/CallerSession.cpp
+++ b/lib/Router/CallerSession.cpp
@@ -109,13 +109,18 @@
     });
 }
 
+http::Status CallerSession::expiredStatus() const
+{
+    return verdict_ == Verdict::NotRun ? state_.dialect.expiredStatus : http::Status::gateway_timeout;
+}
+
 void CallerSession::onDeadline()
 {
     if (ended_) {
         return;
     }
     stopWork();
-    fail({.status = verdict_ == Verdict::NotRun ? state_.dialect.expiredStatus : http::Status::gateway_timeout,
+    fail({.status = expiredStatus(),
         .title = "deadline expired",
         .detail = "the request did not end within its deadline; allow more time or send a shorter request",
         .verdict = verdict_});
@@ -182,8 +187,7 @@
         return;
     }
     if (const auto *refusal = std::get_if<permits::PermitRefusal>(&result)) {
-        fail(makeRefusalProblem(*refusal, verdict_, verdict_ == Verdict::NotRun ? state_.dialect.expiredStatus : http::Status::gateway_timeout),
-            refusal->retryAfter);
+        fail(makeRefusalProblem(*refusal, verdict_, expiredStatus()), refusal->retryAfter);
         return;
     }
     auto &permit = std::get<std::shared_ptr<permits::Permit>>(result);
