--- a/include/mulberrywall/Membership/Types.h
+++ b/include/mulberrywall/Membership/Types.h
@@ -44,6 +44,8 @@
     /// Grows with each restart and each refutation; the highest one wins.
     std::uint64_t incarnation = 0;
     MemberState state = MemberState::Alive;
+    /// Processor that the router may use, in hundredths of a core; 0 when it does not tell.
+    std::uint16_t processorPercent = 0;
 
     friend bool operator==(const Member &, const Member &) = default;
 };
--- a/include/mulberrywall/Permits/LoadExchange.h
+++ b/include/mulberrywall/Permits/LoadExchange.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "mulberrywall/Permits/LoadDatagram.h"
+#include "mulberrywall/Permits/LoadRoutes.h"
 #include "mulberrywall/Permits/PoolOwner.h"
+#include "mulberrywall/Support/BootClock.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -9,28 +12,11 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
-#include <span>
 #include <string>
-#include <utility>
-#include <vector>
 
 namespace mulberrywall::permits
 {
 
-/// The requests that one router runs, by pool.
-struct LoadReport
-{
-    support::InstanceId instance;
-    /// Grows with each report of one process, and over its restarts.
-    std::uint64_t sequence = 0;
-    std::vector<std::pair<support::PoolId, std::vector<policy::PeerRequest>>> pools;
-};
-
-std::vector<std::uint8_t> encode(const LoadReport &report);
-/// Returns nothing for a datagram that holds no report.
-std::optional<LoadReport> decodeLoadReport(std::span<const std::uint8_t> datagram);
-
 struct LoadExchangeOptions
 {
     support::InstanceId instance;
@@ -41,22 +27,33 @@
     std::chrono::milliseconds interval {50};
     /// An unchanged report is repeated after this time, so that peers notice when this router is gone.
     std::chrono::milliseconds repeatInterval {500};
+    /// Aggregators send their summaries at this interval.
+    std::chrono::milliseconds summaryInterval {100};
     /// Requests in one report; those whose prompts are being read go first.
     std::size_t maxRequests = 64;
 };
 
+struct LoadExchangeHandlers
+{
+    /// Returns to whom this router sends what.
+    std::function<LoadRoutes()> routes;
+    /// Returns what this router knows of the store.
+    std::function<StoreProgress()> storeProgress;
+    /// Called for what a peer knows of the store, with a time on this router's clock at which that was no older than
+    /// the progress says.
+    std::function<void(const StoreProgress &, support::BootClock::time_point)> peerProgress;
+};
+
 /// Tells the other routers what this one runs on shared endpoints, and the pools what the others run.
 ///
 /// Reports are whole and replace each other, so that lost datagrams need no repair. Where each router decides by itself,
-/// they spare it from sending work to an endpoint that others have just loaded.
+/// they spare it from sending work to an endpoint that others have just loaded. They also carry how far each router has
+/// followed the store, with an age that holds however long a datagram was on its way.
 class LoadExchange
 {
 public:
-    /// Returns the addresses at which the other routers listen for reports.
-    using PeerAddresses = std::function<std::vector<boost::asio::ip::udp::endpoint>()>;
-
     /// Binds the socket. Throws boost::system::system_error when the address is taken.
-    static std::shared_ptr<LoadExchange> create(boost::asio::io_context &context, PoolTable &pools, LoadExchangeOptions options, PeerAddresses peers);
+    static std::shared_ptr<LoadExchange> create(boost::asio::io_context &context, PoolTable &pools, LoadExchangeOptions options, LoadExchangeHandlers handlers);
 
     LoadExchange() = default;
     LoadExchange(const LoadExchange &) = delete;
--- a/include/mulberrywall/Permits/PoolOwner.h
+++ b/include/mulberrywall/Permits/PoolOwner.h
@@ -59,9 +59,12 @@
     void recordLoadReport(const policy::LoadReport &report);
     void recordSuspect(const policy::SuspectEntry &suspect);
     void recordPeerRequests(const policy::PeerReport &report);
+    void recordPeerSummary(const policy::PeerSummary &summary);
 
     // Queries
     [[nodiscard]] std::vector<policy::PeerRequest> runningRequests() const;
+    /// Returns what this router and its peers but the receiver run.
+    [[nodiscard]] policy::PeerSummary summarizeFor(const support::InstanceId &receiver) const;
     [[nodiscard]] OwnershipState ownership() const;
     [[nodiscard]] policy::PoolSummary summarize() const;
     [[nodiscard]] std::vector<policy::SuspectEntry> suspects() const;
--- a/include/mulberrywall/Policy/PolicyFunctions.h
+++ b/include/mulberrywall/Policy/PolicyFunctions.h
@@ -38,6 +38,8 @@
     Decisions (*recordSuspect)(void *pool, const SuspectEntry &suspect, TimePoint now);
     /// Replaces what is known of the requests that another router runs.
     Decisions (*recordPeerRequests)(void *pool, const PeerReport &report, TimePoint now);
+    /// Replaces what is known of all other routers in sum.
+    Decisions (*recordPeerSummary)(void *pool, const PeerSummary &summary, TimePoint now);
     /// Does what time alone makes due.
     Decisions (*advance)(void *pool, TimePoint now);
 
@@ -46,6 +48,8 @@
     PoolSummary (*summarize)(const void *pool);
     /// Returns the running requests, to tell other routers.
     std::vector<PeerRequest> (*runningRequests)(const void *pool);
+    /// Returns what this router and its peers but the receiver run.
+    PeerSummary (*summarizeFor)(const void *pool, const support::InstanceId &receiver, TimePoint now);
     /// Returns the crash suspects to tell other owners, ordered by fingerprint.
     std::vector<SuspectEntry> (*suspects)(const void *pool);
     /// Returns the time after dispatch from which a hedged attempt of the class is worth its cost, if any is.
--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -6,6 +6,7 @@
 #include "mulberrywall/Policy/Queue.h"
 #include "mulberrywall/Policy/Types.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -76,13 +77,20 @@
     StreamsByPause shortStreams;
 };
 
-/// What another router runs on an endpoint.
-struct PeerLoad
+/// What waits and runs at an endpoint.
+struct EndpointLoad
 {
+    /// Prompt tokens that the endpoint still has to read.
     double unreadTokens = 0.0;
     unsigned running = 0;
     StreamsByPause streams;
     StreamsByPause shortStreams;
+};
+
+/// What another router, or all others in sum, run on an endpoint.
+struct PeerLoad
+{
+    EndpointLoad load;
     TimePoint reportedAt;
 };
 
@@ -204,6 +212,13 @@
     TimePoint notedAt;
 };
 
+/// A shared part that an endpoint began to hold.
+struct NewPrefix
+{
+    PeerPrefix prefix;
+    TimePoint notedAt;
+};
+
 /// State of one pool at its owner.
 struct Pool
 {
@@ -228,6 +243,8 @@
     /// Speed at which engines read prompts.
     Average promptTokensPerSecond;
     LongestRead longestRead;
+    /// In the order in which they were noted; older ones are dropped.
+    std::deque<NewPrefix> newPrefixes;
     /// Time from grant to completion over all classes.
     Average holdSeconds;
     std::uint64_t grants = 0;
--- a/include/mulberrywall/Policy/PromptPlacement.h
+++ b/include/mulberrywall/Policy/PromptPlacement.h
@@ -14,9 +14,6 @@
 namespace mulberrywall::policy
 {
 
-/// Returns the tokens that the engine has to read for the request, as far as is known.
-std::uint32_t unreadTokens(const EndpointState &endpoint, const Submission &submission);
-
 /// Returns the endpoint that suits the prompt best, or nullptr without candidates.
 EndpointState *placePrompt(const Pool &pool, std::span<EndpointState *const> candidates, const Submission &submission, TimePoint now);
 
@@ -29,13 +26,4 @@
 /// Notes that the request ends, whether or not its prompt was read.
 void notePromptEnd(ActiveRequest &request);
 
-/// Forgets what an endpoint held, after a restart or a crash.
-void forgetPrompts(EndpointState &endpoint);
-
-/// Replaces what is known of a peer's requests.
-void recordPeerRequests(Pool &pool, const PeerReport &report, TimePoint now);
-
-/// Returns the running requests of this router for its peers.
-std::vector<PeerRequest> runningRequests(const Pool &pool);
-
 } // namespace mulberrywall::policy
--- a/include/mulberrywall/Policy/Tuning.h
+++ b/include/mulberrywall/Policy/Tuning.h
@@ -126,6 +126,8 @@
     std::chrono::milliseconds longestReadLifetime {10'000};
     /// Shared parts that an engine is taken to hold at most.
     std::uint64_t cacheTokens = 400'000;
+    /// New shared parts are told to peers for this long, in several summaries, because datagrams may be lost.
+    std::chrono::milliseconds newPrefixLifetime {400};
     /// A peer's report counts for this long; peers repeat theirs several times meanwhile.
     std::chrono::milliseconds peerLifetime {1'500};
     double minimumRelativeSpeed = 0.1;
--- a/include/mulberrywall/Policy/Types.h
+++ b/include/mulberrywall/Policy/Types.h
@@ -199,6 +199,52 @@
     std::vector<PeerRequest> requests;
 };
 
+/// Streams on one endpoint whose targets allow the same longest pause between tokens.
+struct PeerStreams
+{
+    std::chrono::milliseconds pauseTarget {0};
+    std::uint32_t streams = 0;
+    /// Those among them whose prompts are short.
+    std::uint32_t shortStreams = 0;
+
+    friend bool operator==(const PeerStreams &, const PeerStreams &) = default;
+};
+
+/// What several routers run on one endpoint.
+struct PeerEndpointLoad
+{
+    support::EndpointId endpoint;
+    /// Prompt tokens that the endpoint still has to read.
+    std::uint32_t unreadTokens = 0;
+    std::uint32_t running = 0;
+    std::vector<PeerStreams> streams;
+
+    friend bool operator==(const PeerEndpointLoad &, const PeerEndpointLoad &) = default;
+};
+
+/// A shared part of prompts that an endpoint holds.
+struct PeerPrefix
+{
+    support::EndpointId endpoint;
+    std::uint64_t prefixHash = 0;
+    std::uint32_t tokens = 0;
+
+    friend bool operator==(const PeerPrefix &, const PeerPrefix &) = default;
+};
+
+/// What all other routers run in the pool, in sum.
+struct PeerSummary
+{
+    /// Time that the longest prompt of late takes to read; 0 when it has been told before.
+    std::chrono::milliseconds longestRead {0};
+    /// Endpoints without requests are left out.
+    std::vector<PeerEndpointLoad> endpoints;
+    /// Shared parts that endpoints began to hold since about the summary before the last one.
+    std::vector<PeerPrefix> prefixes;
+
+    friend bool operator==(const PeerSummary &, const PeerSummary &) = default;
+};
+
 /// A request that runs already, told to a new owner of the pool by the request's ingress.
 struct RunningRequest
 {
--- a/include/mulberrywall/Router/RetryBudget.h
+++ b/include/mulberrywall/Router/RetryBudget.h
@@ -32,12 +32,14 @@
 
     void recordRequest(const RetryAllowance &allowance);
     [[nodiscard]] bool takeRetry(const RetryAllowance &allowance);
+    /// Changes the capacity of all budgets; what they hold beyond it is lost.
+    void setCapacity(double capacity);
 
 private:
     RetryBudget &find(const std::string &name);
 
-    double capacity_;
     std::mutex mutex_;
+    double capacity_;
     std::map<std::string, RetryBudget> budgets_;
 };
 
--- a/include/mulberrywall/Router/RouterMesh.h
+++ b/include/mulberrywall/Router/RouterMesh.h
@@ -2,11 +2,13 @@
 
 #include "mulberrywall/Membership/UdpDriver.h"
 #include "mulberrywall/Permits/LoadExchange.h"
+#include "mulberrywall/Router/TableFollower.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -20,6 +22,8 @@
 {
     support::InstanceId instance;
     support::DataCentreId dataCentre;
+    /// See membership::Member.
+    std::uint16_t processorPercent = 0;
     boost::asio::ip::udp::endpoint membershipListen;
     boost::asio::ip::udp::endpoint loadListen;
     /// Membership addresses of some other routers.
@@ -30,6 +34,17 @@
 /// the store does not answer.
 using AgreeOnValue = std::function<void(std::string candidate, std::function<void(std::optional<std::string>)> handler)>;
 
+/// What a mesh tells and learns; the handlers outlive it.
+struct MeshHandlers
+{
+    /// Returns what this router knows of the store.
+    std::function<permits::StoreProgress()> storeProgress;
+    std::function<void(const permits::StoreProgress &, support::BootClock::time_point)> peerProgress;
+    std::function<void(FollowMode)> setFollowMode;
+    /// Called with the largest number of live routers so far, this one included, when it has grown.
+    std::function<void(std::size_t)> routersGrew;
+};
+
 /// Routers that decide by themselves and tell each other what they run and which requests crash endpoints.
 ///
 /// The routers authenticate their datagrams with a secret that the first of them puts in the store. Until a router has
@@ -37,7 +52,7 @@
 class RouterMesh : public std::enable_shared_from_this<RouterMesh>
 {
 public:
-    RouterMesh(boost::asio::io_context &context, permits::PoolTable &pools, RouterMeshOptions options, AgreeOnValue agreeOnSecret);
+    RouterMesh(boost::asio::io_context &context, permits::PoolTable &pools, RouterMeshOptions options, AgreeOnValue agreeOnSecret, MeshHandlers handlers);
 
     // Commands
     void start();
@@ -50,12 +65,19 @@
     void join(const std::string &secret);
     void onItem(const membership::Item &item);
     void exchangeSuspects();
-    [[nodiscard]] std::vector<boost::asio::ip::udp::endpoint> peerAddresses() const;
+    [[nodiscard]] permits::LoadExchangeHandlers makeLoadHandlers();
+    /// Chooses the routes again after a change of the members.
+    const permits::LoadRoutes &currentRoutes();
+    void noteRouters(std::size_t live);
 
     boost::asio::io_context &context_;
     permits::PoolTable &pools_;
     RouterMeshOptions options_;
     AgreeOnValue agreeOnSecret_;
+    MeshHandlers handlers_;
+    std::size_t mostRouters_ = 0;
+    permits::LoadRoutes routes_;
+    std::atomic<bool> membersChanged_ {true};
     boost::asio::steady_timer timer_;
     std::shared_ptr<membership::UdpDriver> membership_;
     std::shared_ptr<permits::LoadExchange> loads_;
--- a/include/mulberrywall/Router/RouterService.h
+++ b/include/mulberrywall/Router/RouterService.h
@@ -81,6 +81,8 @@
     void renewConfiguration(support::BootClock::time_point provenAt);
     /// See RouterOptions.
     void setConfigurationLifetime(std::optional<std::chrono::milliseconds> lifetime);
+    /// See RetryBudgets.
+    void setRetryCapacity(double capacity);
     /// Refuses new requests, lets running ones end and then calls the handler. Call once.
     void drain(std::function<void()> handler);
 
--- a/include/mulberrywall/Router/StoreFeed.h
+++ b/include/mulberrywall/Router/StoreFeed.h
@@ -59,8 +59,15 @@
 public:
     StoreFeed(boost::asio::io_context &context, StoreFeedOptions options, StoreFeedSources sources, StoreFeedHandlers handlers);
 
+    // Commands
     void start();
     void stop();
+    void setMode(FollowMode mode);
+    /// Takes what another router knows, as of the ages before the given time or later.
+    void recordPeer(const permits::StoreProgress &peer, support::BootClock::time_point heardAt);
+
+    // Queries
+    [[nodiscard]] permits::StoreProgress progress() const;
 
 private:
     void onConfigurationRows(const std::vector<TableRow> &rows, support::BootClock::time_point sentAt);
--- a/include/mulberrywall/Router/TableFollower.h
+++ b/include/mulberrywall/Router/TableFollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mulberrywall/Permits/StoreProgress.h"
 #include "mulberrywall/Support/BootClock.h"
 
 #include <boost/asio/io_context.hpp>
@@ -10,6 +11,8 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -64,6 +67,14 @@
     std::string name;
     /// Longest time that one call waits for changes. The age of what is known stays below it, plus one answer.
     std::chrono::milliseconds wait {2'000};
+    /// The same while other routers rely on what this one knows, so that the age stays below maximumPeerAge for them too.
+    std::chrono::milliseconds relayedWait {700};
+    /// Changes that follow each other within this time are read by one call.
+    std::chrono::milliseconds changesInterval {200};
+    /// A router that relies on others asks the store itself when it has not heard of the table for this long, or when what
+    /// it hears is older than the maximum age.
+    std::chrono::milliseconds maximumPeerSilence {1'000};
+    std::chrono::milliseconds maximumPeerAge {1'700};
     std::chrono::milliseconds initialRetryDelay {100};
     std::chrono::milliseconds maximumRetryDelay {1'000};
 };
@@ -76,7 +87,19 @@
     std::function<void()> onRegained;
 };
 
+/// Whether a router asks the store itself while it hears from others how far they have followed a table.
+enum class FollowMode : std::uint8_t {
+    Independent,
+    /// Asks so often that others can rely on it.
+    Relayed,
+    /// Asks when others have seen a change, or when they fall silent.
+    RelyOnPeers,
+};
+
 /// Keeps up with a table of a store by calls that wait for changes. All handlers run on one strand.
+///
+/// Many routers need not all ask: who knows the table up to its latest change, and hears that it had not changed since at
+/// some time, knows as much as an answer of the store would tell.
 class TableFollower : public std::enable_shared_from_this<TableFollower>
 {
 public:
@@ -84,20 +107,52 @@
 
     void start();
     void stop();
+    void setMode(FollowMode mode);
+    /// Takes what another router knows, as of `age` before the given time or later.
+    void recordPeer(const permits::TableProgress &peer, support::BootClock::time_point heardAt);
+
+    /// Returns how far the table is known; nothing before it was read. Thread-safe.
+    [[nodiscard]] std::optional<permits::TableProgress> progress() const;
 
 private:
+    using TimePoint = support::BootClock::time_point;
+
     void readAll();
     void awaitChanges();
     void onAnswer(RowsKind kind, support::BootClock::time_point sentAt, const TableAnswer &answer);
     void onUnavailable(const TableAnswer &answer);
     void retryLater();
+    void onPeer(const permits::TableProgress &peer, TimePoint heardAt);
+    /// Notes that all changes up to the version were known at the given time.
+    void noteKnown(std::uint64_t version, TimePoint provenAt);
+    /// Asks the store, or waits while others follow the table.
+    void goOn();
+    void waitUntil(TimePoint time);
+    void park();
+    [[nodiscard]] bool reliesOnPeers(TimePoint now) const;
+    [[nodiscard]] std::uint64_t version() const;
 
     boost::asio::strand<boost::asio::io_context::executor_type> strand_;
     boost::asio::steady_timer timer_;
     TableFollowerOptions options_;
     TableSource source_;
     TableFollowerHandlers handlers_;
-    std::uint64_t version_ = 0;
+    /// What progress() tells; the mutex comes last in the lock order.
+    struct Known
+    {
+        std::uint64_t version = 0;
+        std::uint64_t changedAt = 0;
+        std::optional<TimePoint> provenAt;
+    };
+    mutable std::mutex mutex_;
+    Known known_;
+    FollowMode mode_ = FollowMode::Independent;
+    /// Until then others are taken to follow the table.
+    TimePoint peersUntil_;
+    /// Latest change that others have seen.
+    std::uint64_t peersChangedAt_ = 0;
+    /// No call is under way, because others follow the table.
+    bool parked_ = false;
     /// The whole table was read, so that changes since the version suffice.
     bool complete_ = false;
     bool available_ = true;
--- a/lib/Membership/Codec.cpp
+++ b/lib/Membership/Codec.cpp
@@ -9,8 +9,8 @@
 namespace
 {
 
-/// Version 2 added the incarnation to leaving endpoints. A member ignores datagrams of other versions.
-constexpr std::uint8_t protocolVersion = 2;
+/// Version 2 added the incarnation to leaving endpoints, version 3 the processor of members. A member ignores datagrams of other versions.
+constexpr std::uint8_t protocolVersion = 3;
 
 class Writer
 {
@@ -116,6 +116,7 @@
     writer.address(member.peerAddress);
     writer.number(member.incarnation);
     writer.number(static_cast<std::uint8_t>(member.state));
+    writer.number(member.processorPercent);
 }
 
 void write(Writer &writer, const ConfigurationRevision &item)
@@ -163,6 +164,7 @@
         return member;
     }
     member.state = static_cast<MemberState>(state);
+    member.processorPercent = reader.number<std::uint16_t>();
     return member;
 }
 
--- a/lib/Permits/LoadExchange.cpp
+++ b/lib/Permits/LoadExchange.cpp
@@ -1,6 +1,7 @@
 #include "mulberrywall/Permits/LoadExchange.h"
 
 #include "mulberrywall/Membership/Authenticator.h"
+#include "mulberrywall/Membership/UdpDriver.h"
 #include "mulberrywall/Support/Log.h"
 
 #include <boost/asio/buffer.hpp>
@@ -9,8 +10,11 @@
 #include <boost/asio/strand.hpp>
 
 #include <algorithm>
-#include <array>
 #include <map>
+#include <optional>
+#include <random>
+#include <tuple>
+#include <vector>
 
 namespace mulberrywall::permits
 {
@@ -22,20 +26,32 @@
 using asio::ip::udp;
 using std::chrono::steady_clock;
 
-constexpr std::size_t maxDatagramBytes = 8 * 1024;
+/// The largest payload of a UDP datagram over IPv4.
+constexpr std::size_t maxDatagramBytes = 65'507;
+
+std::uint64_t makeClockOffset()
+{
+    // Stamps stay positive and far from the range of a 64-bit number.
+    constexpr std::uint64_t maximum = std::uint64_t {1} << 60U;
+    std::random_device device;
+    return std::uniform_int_distribution<std::uint64_t>(1, maximum)(device);
+}
 
 class UdpLoadExchange final : public LoadExchange, public std::enable_shared_from_this<UdpLoadExchange>
 {
 public:
-    UdpLoadExchange(asio::io_context &context, PoolTable &pools, LoadExchangeOptions options, PeerAddresses peers)
+    UdpLoadExchange(asio::io_context &context, PoolTable &pools, LoadExchangeOptions options, LoadExchangeHandlers handlers)
         : strand_(asio::make_strand(context)),
           socket_(strand_, options.listen),
           timer_(strand_),
           pools_(pools),
           options_(std::move(options)),
-          peers_(std::move(peers)),
+          handlers_(std::move(handlers)),
           // A restarted process must not be taken for an older one.
-          sequence_(static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch() / std::chrono::milliseconds(1)))
+          sequence_(static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch() / std::chrono::milliseconds(1))),
+          startedAt_(support::BootClock::now()),
+          clockOffset_(makeClockOffset()),
+          buffer_(maxDatagramBytes)
     {
         socket_.non_blocking(true);
     }
@@ -64,14 +80,14 @@
     }
 
 private:
-    using PoolRequests = std::vector<std::pair<support::PoolId, std::vector<policy::PeerRequest>>>;
-
     void tick()
     {
         if (stopped_) {
             return;
         }
-        sendIfDue();
+        const LoadRoutes routes = handlers_.routes();
+        sendReportIfDue(routes);
+        sendSummariesIfDue(routes);
         timer_.expires_after(options_.interval);
         timer_.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
             if (!error) {
@@ -80,9 +96,9 @@
         });
     }
 
-    [[nodiscard]] PoolRequests collect() const
+    [[nodiscard]] LoadReport collect() const
     {
-        PoolRequests result;
+        LoadReport result;
         std::size_t room = options_.maxRequests;
         for (const auto &[id, pool] : pools_.pools()) {
             std::vector<policy::PeerRequest> requests = pool->runningRequests();
@@ -98,24 +114,52 @@
         return result;
     }
 
-    void sendIfDue()
+    void sendReportIfDue(const LoadRoutes &routes)
     {
-        PoolRequests current = collect();
+        LoadReport current = collect();
         const auto now = steady_clock::now();
         if (current == sent_ && now - sentAt_ < options_.repeatInterval) {
             return;
         }
         sent_ = std::move(current);
         sentAt_ = now;
-        std::vector<std::uint8_t> datagram = encode(LoadReport {.instance = options_.instance, .sequence = ++sequence_, .pools = sent_});
-        membership::appendTag(datagram, options_.secret);
-        for (const udp::endpoint &peer : peers_()) {
-            // A report that the system does not take is replaced by the next one.
-            boost::system::error_code ignored;
-            socket_.send_to(asio::buffer(datagram), peer, 0, ignored);
+        for (const membership::Member &peer : routes.reportTo) {
+            send(peer, sent_);
+        }
+    }
+
+    void sendSummariesIfDue(const LoadRoutes &routes)
+    {
+        const auto now = steady_clock::now();
+        if (routes.summarizeFor.empty() || now - summarizedAt_ < options_.summaryInterval) {
+            return;
+        }
+        summarizedAt_ = now;
+        const auto pools = pools_.pools();
+        for (const membership::Member &peer : routes.summarizeFor) {
+            LoadSummary summary;
+            for (const auto &[id, pool] : pools) {
+                summary.emplace_back(id, pool->summarizeFor(peer.instance));
+            }
+            send(peer, std::move(summary));
         }
     }
 
+    void send(const membership::Member &peer, std::variant<LoadReport, LoadSummary> load)
+    {
+        const auto heard = heard_.find(peer.instance);
+        std::vector<std::uint8_t> bytes = encode(LoadDatagram {.instance = options_.instance,
+            .sequence = ++sequence_,
+            .sentAtMs = makeStamp(support::BootClock::now()),
+            .echoMs = heard == heard_.end() ? 0 : heard->second.sentAtMs,
+            .store = handlers_.storeProgress(),
+            .load = std::move(load)});
+        membership::appendTag(bytes, options_.secret);
+        // A datagram that the system does not take is replaced by the next one.
+        boost::system::error_code ignored;
+        socket_.send_to(asio::buffer(bytes), membership::toUdpEndpoint(peer.peerAddress), 0, ignored);
+    }
+
     void receive()
     {
         socket_.async_receive_from(asio::buffer(buffer_), sender_, [self = shared_from_this()](const boost::system::error_code &error, std::size_t size) {
@@ -129,40 +173,73 @@
         });
     }
 
-    void onDatagram(std::span<const std::uint8_t> datagram)
+    void onDatagram(std::span<const std::uint8_t> bytes)
     {
-        const auto payload = membership::verifyTag(datagram, options_.secret);
-        auto report = payload ? decodeLoadReport(*payload) : std::nullopt;
-        if (!report) {
+        const auto payload = membership::verifyTag(bytes, options_.secret);
+        auto datagram = payload ? decodeLoadDatagram(*payload) : std::nullopt;
+        if (!datagram) {
             support::log(support::Severity::Debug, "dropped a load report that is not authentic or malformed", {{"sender", sender_.address().to_string()}});
             return;
         }
-        if (report->instance == options_.instance || !isNew(report->instance, report->sequence)) {
+        if (datagram->instance == options_.instance || !isNew(*datagram)) {
             return;
         }
+        if (const auto echo = readEcho(datagram->echoMs)) {
+            handlers_.peerProgress(datagram->store, *echo);
+        }
+        std::visit([&](auto &load) { record(datagram->instance, load); }, datagram->load);
+    }
+
+    void record(const support::InstanceId &router, LoadReport &report)
+    {
         for (const auto &[id, pool] : pools_.pools()) {
-            const auto found = std::find_if(report->pools.begin(), report->pools.end(), [&id = id](const auto &entry) { return entry.first == id; });
-            pool->recordPeerRequests(
-                {.router = report->instance, .requests = found == report->pools.end() ? std::vector<policy::PeerRequest>() : std::move(found->second)});
+            const auto found = std::find_if(report.begin(), report.end(), [&id = id](const auto &entry) { return entry.first == id; });
+            pool->recordPeerRequests({.router = router, .requests = found == report.end() ? std::vector<policy::PeerRequest>() : std::move(found->second)});
+        }
+    }
+
+    void record(const support::InstanceId & /*router*/, const LoadSummary &summary)
+    {
+        for (const auto &[id, load] : summary) {
+            if (const auto pool = pools_.find(id)) {
+                pool->recordPeerSummary(load);
+            }
         }
     }
 
     /// A router whose clock was set back starts again with lower numbers, after the time that its restart takes.
-    bool isNew(const support::InstanceId &router, std::uint64_t sequence)
+    bool isNew(const LoadDatagram &datagram)
     {
-        LastReport &last = lastReports_[router];
+        HeardPeer &last = heard_[datagram.instance];
         const auto now = steady_clock::now();
-        if (sequence <= last.sequence && now - last.receivedAt < 2 * options_.repeatInterval) {
+        if (datagram.sequence <= last.sequence && now - last.receivedAt < 2 * options_.repeatInterval) {
             return false;
         }
-        last = {.sequence = sequence, .receivedAt = now};
+        last = {.sequence = datagram.sequence, .receivedAt = now, .sentAtMs = datagram.sentAtMs};
         return true;
     }
 
-    struct LastReport
+    /// Returns the time on this router's clock as it is sent to others.
+    [[nodiscard]] std::uint64_t makeStamp(support::BootClock::time_point time) const
+    {
+        return clockOffset_ + static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count());
+    }
+
+    /// Returns nothing for the stamp of an earlier process of this router, whose clock may have been another one.
+    [[nodiscard]] std::optional<support::BootClock::time_point> readEcho(std::uint64_t stamp) const
+    {
+        const support::BootClock::time_point time {std::chrono::milliseconds(static_cast<std::int64_t>(stamp - clockOffset_))};
+        // Stamps are cut to milliseconds.
+        const bool isOwn = time >= startedAt_ - std::chrono::milliseconds(1) && time <= support::BootClock::now();
+        return isOwn ? std::optional(time) : std::nullopt;
+    }
+
+    /// The latest datagram of another router.
+    struct HeardPeer
     {
         std::uint64_t sequence = 0;
         steady_clock::time_point receivedAt;
+        std::uint64_t sentAtMs = 0;
     };
 
     asio::strand<asio::io_context::executor_type> strand_;
@@ -170,21 +247,25 @@
     asio::steady_timer timer_;
     PoolTable &pools_;
     LoadExchangeOptions options_;
-    PeerAddresses peers_;
+    LoadExchangeHandlers handlers_;
     std::uint64_t sequence_;
-    PoolRequests sent_;
+    support::BootClock::time_point startedAt_;
+    /// Makes the stamps of one process unlike those of all others.
+    std::uint64_t clockOffset_;
+    LoadReport sent_;
     steady_clock::time_point sentAt_;
-    std::map<support::InstanceId, LastReport> lastReports_;
+    steady_clock::time_point summarizedAt_;
+    std::map<support::InstanceId, HeardPeer> heard_;
     udp::endpoint sender_;
-    std::array<std::uint8_t, maxDatagramBytes> buffer_ {};
+    std::vector<std::uint8_t> buffer_;
     bool stopped_ = false;
 };
 
 } // namespace
 
-std::shared_ptr<LoadExchange> LoadExchange::create(asio::io_context &context, PoolTable &pools, LoadExchangeOptions options, PeerAddresses peers)
+std::shared_ptr<LoadExchange> LoadExchange::create(asio::io_context &context, PoolTable &pools, LoadExchangeOptions options, LoadExchangeHandlers handlers)
 {
-    return std::make_shared<UdpLoadExchange>(context, pools, std::move(options), std::move(peers));
+    return std::make_shared<UdpLoadExchange>(context, pools, std::move(options), std::move(handlers));
 }
 
 } // namespace mulberrywall::permits
--- a/lib/Permits/PoolOwner.cpp
+++ b/lib/Permits/PoolOwner.cpp
@@ -176,6 +176,17 @@
     execute([&] { return functions_.recordPeerRequests(pool_.get(), report, now()); });
 }
 
+void OwnedPool::recordPeerSummary(const policy::PeerSummary &summary)
+{
+    execute([&] { return functions_.recordPeerSummary(pool_.get(), summary, now()); });
+}
+
+policy::PeerSummary OwnedPool::summarizeFor(const support::InstanceId &receiver) const
+{
+    const std::scoped_lock lock(mutex_);
+    return functions_.summarizeFor(pool_.get(), receiver, now());
+}
+
 std::vector<policy::PeerRequest> OwnedPool::runningRequests() const
 {
     const std::scoped_lock lock(mutex_);
--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -7,8 +7,10 @@
 #include "mulberrywall/Policy/Hedging.h"
 #include "mulberrywall/Policy/LongRequests.h"
 #include "mulberrywall/Policy/MinimumShare.h"
+#include "mulberrywall/Policy/PeerLoads.h"
 #include "mulberrywall/Policy/PolicyFunctions.h"
 #include "mulberrywall/Policy/Pool.h"
+#include "mulberrywall/Policy/PromptCache.h"
 #include "mulberrywall/Policy/PromptPlacement.h"
 #include "mulberrywall/Policy/Scheduling.h"
 #include "mulberrywall/Policy/SlowEndpoints.h"
@@ -355,6 +357,17 @@
     return {};
 }
 
+Decisions recordSummary(void *handle, const PeerSummary &summary, TimePoint now)
+{
+    recordPeerSummary(beginCommand(handle, now), summary, now);
+    return {};
+}
+
+PeerSummary summarizeForPeer(const void *handle, const support::InstanceId &receiver, TimePoint now)
+{
+    return summarizeFor(asPool(handle), receiver, now);
+}
+
 std::vector<PeerRequest> listRunningRequests(const void *handle)
 {
     return runningRequests(asPool(handle));
@@ -442,10 +455,12 @@
     .adopt = adopt,
     .recordSuspect = recordSuspect,
     .recordPeerRequests = recordPeerReport,
+    .recordPeerSummary = recordSummary,
     .advance = advance,
     .nextWakeUp = nextWakeUp,
     .summarize = summarize,
     .runningRequests = listRunningRequests,
+    .summarizeFor = summarizeForPeer,
     .suspects = suspects,
     .hedgeDelay = hedgeDelay,
     .endpointStatus = endpointStatus,
--- a/lib/Router/RetryBudget.cpp
+++ b/lib/Router/RetryBudget.cpp
@@ -41,4 +41,14 @@
     return router::takeRetry(find(allowance.budget), allowance.percent);
 }
 
+void RetryBudgets::setCapacity(double capacity)
+{
+    const std::scoped_lock lock(mutex_);
+    capacity_ = capacity;
+    for (auto &[name, budget] : budgets_) {
+        budget.capacity = capacity;
+        budget.tokens = std::min(budget.tokens, capacity);
+    }
+}
+
 } // namespace mulberrywall::router
--- a/lib/Router/RouterMesh.cpp
+++ b/lib/Router/RouterMesh.cpp
@@ -15,11 +15,13 @@
 static constexpr std::chrono::milliseconds secretRetryInterval {1'000};
 static constexpr std::chrono::milliseconds suspectInterval {1'000};
 
-RouterMesh::RouterMesh(boost::asio::io_context &context, permits::PoolTable &pools, RouterMeshOptions options, AgreeOnValue agreeOnSecret)
+RouterMesh::RouterMesh(
+    boost::asio::io_context &context, permits::PoolTable &pools, RouterMeshOptions options, AgreeOnValue agreeOnSecret, MeshHandlers handlers)
     : context_(context),
       pools_(pools),
       options_(std::move(options)),
       agreeOnSecret_(std::move(agreeOnSecret)),
+      handlers_(std::move(handlers)),
       timer_(context)
 {
 }
@@ -54,13 +56,11 @@
 {
     try {
         loads_ = permits::LoadExchange::create(
-            context_, pools_, {.instance = options_.instance, .listen = options_.loadListen, .secret = secret}, [weak = weak_from_this()] {
-                const auto self = weak.lock();
-                return self ? self->peerAddresses() : std::vector<boost::asio::ip::udp::endpoint>();
-            });
+            context_, pools_, {.instance = options_.instance, .listen = options_.loadListen, .secret = secret}, makeLoadHandlers());
         membership::DriverOptions driver {.listen = options_.membershipListen, .secret = secret};
         driver.protocol.self.instance = options_.instance;
         driver.protocol.self.dataCentre = options_.dataCentre;
+        driver.protocol.self.processorPercent = options_.processorPercent;
         driver.protocol.self.incarnation = membership::incarnationFromClock();
         // The members of a mesh have no peer service; the address is that of the load exchange.
         driver.protocol.self.peerAddress = membership::toAddress(loads_->localEndpoint());
@@ -87,6 +87,7 @@
 void RouterMesh::onItem(const membership::Item &item)
 {
     if (const auto *member = std::get_if<membership::Member>(&item)) {
+        membersChanged_ = true;
         support::log(support::Severity::Info,
             "member changed",
             {{"member", member->instance.value()}, {"dataCentre", member->dataCentre.value()}, {"live", membership::isLive(member->state)}});
@@ -109,15 +110,49 @@
     });
 }
 
-std::vector<boost::asio::ip::udp::endpoint> RouterMesh::peerAddresses() const
+permits::LoadExchangeHandlers RouterMesh::makeLoadHandlers()
 {
-    std::vector<boost::asio::ip::udp::endpoint> result;
-    for (const membership::Member &member : membership_->liveMembers()) {
-        if (member.instance != options_.instance) {
-            result.push_back(membership::toUdpEndpoint(member.peerAddress));
-        }
+    return {.routes =
+                [weak = weak_from_this()] {
+                    const auto self = weak.lock();
+                    return self ? self->currentRoutes() : permits::LoadRoutes();
+                },
+        .storeProgress = handlers_.storeProgress,
+        .peerProgress = handlers_.peerProgress};
+}
+
+static FollowMode followModeOf(permits::LoadRole role)
+{
+    switch (role) {
+    case permits::LoadRole::Direct:
+        return FollowMode::Independent;
+    case permits::LoadRole::Aggregator:
+        return FollowMode::Relayed;
+    case permits::LoadRole::Reporter:
+        return FollowMode::RelyOnPeers;
+    }
+    return FollowMode::Independent;
+}
+
+const permits::LoadRoutes &RouterMesh::currentRoutes()
+{
+    if (membersChanged_.exchange(false)) {
+        const std::vector<membership::Member> live = membership_->liveMembers();
+        routes_ = permits::chooseLoadRoutes(live, options_.instance);
+        handlers_.setFollowMode(followModeOf(routes_.role));
+        noteRouters(live.size());
+    }
+    return routes_;
+}
+
+void RouterMesh::noteRouters(std::size_t live)
+{
+    // Routers that are cut off from each other still share the endpoints and their limits, so that fewer live ones change
+    // nothing.
+    if (live > mostRouters_) {
+        mostRouters_ = live;
+        handlers_.routersGrew(live);
     }
-    return result;
 }
 
 void RouterMesh::leave()
--- a/lib/Router/RouterService.cpp
+++ b/lib/Router/RouterService.cpp
@@ -206,6 +206,11 @@
     state_.lease.setLifetime(lifetime);
 }
 
+void RouterService::setRetryCapacity(double capacity)
+{
+    state_.retryBudgets.setCapacity(capacity);
+}
+
 void RouterService::drain(std::function<void()> handler)
 {
     onDrained_ = std::move(handler);
--- a/lib/Router/StoreFeed.cpp
+++ b/lib/Router/StoreFeed.cpp
@@ -59,6 +59,27 @@
     });
 }
 
+void StoreFeed::setMode(FollowMode mode)
+{
+    configurationFollower_->setMode(mode);
+    endpointFollower_->setMode(mode);
+}
+
+void StoreFeed::recordPeer(const permits::StoreProgress &peer, support::BootClock::time_point heardAt)
+{
+    if (peer.configuration) {
+        configurationFollower_->recordPeer(*peer.configuration, heardAt);
+    }
+    if (peer.endpoints) {
+        endpointFollower_->recordPeer(*peer.endpoints, heardAt);
+    }
+}
+
+permits::StoreProgress StoreFeed::progress() const
+{
+    return {.configuration = configurationFollower_->progress(), .endpoints = endpointFollower_->progress()};
+}
+
 void StoreFeed::onConfigurationRows(const std::vector<TableRow> &rows, support::BootClock::time_point sentAt)
 {
     if (stopped_) {
--- a/test/Support/Naive/NaivePolicy.cpp
+++ b/test/Support/Naive/NaivePolicy.cpp
@@ -246,11 +246,21 @@
     return {};
 }
 
+Decisions recordPeerSummary(void * /*handle*/, const PeerSummary & /*summary*/, TimePoint /*now*/)
+{
+    return {};
+}
+
 std::vector<PeerRequest> runningRequests(const void * /*handle*/)
 {
     return {};
 }
 
+PeerSummary summarizeFor(const void * /*handle*/, const support::InstanceId & /*receiver*/, TimePoint /*now*/)
+{
+    return {};
+}
+
 std::vector<SuspectEntry> suspects(const void * /*handle*/)
 {
     return {};
@@ -289,10 +299,12 @@
     .adopt = adopt,
     .recordSuspect = recordSuspect,
     .recordPeerRequests = recordPeerRequests,
+    .recordPeerSummary = recordPeerSummary,
     .advance = advance,
     .nextWakeUp = nextWakeUp,
     .summarize = summarize,
     .runningRequests = runningRequests,
+    .summarizeFor = summarizeFor,
     .suspects = suspects,
     .hedgeDelay = hedgeDelay,
     .endpointStatus = endpointStatus,
--- a/tools/mulberrywall-router/NodeProgram.cpp
+++ b/tools/mulberrywall-router/NodeProgram.cpp
@@ -17,6 +17,7 @@
 
 #include <boost/system/system_error.hpp>
 
+#include <algorithm>
 #include <future>
 #include <iostream>
 #include <utility>
@@ -43,9 +44,8 @@
 /// Callers' deadlines end requests; this bound only ends what no deadline ends.
 constexpr std::chrono::milliseconds endpointSilence {120'000};
 
-/// Routers among which the retry slack is divided. The platform does not tell their number; with more of them the
-/// budget of all together is larger than the platform's by the same factor.
-constexpr double assumedRouters = 10.0;
+/// Routers among which the retry slack is divided until more of them are seen; the platform does not tell their number.
+constexpr std::size_t assumedRouters = 10;
 
 /// Share of the key removal bound that one call may wait for changes. What a call proves is as old as the call, so that a
 /// router that loses the store goes on serving for the rest of the bound.
@@ -65,6 +65,12 @@
     return settings.keyRemovalBound;
 }
 
+/// Returns the retries that one router may make at once.
+double retryShare(double slack, std::size_t routers)
+{
+    return slack / static_cast<double>(std::max(routers, assumedRouters));
+}
+
 RouterServiceOptions makeServiceOptions(const platform::NodeSettings &settings, std::uint16_t metricsPort)
 {
     RouterServiceOptions options;
@@ -80,7 +86,7 @@
         .responseTimeout = endpointSilence,
         .unacknowledgedTimeout = unacknowledgedTimeout,
         .reusesConnections = true,
-        .retryBurst = settings.retries.slack / assumedRouters,
+        .retryBurst = retryShare(settings.retries.slack, assumedRouters),
         .configurationLifetime = configurationLifetime(settings),
         .resumesTakeBudget = true};
     options.dialect = &platform::dialect();
@@ -139,8 +145,11 @@
 constexpr std::string_view secretKey = "peer-secret";
 
 /// Returns nullptr when the platform has no ports for routers among themselves.
-std::shared_ptr<RouterMesh> makeMesh(
-    boost::asio::io_context &context, RouterService &service, const platform::NodeSettings &settings, const std::shared_ptr<platform::StoreClient> &client)
+std::shared_ptr<RouterMesh> makeMesh(boost::asio::io_context &context,
+    RouterService &service,
+    const platform::NodeSettings &settings,
+    const std::shared_ptr<platform::StoreClient> &client,
+    const std::shared_ptr<StoreFeed> &feed)
 {
     if (settings.firstPeerPort == 0) {
         return nullptr;
@@ -148,15 +157,23 @@
     const boost::asio::ip::address own = settings.callerListen.address();
     RouterMeshOptions options {.instance = settings.instance,
         .dataCentre = settings.dataCentre,
+        .processorPercent = static_cast<std::uint16_t>(settings.processorShare * percentPerUnit),
         .membershipListen = {own, settings.firstPeerPort},
         .loadListen = {own, static_cast<std::uint16_t>(settings.firstPeerPort + 1)}};
     for (const boost::asio::ip::address &seed : settings.seeds) {
         options.seeds.emplace_back(seed, settings.firstPeerPort);
     }
-    return std::make_shared<RouterMesh>(
-        context, service.pools(), std::move(options), [client](std::string candidate, std::function<void(std::optional<std::string>)> handler) {
-            client->createRow(ownTable, secretKey, std::move(candidate), std::move(handler));
-        });
+    AgreeOnValue agreeOnSecret = [client](std::string candidate, std::function<void(std::optional<std::string>)> handler) {
+        client->createRow(ownTable, secretKey, std::move(candidate), std::move(handler));
+    };
+    MeshHandlers handlers {.storeProgress = [feed] { return feed->progress(); },
+        .peerProgress = [feed](const permits::StoreProgress &peer, support::BootClock::time_point heardAt) { feed->recordPeer(peer, heardAt); },
+        .setFollowMode = [feed](FollowMode mode) { feed->setMode(mode); },
+        .routersGrew =
+            [&service, slack = settings.retries.slack](std::size_t routers) {
+                service.setRetryCapacity(retryShare(slack, routers));
+            }};
+    return std::make_shared<RouterMesh>(context, service.pools(), std::move(options), std::move(agreeOnSecret), std::move(handlers));
 }
 
 int serve(const platform::NodeSettings &settings, const RouterProgram &program, const std::string &nodeFile, std::uint16_t metricsPort)
@@ -176,7 +193,7 @@
                   client->setAddress(changed.store);
                   service.setConfigurationLifetime(configurationLifetime(changed));
               });
-        const auto mesh = makeMesh(workers.context(), service, settings, client);
+        const auto mesh = makeMesh(workers.context(), service, settings, client, feed);
         support::onTerminationSignal(workers.context(), [&service, &drained, mesh] {
             if (mesh) {
                 mesh->leave();
--- a/unittests/Membership/CodecTest.cpp
+++ b/unittests/Membership/CodecTest.cpp
@@ -25,7 +25,11 @@
 
 std::vector<Item> sampleItems()
 {
-    return {Member {.instance = support::InstanceId("router-3"), .dataCentre = support::DataCentreId("a"), .incarnation = 5, .state = MemberState::Dead},
+    return {Member {.instance = support::InstanceId("router-3"),
+                .dataCentre = support::DataCentreId("a"),
+                .incarnation = 5,
+                .state = MemberState::Dead,
+                .processorPercent = 50},
         ConfigurationRevision {12},
         LeavingEndpoint {.endpoint = support::EndpointId("runner-1"), .version = 2, .incarnation = 3, .timeToLive = std::chrono::seconds(9)},
         CrashSuspect {.fingerprint = 77, .crashes = 2, .timeToLive = std::chrono::seconds(600)},
--- a/unittests/Permits/LoadExchangeTest.cpp
+++ b/unittests/Permits/LoadExchangeTest.cpp
@@ -1,9 +1,12 @@
 #include "mulberrywall/Permits/LoadExchange.h"
+#include "mulberrywall/Membership/UdpDriver.h"
 #include "mulberrywall/Support/WorkerPool.h"
 
 #include <gtest/gtest.h>
 
 #include <future>
+#include <mutex>
+#include <optional>
 #include <thread>
 
 namespace mulberrywall::permits
@@ -11,23 +14,46 @@
 
 using std::chrono::milliseconds;
 
-TEST(LoadReportCodec, KeepsAReport)
+TEST(LoadDatagramCodec, KeepsAReport)
 {
-    const LoadReport report {.instance = support::InstanceId("router-1"),
+    const LoadDatagram sent {.instance = support::InstanceId("router-1"),
         .sequence = 42,
-        .pools = {{support::PoolId("p"), {{.endpoint = support::EndpointId("e"), .prefixHash = 7, .sharedTokens = 13'000, .unreadTokens = 17'000}}}}};
-    const auto decoded = decodeLoadReport(encode(report));
+        .sentAtMs = 1'000,
+        .echoMs = 900,
+        .store = {.configuration = TableProgress {.version = 8, .changedAt = 5, .age = milliseconds(70)}},
+        .load = LoadReport {{support::PoolId("p"), {{.endpoint = support::EndpointId("e"), .prefixHash = 7, .sharedTokens = 13'000, .unreadTokens = 17'000}}}}};
+    const auto decoded = decodeLoadDatagram(encode(sent));
     ASSERT_TRUE(decoded.has_value());
-    EXPECT_EQ(decoded->instance, report.instance);
+    EXPECT_EQ(decoded->instance, sent.instance);
     EXPECT_EQ(decoded->sequence, 42U);
-    EXPECT_EQ(decoded->pools, report.pools);
+    EXPECT_EQ(decoded->sentAtMs, 1'000U);
+    EXPECT_EQ(decoded->echoMs, 900U);
+    EXPECT_EQ(decoded->store, sent.store);
+    EXPECT_EQ(decoded->load, sent.load);
 }
 
-TEST(LoadReportCodec, RefusesOtherBytes)
+TEST(LoadDatagramCodec, KeepsASummary)
 {
-    EXPECT_FALSE(decodeLoadReport({}).has_value());
+    const LoadDatagram sent {.instance = support::InstanceId("router-1"),
+        .store = {.endpoints = TableProgress {.version = 3, .changedAt = 3}},
+        .load = LoadSummary {{support::PoolId("p"),
+            {.longestRead = milliseconds(340),
+                .endpoints = {{.endpoint = support::EndpointId("e"),
+                    .unreadTokens = 17'000,
+                    .running = 2,
+                    .streams = {{.pauseTarget = milliseconds(500), .streams = 2, .shortStreams = 1}}}},
+                .prefixes = {{.endpoint = support::EndpointId("e"), .prefixHash = 7, .tokens = 13'000}}}}}};
+    const auto decoded = decodeLoadDatagram(encode(sent));
+    ASSERT_TRUE(decoded.has_value());
+    EXPECT_EQ(decoded->store, sent.store);
+    EXPECT_EQ(decoded->load, sent.load);
+}
+
+TEST(LoadDatagramCodec, RefusesOtherBytes)
+{
+    EXPECT_FALSE(decodeLoadDatagram({}).has_value());
     const std::vector<std::uint8_t> noise(100, 0xff);
-    EXPECT_FALSE(decodeLoadReport(noise).has_value());
+    EXPECT_FALSE(decodeLoadDatagram(noise).has_value());
 }
 
 /// Two routers with a pool each over the same endpoints.
@@ -36,16 +62,37 @@
 protected:
     struct Router
     {
-        Router(support::WorkerPool &workers, const std::string &name, const std::string &secret, std::function<boost::asio::ip::udp::endpoint()> peer)
+        Router(support::WorkerPool &workers, const std::string &name, const std::string &peerName, std::function<boost::asio::ip::udp::endpoint()> peer)
             : pools(workers.context(), policy::standardPolicy())
         {
             pools.configure(makeConfiguration());
             exchange = LoadExchange::create(workers.context(),
                 pools,
-                {.instance = support::InstanceId(name), .listen = {boost::asio::ip::address_v4::loopback(), 0}, .secret = secret, .interval = milliseconds(5)},
-                [peer = std::move(peer)] { return std::vector {peer()}; });
+                {.instance = support::InstanceId(name),
+                    .listen = {boost::asio::ip::address_v4::loopback(), 0},
+                    .secret = "secret",
+                    .interval = milliseconds(5)},
+                {.routes =
+                        [this, peerName, peer = std::move(peer)] {
+                            const membership::Member member {.instance = support::InstanceId(peerName), .peerAddress = membership::toAddress(peer())};
+                            return summarizes ? LoadRoutes {.role = LoadRole::Aggregator, .summarizeFor = {member}}
+                                              : LoadRoutes {.role = LoadRole::Direct, .reportTo = {member}};
+                        },
+                    .storeProgress = [this] { return progress; },
+                    .peerProgress =
+                        [this](const StoreProgress &told, support::BootClock::time_point at) {
+                            const std::scoped_lock lock(mutex);
+                            heard = told;
+                            heardAt = at;
+                        }});
         }
 
+        /// Sends summaries in place of reports; set before the start.
+        bool summarizes = false;
+        StoreProgress progress;
+        std::mutex mutex;
+        std::optional<StoreProgress> heard;
+        support::BootClock::time_point heardAt;
         PoolTable pools;
         std::shared_ptr<LoadExchange> exchange;
     };
@@ -80,30 +127,65 @@
         return std::get<std::shared_ptr<Permit>>(promise.get_future().get());
     }
 
+    void expectRoutersToKeepApart()
+    {
+        first_.exchange->start();
+        second_.exchange->start();
+        const std::shared_ptr<Permit> permit = acquire(first_);
+        const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        // The report is on its way; a router that does not know of it yet takes the first endpoint of equal ones.
+        std::shared_ptr<Permit> other = acquire(second_);
+        while (other->endpoint().id == permit->endpoint().id && std::chrono::steady_clock::now() < deadline) {
+            other->finish({.outcome = policy::AttemptOutcome::Cancelled});
+            std::this_thread::sleep_for(milliseconds(2));
+            other = acquire(second_);
+        }
+        EXPECT_NE(other->endpoint().id, permit->endpoint().id);
+    }
+
     support::WorkerPool workers_ {2};
-    Router first_ {workers_, "first", "secret", [this] {
+    Router first_ {workers_, "first", "second", [this] {
                        return second_.exchange->localEndpoint();
                    }};
-    Router second_ {workers_, "second", "secret", [this] {
+    Router second_ {workers_, "second", "first", [this] {
                         return first_.exchange->localEndpoint();
                     }};
 };
 
-/// Guards against two routers that choose the same endpoint because neither knows what the other runs.
-TEST_F(LoadExchangeTest, KeepsRoutersFromLoadingTheSameEndpoint)
+/// Guards against a proof that seems younger than it is: its age counts from a time before the peer was heard to have it.
+TEST_F(LoadExchangeTest, TellsWhatAPeerKnowsOfTheStoreWithAnAgeThatHolds)
 {
+    second_.progress.configuration = TableProgress {.version = 9, .changedAt = 4, .age = milliseconds(30)};
+    const auto before = support::BootClock::now();
     first_.exchange->start();
     second_.exchange->start();
-    const std::shared_ptr<Permit> permit = acquire(first_);
     const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(5);
-    // The report is on its way; a router that does not know of it yet takes the first endpoint of equal ones.
-    std::shared_ptr<Permit> other = acquire(second_);
-    while (other->endpoint().id == permit->endpoint().id && std::chrono::steady_clock::now() < deadline) {
-        other->finish({.outcome = policy::AttemptOutcome::Cancelled});
-        std::this_thread::sleep_for(milliseconds(2));
-        other = acquire(second_);
+    for (;;) {
+        const std::scoped_lock lock(first_.mutex);
+        if (first_.heard || std::chrono::steady_clock::now() > deadline) {
+            break;
+        }
+        std::this_thread::yield();
     }
-    EXPECT_NE(other->endpoint().id, permit->endpoint().id);
+    const std::scoped_lock lock(first_.mutex);
+    ASSERT_TRUE(first_.heard.has_value());
+    EXPECT_EQ(first_.heard->configuration, second_.progress.configuration);
+    // Stamps are cut to milliseconds.
+    EXPECT_GE(first_.heardAt, before - milliseconds(1));
+    EXPECT_LE(first_.heardAt, support::BootClock::now());
+}
+
+/// Guards against routers of a large deployment that load the same endpoint although an aggregator told them of it.
+TEST_F(LoadExchangeTest, KeepsRoutersApartByASummaryToo)
+{
+    first_.summarizes = true;
+    expectRoutersToKeepApart();
+}
+
+/// Guards against two routers that choose the same endpoint because neither knows what the other runs.
+TEST_F(LoadExchangeTest, KeepsRoutersFromLoadingTheSameEndpoint)
+{
+    expectRoutersToKeepApart();
 }
 
 } // namespace mulberrywall::permits
--- /dev/null
+++ b/unittests/Permits/LoadRoutesTest.cpp
@@ -0,0 +1,89 @@
+#include "mulberrywall/Permits/LoadRoutes.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+
+namespace mulberrywall::permits
+{
+
+using membership::Member;
+
+static Member makeMember(const std::string &dataCentre, unsigned number, std::uint16_t processorPercent = 12)
+{
+    return {.instance = support::InstanceId(dataCentre + "-" + std::to_string(number)),
+        .dataCentre = support::DataCentreId(dataCentre),
+        .processorPercent = processorPercent};
+}
+
+/// Three data centres; the first router of each has the most processor.
+static std::vector<Member> makeDeployment(unsigned routersPerDataCentre)
+{
+    std::vector<Member> members;
+    for (const auto *dataCentre : {"a", "b", "c"}) {
+        for (unsigned number = 1; number <= routersPerDataCentre; ++number) {
+            members.push_back(makeMember(dataCentre, number, number == 1 ? 50 : 12));
+        }
+    }
+    return members;
+}
+
+TEST(LoadRoutes, LetsFewRoutersTellEachOther)
+{
+    const std::vector<Member> members = makeDeployment(3);
+    const LoadRoutes routes = chooseLoadRoutes(members, support::InstanceId("a-1"));
+    EXPECT_EQ(routes.role, LoadRole::Direct);
+    EXPECT_EQ(routes.reportTo.size(), 8U);
+    EXPECT_TRUE(routes.summarizeFor.empty());
+}
+
+/// Guards against traffic among routers that grows with the square of their number.
+TEST(LoadRoutes, ManyRoutersReportToAggregatorsOnly)
+{
+    const std::vector<Member> members = makeDeployment(25);
+    std::size_t datagrams = 0;
+    for (const Member &member : members) {
+        const LoadRoutes routes = chooseLoadRoutes(members, member.instance);
+        datagrams += routes.reportTo.size() + routes.summarizeFor.size();
+    }
+    EXPECT_LT(datagrams, members.size() * 8);
+}
+
+TEST(LoadRoutes, EachRouterHearsFromTwoAggregatorsOfItsDataCentre)
+{
+    const std::vector<Member> members = makeDeployment(25);
+    std::multiset<std::string> hearing;
+    std::set<std::string> aggregators;
+    for (const Member &member : members) {
+        const LoadRoutes routes = chooseLoadRoutes(members, member.instance);
+        if (routes.role == LoadRole::Aggregator) {
+            aggregators.insert(member.instance.value());
+        }
+        for (const Member &receiver : routes.summarizeFor) {
+            EXPECT_EQ(receiver.dataCentre, member.dataCentre);
+            hearing.insert(receiver.instance.value());
+        }
+    }
+    EXPECT_EQ(aggregators.size(), 6U);
+    for (const auto *strongest : {"a-1", "b-1", "c-1"}) {
+        EXPECT_TRUE(aggregators.contains(strongest)) << strongest << " has the most processor of its data centre";
+    }
+    for (const Member &member : members) {
+        EXPECT_EQ(hearing.count(member.instance.value()), aggregators.contains(member.instance.value()) ? 0U : 2U) << member.instance.value();
+    }
+}
+
+/// Guards against a data centre that hears nothing after its aggregators were lost.
+TEST(LoadRoutes, AnotherRouterTakesTheAggregatorsPlace)
+{
+    std::vector<Member> members = makeDeployment(25);
+    std::erase_if(members, [](const Member &member) { return member.instance.value() == "a-1"; });
+    const auto aggregators = std::count_if(members.begin(), members.end(), [&](const Member &member) {
+        return member.dataCentre.value() == "a" && chooseLoadRoutes(members, member.instance).role == LoadRole::Aggregator;
+    });
+    EXPECT_EQ(aggregators, 2);
+}
+
+} // namespace mulberrywall::permits
--- /dev/null
+++ b/unittests/Policy/PeerLoadsTest.cpp
@@ -0,0 +1,114 @@
+#include "PolicyFixture.h"
+
+#include "mulberrywall/Policy/PolicyFunctions.h"
+
+namespace mulberrywall::policy
+{
+
+using std::chrono::milliseconds;
+
+/// Load that a router hears of in sum, in deployments where the routers are too many to tell each other.
+class PeerLoadsTest : public PolicyFixture
+{
+protected:
+    void startEngines(unsigned count)
+    {
+        std::vector<EndpointSpec> specs;
+        for (unsigned index = 0; index < count; ++index) {
+            specs.push_back(endpointSpec("engine-" + std::to_string(index), 64));
+        }
+        start({}, specs);
+    }
+
+    Submission promptOf(std::uint64_t subject, const std::string &requestClass = "tier2")
+    {
+        Submission submission = submissionOf(nextPermit_++, requestClass);
+        submission.prefixHash = subject;
+        submission.sharedPromptTokens = 13'000;
+        submission.promptTokens = 17'000;
+        return submission;
+    }
+
+    std::string place(const Submission &submission, milliseconds time = {})
+    {
+        const Decisions decisions = submit(submission, time);
+        return decisions.grants.empty() ? std::string("none") : decisions.grants.front().endpoint.value();
+    }
+
+    static PeerReport reportOf(const std::string &router, const std::string &endpoint, std::uint64_t subject)
+    {
+        return {.router = support::InstanceId(router),
+            .requests = {{.endpoint = support::EndpointId(endpoint),
+                .prefixHash = subject,
+                .sharedTokens = 13'000,
+                .unreadTokens = 17'000,
+                .pauseTarget = milliseconds(500)}}};
+    }
+
+    PermitId nextPermit_ = 1;
+};
+
+/// Guards against a burst over many routers that ends on one engine: each hears of the others in one summary only.
+TEST_F(PeerLoadsTest, PlacesByTheSumOfAllOtherRouters)
+{
+    startEngines(2);
+    functions.recordPeerSummary(pool.get(), {.endpoints = {{.endpoint = support::EndpointId("engine-0"), .unreadTokens = 50'000, .running = 3}}}, startTime);
+    EXPECT_EQ(place(promptOf(1)), "engine-1");
+    EXPECT_EQ(place(promptOf(2)), "engine-1");
+}
+
+TEST_F(PeerLoadsTest, ReplacesAndForgetsASummary)
+{
+    startEngines(2);
+    const PeerSummary busyFirst {.endpoints = {{.endpoint = support::EndpointId("engine-0"), .unreadTokens = 90'000, .running = 5}}};
+    functions.recordPeerSummary(pool.get(), busyFirst, startTime);
+    EXPECT_EQ(place(promptOf(1), milliseconds(2'000)), "engine-0") << "the summary is older than its lifetime";
+    functions.recordPeerSummary(pool.get(), busyFirst, at(milliseconds(2'100)));
+    functions.recordPeerSummary(pool.get(), {}, at(milliseconds(2'200)));
+    EXPECT_EQ(place(promptOf(2), milliseconds(2'200)), "engine-1") << "only this router's own request runs at engine-0";
+}
+
+/// Guards against routers that read a shared part again because another router had it read.
+TEST_F(PeerLoadsTest, LearnsWhichEndpointsHoldASharedPart)
+{
+    startEngines(4);
+    functions.recordPeerSummary(pool.get(), {.prefixes = {{.endpoint = support::EndpointId("engine-3"), .prefixHash = 8, .tokens = 13'000}}}, startTime);
+    EXPECT_EQ(place(promptOf(8)), "engine-3");
+}
+
+/// Guards against a router that counts its own requests twice: once itself, once in the summary that it gets.
+TEST_F(PeerLoadsTest, LeavesTheReceiverOutOfItsSummary)
+{
+    startEngines(2);
+    functions.recordPeerRequests(pool.get(), reportOf("first", "engine-0", 1), startTime);
+    functions.recordPeerRequests(pool.get(), reportOf("second", "engine-0", 2), startTime);
+    const PeerSummary forFirst = functions.summarizeFor(pool.get(), support::InstanceId("first"), startTime);
+    ASSERT_EQ(forFirst.endpoints.size(), 1U);
+    EXPECT_EQ(forFirst.endpoints.front().unreadTokens, 17'000U);
+    EXPECT_EQ(forFirst.endpoints.front().running, 1U);
+    ASSERT_EQ(forFirst.endpoints.front().streams.size(), 1U);
+    EXPECT_EQ(forFirst.endpoints.front().streams.front().streams, 1U);
+    const PeerSummary forThird = functions.summarizeFor(pool.get(), support::InstanceId("third"), startTime);
+    EXPECT_EQ(forThird.endpoints.front().unreadTokens, 34'000U);
+    EXPECT_EQ(forThird.prefixes.size(), 2U);
+    EXPECT_EQ(forThird.longestRead, milliseconds(340)) << "17,000 tokens at 50 a millisecond";
+}
+
+/// Guards against sums that grow from summary to summary, where two routers send each other theirs.
+TEST_F(PeerLoadsTest, PassesNoSummaryOn)
+{
+    startEngines(1);
+    functions.recordPeerSummary(pool.get(), {.endpoints = {{.endpoint = support::EndpointId("engine-0"), .unreadTokens = 9'000, .running = 2}}}, startTime);
+    EXPECT_TRUE(functions.summarizeFor(pool.get(), support::InstanceId("other"), startTime).endpoints.empty());
+}
+
+TEST_F(PeerLoadsTest, TellsNewSharedPartsForAShortTime)
+{
+    startEngines(1);
+    functions.recordPeerRequests(pool.get(), reportOf("first", "engine-0", 1), startTime);
+    const support::InstanceId receiver("second");
+    EXPECT_EQ(functions.summarizeFor(pool.get(), receiver, at(milliseconds(300))).prefixes.size(), 1U);
+    EXPECT_TRUE(functions.summarizeFor(pool.get(), receiver, at(milliseconds(600))).prefixes.empty());
+}
+
+} // namespace mulberrywall::policy
--- a/unittests/Router/LimitsTest.cpp
+++ b/unittests/Router/LimitsTest.cpp
@@ -29,6 +29,18 @@
     EXPECT_FALSE(takeRetry(full, 0));
 }
 
+// Guards against a retry budget of all routers together that grows with their number.
+TEST(RetryBudgets, ShrinkWhenThereAreMoreRouters)
+{
+    RetryBudgets budgets(20.0);
+    const RetryAllowance allowance {.budget = "pool", .percent = 10};
+    EXPECT_TRUE(budgets.takeRetry(allowance));
+    budgets.setCapacity(2.0);
+    EXPECT_TRUE(budgets.takeRetry(allowance));
+    EXPECT_TRUE(budgets.takeRetry(allowance));
+    EXPECT_FALSE(budgets.takeRetry(allowance));
+}
+
 // Guards against a hedging delay that follows one outlier or exceeds what the target leaves.
 TEST(HedgeDelay, FollowsQuantileWithinTarget)
 {
--- a/unittests/Router/StoreFollowingTest.cpp
+++ b/unittests/Router/StoreFollowingTest.cpp
@@ -4,6 +4,8 @@
 #include "mulberrywall/Router/TableFollower.h"
 #include "mulberrywall/Support/WorkerPool.h"
 
+#include <boost/asio/post.hpp>
+
 #include <gtest/gtest.h>
 
 #include <future>
@@ -121,11 +123,16 @@
     void start()
     {
         follower_ = std::make_shared<TableFollower>(workers_.context(),
-            TableFollowerOptions {.name = "test", .wait = milliseconds(2000), .initialRetryDelay = milliseconds(1), .maximumRetryDelay = milliseconds(2)},
+            TableFollowerOptions {.name = "test",
+                .wait = milliseconds(2000),
+                .changesInterval = milliseconds(1),
+                .initialRetryDelay = milliseconds(1),
+                .maximumRetryDelay = milliseconds(2)},
             makeSource(),
             TableFollowerHandlers {.onRows =
-                                       [this](RowsKind kind, const std::vector<TableRow> &rows, BootClock::time_point) {
+                                       [this](RowsKind kind, const std::vector<TableRow> &rows, BootClock::time_point provenAt) {
                                            const std::scoped_lock lock(mutex_);
+                                           provenAt_ = provenAt;
                                            kinds_.push_back(kind);
                                            rowCounts_.push_back(rows.size());
                                        },
@@ -165,9 +172,39 @@
     std::vector<RowsKind> kinds_;
     std::vector<std::size_t> rowCounts_;
     int regained_ = 0;
+    BootClock::time_point provenAt_;
     std::shared_ptr<TableFollower> follower_;
 };
 
+/// A follower among many, which others tell of the table.
+class RelyingFollowerTest : public TableFollowerTest
+{
+protected:
+    /// Starts with the table read at version 5 and a call for changes under way.
+    Call startRelying()
+    {
+        start();
+        follower_->setMode(FollowMode::RelyOnPeers);
+        next().handler({.status = TableStatus::Ok, .version = 5});
+        return next();
+    }
+
+    /// Waits until the follower has done what it was told.
+    void settle()
+    {
+        std::promise<void> done;
+        follower_->setMode(FollowMode::RelyOnPeers);
+        boost::asio::post(workers_.context(), [&done] { done.set_value(); });
+        done.get_future().wait();
+    }
+
+    [[nodiscard]] bool hasCalled()
+    {
+        const std::scoped_lock lock(mutex_);
+        return !calls_.empty();
+    }
+};
+
 TEST_F(TableFollowerTest, ReadsTheTableOnceAndThenWaitsForChanges)
 {
     start();
@@ -214,4 +251,62 @@
     EXPECT_TRUE(next().readsAll);
 }
 
+/// Guards against a store that is asked by every one of many routers, although each answer says the same.
+TEST_F(RelyingFollowerTest, DoesNotAskWhileOthersDo)
+{
+    Call call = startRelying();
+    const BootClock::time_point heardAt = BootClock::now();
+    follower_->recordPeer({.version = 20, .changedAt = 5, .age = milliseconds(10)}, heardAt);
+    settle();
+    {
+        const std::scoped_lock lock(mutex_);
+        EXPECT_EQ(provenAt_, heardAt - milliseconds(10)) << "the proof is as old as the peer says";
+    }
+    call.handler({.status = TableStatus::Ok, .version = 6});
+    settle();
+    EXPECT_FALSE(hasCalled());
+    EXPECT_EQ(follower_->progress()->version, 20U);
+}
+
+/// Guards against an endpoint that leaves unnoticed because the one who asked the store was another router.
+TEST_F(RelyingFollowerTest, AsksAtOnceWhenOthersHaveSeenAChange)
+{
+    Call call = startRelying();
+    follower_->recordPeer({.version = 20, .changedAt = 5}, BootClock::now());
+    call.handler({.status = TableStatus::Ok, .version = 6});
+    settle();
+    follower_->recordPeer({.version = 30, .changedAt = 25}, BootClock::now());
+    // A peer that has not seen the change yet takes nothing back.
+    follower_->recordPeer({.version = 22, .changedAt = 5}, BootClock::now());
+    EXPECT_EQ(next().version, 22U);
+}
+
+/// Guards against a lease that is renewed by a peer which knows of a newer configuration.
+TEST_F(RelyingFollowerTest, TakesNoProofFromAPeerThatKnowsMore)
+{
+    startRelying();
+    const BootClock::time_point heardAt = BootClock::now();
+    follower_->recordPeer({.version = 30, .changedAt = 25}, heardAt);
+    settle();
+    const std::scoped_lock lock(mutex_);
+    EXPECT_LT(provenAt_, heardAt);
+}
+
+/// Guards against a router that never asks again after those that it relied on have lost the store.
+TEST_F(RelyingFollowerTest, AsksWhenWhatOthersKnowGrowsOld)
+{
+    Call call = startRelying();
+    follower_->recordPeer({.version = 20, .changedAt = 5, .age = milliseconds(1'690)}, BootClock::now());
+    call.handler({.status = TableStatus::Ok, .version = 6});
+    EXPECT_EQ(next().version, 20U);
+}
+
+TEST_F(TableFollowerTest, AsksMoreOftenWhileOthersRelyOnIt)
+{
+    start();
+    follower_->setMode(FollowMode::Relayed);
+    next().handler({.status = TableStatus::Ok, .version = 5});
+    EXPECT_EQ(next().wait, milliseconds(700));
+}
+
 } // namespace mulberrywall::router
