--- a/unittests/Adapter/NodeSettingsTest.cpp
+++ b/unittests/Adapter/NodeSettingsTest.cpp
@@ -43,6 +43,18 @@
     EXPECT_EQ(std::get<NodeSettings>(read).keyRemovalBound.count(), 0);
 }
 
+/// Guards against numbers in a document that no clock can count to; found by the fuzz target PlatformDocument.
+TEST(NodeSettings, CutsTimesThatAreLongerThanAnyUse)
+{
+    const auto read = readNodeSettings(R"({"nodeName": "a", "zone": "z", "listen": {"front": "10.1.0.1:1", "ready": "10.1.0.1:2"},
+        "bounds": {"graceS": 3e71, "strictRevoke": true, "revokeMs": 3e71}, "limits": {"cpuShare": 3e71}, "platform": {"address": "10.1.0.2:3"}})");
+    ASSERT_TRUE(std::holds_alternative<NodeSettings>(read));
+    const auto &settings = std::get<NodeSettings>(read);
+    EXPECT_EQ(settings.terminationGrace, std::chrono::years(1));
+    EXPECT_EQ(settings.keyRemovalBound, std::chrono::years(1));
+    EXPECT_LE(settings.processorShare, 512.0);
+}
+
 TEST(NodeSettings, NamesTheFieldThatIsMissingOrWrong)
 {
     EXPECT_NE(problemOf("{").find("not a JSON object"), std::string::npos);
