--- a/fuzz/LoadDatagramFuzz.cpp
+++ b/fuzz/LoadDatagramFuzz.cpp
@@ -38,6 +38,7 @@
 }
 
 /// Guards against datagrams of other routers that crash this one, or that it reads in another way than it would write them.
+// NOLINTNEXTLINE(readability-identifier-naming): libFuzzer prescribes the name.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     const auto datagram = permits::decodeLoadDatagram(std::span(data, size));
--- a/fuzz/PlatformDocumentFuzz.cpp
+++ b/fuzz/PlatformDocumentFuzz.cpp
@@ -1,8 +1,8 @@
 #include "Require.h"
 
-#include "platform/EndpointEntry.h"
-#include "platform/NodeSettings.h"
-#include "platform/OperatorDocument.h"
+#include "../platform/EndpointEntry.h"
+#include "../platform/NodeSettings.h"
+#include "../platform/OperatorDocument.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -50,6 +50,7 @@
 } // namespace
 
 /// Guards against rows of the store and settings files that crash the router or are taken for what they are not.
+// NOLINTNEXTLINE(readability-identifier-naming): libFuzzer prescribes the name.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     const std::string_view text(reinterpret_cast<const char *>(data), size);
