permits: compare a returned stamp before converting it to the clock's unit

Cause: a stamp of another process, and the 0 that stands for none, became a time of up to 2^60 ms; in the clock's nanoseconds that overflows, which is undefined.

Ruled out: a check for 0 alone; stamps of an earlier process are as far off.

Change: the range is checked in milliseconds. Stamps of this process are taken as before; the range now starts at the cut start time itself.

--- a/lib/Permits/LoadExchange.cpp
+++ b/lib/Permits/LoadExchange.cpp
@@ -219,19 +219,26 @@
         return true;
     }
 
+    static std::uint64_t toMilliseconds(support::BootClock::time_point time)
+    {
+        return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count());
+    }
+
     /// Returns the time on this router's clock as it is sent to others.
     [[nodiscard]] std::uint64_t makeStamp(support::BootClock::time_point time) const
     {
-        return clockOffset_ + static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count());
+        return clockOffset_ + toMilliseconds(time);
     }
 
     /// Returns nothing for the stamp of an earlier process of this router, whose clock may have been another one.
     [[nodiscard]] std::optional<support::BootClock::time_point> readEcho(std::uint64_t stamp) const
     {
-        const support::BootClock::time_point time {std::chrono::milliseconds(static_cast<std::int64_t>(stamp - clockOffset_))};
-        // Stamps are cut to milliseconds.
-        const bool isOwn = time >= startedAt_ - std::chrono::milliseconds(1) && time <= support::BootClock::now();
-        return isOwn ? std::optional(time) : std::nullopt;
+        // Compared before the conversion to the clock's unit, which foreign stamps would overflow.
+        const std::uint64_t time = stamp - clockOffset_;
+        if (time < toMilliseconds(startedAt_) || time > toMilliseconds(support::BootClock::now())) {
+            return std::nullopt;
+        }
+        return support::BootClock::time_point(std::chrono::milliseconds(time));
     }
 
     /// The latest datagram of another router.
