router: log class, organisation, tier and prompt size of each attempt; first-token latency by tier

What was missing: to compare the urgency that requests got at one engine, attempt and end of each request had to be joined over all routers, requests that never ended were lost, and no metric showed that a higher tier waited longer than a lower one. Tests: the scripted endpoint and the router's options of PlatformPathTest move to a header, for a second test.

--- a/lib/Router/CallerSession.cpp
+++ b/lib/Router/CallerSession.cpp
@@ -286,6 +286,10 @@
             {"endpoint", permit->endpoint().id.value()},
             {"purpose", policy::toString(purpose)},
             {"number", attempts_},
+            {"class", request_->requestClass.id.value()},
+            {"organisation", request_->organisation.id.value()},
+            {"tier", static_cast<unsigned>(request_->requestClass.tier)},
+            {"promptTokens", request_->promptTokens},
             {"enginePriority", std::max(permit->enginePriority(), enginePriority_)}});
     const auto attempt = std::make_shared<Attempt>(exchange_->executor(), state_.dialect, std::move(options), std::move(permit));
     running_.push_back(attempt);
@@ -561,6 +565,10 @@
     recordServiceLevel(result, duration);
     state_.metrics.increment("mulberrywall_requests_total", {{"class", requestClass}, {"result", result}, {"outcome", support::toString(verdict_)}});
     state_.metrics.observe("mulberrywall_request_seconds", duration.count(), {{"class", requestClass}});
+    if (firstTokenAt_) {
+        const std::chrono::duration<double> firstToken = *firstTokenAt_ - startedAt_;
+        state_.metrics.observe("mulberrywall_first_token_seconds", firstToken.count(), {{"tier", std::to_string(request_->requestClass.tier)}});
+    }
     support::log(support::Severity::Info,
         "request ended",
         {{"request", request_->id.value()},
--- a/unittests/Adapter/PlatformPathTest.cpp
+++ b/unittests/Adapter/PlatformPathTest.cpp
@@ -1,10 +1,4 @@
-#include "platform/Dialect.h"
-
-#include "mulberrywall/Http/ClientCall.h"
-#include "mulberrywall/Router/RouterService.h"
-#include "mulberrywall/Support/WorkerPool.h"
-
-#include <boost/asio/strand.hpp>
+#include "ScriptedEndpoint.h"
 
 #include <gtest/gtest.h>
 
@@ -17,61 +11,6 @@
 
 using std::chrono::milliseconds;
 
-/// An endpoint that uses the platform's dialect; the script responds to each request.
-class ScriptedServer
-{
-public:
-    using Script = std::function<void(const http::ServerExchangePtr &)>;
-
-    ScriptedServer(support::WorkerPool &workers, Script script)
-        : script_(std::move(script)),
-          server_(http::Server::create(
-              workers.context(), {.listen = {boost::asio::ip::address_v4::loopback(), 0}}, [this](const http::ServerExchangePtr &exchange) {
-                  {
-                      const std::scoped_lock lock(mutex_);
-                      requests_.push_back(exchange->request());
-                  }
-                  script_(exchange);
-              }))
-    {
-        server_->start();
-    }
-
-    [[nodiscard]] std::uint16_t port() const
-    {
-        return server_->localEndpoint().port();
-    }
-    [[nodiscard]] std::size_t openConnections() const
-    {
-        return server_->connectionCount();
-    }
-    [[nodiscard]] std::vector<http::Request> requests() const
-    {
-        const std::scoped_lock lock(mutex_);
-        return requests_;
-    }
-
-private:
-    Script script_;
-    mutable std::mutex mutex_;
-    std::vector<http::Request> requests_;
-    std::shared_ptr<http::Server> server_;
-};
-
-static void addConfirmation(http::ResponseHeader &header, const http::Request &request)
-{
-    header.set("Mulberrywall-Request-Id", http::fieldValue(request, "Mulberrywall-Request-Id"));
-    header.set("Mulberrywall-Server-Seal", "seal");
-}
-
-static void answer(const http::ServerExchangePtr &exchange, http::Status status, std::string body)
-{
-    http::Response response(status, 11);
-    addConfirmation(response, exchange->request());
-    response.body() = std::move(body);
-    exchange->respond(std::move(response));
-}
-
 static void refuse(const http::ServerExchangePtr &exchange)
 {
     http::Response response(http::Status::service_unavailable, 11);
@@ -117,15 +56,6 @@
 protected:
     PlatformPathTest()
     {
-        options_.instance = support::InstanceId("router");
-        options_.callerServer.listen = {boost::asio::ip::address_v4::loopback(), 0};
-        options_.adminServer.listen = {boost::asio::ip::address_v4::loopback(), 0};
-        options_.dialect = &dialect();
-        options_.endpointReports = router::EndpointReports::None;
-        options_.drainMode = router::DrainMode::Serve;
-        options_.drainGrace = milliseconds(300);
-        options_.router.reusesConnections = true;
-        options_.router.chargeResumesToRetryBudget = true;
         addRoute("/safe/", configuration::Idempotency::Idempotent);
         addRoute("/unsafe/", configuration::Idempotency::NonIdempotent);
         addRoute("/stream/", configuration::Idempotency::NonIdempotent).streams = true;
@@ -154,9 +84,9 @@
         return site_.routes.back();
     }
 
-    ScriptedServer &addEndpoint(ScriptedServer::Script script)
+    ScriptedEndpoint &addEndpoint(ScriptedEndpoint::Script script)
     {
-        servers_.push_back(std::make_unique<ScriptedServer>(workers_, std::move(script)));
+        servers_.push_back(std::make_unique<ScriptedEndpoint>(workers_, std::move(script)));
         site_.endpoints.push_back({.id = support::EndpointId("e" + std::to_string(servers_.size())),
             .address = "127.0.0.1",
             .port = servers_.back()->port(),
@@ -174,16 +104,7 @@
 
     http::BufferedResponse send(const std::string &target, const std::string &id)
     {
-        http::Request request(http::Verb::post, target, 11);
-        request.set("Host", "h");
-        request.set("Mulberrywall-Request-Id", id);
-        request.set("Mulberrywall-Deadline-Ms", "4000");
-        std::promise<http::BufferedResponse> promise;
-        const auto call = http::fetch(boost::asio::make_strand(workers_.context()),
-            {.peer = service_->callerEndpoint()},
-            std::move(request),
-            [&promise](http::BufferedResponse response) { promise.set_value(std::move(response)); });
-        return promise.get_future().get();
+        return sendRequest(workers_, *service_, target, id);
     }
 
     [[nodiscard]] std::size_t receivedRequests() const
@@ -196,15 +117,15 @@
     }
 
     support::WorkerPool workers_ {2};
-    router::RouterServiceOptions options_;
+    router::RouterServiceOptions options_ = makeRouterOptions("router");
     configuration::SiteConfiguration site_;
-    std::vector<std::unique_ptr<ScriptedServer>> servers_;
+    std::vector<std::unique_ptr<ScriptedEndpoint>> servers_;
     std::unique_ptr<router::RouterService> service_;
 };
 
 TEST_F(PlatformPathTest, ForwardsCompleteResponse)
 {
-    const ScriptedServer &server = addEndpoint([](const http::ServerExchangePtr &exchange) { answer(exchange, http::Status::created, "booked"); });
+    const ScriptedEndpoint &server = addEndpoint([](const http::ServerExchangePtr &exchange) { answer(exchange, http::Status::created, "booked"); });
     start();
     const http::BufferedResponse response = send("/unsafe/x?y=1", "r1");
     EXPECT_EQ(response.status, http::Status::created);
@@ -375,7 +296,7 @@
 /// Guards against opening a new connection for each request although the endpoint keeps its connections open.
 TEST_F(PlatformPathTest, ReusesConnectionsToEndpoints)
 {
-    const ScriptedServer &server = addEndpoint([](const http::ServerExchangePtr &exchange) { answer(exchange, http::Status::ok, "done"); });
+    const ScriptedEndpoint &server = addEndpoint([](const http::ServerExchangePtr &exchange) { answer(exchange, http::Status::ok, "done"); });
     start();
     for (unsigned index = 0; index < 5; ++index) {
         EXPECT_EQ(send("/safe/", "r" + std::to_string(index)).status, http::Status::ok);
@@ -383,4 +304,19 @@
     EXPECT_EQ(server.openConnections(), 1U);
 }
 
+/// Guards against a tier whose callers wait longer than those of lower tiers without any metric that shows it.
+TEST_F(PlatformPathTest, RecordsFirstTokenLatencyByTier)
+{
+    addEndpoint([](const http::ServerExchangePtr &exchange) { stream(exchange, 2, false); });
+    site_.classes.at(2).tier = 3;
+    start();
+    EXPECT_EQ(send("/stream/", "r1").status, http::Status::ok);
+    std::promise<std::string> metrics;
+    const auto call = http::fetch(boost::asio::make_strand(workers_.context()),
+        {.peer = service_->adminEndpoint()},
+        http::Request(http::Verb::get, "/metrics", 11),
+        [&metrics](http::BufferedResponse response) { metrics.set_value(std::move(response.body)); });
+    EXPECT_NE(metrics.get_future().get().find("mulberrywall_first_token_seconds_count{tier=\"3\"} 1"), std::string::npos);
+}
+
 } // namespace mulberrywall::platform
