router: order requests by the tier of their organisation first and of their class second

Cause: the tier of an organisation replaced the tier of the request's class. Engines have no other sight of what other routers sent: the urgency is all that keeps tier order over routers. Change: router/OrganisationTiers numbers the pairs (organisation's tier, class's tier) in order. Organisations without a tier are ordered by the class's tier, as before. Why it works: engines admit waiting requests by urgency, which now differs wherever the order of the operator's document does.

--- a/include/mulberrywall/Configuration/Model.h
+++ b/include/mulberrywall/Configuration/Model.h
@@ -57,7 +57,7 @@
 struct Organisation
 {
     support::OrganisationId id;
-    /// If set, overrides the tier of the request class for all requests of the organisation.
+    /// If set, orders the organisation's requests before the tiers of their classes, see router/OrganisationTiers.
     std::optional<support::Tier> tier;
     /// SHA-256 of each accepted bearer key, in lower-case hexadecimal.
     std::vector<std::string> keyHashes;
--- a/include/mulberrywall/Router/RouteTable.h
+++ b/include/mulberrywall/Router/RouteTable.h
@@ -43,9 +43,6 @@
 /// Returns nullptr if all weights are 0.
 const configuration::RouteTarget *chooseTarget(const configuration::Route &route, const support::RequestId &id);
 
-/// Returns the id of the class that replaces a route's class for organisations with a tier of their own.
-support::ClassId classForTier(const support::ClassId &requestClass, support::Tier tier);
-
 /// Returns the hash of the prompt prefix that other requests may share, which is all segments but the
 /// last one; 0 if the prompt has fewer than two segments.
 std::uint64_t promptPrefixHash(std::span<const PromptSegment> segments);
--- a/lib/Router/RouteTable.cpp
+++ b/lib/Router/RouteTable.cpp
@@ -1,5 +1,7 @@
 #include "mulberrywall/Router/RouteTable.h"
 
+#include "mulberrywall/Router/OrganisationTiers.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -46,11 +48,6 @@
     return nullptr;
 }
 
-support::ClassId classForTier(const support::ClassId &requestClass, support::Tier tier)
-{
-    return support::ClassId(requestClass.value() + "/tier-" + std::to_string(tier));
-}
-
 std::uint64_t promptPrefixHash(std::span<const PromptSegment> segments)
 {
     if (segments.size() < 2) {
--- a/unittests/Adapter/OperatorDocumentTest.cpp
+++ b/unittests/Adapter/OperatorDocumentTest.cpp
@@ -62,12 +62,18 @@
     EXPECT_EQ(classOf(site, "look").idempotency, Idempotency::Idempotent);
 }
 
-TEST(OperatorDocument, AddsClassForEachTierOfAnOrganisation)
+/// Guards against tiers of an organisation's classes that do not keep the order of the organisations first and of the
+/// routes second.
+TEST(OperatorDocument, OrdersClassesByOrganisationAndThenByRoute)
 {
     const SiteConfiguration site = read();
-    EXPECT_EQ(classOf(site, "long").tier, 2);
-    EXPECT_EQ(classOf(site, "long/tier-0").tier, 0);
+    EXPECT_EQ(classOf(site, "look").tier, 0);
+    EXPECT_EQ(classOf(site, "short/tier-0").tier, 1);
+    EXPECT_EQ(classOf(site, "long/tier-0").tier, 2);
+    EXPECT_EQ(classOf(site, "short").tier, 3);
+    EXPECT_EQ(classOf(site, "long").tier, 4);
     EXPECT_EQ(classOf(site, "long/tier-0").targets, classOf(site, "long").targets);
+    EXPECT_EQ(configuration::findClass(site, support::ClassId("look/tier-0")), nullptr) << "the class itself has this tier";
 }
 
 TEST(OperatorDocument, DistinguishesEnginesFromPlainServices)
--- a/unittests/Router/RouteTableTest.cpp
+++ b/unittests/Router/RouteTableTest.cpp
@@ -1,5 +1,7 @@
 #include "mulberrywall/Router/RouteTable.h"
 
+#include "mulberrywall/Router/OrganisationTiers.h"
+
 #include <gtest/gtest.h>
 
 namespace mulberrywall::router
@@ -12,10 +14,12 @@
     {
         site_.pools.push_back({.id = support::PoolId("p")});
         site_.classes.push_back({.id = support::ClassId("c"), .tier = 2});
-        site_.classes.push_back({.id = classForTier(support::ClassId("c"), 0), .tier = 0});
+        site_.classes.push_back({.id = support::ClassId("d"), .tier = 1});
         site_.organisations.push_back({.id = support::OrganisationId("plain"), .keyHashes = {hashKey("k")}});
         site_.organisations.push_back({.id = support::OrganisationId("urgent"), .tier = 0, .keyHashes = {hashKey("u")}});
+        orderClassesByOrganisationTier(site_);
         addRoute("/a/");
+        addRoute("/d/").requestClass = support::ClassId("d");
     }
 
     configuration::Route &addRoute(const std::string &prefix)
@@ -61,10 +65,13 @@
     EXPECT_EQ(chooseTarget(split, support::RequestId("id")), nullptr);
 }
 
-TEST_F(RouteTableTest, OrganisationTierOverridesRouteTier)
+/// Guards against an organisation's tier that is ignored, and against one that replaces the tiers of its classes.
+TEST_F(RouteTableTest, OrganisationTierPrecedesRouteTier)
 {
-    EXPECT_EQ(route("k").requestClass.tier, 2);
-    EXPECT_EQ(route("u").requestClass.tier, 0);
+    EXPECT_EQ(route("u", "/d/x").requestClass.tier, 0);
+    EXPECT_EQ(route("u").requestClass.tier, 1);
+    EXPECT_EQ(route("k", "/d/x").requestClass.tier, 2);
+    EXPECT_EQ(route("k").requestClass.tier, 3);
 }
 
 TEST_F(RouteTableTest, RequiresAKeyUnlessTheRouteIsPublicOrThereAreNoOrganisations)
