policy: map tiers onto the priorities that the engines distinguish

Callers: an operator with more than five tiers had the order of the lowest ones lost: urgencies 2 x tier were cut at 9, so that a report could be admitted before a question two tiers above it. Cause: enginePriority knew neither the number of tiers nor that of the engines' priorities; the adapter cut the rest. Change: a pool has the number of priorities of its engines (256 by default, 10 on the platform); the steps of two per tier, for long requests, are kept where they fit, else one step a tier, else neighbouring tiers share one. Tests, both failed before (routes 5 to 9 all had urgency 9; 16 tiers used 6 urgencies): TiersUpToTheNumberOfUrgenciesDiffer, MoreTiersThanUrgenciesKeepTheirOrder. 42 of 42 AdapterTests and 131 of 131 PolicyTests pass.

--- a/include/mulberrywall/Configuration/Model.h
+++ b/include/mulberrywall/Configuration/Model.h
@@ -107,6 +107,8 @@
     PoolKind kind = PoolKind::ModelEngine;
     /// Maximum number of waiting requests; the pool's owner sheds further ones.
     std::size_t queueLimit = 256;
+    /// Number of priorities that the pool's engines distinguish, from 1 to 256.
+    unsigned enginePriorityLevels = 256;
 
     friend bool operator==(const Pool &, const Pool &) = default;
 };
--- a/include/mulberrywall/Policy/LongRequests.h
+++ b/include/mulberrywall/Policy/LongRequests.h
@@ -20,6 +20,9 @@
 bool markLongIfExceeded(Pool &pool, ActiveRequest &request);
 
 /// Returns the engine priority: by tier, and within a tier long requests after the others.
-std::uint8_t enginePriority(support::Tier tier, SchedulingGroup group);
+///
+/// If the engines distinguish too few priorities for that, long requests have the priority of their tier; if they
+/// distinguish fewer than there are tiers, neighbouring tiers share one. No tier ever comes before a higher one.
+std::uint8_t enginePriority(const Pool &pool, support::Tier tier, SchedulingGroup group);
 
 } // namespace mulberrywall::policy
--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -226,6 +226,8 @@
 {
     PoolOptions options;
     std::map<support::ClassId, ClassState> classes;
+    /// Lowest tier of any class, which is the highest number.
+    support::Tier lowestTier = 0;
     std::map<support::OrganisationId, double> weights;
     std::map<support::EndpointId, EndpointState> endpoints;
     Queue queue;
--- a/include/mulberrywall/Policy/Types.h
+++ b/include/mulberrywall/Policy/Types.h
@@ -256,6 +256,8 @@
 struct PoolOptions
 {
     std::size_t queueLimit = 256;
+    /// Number of priorities that the engines distinguish, from 1 to 256.
+    unsigned enginePriorityLevels = 256;
     std::vector<ClassSpec> classes;
     std::vector<OrganisationSpec> organisations;
     Tuning tuning;
--- a/lib/Permits/OwnedPool.cpp
+++ b/lib/Permits/OwnedPool.cpp
@@ -344,7 +344,7 @@
 
 static policy::PoolOptions makePoolOptions(const configuration::SiteConfiguration &configuration, const configuration::Pool &pool)
 {
-    policy::PoolOptions options {.queueLimit = pool.queueLimit};
+    policy::PoolOptions options {.queueLimit = pool.queueLimit, .enginePriorityLevels = pool.enginePriorityLevels};
     for (const configuration::RequestClass &requestClass : configuration.classes) {
         policy::ClassSpec spec {.id = requestClass.id,
             .tier = requestClass.tier,
--- a/lib/Policy/LongRequests.cpp
+++ b/lib/Policy/LongRequests.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <limits>
 
 namespace mulberrywall::policy
 {
@@ -62,10 +61,15 @@
     return true;
 }
 
-std::uint8_t enginePriority(support::Tier tier, SchedulingGroup group)
+std::uint8_t enginePriority(const Pool &pool, support::Tier tier, SchedulingGroup group)
 {
-    constexpr unsigned lowest = std::numeric_limits<std::uint8_t>::max();
-    return static_cast<std::uint8_t>(std::min(lowest, 2U * tier + (group == SchedulingGroup::Long ? 1U : 0U)));
+    const unsigned levels = pool.options.enginePriorityLevels;
+    // A request that was re-registered after a change of the configuration may have a lower tier than any class.
+    const unsigned tiers = std::max(pool.lowestTier, tier) + 1U;
+    if (2 * tiers <= levels) {
+        return static_cast<std::uint8_t>(2U * tier + (group == SchedulingGroup::Long ? 1U : 0U));
+    }
+    return static_cast<std::uint8_t>(tiers <= levels ? tier : tier * levels / tiers);
 }
 
 } // namespace mulberrywall::policy
--- a/lib/Policy/Scheduling.cpp
+++ b/lib/Policy/Scheduling.cpp
@@ -61,7 +61,7 @@
 {
     const PermitId permit = candidate.request->submission.permit;
     WaitingRequest request = *removeWaiting(pool.queue, permit);
-    decisions.grants.push_back({.permit = permit, .endpoint = endpoint.spec.id, .enginePriority = enginePriority(request.tier, request.group)});
+    decisions.grants.push_back({.permit = permit, .endpoint = endpoint.spec.id, .enginePriority = enginePriority(pool, request.tier, request.group)});
     const SchedulingGroup group = request.group;
     ActiveRequest &active = startRequest(pool, endpoint, std::move(request), now);
     chargeGrant(pool, active);
--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -60,7 +60,9 @@
     Pool &pool = asPool(handle);
     pool.options = options;
     std::map<support::ClassId, ClassState> classes;
+    pool.lowestTier = 0;
     for (const ClassSpec &spec : options.classes) {
+        pool.lowestTier = std::max(pool.lowestTier, spec.tier);
         const auto existing = pool.classes.find(spec.id);
         ClassState state = existing == pool.classes.end() ? ClassState {} : std::move(existing->second);
         state.spec = spec;
@@ -242,7 +244,7 @@
             recordQuarantinedProgress(pool, found->second);
         }
         if (markLongIfExceeded(pool, found->second)) {
-            decisions.priorityChanges.push_back({.permit = permit, .enginePriority = enginePriority(found->second.tier, SchedulingGroup::Long)});
+            decisions.priorityChanges.push_back({.permit = permit, .enginePriority = enginePriority(pool, found->second.tier, SchedulingGroup::Long)});
         }
     }
     scheduleAll(pool, now, decisions);
--- a/unittests/Adapter/UrgencyOrderTest.cpp
+++ b/unittests/Adapter/UrgencyOrderTest.cpp
@@ -10,6 +10,7 @@
 
 #include <charconv>
 #include <optional>
+#include <set>
 
 namespace mulberrywall::platform
 {
@@ -126,4 +127,43 @@
         {{"gold", "/question/"}, {"gold", "/summary/"}, {"gold", "/report/"}, {"silver", "/question/"}, {"silver", "/summary/"}, {"silver", "/report/"}});
 }
 
+/// Guards against more tiers than fit into the urgencies 0 to 9 in steps of two: the lowest tiers then share the last one.
+TEST_F(UrgencyOrderTest, TiersUpToTheNumberOfUrgenciesDiffer)
+{
+    std::vector<Caller> callers;
+    for (unsigned priority = 0; priority < 10; ++priority) {
+        const std::string name = "route" + std::to_string(priority);
+        addRoute(name, priority);
+        callers.push_back({.key = "caller", .prefix = "/" + name + "/"});
+    }
+    addOrganisation("caller", std::nullopt);
+    start();
+    expectStrictOrder(callers);
+}
+
+/// Guards against an inversion where neighbouring tiers have to share an urgency.
+TEST_F(UrgencyOrderTest, MoreTiersThanUrgenciesKeepTheirOrder)
+{
+    std::vector<Caller> callers;
+    for (unsigned organisation = 0; organisation < 4; ++organisation) {
+        addOrganisation("organisation" + std::to_string(organisation), organisation);
+        for (unsigned priority = 0; priority < 4; ++priority) {
+            callers.push_back({.key = "organisation" + std::to_string(organisation), .prefix = "/route" + std::to_string(priority) + "/"});
+        }
+    }
+    for (unsigned priority = 0; priority < 4; ++priority) {
+        addRoute("route" + std::to_string(priority), priority);
+    }
+    start();
+    unsigned previous = 0;
+    std::set<unsigned> urgencies;
+    for (const Caller &caller : callers) {
+        const unsigned urgency = urgencyOf(caller);
+        EXPECT_GE(urgency, previous) << caller.key << caller.prefix;
+        previous = urgency;
+        urgencies.insert(urgency);
+    }
+    EXPECT_EQ(urgencies.size(), 10U) << "an urgency is left unused while tiers share one";
+}
+
 } // namespace mulberrywall::platform
