router: bound what an endpoint that sends without end makes a router hold

Callers waited until their deadline, and all requests of the instance were at risk: an instance has 160 MB. Cause: the limits covered headers and parsed bodies only. Change: 64 KiB of unparsed bytes per call, 1 MiB per event, 8 earlier responses per attempt, and a router option for buffered responses, 8 MiB on the platform (64 MiB remains the default).

--- a/include/mulberrywall/Router/Attempt.h
+++ b/include/mulberrywall/Router/Attempt.h
@@ -26,6 +26,8 @@
     std::chrono::milliseconds stallTimeout {30'000};
     /// Timeout for the header of a response that is not streamed.
     std::chrono::milliseconds responseTimeout {120'000};
+    /// Maximum size of a response body that is not streamed.
+    std::size_t maxResponseBytes = 64 * 1024 * 1024;
     /// Number of the attempt for the request, starting at 1.
     unsigned number = 1;
     /// Number of tokens that earlier attempts have already delivered to the caller.
@@ -118,6 +120,7 @@
 
 private:
     void onHeader(const http::ResponseHeader &responseHeader);
+    void skipEarlierResponse();
     void onBody(std::string_view data);
     void onStreamData(std::string_view data);
     void onCallEnd(const http::ClientCallResult &result);
@@ -141,6 +144,7 @@
     http::Response response_;
     ServerSentEventParser events_;
     std::uint64_t outputTokens_ = 0;
+    unsigned earlierResponses_ = 0;
 };
 
 } // namespace mulberrywall::router
--- a/include/mulberrywall/Router/RouterState.h
+++ b/include/mulberrywall/Router/RouterState.h
@@ -32,6 +32,9 @@
     /// Timeout of a response that is not streamed, which arrives only after the engine has generated
     /// all of it.
     std::chrono::milliseconds responseTimeout {120'000};
+    /// Maximum size of a response body that is not streamed. The router buffers it, so that an endpoint that sends without
+    /// end must not exhaust the instance's memory.
+    std::size_t maxResponseBytes = 64 * 1024 * 1024;
     /// Maximum number of attempts for one request, including the first.
     unsigned maximumAttempts = 3;
     NextStep (*decideNextStep)(const FailedAttempt &) = router::decideNextStep;
--- a/include/mulberrywall/Router/ServerSentEvents.h
+++ b/include/mulberrywall/Router/ServerSentEvents.h
@@ -31,6 +31,11 @@
     {
         return !pending_.empty();
     }
+    /// Returns the size of the incomplete event in bytes, or 0 if there is none.
+    [[nodiscard]] std::size_t incompleteEventBytes() const noexcept
+    {
+        return pending_.size();
+    }
 
 private:
     std::string pending_;
--- a/lib/Http/ClientCall.cpp
+++ b/lib/Http/ClientCall.cpp
@@ -32,6 +32,9 @@
 /// Size of the body buffer: large enough for several server-sent events, small enough to forward each without delay.
 constexpr std::size_t bodyBufferBytes = 16 * 1024;
 constexpr std::uint32_t maxResponseHeaderBytes = 32 * 1024;
+/// Limit on received bytes that are not parsed yet. Without it, a chunk header that never ends is buffered whole; it has to
+/// exceed the limit on the response header.
+constexpr std::size_t maxUnparsedBytes = 64 * 1024;
 
 error_code setUnacknowledgedTimeout(asio::ip::tcp::socket &socket, std::chrono::milliseconds timeout)
 {
@@ -254,7 +257,7 @@
     beast::tcp_stream stream_;
     Request request_;
     ClientCallHandlers handlers_;
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_ {maxUnparsedBytes};
     std::optional<beast::http::response_parser<beast::http::buffer_body>> parser_;
     std::array<char, bodyBufferBytes> bodyBuffer_ {};
     ClientCallStage stage_ = ClientCallStage::Connecting;
--- a/lib/Router/Attempt.cpp
+++ b/lib/Router/Attempt.cpp
@@ -18,6 +18,10 @@
 /// A cancellation only saves the endpoint work, so it must not occupy resources for long.
 static constexpr std::chrono::milliseconds cancellationTimeout {1'000};
 static constexpr unsigned firstServerError = 500;
+/// An endpoint that sends more bytes without the end of an event does not send events.
+static constexpr std::size_t maxEventBytes = 1024 * 1024;
+/// A late response of an earlier request precedes the own one, and few can be late on one connection.
+static constexpr unsigned maxEarlierResponses = 8;
 
 Attempt::Attempt(boost::asio::any_io_executor executor, const Dialect &dialect, AttemptOptions options, std::shared_ptr<permits::Permit> permit)
     : executor_(std::move(executor)),
@@ -67,12 +71,15 @@
         .resumeFrom = options_.resumeFrom,
         .lastEventId = options_.lastEventId,
         .timeLeft = timeLeft(*request_)};
-    const http::ClientCallOptions callOptions {.peer = *address,
+    http::ClientCallOptions callOptions {.peer = *address,
         .connectTimeout = options_.connectTimeout,
         .headerTimeout = stream ? options_.stallTimeout : options_.responseTimeout,
         .idleTimeout = options_.stallTimeout,
         .pool = options_.connections,
         .unacknowledgedTimeout = options_.unacknowledgedTimeout};
+    if (!stream) {
+        callOptions.maxResponseBytes = options_.maxResponseBytes;
+    }
     const auto self = shared_from_this();
     call_ = http::ClientCall::start(executor_,
         callOptions,
@@ -134,7 +141,7 @@
             .leaving = kind == HeaderKind::LeavingRefusal});
         return;
     case HeaderKind::EarlierRequest:
-        call_->skipResponse();
+        skipEarlierResponse();
         return;
     case HeaderKind::OtherRequest:
         std::exchange(call_, nullptr)->cancel();
@@ -150,6 +157,17 @@
     call_->readMore();
 }
 
+void Attempt::skipEarlierResponse()
+{
+    ++earlierResponses_;
+    if (earlierResponses_ <= maxEarlierResponses) {
+        call_->skipResponse();
+        return;
+    }
+    std::exchange(call_, nullptr)->cancel();
+    end({.reason = "the endpoint sent more than " + std::to_string(maxEarlierResponses) + " responses of earlier requests"});
+}
+
 void Attempt::onBody(std::string_view data)
 {
     const auto self = shared_from_this();
@@ -158,6 +176,12 @@
         return;
     }
     response_.body() += data;
+    // The limit of the call is higher for streams, but a response with another status is buffered whole.
+    if (response_.body().size() > options_.maxResponseBytes) {
+        std::exchange(call_, nullptr)->cancel();
+        end({.reason = "the endpoint sent a response of more than " + std::to_string(options_.maxResponseBytes) + " bytes"});
+        return;
+    }
     call_->readMore();
 }
 
@@ -194,6 +218,9 @@
         outputTokens_ += isToken ? 1 : 0;
         checked.push_back({.raw = std::move(event.raw), .id = std::move(event.id), .isToken = isToken, .attemptTokens = outputTokens_});
     }
+    if (!attemptResult && events_.incompleteEventBytes() > maxEventBytes) {
+        attemptResult = AttemptResult {.reason = "the endpoint sent an event of more than " + std::to_string(maxEventBytes) + " bytes"};
+    }
     if (attemptResult) {
         std::exchange(call_, nullptr)->cancel();
     }
--- a/lib/Router/CallerSession.cpp
+++ b/lib/Router/CallerSession.cpp
@@ -274,6 +274,7 @@
     AttemptOptions options {.connectTimeout = state_.options.connectTimeout,
         .stallTimeout = state_.options.stallTimeout,
         .responseTimeout = state_.options.responseTimeout,
+        .maxResponseBytes = state_.options.maxResponseBytes,
         .number = attempts_,
         .resumeFrom = deliveredTokens_,
         .lastEventId = lastEventId_,
--- a/tools/mulberrywall-router/NodeProgram.cpp
+++ b/tools/mulberrywall-router/NodeProgram.cpp
@@ -45,6 +45,9 @@
 /// Timeout for endpoints that send nothing. It only matters for requests without a deadline of the caller.
 constexpr std::chrono::milliseconds endpointIdleTimeout {120'000};
 
+/// A twentieth of the memory of the smallest instances; several endpoints in trouble may send without end at the same time.
+constexpr std::size_t maxResponseBytes = std::size_t {8} * 1024 * 1024;
+
 /// Minimum number of routers among which the retry slack is divided; used until more routers are known, because the users'
 /// platform does not report their number.
 constexpr std::size_t minimumRouters = 10;
@@ -88,6 +91,7 @@
     options.router = {.connectTimeout = connectTimeout,
         .stallTimeout = endpointIdleTimeout,
         .responseTimeout = endpointIdleTimeout,
+        .maxResponseBytes = maxResponseBytes,
         .unacknowledgedTimeout = unacknowledgedTimeout,
         .reusesConnections = true,
         .retryBurst = retryBurstPerRouter(settings.retries.slack, minimumRouters),
--- /dev/null
+++ b/unittests/Adapter/EndlessResponseTest.cpp
@@ -0,0 +1,194 @@
+#include "ScriptedEndpoint.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <atomic>
+#include <thread>
+
+namespace mulberrywall::platform
+{
+
+using boost::asio::ip::tcp;
+
+/// Bytes that an endpoint sends in place of a response: a start, and a part that it repeats until the router closes.
+struct EndlessBytes
+{
+    std::string name;
+    std::string target;
+    std::string start;
+    std::string repeated;
+};
+
+/// An endpoint that reads the start of a request, ignores the rest and sends bytes without end on each connection.
+class EndlessEndpoint
+{
+public:
+    EndlessEndpoint(support::WorkerPool &workers, const EndlessBytes &bytes)
+        : acceptor_(workers.context(), {boost::asio::ip::address_v4::loopback(), 0}),
+          state_(std::make_shared<State>())
+    {
+        constexpr std::size_t writeBytes = 64 * 1024;
+        state_->start = bytes.start;
+        while (state_->repeated.size() < writeBytes) {
+            state_->repeated += bytes.repeated;
+        }
+        accept();
+    }
+
+    [[nodiscard]] std::uint16_t port() const
+    {
+        return acceptor_.local_endpoint().port();
+    }
+    [[nodiscard]] std::size_t sentBytes() const
+    {
+        return state_->sentBytes;
+    }
+    [[nodiscard]] bool isClosed() const
+    {
+        return state_->closed > 0;
+    }
+
+private:
+    struct State
+    {
+        std::string start;
+        std::string repeated;
+        std::atomic<std::size_t> sentBytes = 0;
+        std::atomic<unsigned> closed = 0;
+    };
+
+    struct Connection : std::enable_shared_from_this<Connection>
+    {
+        Connection(tcp::socket accepted, std::shared_ptr<State> owner)
+            : socket(std::move(accepted)),
+              state(std::move(owner))
+        {
+        }
+
+        void send(const std::string &bytes)
+        {
+            boost::asio::async_write(socket, boost::asio::buffer(bytes), [self = shared_from_this()](const boost::system::error_code &error, std::size_t size) {
+                self->state->sentBytes += size;
+                if (error) {
+                    ++self->state->closed;
+                    return;
+                }
+                self->send(self->state->repeated);
+            });
+        }
+
+        tcp::socket socket;
+        std::shared_ptr<State> state;
+        std::array<char, 1024> request {};
+    };
+
+    void accept()
+    {
+        acceptor_.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
+            if (error) {
+                return;
+            }
+            const auto connection = std::make_shared<Connection>(std::move(socket), state_);
+            connection->socket.async_read_some(boost::asio::buffer(connection->request),
+                [connection](const boost::system::error_code &, std::size_t) { connection->send(connection->state->start); });
+            accept();
+        });
+    }
+
+    tcp::acceptor acceptor_;
+    std::shared_ptr<State> state_;
+};
+
+static std::string confirmedHead(const std::string &id, const std::string &fields, const std::string &status = "200 OK")
+{
+    return "HTTP/1.1 " + status + "\r\nMulberrywall-Request-Id: " + id + "\r\nMulberrywall-Server-Seal: seal\r\n" + fields + "\r\n";
+}
+
+static std::vector<EndlessBytes> endlessResponses()
+{
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    return {{.name = "HeadOfNoise", .target = "/unsafe/", .start = "\x01", .repeated = "\x01\x02\x7f"},
+        {.name = "HeadOfOneLine", .target = "/unsafe/", .start = "HTTP/1.1 200 OK\r\nx: ", .repeated = "x"},
+        {.name = "HeadOfManyFields", .target = "/unsafe/", .start = "HTTP/1.1 200 OK\r\n", .repeated = "field: value\r\n"},
+        {.name = "InterimResponses", .target = "/unsafe/", .start = "HTTP/1.1 100 Continue\r\n\r\n", .repeated = "HTTP/1.1 100 Continue\r\n\r\n"},
+        {.name = "ResponsesOfEarlierRequests",
+            .target = "/unsafe/",
+            .start = confirmedHead("earlier", "Content-Length: 0\r\n"),
+            .repeated = confirmedHead("earlier", "Content-Length: 0\r\n")},
+        {.name = "EarlierResponseWithoutEnd", .target = "/unsafe/", .start = confirmedHead("earlier", ""), .repeated = "x"},
+        {.name = "BodyUntilClose", .target = "/unsafe/", .start = confirmedHead("r1", ""), .repeated = "x"},
+        {.name = "ChunkedBody", .target = "/unsafe/", .start = confirmedHead("r1", chunked), .repeated = "400\r\n" + std::string(1024, 'x') + "\r\n"},
+        {.name = "ChunkOfNoise", .target = "/unsafe/", .start = confirmedHead("r1", chunked), .repeated = "\x01\x02\x7f"},
+        {.name = "ChunkExtension", .target = "/unsafe/", .start = confirmedHead("r1", chunked) + "10;x=", .repeated = "x"},
+        {.name = "ErrorBodyOfStream", .target = "/stream/", .start = confirmedHead("r1", "", "500 Failed"), .repeated = "x"},
+        {.name = "EventWithoutEnd", .target = "/stream/", .start = confirmedHead("r1", ""), .repeated = "data: x\n"},
+        {.name = "EventOfNoise", .target = "/stream/", .start = confirmedHead("r1", chunked) + "10\r\n0123456789abcdef\r\n", .repeated = "\x01\x02\x7f"}};
+}
+
+/// Names the case in the output of a failed test.
+static void PrintTo(const EndlessBytes &bytes, std::ostream *stream)
+{
+    *stream << bytes.name;
+}
+
+class EndlessResponseTest : public testing::TestWithParam<EndlessBytes>
+{
+protected:
+    EndlessResponseTest()
+    {
+        for (const std::string prefix : {"/unsafe/", "/stream/"}) {
+            site_.classes.push_back({.id = support::ClassId(prefix), .idempotency = configuration::Idempotency::NonIdempotent});
+            site_.routes.push_back({.host = "h",
+                .prefix = prefix,
+                .requestClass = support::ClassId(prefix),
+                .targets = {{.pool = support::PoolId("p")}},
+                .streams = prefix == "/stream/"});
+        }
+        site_.pools.push_back({.id = support::PoolId("p"), .kind = configuration::PoolKind::PlainService});
+        site_.endpoints.push_back(
+            {.id = support::EndpointId("e"), .address = "127.0.0.1", .port = endpoint_.port(), .pools = {support::PoolId("p")}, .maximumConcurrency = 8});
+        site_.revision = 1;
+        router::RouterServiceOptions options = makeRouterOptions("router");
+        options.router.maxResponseBytes = std::size_t {8} * 1024 * 1024;
+        service_ = std::make_unique<router::RouterService>(workers_.context(), options, policy::standardPolicy());
+        service_->configure(site_);
+        service_->start();
+    }
+
+    ~EndlessResponseTest() override
+    {
+        workers_.stop();
+        workers_.join();
+    }
+
+    support::WorkerPool workers_ {2};
+    EndlessEndpoint endpoint_ {workers_, GetParam()};
+    configuration::SiteConfiguration site_;
+    std::unique_ptr<router::RouterService> service_;
+};
+
+/// Guards against an endpoint in trouble that keeps a connection and makes the router buffer bytes without end: an instance
+/// has 160 MB for all its requests, and callers of such an endpoint wait until their deadline.
+TEST_P(EndlessResponseTest, EndsTheAttemptAndClosesTheConnection)
+{
+    constexpr std::chrono::seconds deadlineOfCaller {4};
+    constexpr std::size_t mostBytes = std::size_t {16} * 1024 * 1024;
+    const auto start = std::chrono::steady_clock::now();
+    const http::BufferedResponse response = sendRequest(workers_, *service_, GetParam().target, "r1");
+    EXPECT_LT(std::chrono::steady_clock::now() - start, deadlineOfCaller / 2);
+    const bool isComplete = response.status == http::Status::ok && response.result.stage == http::ClientCallStage::ResponseComplete;
+    EXPECT_FALSE(isComplete) << "bytes that are no answer were passed on as a complete answer";
+    while (!endpoint_.isClosed() && std::chrono::steady_clock::now() - start < deadlineOfCaller) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    EXPECT_TRUE(endpoint_.isClosed());
+    EXPECT_LT(endpoint_.sentBytes(), mostBytes);
+}
+
+INSTANTIATE_TEST_SUITE_P(Responses, EndlessResponseTest, testing::ValuesIn(endlessResponses()), [](const auto &info) { return info.param.name; });
+
+} // namespace mulberrywall::platform
