http: bound the unparsed bytes of a caller's request

Same class of fault as in calls to endpoints: of a chunk header that never ends, the server buffered whatever a caller sent until the body timeout. Now the read buffer is the header limit and 64 KiB more, and such a request gets 400 at once. Test: ServerTest.RejectsChunkHeaderWithoutEnd, failed before (408 after the timeout).

--- a/lib/Http/Server.cpp
+++ b/lib/Http/Server.cpp
@@ -17,6 +17,7 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <mutex>
@@ -37,6 +38,8 @@
 /// Time for which input is discarded before a connection is closed. It limits the work that a pipelining or
 /// lingering caller can cause after an error response.
 constexpr std::chrono::milliseconds lingerTimeout {200};
+/// Size of the read buffer beyond the limit on the request header.
+constexpr std::size_t readAheadBytes = 64 * 1024;
 
 struct ServerSharedState
 {
@@ -162,6 +165,8 @@
         parser_.emplace();
         parser_->header_limit(static_cast<std::uint32_t>(limits_.maxHeaderBytes));
         parser_->body_limit(limits_.maxBodyBytes);
+        // Without this limit a chunk header that never ends is buffered whole. Bytes of the next request may be buffered already.
+        buffer_.max_size(std::max(limits_.maxHeaderBytes + readAheadBytes, buffer_.size()));
         if (buffer_.size() > 0) {
             readHeader();
             return;
--- a/unittests/Http/ServerTest.cpp
+++ b/unittests/Http/ServerTest.cpp
@@ -92,6 +92,13 @@
     EXPECT_NE(answer.find("408 Request Timeout"), std::string::npos) << answer;
 }
 
+// Guards against a chunk header without end, of which the server buffered whatever the caller sent until the timeout.
+TEST_F(ServerTest, RejectsChunkHeaderWithoutEnd)
+{
+    const std::string answer = sendRaw("POST /echo HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n10;x=" + std::string(256 * 1024, 'x'));
+    EXPECT_NE(answer.find("400 Bad Request"), std::string::npos) << answer;
+}
+
 // Guards against requests that Beast cannot build for an endpoint. The exception that it throws ended the process.
 TEST_F(ServerTest, RejectsUnknownMethodAndTraceWithBody)
 {
