http: skip interim responses of endpoints

Cause: 1xx was neither a success nor a refusal, and so a final response. Change: the client call skips up to 8 interim responses, and then fails.

--- a/lib/Http/ClientCall.cpp
+++ b/lib/Http/ClientCall.cpp
@@ -35,6 +35,9 @@
 /// Limit on received bytes that are not parsed yet. Without it, a chunk header that never ends is buffered whole; it has to
 /// exceed the limit on the response header.
 constexpr std::size_t maxUnparsedBytes = 64 * 1024;
+constexpr unsigned firstFinalStatus = 200;
+/// Limit on interim responses (1xx) before the final one.
+constexpr unsigned maxInterimResponses = 8;
 
 error_code setUnacknowledgedTimeout(asio::ip::tcp::socket &socket, std::chrono::milliseconds timeout)
 {
@@ -201,6 +204,11 @@
             end(error);
             return;
         }
+        // As a number, because Beast knows only some of the statuses.
+        if (parser_->get().result_int() < firstFinalStatus) {
+            skipInterimResponse();
+            return;
+        }
         stage_ = ClientCallStage::HeaderReceived;
         if (!handlers_.onHeader) {
             readMore();
@@ -209,6 +217,16 @@
         handlers_.onHeader(parser_->get().base());
     }
 
+    void skipInterimResponse()
+    {
+        ++interimResponses_;
+        if (interimResponses_ > maxInterimResponses) {
+            end(beast::http::error::bad_status);
+            return;
+        }
+        readHeader();
+    }
+
     void onBody(error_code error)
     {
         if (cancelled_) {
@@ -261,6 +279,7 @@
     std::optional<beast::http::response_parser<beast::http::buffer_body>> parser_;
     std::array<char, bodyBufferBytes> bodyBuffer_ {};
     ClientCallStage stage_ = ClientCallStage::Connecting;
+    unsigned interimResponses_ = 0;
     bool reused_ = false;
     bool partiallyWritten_ = false;
     bool skippingResponse_ = false;
--- a/unittests/Http/ServerTest.cpp
+++ b/unittests/Http/ServerTest.cpp
@@ -132,6 +132,24 @@
     EXPECT_EQ(response.result.stage, ClientCallStage::ResponseComplete);
 }
 
+// Guards against an interim response that is passed on as the final one.
+TEST_F(ServerTest, SkipsInterimResponses)
+{
+    tcp::acceptor acceptor(pool_.context(), {asio::ip::address_v4::loopback(), 0});
+    std::promise<BufferedResponse> promise;
+    const auto call
+        = fetch(asio::make_strand(pool_.context()), {.peer = acceptor.local_endpoint()}, Request(Verb::get, "/", 11), [&promise](BufferedResponse response) {
+              promise.set_value(std::move(response));
+          });
+    tcp::socket socket = acceptor.accept();
+    asio::write(socket, asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")));
+    asio::write(socket, asio::buffer(std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")));
+    const BufferedResponse response = promise.get_future().get();
+    EXPECT_FALSE(response.result.error) << response.result.error.message();
+    EXPECT_EQ(response.status, Status::ok);
+    EXPECT_EQ(response.body, "done");
+}
+
 } // namespace
 
 } // namespace mulberrywall::http
