--- /dev/null
+++ b/lib/Http/RequestProblems.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "mulberrywall/Http/Message.h"
+#include "mulberrywall/Http/Server.h"
+
+#include <boost/system/error_code.hpp>
+
+#include <optional>
+
+namespace mulberrywall::http
+{
+
+/// Returns the error response for a request that could not be read within the limits, or std::nullopt if the connection was
+/// lost, so that there is no one to respond to.
+std::optional<Problem> problemForReadError(const boost::system::error_code &error, const RequestLimits &limits);
+
+/// Returns the error response for a request that is valid HTTP but that cannot be forwarded, since Beast throws an exception
+/// when such a request is built for an endpoint; std::nullopt for all others.
+std::optional<Problem> problemForRequest(const Request &request);
+
+} // namespace mulberrywall::http
--- a/unittests/Http/ServerTest.cpp
+++ b/unittests/Http/ServerTest.cpp
@@ -58,6 +58,20 @@
         return answer;
     }
 
+    /// Sends a request with the client under test to an endpoint that answers with the given bytes.
+    BufferedResponse fetchRaw(Verb method, std::string_view answer)
+    {
+        tcp::acceptor acceptor(pool_.context(), {asio::ip::address_v4::loopback(), 0});
+        std::promise<BufferedResponse> promise;
+        const auto call
+            = fetch(asio::make_strand(pool_.context()), {.peer = acceptor.local_endpoint()}, Request(method, "/", 11), [&promise](BufferedResponse response) {
+                  promise.set_value(std::move(response));
+              });
+        tcp::socket socket = acceptor.accept();
+        asio::write(socket, asio::buffer(answer));
+        return promise.get_future().get();
+    }
+
     support::WorkerPool pool_ {2};
     std::shared_ptr<Server> server_;
 };
@@ -119,15 +133,7 @@
 // Guards against a call that waits for a body because the response to HEAD contains its length.
 TEST_F(ServerTest, ReadsResponseToHead)
 {
-    tcp::acceptor acceptor(pool_.context(), {asio::ip::address_v4::loopback(), 0});
-    std::promise<BufferedResponse> promise;
-    const auto call
-        = fetch(asio::make_strand(pool_.context()), {.peer = acceptor.local_endpoint()}, Request(Verb::head, "/", 11), [&promise](BufferedResponse response) {
-              promise.set_value(std::move(response));
-          });
-    tcp::socket socket = acceptor.accept();
-    asio::write(socket, asio::buffer(std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n")));
-    const BufferedResponse response = promise.get_future().get();
+    const BufferedResponse response = fetchRaw(Verb::head, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n");
     EXPECT_FALSE(response.result.error) << response.result.error.message();
     EXPECT_EQ(response.result.stage, ClientCallStage::ResponseComplete);
 }
@@ -135,16 +141,8 @@
 // Guards against an interim response that is passed on as the final one.
 TEST_F(ServerTest, SkipsInterimResponses)
 {
-    tcp::acceptor acceptor(pool_.context(), {asio::ip::address_v4::loopback(), 0});
-    std::promise<BufferedResponse> promise;
-    const auto call
-        = fetch(asio::make_strand(pool_.context()), {.peer = acceptor.local_endpoint()}, Request(Verb::get, "/", 11), [&promise](BufferedResponse response) {
-              promise.set_value(std::move(response));
-          });
-    tcp::socket socket = acceptor.accept();
-    asio::write(socket, asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")));
-    asio::write(socket, asio::buffer(std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")));
-    const BufferedResponse response = promise.get_future().get();
+    const BufferedResponse response
+        = fetchRaw(Verb::get, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
     EXPECT_FALSE(response.result.error) << response.result.error.message();
     EXPECT_EQ(response.status, Status::ok);
     EXPECT_EQ(response.body, "done");
