policy: count only prefill that comes before the request when it is placed

Callers: urgent requests went to engines that prefilled the prefix again, or to those with more urgent work, to avoid engines whose backlog was of lower tiers. Cause: reports and summaries carried the pending prefill of an engine without tiers, and the placement took all of it as ahead. Change: pending prefill is kept and reported by tier; ahead of a request counts that of its own and higher tiers, and of lower ones no more than the longest recent prefill, which an engine does not interrupt. The learned prefill speed uses the same. Routers of an earlier version are understood (their total counts as of the highest tier) and get the total.

--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -62,6 +62,9 @@
     TimePoint usedAt;
 };
 
+/// Prompt tokens that an endpoint still has to prefill, by tier. Contains no zeros.
+using TokensByTier = std::map<support::Tier, std::uint64_t>;
+
 /// Number of streams by inter-token target.
 using StreamsByInterTokenTarget = std::map<std::chrono::milliseconds, unsigned>;
 
@@ -71,7 +74,7 @@
     std::unordered_map<std::uint64_t, CachedPrefix> prefixes;
     std::uint64_t cachedTokens = 0;
     /// Tokens of this router's requests that the endpoint still has to prefill.
-    std::uint64_t pendingPrefillTokens = 0;
+    TokensByTier pendingPrefill;
     /// Streams of this router at the endpoint, and the subset whose prompts are short.
     StreamsByInterTokenTarget streams;
     StreamsByInterTokenTarget shortPromptStreams;
@@ -80,8 +83,7 @@
 /// Pending prefill and running requests of an endpoint.
 struct EndpointLoad
 {
-    /// Prompt tokens that the endpoint still has to prefill.
-    double pendingPrefillTokens = 0.0;
+    TokensByTier pendingPrefill;
     unsigned running = 0;
     StreamsByInterTokenTarget streams;
     StreamsByInterTokenTarget shortPromptStreams;
@@ -143,7 +145,7 @@
     /// only.
     std::optional<std::uint64_t> passesCrashAtTokens;
     /// Prompt tokens that the endpoint had to prefill for this request at its start, and the pending prefill tokens of other
-    /// requests ahead of them.
+    /// requests that it was expected to prefill before them.
     std::uint32_t prefillTokens = 0;
     std::uint32_t prefillTokensAhead = 0;
     /// Prompt tokens that the endpoint still has to prefill; 0 from the first output on.
--- a/include/mulberrywall/Policy/Types.h
+++ b/include/mulberrywall/Policy/Types.h
@@ -186,6 +186,7 @@
     std::uint32_t prefixTokens = 0;
     /// Prompt tokens that the endpoint still has to prefill; 0 once it sends output.
     std::uint32_t pendingPrefillTokens = 0;
+    support::Tier tier = 0;
     /// Inter-token latency that the request's class allows.
     std::chrono::milliseconds interTokenTarget {0};
 
@@ -210,12 +211,20 @@
     friend bool operator==(const PeerStreams &, const PeerStreams &) = default;
 };
 
+/// Prompt tokens of one tier that an endpoint still has to prefill.
+struct PeerPrefill
+{
+    support::Tier tier = 0;
+    std::uint32_t tokens = 0;
+
+    friend bool operator==(const PeerPrefill &, const PeerPrefill &) = default;
+};
+
 /// Combined load of several routers on one endpoint.
 struct PeerEndpointLoad
 {
     support::EndpointId endpoint;
-    /// Prompt tokens that the endpoint still has to prefill.
-    std::uint32_t pendingPrefillTokens = 0;
+    std::vector<PeerPrefill> pendingPrefill;
     std::uint32_t running = 0;
     std::vector<PeerStreams> streams;
 
--- a/lib/Permits/LoadDatagram.cpp
+++ b/lib/Permits/LoadDatagram.cpp
@@ -48,6 +48,7 @@
             list[position].setPrefixHash(request.prefixHash);
             list[position].setSharedTokens(request.prefixTokens);
             list[position].setUnreadTokens(request.pendingPrefillTokens);
+            list[position].setTier(request.tier);
             list[position].setPauseTargetMs(static_cast<std::uint32_t>(request.interTokenTarget.count()));
         }
     }
@@ -63,6 +64,7 @@
                 .prefixHash = request.getPrefixHash(),
                 .prefixTokens = request.getSharedTokens(),
                 .pendingPrefillTokens = request.getUnreadTokens(),
+                .tier = request.getTier(),
                 .interTokenTarget = std::chrono::milliseconds(request.getPauseTargetMs())});
         }
         report.emplace_back(support::PoolId(pool.getPool().cStr()), std::move(requests));
@@ -73,8 +75,15 @@
 void write(load::EndpointLoad::Builder builder, const policy::PeerEndpointLoad &endpoint)
 {
     builder.setEndpoint(endpoint.endpoint.value());
-    builder.setUnreadTokens(endpoint.pendingPrefillTokens);
     builder.setRunning(endpoint.running);
+    auto prefill = builder.initPendingPrefill(static_cast<unsigned>(endpoint.pendingPrefill.size()));
+    std::uint32_t totalTokens = 0;
+    for (unsigned index = 0; index < prefill.size(); ++index) {
+        prefill[index].setTier(endpoint.pendingPrefill[index].tier);
+        prefill[index].setTokens(endpoint.pendingPrefill[index].tokens);
+        totalTokens += endpoint.pendingPrefill[index].tokens;
+    }
+    builder.setUnreadTokens(totalTokens);
     auto list = builder.initStreams(static_cast<unsigned>(endpoint.streams.size()));
     for (unsigned index = 0; index < list.size(); ++index) {
         list[index].setPauseTargetMs(static_cast<std::uint32_t>(endpoint.streams[index].interTokenTarget.count()));
@@ -85,8 +94,14 @@
 
 policy::PeerEndpointLoad read(load::EndpointLoad::Reader reader)
 {
-    policy::PeerEndpointLoad endpoint {
-        .endpoint = support::EndpointId(reader.getEndpoint().cStr()), .pendingPrefillTokens = reader.getUnreadTokens(), .running = reader.getRunning()};
+    policy::PeerEndpointLoad endpoint {.endpoint = support::EndpointId(reader.getEndpoint().cStr()), .running = reader.getRunning()};
+    for (const auto prefill : reader.getPendingPrefill()) {
+        endpoint.pendingPrefill.push_back({.tier = prefill.getTier(), .tokens = prefill.getTokens()});
+    }
+    // A router of an earlier version sends only the total, which counts as of the highest tier.
+    if (endpoint.pendingPrefill.empty() && reader.getUnreadTokens() > 0) {
+        endpoint.pendingPrefill.push_back({.tokens = reader.getUnreadTokens()});
+    }
     for (const auto streams : reader.getStreams()) {
         endpoint.streams.push_back({.interTokenTarget = std::chrono::milliseconds(streams.getPauseTargetMs()),
             .streams = streams.getStreams(),
--- a/lib/Permits/LoadReport.capnp
+++ b/lib/Permits/LoadReport.capnp
@@ -43,6 +43,8 @@
   unreadTokens @3 :UInt32;
   # Inter-token target of the request: longest inter-token latency that it allows, in milliseconds.
   pauseTargetMs @4 :UInt32;
+  # Earlier versions send none, which counts as the highest tier.
+  tier @5 :UInt8;
 }
 
 # Aggregated load of all routers except the receiver in one pool.
@@ -55,9 +57,17 @@
 
 struct EndpointLoad {
   endpoint @0 :Text;
+  # Pending prefill of all tiers, for receivers of earlier versions.
   unreadTokens @1 :UInt32;
   running @2 :UInt32;
   streams @3 :List(Streams);
+  pendingPrefill @4 :List(TierPrefill);
+}
+
+struct TierPrefill {
+  tier @0 :UInt8;
+  # Prompt tokens that the endpoint has not processed yet.
+  tokens @1 :UInt32;
 }
 
 struct Streams {
--- a/lib/Policy/PeerLoads.cpp
+++ b/lib/Policy/PeerLoads.cpp
@@ -28,7 +28,9 @@
 
 void add(EndpointLoad &sum, const EndpointLoad &load)
 {
-    sum.pendingPrefillTokens += load.pendingPrefillTokens;
+    for (const auto &[tier, tokens] : load.pendingPrefill) {
+        sum.pendingPrefill[tier] += tokens;
+    }
     sum.running += load.running;
     addStreams(sum.streams, load.streams);
     addStreams(sum.shortPromptStreams, load.shortPromptStreams);
@@ -36,7 +38,7 @@
 
 EndpointLoad ownLoad(const EndpointState &endpoint)
 {
-    return {.pendingPrefillTokens = static_cast<double>(endpoint.prompts.pendingPrefillTokens),
+    return {.pendingPrefill = endpoint.prompts.pendingPrefill,
         .running = endpoint.running,
         .streams = endpoint.prompts.streams,
         .shortPromptStreams = endpoint.prompts.shortPromptStreams};
@@ -51,7 +53,10 @@
 
 PeerEndpointLoad toPeerEndpointLoad(const support::EndpointId &endpoint, const EndpointLoad &load)
 {
-    PeerEndpointLoad result {.endpoint = endpoint, .pendingPrefillTokens = static_cast<std::uint32_t>(load.pendingPrefillTokens), .running = load.running};
+    PeerEndpointLoad result {.endpoint = endpoint, .running = load.running};
+    for (const auto &[tier, tokens] : load.pendingPrefill) {
+        result.pendingPrefill.push_back({.tier = tier, .tokens = static_cast<std::uint32_t>(tokens)});
+    }
     for (const auto &[target, count] : load.streams) {
         const auto shortPromptStreams = load.shortPromptStreams.find(target);
         result.streams.push_back({.interTokenTarget = target,
@@ -63,7 +68,10 @@
 
 EndpointLoad fromPeerEndpointLoad(const PeerEndpointLoad &described)
 {
-    EndpointLoad load {.pendingPrefillTokens = static_cast<double>(described.pendingPrefillTokens), .running = described.running};
+    EndpointLoad load {.running = described.running};
+    for (const PeerPrefill &prefill : described.pendingPrefill) {
+        load.pendingPrefill[prefill.tier] += prefill.tokens;
+    }
     for (const PeerStreams &streams : described.streams) {
         load.streams[streams.interTokenTarget] += streams.streams;
         if (streams.shortPromptStreams > 0) {
@@ -97,7 +105,9 @@
         EndpointState &endpoint = found->second;
         PeerLoad &peer = endpoint.peers[report.router];
         peer.reportedAt = now;
-        peer.load.pendingPrefillTokens += request.pendingPrefillTokens;
+        if (request.pendingPrefillTokens > 0) {
+            peer.load.pendingPrefill[request.tier] += request.pendingPrefillTokens;
+        }
         ++peer.load.running;
         recordPrefillDuration(pool, request.pendingPrefillTokens / prefillSpeed(pool, endpoint), now);
         if (request.interTokenTarget.count() > 0) {
@@ -139,6 +149,7 @@
             .prefixHash = request.submission.prefixHash,
             .prefixTokens = request.submission.prefixTokens.value_or(0),
             .pendingPrefillTokens = request.pendingPrefillTokens,
+            .tier = request.tier,
             .interTokenTarget = request.interTokenTarget});
     }
     return result;
--- a/lib/Policy/Prefill.cpp
+++ b/lib/Policy/Prefill.cpp
@@ -12,6 +12,25 @@
     return tokensPerSecond * std::clamp(endpoint.slow.relativeSpeed, pool.options.tuning.placement.minimumRelativeSpeed, 1.0);
 }
 
+std::uint64_t totalTokens(const TokensByTier &tokens)
+{
+    std::uint64_t sum = 0;
+    for (const auto &[tier, count] : tokens) {
+        sum += count;
+    }
+    return sum;
+}
+
+double prefillTokensAhead(const Pool &pool, const EndpointState &endpoint, const TokensByTier &pending, support::Tier tier)
+{
+    double ahead = 0.0;
+    double lowerTiers = 0.0;
+    for (const auto &[pendingTier, count] : pending) {
+        (pendingTier <= tier ? ahead : lowerTiers) += static_cast<double>(count);
+    }
+    return ahead + std::min(lowerTiers, pool.longestPrefill.seconds * prefillSpeed(pool, endpoint));
+}
+
 void recordPrefillDuration(Pool &pool, double seconds, TimePoint now)
 {
     const bool isOld = now - pool.longestPrefill.recordedAt > pool.options.tuning.placement.longestPrefillLifetime;
--- a/lib/Policy/PromptPlacement.cpp
+++ b/lib/Policy/PromptPlacement.cpp
@@ -91,7 +91,7 @@
     const PlacementTuning &tuning = pool.options.tuning.placement;
     const double speed = prefillSpeed(pool, endpoint);
     const double own = prefillTokensFor(endpoint, submission) / speed;
-    const double waiting = backlog.pendingPrefillTokens / speed;
+    const double waiting = static_cast<double>(totalTokens(backlog.pendingPrefill)) / speed;
     // Streams that miss their targets because of the pending prefill alone are no reason to avoid the endpoint.
     const unsigned missed = streamsMissingTarget(backlog.streams, waiting + own, tuning) - streamsMissingTarget(backlog.streams, waiting, tuning);
     double seconds = missed * std::chrono::duration<double>(tuning.delayPerMissedTarget).count();
@@ -124,7 +124,10 @@
 /// Returns the estimated time until the endpoint sends the first token of the request.
 static double firstTokenSeconds(const Pool &pool, const EndpointState &endpoint, const Submission &submission, const EndpointLoad &backlog)
 {
-    const double prefill = (backlog.pendingPrefillTokens + prefillTokensFor(endpoint, submission)) / prefillSpeed(pool, endpoint);
+    const ClassState *requestClass = findClass(pool, submission.requestClass);
+    const support::Tier tier = requestClass == nullptr ? pool.lowestTier : requestClass->spec.tier;
+    const double ahead = prefillTokensAhead(pool, endpoint, backlog.pendingPrefill, tier);
+    const double prefill = (ahead + prefillTokensFor(endpoint, submission)) / prefillSpeed(pool, endpoint);
     const double batching = backlog.running * std::chrono::duration<double>(pool.options.tuning.placement.delayPerRunningRequest).count();
     return prefill + batching;
 }
@@ -156,9 +159,12 @@
 {
     EndpointState &endpoint = *request.endpoint;
     request.prefillTokens = prefillTokensFor(endpoint, request.submission);
-    request.prefillTokensAhead = static_cast<std::uint32_t>(loadOf(pool, endpoint, now).pendingPrefillTokens);
+    const EndpointLoad backlog = loadOf(pool, endpoint, now);
+    request.prefillTokensAhead = static_cast<std::uint32_t>(prefillTokensAhead(pool, endpoint, backlog.pendingPrefill, request.tier));
     request.pendingPrefillTokens = request.prefillTokens;
-    endpoint.prompts.pendingPrefillTokens += request.pendingPrefillTokens;
+    if (request.pendingPrefillTokens > 0) {
+        endpoint.prompts.pendingPrefill[request.tier] += request.pendingPrefillTokens;
+    }
     recordPrefix(pool, endpoint, request.submission.prefixHash, request.submission.prefixTokens.value_or(0), now);
     if (!request.submission.prefixTokens) {
         return;
@@ -174,8 +180,16 @@
 
 static void endPrefill(ActiveRequest &request)
 {
-    request.endpoint->prompts.pendingPrefillTokens -= request.pendingPrefillTokens;
+    TokensByTier &pending = request.endpoint->prompts.pendingPrefill;
+    const auto ofTier = pending.find(request.tier);
+    if (ofTier == pending.end()) {
+        return;
+    }
+    ofTier->second -= request.pendingPrefillTokens;
     request.pendingPrefillTokens = 0;
+    if (ofTier->second == 0) {
+        pending.erase(ofTier);
+    }
 }
 
 static void removeStream(StreamsByInterTokenTarget &streams, std::chrono::milliseconds interTokenTarget)
--- a/unittests/Permits/LoadExchangeTest.cpp
+++ b/unittests/Permits/LoadExchangeTest.cpp
@@ -21,8 +21,8 @@
         .sentAtMs = 1'000,
         .echoMs = 900,
         .store = {.configuration = TableFreshness {.version = 8, .lastChangeVersion = 5, .age = milliseconds(70)}},
-        .load = RouterLoadReport {
-            {support::PoolId("p"), {{.endpoint = support::EndpointId("e"), .prefixHash = 7, .prefixTokens = 13'000, .pendingPrefillTokens = 17'000}}}}};
+        .load = RouterLoadReport {{support::PoolId("p"),
+            {{.endpoint = support::EndpointId("e"), .prefixHash = 7, .prefixTokens = 13'000, .pendingPrefillTokens = 17'000, .tier = 4}}}}};
     const auto decoded = decodeLoadDatagram(encode(sent));
     ASSERT_TRUE(decoded.has_value());
     EXPECT_EQ(decoded->instance, sent.instance);
@@ -40,7 +40,7 @@
         .load = PeerLoadSummary {{support::PoolId("p"),
             {.longestPrefill = milliseconds(340),
                 .endpoints = {{.endpoint = support::EndpointId("e"),
-                    .pendingPrefillTokens = 17'000,
+                    .pendingPrefill = {{.tier = 0, .tokens = 1'000}, {.tier = 5, .tokens = 16'000}},
                     .running = 2,
                     .streams = {{.interTokenTarget = milliseconds(500), .streams = 2, .shortPromptStreams = 1}}}},
                 .prefixes = {{.endpoint = support::EndpointId("e"), .prefixHash = 7, .tokens = 13'000}}}}}};
@@ -50,6 +50,80 @@
     EXPECT_EQ(decoded->load, sent.load);
 }
 
+/// Guards against pending prefill that is ignored while routers of an earlier version are replaced, which send no tiers.
+TEST(LoadDatagramCodec, CountsPrefillWithoutTiersAsOfTheHighestTier)
+{
+    // A summary of pool "p" with 17,000 tokens at endpoint "e", as the version before PeerEndpointLoad::pendingPrefill wrote it.
+    const std::vector<std::uint8_t> bytes {0x10,
+        0x18,
+        0x50,
+        0x04,
+        0x04,
+        0x01,
+        0x01,
+        0x01,
+        0x02,
+        0x00,
+        0x00,
+        0x01,
+        0x01,
+        0x11,
+        0x0d,
+        0x12,
+        0x00,
+        0x00,
+        0x11,
+        0x08,
+        0x03,
+        0x11,
+        0x11,
+        0x27,
+        0x01,
+        0x61,
+        0x01,
+        0x03,
+        0x01,
+        0x03,
+        0x00,
+        0x00,
+        0x51,
+        0x04,
+        0x01,
+        0x03,
+        0x00,
+        0x00,
+        0x11,
+        0x09,
+        0x12,
+        0x11,
+        0x09,
+        0x1f,
+        0x00,
+        0x00,
+        0x01,
+        0x70,
+        0x51,
+        0x04,
+        0x01,
+        0x02,
+        0x13,
+        0x68,
+        0x42,
+        0x02,
+        0x11,
+        0x05,
+        0x12,
+        0x00,
+        0x00,
+        0x01,
+        0x65};
+    const auto decoded = decodeLoadDatagram(bytes);
+    ASSERT_TRUE(decoded.has_value());
+    const PeerLoadSummary expected {
+        {support::PoolId("p"), {.endpoints = {{.endpoint = support::EndpointId("e"), .pendingPrefill = {{.tier = 0, .tokens = 17'000}}, .running = 2}}}}};
+    EXPECT_EQ(std::get<PeerLoadSummary>(decoded->load), expected);
+}
+
 TEST(LoadDatagramCodec, RejectsMalformedBytes)
 {
     EXPECT_FALSE(decodeLoadDatagram({}).has_value());
--- a/unittests/Policy/PeerLoadsTest.cpp
+++ b/unittests/Policy/PeerLoadsTest.cpp
@@ -54,7 +54,7 @@
 {
     startEngines(2);
     functions.recordPeerSummary(
-        pool.get(), {.endpoints = {{.endpoint = support::EndpointId("engine-0"), .pendingPrefillTokens = 50'000, .running = 3}}}, startTime);
+        pool.get(), {.endpoints = {{.endpoint = support::EndpointId("engine-0"), .pendingPrefill = {{.tokens = 50'000}}, .running = 3}}}, startTime);
     EXPECT_EQ(place(promptOf(1)), "engine-1");
     EXPECT_EQ(place(promptOf(2)), "engine-1");
 }
@@ -62,7 +62,7 @@
 TEST_F(PeerLoadsTest, ReplacesAndExpiresASummary)
 {
     startEngines(2);
-    const PeerSummary busyFirst {.endpoints = {{.endpoint = support::EndpointId("engine-0"), .pendingPrefillTokens = 90'000, .running = 5}}};
+    const PeerSummary busyFirst {.endpoints = {{.endpoint = support::EndpointId("engine-0"), .pendingPrefill = {{.tokens = 90'000}}, .running = 5}}};
     functions.recordPeerSummary(pool.get(), busyFirst, startTime);
     EXPECT_EQ(place(promptOf(1), milliseconds(2'000)), "engine-0") << "the summary is older than its lifetime";
     functions.recordPeerSummary(pool.get(), busyFirst, at(milliseconds(2'100)));
@@ -86,22 +86,49 @@
     functions.recordPeerRequests(pool.get(), reportOf("second", "engine-0", 2), startTime);
     const PeerSummary forFirst = functions.summarizeFor(pool.get(), support::InstanceId("first"), startTime);
     ASSERT_EQ(forFirst.endpoints.size(), 1U);
-    EXPECT_EQ(forFirst.endpoints.front().pendingPrefillTokens, 17'000U);
+    EXPECT_EQ(forFirst.endpoints.front().pendingPrefill, (std::vector<PeerPrefill> {{.tokens = 17'000}}));
     EXPECT_EQ(forFirst.endpoints.front().running, 1U);
     ASSERT_EQ(forFirst.endpoints.front().streams.size(), 1U);
     EXPECT_EQ(forFirst.endpoints.front().streams.front().streams, 1U);
     const PeerSummary forThird = functions.summarizeFor(pool.get(), support::InstanceId("third"), startTime);
-    EXPECT_EQ(forThird.endpoints.front().pendingPrefillTokens, 34'000U);
+    EXPECT_EQ(forThird.endpoints.front().pendingPrefill, (std::vector<PeerPrefill> {{.tokens = 34'000}}));
     EXPECT_EQ(forThird.prefixes.size(), 2U);
     EXPECT_EQ(forThird.longestPrefill, milliseconds(340)) << "17,000 tokens at 50 per millisecond";
 }
 
+/// Guards against an urgent request that avoids an engine because of prefill that the engine will do after it. Load of other
+/// routers arrives as requests or as a summary; both have to carry the tier.
+TEST_F(PeerLoadsTest, PrefillOfLowerTiersDelaysOnlyByTheOneThatRuns)
+{
+    for (const bool isSummary : {false, true}) {
+        startEngines(2);
+        const support::EndpointId lowTiers("engine-0");
+        const support::EndpointId highTier("engine-1");
+        if (isSummary) {
+            functions.recordPeerSummary(pool.get(),
+                {.longestPrefill = milliseconds(340),
+                    .endpoints = {{.endpoint = lowTiers, .pendingPrefill = {{.tier = 2, .tokens = 170'000}}, .running = 10},
+                        {.endpoint = highTier, .pendingPrefill = {{.tier = 0, .tokens = 34'000}}, .running = 10}}},
+                startTime);
+        } else {
+            PeerReport report {.router = support::InstanceId("peer")};
+            for (unsigned index = 0; index < 10; ++index) {
+                report.requests.push_back({.endpoint = lowTiers, .pendingPrefillTokens = 17'000, .tier = 2});
+                report.requests.push_back({.endpoint = highTier, .pendingPrefillTokens = 3'400, .tier = 0});
+            }
+            functions.recordPeerRequests(pool.get(), report, startTime);
+        }
+        EXPECT_EQ(place(promptOf(1, "tier0")), "engine-0") << "0.34 s of prefill that runs, against 0.68 s of the own tier";
+        EXPECT_EQ(place(promptOf(2, "tier2")), "engine-1") << "3.4 s of the own tier, against 0.68 s of a higher one";
+    }
+}
+
 /// Guards against totals that grow with each summary when two routers send each other their summaries.
 TEST_F(PeerLoadsTest, DoesNotForwardSummaries)
 {
     startEngines(1);
     functions.recordPeerSummary(
-        pool.get(), {.endpoints = {{.endpoint = support::EndpointId("engine-0"), .pendingPrefillTokens = 9'000, .running = 2}}}, startTime);
+        pool.get(), {.endpoints = {{.endpoint = support::EndpointId("engine-0"), .pendingPrefill = {{.tokens = 9'000}}, .running = 2}}}, startTime);
     EXPECT_TRUE(functions.summarizeFor(pool.get(), support::InstanceId("other"), startTime).endpoints.empty());
 }
 
