--- a/include/mulberrywall/Configuration/Model.h
+++ b/include/mulberrywall/Configuration/Model.h
@@ -57,7 +57,8 @@
 struct Organisation
 {
     support::OrganisationId id;
-    /// If set, orders the organisation's requests before the tiers of their classes, see router/OrganisationTiers.
+    /// If set, the organisation's requests are ordered by this tier first and by that of their class second, see
+    /// router/OrganisationTiers.
     std::optional<support::Tier> tier;
     /// SHA-256 of each accepted bearer key, in lower-case hexadecimal.
     std::vector<std::string> keyHashes;
--- a/include/mulberrywall/Policy/Types.h
+++ b/include/mulberrywall/Policy/Types.h
@@ -186,6 +186,7 @@
     std::uint32_t prefixTokens = 0;
     /// Prompt tokens that the endpoint still has to prefill; 0 once it sends output.
     std::uint32_t pendingPrefillTokens = 0;
+    /// Tier of the request's class.
     support::Tier tier = 0;
     /// Inter-token latency that the request's class allows.
     std::chrono::milliseconds interTokenTarget {0};
@@ -224,6 +225,7 @@
 struct PeerEndpointLoad
 {
     support::EndpointId endpoint;
+    /// At most one element a tier.
     std::vector<PeerPrefill> pendingPrefill;
     std::uint32_t running = 0;
     std::vector<PeerStreams> streams;
--- a/lib/Permits/LoadDatagram.cpp
+++ b/lib/Permits/LoadDatagram.cpp
@@ -72,18 +72,24 @@
     return report;
 }
 
-void write(load::EndpointLoad::Builder builder, const policy::PeerEndpointLoad &endpoint)
+/// Writes the tokens by tier, and their total for receivers of earlier versions.
+void writePendingPrefill(load::EndpointLoad::Builder builder, std::span<const policy::PeerPrefill> pendingPrefill)
 {
-    builder.setEndpoint(endpoint.endpoint.value());
-    builder.setRunning(endpoint.running);
-    auto prefill = builder.initPendingPrefill(static_cast<unsigned>(endpoint.pendingPrefill.size()));
+    auto list = builder.initPendingPrefill(static_cast<unsigned>(pendingPrefill.size()));
     std::uint32_t totalTokens = 0;
-    for (unsigned index = 0; index < prefill.size(); ++index) {
-        prefill[index].setTier(endpoint.pendingPrefill[index].tier);
-        prefill[index].setTokens(endpoint.pendingPrefill[index].tokens);
-        totalTokens += endpoint.pendingPrefill[index].tokens;
+    for (unsigned index = 0; index < list.size(); ++index) {
+        list[index].setTier(pendingPrefill[index].tier);
+        list[index].setTokens(pendingPrefill[index].tokens);
+        totalTokens += pendingPrefill[index].tokens;
     }
     builder.setUnreadTokens(totalTokens);
+}
+
+void write(load::EndpointLoad::Builder builder, const policy::PeerEndpointLoad &endpoint)
+{
+    builder.setEndpoint(endpoint.endpoint.value());
+    writePendingPrefill(builder, endpoint.pendingPrefill);
+    builder.setRunning(endpoint.running);
     auto list = builder.initStreams(static_cast<unsigned>(endpoint.streams.size()));
     for (unsigned index = 0; index < list.size(); ++index) {
         list[index].setPauseTargetMs(static_cast<std::uint32_t>(endpoint.streams[index].interTokenTarget.count()));
--- a/lib/Policy/Prefill.cpp
+++ b/lib/Policy/Prefill.cpp
@@ -26,7 +26,11 @@
     double ahead = 0.0;
     double lowerTiers = 0.0;
     for (const auto &[pendingTier, count] : pending) {
-        (pendingTier <= tier ? ahead : lowerTiers) += static_cast<double>(count);
+        if (pendingTier <= tier) {
+            ahead += static_cast<double>(count);
+        } else {
+            lowerTiers += static_cast<double>(count);
+        }
     }
     return ahead + std::min(lowerTiers, pool.longestPrefill.seconds * prefillSpeed(pool, endpoint));
 }
