--- a/lib/Permits/LoadDatagram.cpp
+++ b/lib/Permits/LoadDatagram.cpp
@@ -8,6 +8,8 @@
 #include <kj/exception.h>
 #include <kj/io.h>
 
+#include <span>
+
 namespace mulberrywall::permits
 {
 
--- a/lib/Router/OrganisationTiers.cpp
+++ b/lib/Router/OrganisationTiers.cpp
@@ -35,7 +35,8 @@
     return tiers;
 }
 
-/// Adds the copies that differ in precedence from their originals, and returns the precedence of each class of the site, in the order of the classes.
+/// Adds the copies that differ in precedence from their originals. Returns the precedence of each class of the site, in the
+/// order of the classes.
 std::vector<Precedence> addClassCopies(configuration::SiteConfiguration &site)
 {
     std::vector<Precedence> precedences;
