--- a/unittests/Adapter/EndlessResponseTest.cpp
+++ b/unittests/Adapter/EndlessResponseTest.cpp
@@ -130,9 +130,9 @@
 }
 
 /// Names the case in the output of a failed test.
-static void PrintTo(const EndlessBytes &bytes, std::ostream *stream)
+static std::ostream &operator<<(std::ostream &stream, const EndlessBytes &bytes)
 {
-    *stream << bytes.name;
+    return stream << bytes.name;
 }
 
 class EndlessResponseTest : public testing::TestWithParam<EndlessBytes>
