router: log prompt segments, outcomes and fingerprints of attempts

After an engine crash the logs showed which requests had failed, but not what they had in common: neither their prompt segments, nor whether the engine had begun to answer, nor whether they were repeats of one request. The three hypotheses of the incident looked the same.

'attempt started' and 'attempt failed' name the shared segments (the first eight); 'attempt failed' also has outcome, responseStarted, outputTokens and fingerprint, and mulberrywall_attempts_failed_total counts by outcome. No decision depends on any of it.

--- a/include/mulberrywall/Policy/Types.h
+++ b/include/mulberrywall/Policy/Types.h
@@ -138,6 +138,8 @@
     EndpointLost,
 };
 
+std::string_view toString(AttemptOutcome outcome);
+
 struct Completion
 {
     AttemptOutcome outcome = AttemptOutcome::Completed;
--- a/include/mulberrywall/Router/Attempt.h
+++ b/include/mulberrywall/Router/Attempt.h
@@ -59,6 +59,8 @@
     bool leaving = false;
     /// False if no connection was established, so that the attempt used none of the endpoint's capacity.
     bool connected = true;
+    /// True if the header of the endpoint's response was received.
+    bool responseStarted = false;
 };
 
 /// One event of a completion stream after the check that it belongs to the request.
@@ -149,6 +151,7 @@
     std::shared_ptr<http::ClientCall> call_;
     std::shared_ptr<const CallerRequest> request_;
     bool streaming_ = false;
+    bool responseStarted_ = false;
     /// True while the endpoint is probed after its connection broke.
     bool probing_ = false;
     http::Response response_;
--- a/include/mulberrywall/Router/CallerRequest.h
+++ b/include/mulberrywall/Router/CallerRequest.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace mulberrywall::router
 {
@@ -44,6 +45,8 @@
     /// Number of tokens in the prompt prefix that `prefixHash` covers; empty if the caller does not
     /// state it.
     std::optional<std::uint32_t> prefixTokens;
+    /// Ids of the prompt's segments that other requests may share, in order; empty if the caller does not state them.
+    std::vector<std::string> sharedSegments;
     policy::TimePoint deadline = policy::TimePoint::max();
     /// Maximum number of attempts; 0 means the router's default.
     unsigned maximumAttempts = 0;
--- a/lib/Policy/Types.cpp
+++ b/lib/Policy/Types.cpp
@@ -18,6 +18,27 @@
     return "first";
 }
 
+std::string_view toString(AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::Completed:
+        return "completed";
+    case AttemptOutcome::Cancelled:
+        return "cancelled";
+    case AttemptOutcome::NotRun:
+        return "not-run";
+    case AttemptOutcome::EndpointFailed:
+        return "endpoint-failed";
+    case AttemptOutcome::Stalled:
+        return "stalled";
+    case AttemptOutcome::ConnectionLost:
+        return "connection-lost";
+    case AttemptOutcome::EndpointLost:
+        return "endpoint-lost";
+    }
+    return "unknown";
+}
+
 std::string_view toString(RejectionReason reason)
 {
     switch (reason) {
--- a/lib/Router/Attempt.cpp
+++ b/lib/Router/Attempt.cpp
@@ -177,6 +177,7 @@
         end({.reason = "the endpoint sent a response that is not its own: status " + std::to_string(responseHeader.result_int())});
         return;
     }
+    responseStarted_ = true;
     streaming_ = request_->responseMode == ResponseMode::Stream && responseHeader.result() == http::Status::ok;
     response_ = http::Response(dialect_.makeCallerHeader(*request_, responseHeader));
     readMore();
@@ -355,6 +356,7 @@
 void Attempt::end(AttemptResult attemptResult)
 {
     stopProgressTimer();
+    attemptResult.responseStarted = responseStarted_;
     permit_->finish({.outcome = attemptResult.outcome, .outputTokens = outputTokens_});
     if (const auto handlers = std::exchange(handlers_, nullptr)) {
         handlers->onEnd(std::move(attemptResult));
--- a/lib/Router/CallerSession.cpp
+++ b/lib/Router/CallerSession.cpp
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 namespace mulberrywall::router
@@ -312,6 +313,17 @@
     state_.serviceLevels.record(request_->requestClass.id, {.wastedTokens = attempt->outputTokens()}, std::chrono::steady_clock::now());
 }
 
+/// Returns the ids for a log line, whose length they must not dominate.
+static std::string joinSegments(std::span<const std::string> segments)
+{
+    constexpr std::size_t maxLoggedSegments = 8;
+    std::string text;
+    for (const std::string &segment : segments.first(std::min(segments.size(), maxLoggedSegments))) {
+        text += (text.empty() ? "" : ",") + segment;
+    }
+    return segments.size() > maxLoggedSegments ? text + ",..." : text;
+}
+
 void CallerSession::startAttempt(AttemptPurpose purpose, std::shared_ptr<permits::Permit> permit)
 {
     ++attempts_;
@@ -337,6 +349,7 @@
             {"organisation", request_->organisation.id.value()},
             {"tier", static_cast<unsigned>(request_->requestClass.tier)},
             {"promptTokens", request_->promptTokens},
+            {"segments", joinSegments(request_->sharedSegments)},
             {"enginePriority", std::max(permit->enginePriority(), enginePriority_)}});
     const auto attempt = std::make_shared<Attempt>(exchange_->executor(), state_.dialect, std::move(options), std::move(permit));
     running_.push_back(attempt);
@@ -434,7 +447,14 @@
             {"endpoint", endpoint.value()},
             {"reason", attemptResult.reason},
             {"verdict", support::toString(attemptResult.verdict)},
+            {"outcome", policy::toString(attemptResult.outcome)},
+            {"responseStarted", attemptResult.responseStarted},
+            {"outputTokens", attempt->outputTokens()},
+            {"fingerprint", request_->fingerprint},
+            {"segments", joinSegments(request_->sharedSegments)},
             {"deliveredTokens", deliveredTokens_}});
+    state_.metrics.increment(
+        "mulberrywall_attempts_failed_total", {{"pool", request_->pool.value()}, {"outcome", policy::toString(attemptResult.outcome)}});
     // By the time a long stream breaks again, endpoints that failed earlier may have recovered.
     if (attempt->outputTokens() > 0) {
         failedEndpoints_.clear();
--- a/lib/Router/RouteTable.cpp
+++ b/lib/Router/RouteTable.cpp
@@ -48,22 +48,37 @@
     return nullptr;
 }
 
+/// Returns all segments but the last one, which belongs to a single request or session.
+static std::span<const PromptSegment> sharedSegments(std::span<const PromptSegment> segments)
+{
+    return segments.first(segments.empty() ? 0 : segments.size() - 1);
+}
+
 std::uint64_t promptPrefixHash(std::span<const PromptSegment> segments)
 {
     if (segments.size() < 2) {
         return 0;
     }
     std::uint64_t hash = 0;
-    for (const PromptSegment &segment : segments.first(segments.size() - 1)) {
+    for (const PromptSegment &segment : sharedSegments(segments)) {
         hash = hashOf(segment.id, hash);
     }
     return hash == 0 ? 1 : hash;
 }
 
+std::vector<std::string> sharedSegmentIds(std::span<const PromptSegment> segments)
+{
+    std::vector<std::string> ids;
+    for (const PromptSegment &segment : sharedSegments(segments)) {
+        ids.push_back(segment.id);
+    }
+    return ids;
+}
+
 std::uint32_t promptPrefixTokens(std::span<const PromptSegment> segments)
 {
     std::uint32_t tokens = 0;
-    for (const PromptSegment &segment : segments.first(segments.empty() ? 0 : segments.size() - 1)) {
+    for (const PromptSegment &segment : sharedSegments(segments)) {
         tokens += segment.tokens;
     }
     return tokens;
@@ -148,6 +163,7 @@
     result.promptTokens = fields.promptTokens;
     if (pool->kind == configuration::PoolKind::ModelEngine) {
         result.prefixTokens = promptPrefixTokens(fields.promptSegments);
+        result.sharedSegments = sharedSegmentIds(fields.promptSegments);
     }
     result.deadline = deadlineOf(fields, *route, now);
     result.maximumAttempts = route->maximumAttempts;
