--- a/unittests/Adapter/ScriptedEndpoint.h
+++ b/unittests/Adapter/ScriptedEndpoint.h
@@ -93,17 +93,19 @@
     return options;
 }
 
-/// Sends a caller's request to the router and waits for the response. Without a key the request has no Authorization field.
-inline http::BufferedResponse sendRequest(
-    support::WorkerPool &workers, const router::RouterService &service, const std::string &target, const std::string &id, const std::string &key = {})
+/// Returns a caller's request without an Authorization field.
+inline http::Request makeCallerRequest(const std::string &target, const std::string &id)
 {
     http::Request request(http::Verb::post, target, 11);
     request.set("Host", "h");
     request.set("Mulberrywall-Request-Id", id);
     request.set("Mulberrywall-Deadline-Ms", "4000");
-    if (!key.empty()) {
-        request.set("Authorization", "Bearer " + key);
-    }
+    return request;
+}
+
+/// Sends a caller's request to the router and waits for the response.
+inline http::BufferedResponse sendRequest(support::WorkerPool &workers, const router::RouterService &service, http::Request request)
+{
     std::promise<http::BufferedResponse> promise;
     const auto call = http::fetch(
         boost::asio::make_strand(workers.context()), {.peer = service.callerEndpoint()}, std::move(request), [&promise](http::BufferedResponse response) {
@@ -112,4 +114,15 @@
     return promise.get_future().get();
 }
 
+/// Sends a caller's request to the router and waits for the response. Without a key the request has no Authorization field.
+inline http::BufferedResponse sendRequest(
+    support::WorkerPool &workers, const router::RouterService &service, const std::string &target, const std::string &id, const std::string &key = {})
+{
+    http::Request request = makeCallerRequest(target, id);
+    if (!key.empty()) {
+        request.set("Authorization", "Bearer " + key);
+    }
+    return sendRequest(workers, service, std::move(request));
+}
+
 } // namespace mulberrywall::platform
