policy: quarantine prompt segments on which engines crash

Callers saw streams cut and 502, as one engine after another crashed for as long as a certain kind of request came.

Cause: the crash quarantine recognises a request by a hash of the whole request. Requests of which no two are alike, but that share the prompt segment on which engines crash, each count as new, at every router.

Change: policy/SegmentQuarantine. A crash is evidence against the segments of the requests that had no lasting output on the engine; lasting output is evidence for them. A segment is quarantined after three crashes, spread over at least half a second, without output for it. Routers add their evidence to the load datagrams: each sees few of the crashes. The router that saw the latest crash tries one request after 5, 20, 80 s..., on an engine of its own, so that a wrong decision ends; it expires after ten minutes. Requests with the segment that wait at engines are cancelled.

Why it works: all paths to an endpoint (first attempts, retries, hedges, resumes) pass submit, which rejects them as not run; sound requests are neither rejected nor delayed.

--- a/include/mulberrywall/Permits/LoadDatagram.h
+++ b/include/mulberrywall/Permits/LoadDatagram.h
@@ -17,6 +17,9 @@
 
 /// Running requests of one router, by pool.
 using RouterLoadReport = std::vector<std::pair<support::PoolId, std::vector<policy::PeerRequest>>>;
+/// Evidence about prompt segments on which endpoints crash, by pool.
+using SegmentReport = std::vector<std::pair<support::PoolId, std::vector<policy::SegmentEvidence>>>;
+
 /// Aggregated load of several routers, by pool.
 struct PeerLoadSummary
 {
@@ -47,6 +50,7 @@
     StoreReport store;
     /// Endpoints of all pools that were found lost recently.
     std::vector<policy::LostEndpoint> lost;
+    SegmentReport segments;
     std::variant<RouterLoadReport, PeerLoadSummary> load;
 };
 
--- a/include/mulberrywall/Permits/OwnedPool.h
+++ b/include/mulberrywall/Permits/OwnedPool.h
@@ -63,6 +63,7 @@
     void recordPeerRequests(const policy::PeerReport &report);
     void recordPeerSummary(const policy::ReceivedSummary &received);
     void recordLostEndpoints(std::span<const policy::LostEndpoint> lost, policy::LossSource source);
+    void recordSegmentEvidence(std::span<const policy::SegmentEvidence> evidence);
 
     // Queries
     /// Returns the requests that this router runs in the pool.
@@ -71,6 +72,9 @@
     [[nodiscard]] policy::PeerSummary summarizeLoad(policy::SummaryScope scope) const;
     /// Returns the endpoints that were found lost recently, from the given source or a closer one.
     [[nodiscard]] std::vector<policy::LostEndpoint> lostEndpoints(policy::LossSource farthest) const;
+    /// Returns the evidence about prompt segments to send to other routers.
+    [[nodiscard]] std::vector<policy::SegmentEvidence> segmentEvidence() const;
+    [[nodiscard]] policy::PoolStatistics statistics() const;
     [[nodiscard]] OwnershipState ownership() const;
     [[nodiscard]] policy::PoolSummary summarize() const;
     [[nodiscard]] std::vector<policy::QuarantineEntry> quarantineEntries() const;
--- a/include/mulberrywall/Policy/PolicyFunctions.h
+++ b/include/mulberrywall/Policy/PolicyFunctions.h
@@ -43,6 +43,8 @@
     Decisions (*recordPeerSummary)(void *pool, const ReceivedSummary &received, TimePoint now);
     /// Records endpoints that other routers have found lost.
     Decisions (*recordLostEndpoints)(void *pool, std::span<const LostEndpoint> lost, LossSource source, TimePoint now);
+    /// Merges what another router knows about prompt segments on which endpoints crash.
+    Decisions (*recordSegmentEvidence)(void *pool, std::span<const SegmentEvidence> evidence, TimePoint now);
     /// Records that the process did not run for a time up to now, so that the running requests seem to be older than they are.
     /// Has to precede the first other command after the pause.
     void (*recordPause)(void *pool, TimePoint::duration pause, TimePoint now);
@@ -58,6 +60,8 @@
     PeerSummary (*summarizeLoad)(const void *pool, SummaryScope scope, TimePoint now);
     /// Returns the endpoints that were found lost recently, from the given source or a closer one.
     std::vector<LostEndpoint> (*lostEndpoints)(const void *pool, LossSource farthest, TimePoint now);
+    /// Returns the evidence about prompt segments to send to other routers.
+    std::vector<SegmentEvidence> (*segmentEvidence)(const void *pool, TimePoint now);
     /// Returns the quarantined requests to report to other owners, ordered by fingerprint.
     std::vector<QuarantineEntry> (*quarantineEntries)(const void *pool);
     /// Returns the delay after dispatch from which a hedged attempt of the class pays off, or std::nullopt if hedging is
--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace mulberrywall::policy
 {
@@ -170,6 +171,8 @@
     bool hasShortPrompt = false;
     /// The request was re-registered after an owner change, so that its start time is unknown.
     bool reregistered = false;
+    /// The request's output is evidence for its prompt segments, see recordSegmentOutput.
+    bool hasLastingOutput = false;
 };
 
 /// Returns whether the request has run from its start time to its latest event, so that observations may use its duration.
@@ -230,6 +233,41 @@
     bool changed = false;
 };
 
+/// A crash that counts against a prompt segment.
+struct SegmentCrashRecord
+{
+    std::uint64_t id = 0;
+    TimePoint at;
+};
+
+/// Evidence for and against a prompt segment.
+struct SegmentState
+{
+    /// Number of segments before it in the prompt; the lowest one that was seen.
+    std::size_t position = 0;
+    /// Crashes that no output has refuted, oldest first.
+    std::vector<SegmentCrashRecord> crashes;
+    /// Time of the latest lasting output.
+    std::optional<TimePoint> outputAt;
+    /// Time of the latest evidence that peers may not know.
+    std::optional<TimePoint> changedAt;
+    /// True if the latest crash was that of an endpoint on which this router had a request with the segment.
+    bool sawLatestCrash = false;
+    /// Trials since the quarantine began, and the request that is the latest one.
+    unsigned trials = 0;
+    std::optional<PermitId> trial;
+    bool isQuarantined = false;
+};
+
+/// Prompt segments that may crash endpoints.
+struct SegmentQuarantine
+{
+    std::unordered_map<Fingerprint, SegmentState> states;
+    /// Changes that no command has reported yet.
+    std::vector<SegmentChange> changes;
+    TimePoint nextRemoval;
+};
+
 /// Longest recent prefill of one prompt, see PlacementTuning::longestPrefillLifetime.
 struct LongestPrefill
 {
@@ -263,6 +301,7 @@
     /// Sum of the start times of all active requests, in seconds, moved forward by the pauses of the process.
     double startSecondsSum = 0.0;
     CrashQuarantine quarantine;
+    SegmentQuarantine segments;
     LengthEstimates lengths;
     /// Set with the first output token. Until then requests count as calls of a plain service, whose speed has another
     /// unit, see EndpointState::secondsPerUnit.
--- a/include/mulberrywall/Policy/Tuning.h
+++ b/include/mulberrywall/Policy/Tuning.h
@@ -215,6 +215,35 @@
     std::chrono::milliseconds maximumIsolatedRun {2'000};
 };
 
+/// Quarantine of prompt segments on which engines crash.
+struct SegmentTuning
+{
+    /// Crashes without output for the segment in between. Two may be a coincidence: after a crash the same waiting requests are
+    /// often tried together on the next engine.
+    unsigned crashesToQuarantine = 3;
+    /// The crashes must be spread over at least this time, because engines that fail together say nothing about a segment.
+    std::chrono::milliseconds minimumCrashSpan {500};
+    /// Output refutes crashes up to this time after it, and all crashes before it.
+    std::chrono::milliseconds outputLifetime {1'000};
+    /// Output counts if the engine is alive this long after the first token. It may crash on a segment just after that.
+    std::chrono::milliseconds lastingOutput {250};
+    std::chrono::milliseconds expiry {600'000};
+    /// Delay of the first trial after the latest crash, and the factor for each further one. A segment that is quarantined by
+    /// mistake should be back soon; one that crashes engines should cost few of them.
+    std::chrono::milliseconds firstTrialDelay {5'000};
+    double trialDelayFactor = 4.0;
+    /// New evidence is passed on for this long, in several datagrams, because some may be lost.
+    std::chrono::milliseconds reportLifetime {1'000};
+    /// The latest output for a segment is remembered for this long. A segment for which output was seen is less suspicious.
+    std::chrono::milliseconds outputMemory {60'000};
+    std::chrono::milliseconds removalInterval {1'000};
+    std::size_t maximumSegments = 10'000;
+    /// Crashes that are remembered for one segment, to find the other segments that were there.
+    std::size_t maximumCrashes = 32;
+    /// Limit on the segments in one datagram; a crash concerns few dozens.
+    std::size_t maximumReported = 64;
+};
+
 /// Parameters of the standard policy.
 struct Tuning
 {
@@ -229,6 +258,7 @@
     SlowEndpointTuning slowEndpoints;
     HedgingTuning hedging;
     CrashTuning crashes;
+    SegmentTuning segments;
 };
 
 } // namespace mulberrywall::policy
--- a/include/mulberrywall/Policy/Types.h
+++ b/include/mulberrywall/Policy/Types.h
@@ -45,6 +45,8 @@
     std::uint64_t spreadSeed = 0;
     /// Length in tokens of the prefix that prefixHash covers; std::nullopt if it is unknown.
     std::optional<std::uint32_t> prefixTokens;
+    /// Hashes of the prompt's segments that other requests may share.
+    std::vector<Fingerprint> segments;
     AttemptPurpose purpose = AttemptPurpose::First;
     /// True if the previous owner of the pool had queued the request. The next one does not reject it for its estimated wait:
     /// such requests come all at once, before that owner has observed how long any takes.
@@ -70,7 +72,8 @@
     /// The estimated wait exceeds the target or the deadline.
     TargetUnreachable,
     DeadlineExpired,
-    /// By default two earlier runs of this request crashed their endpoints, see CrashTuning::crashesToReject.
+    /// Earlier runs of this request, or of others with a segment of its prompt, crashed their endpoints; see
+    /// CrashTuning::crashesToReject and SegmentTuning::crashesToQuarantine.
     Quarantined,
     UnknownClass,
     NoEndpoint,
@@ -102,6 +105,15 @@
     std::uint8_t enginePriority = 0;
 };
 
+/// A prompt segment whose quarantine began or ended.
+struct SegmentChange
+{
+    Fingerprint segment = 0;
+    bool isQuarantined = false;
+    /// Number of crashes that count against the segment, up to SegmentTuning::maximumCrashes.
+    unsigned crashes = 0;
+};
+
 /// Actions that the caller of a command has to execute, in order.
 struct Decisions
 {
@@ -109,6 +121,8 @@
     std::vector<Rejection> rejections;
     std::vector<Cancellation> cancellations;
     std::vector<PriorityChange> priorityChanges;
+    /// To be logged.
+    std::vector<SegmentChange> segmentChanges;
 };
 
 /// Progress of a running request, counted from its start.
@@ -200,6 +214,29 @@
     friend bool operator==(const LostEndpoint &, const LostEndpoint &) = default;
 };
 
+/// A crash of an endpoint that ran requests with a certain segment.
+struct SegmentCrash
+{
+    /// Identifies the crash, so that several routers that report it are not taken for several crashes.
+    std::uint64_t id = 0;
+    std::chrono::milliseconds age {0};
+
+    friend bool operator==(const SegmentCrash &, const SegmentCrash &) = default;
+};
+
+/// What routers tell each other about a prompt segment.
+struct SegmentEvidence
+{
+    Fingerprint segment = 0;
+    /// Number of segments before it in the prompt; the lowest one that was seen.
+    std::size_t position = 0;
+    std::vector<SegmentCrash> crashes;
+    /// Time since an endpoint last produced output for a request with the segment; empty if none is known.
+    std::optional<std::chrono::milliseconds> outputAge;
+
+    friend bool operator==(const SegmentEvidence &, const SegmentEvidence &) = default;
+};
+
 /// Where a router knows a loss from, closest first. Each router passes on only what it knows from closer by, so that a loss
 /// does not circulate between routers.
 enum class LossSource : std::uint8_t {
@@ -394,6 +431,8 @@
     /// Output tokens of attempts that did not complete.
     std::uint64_t wastedTokens = 0;
     std::uint64_t endpointCrashes = 0;
+    /// Prompt segments that are quarantined now.
+    std::size_t quarantinedSegments = 0;
 };
 
 } // namespace mulberrywall::policy
--- a/include/mulberrywall/Router/CallerRequest.h
+++ b/include/mulberrywall/Router/CallerRequest.h
@@ -78,6 +78,9 @@
 /// Returns a hash of organisation, target and body, by which a resent request is recognised.
 policy::Fingerprint fingerprintOf(const CallerRequest &request);
 
+/// Returns hashes of the segments that other requests may share, by which these are recognised.
+std::vector<policy::Fingerprint> segmentFingerprints(const CallerRequest &request);
+
 /// Returns the SHA-256 of a bearer key in lower-case hexadecimal, as the configuration stores it.
 std::string hashKey(std::string_view key);
 
--- a/lib/Permits/LoadDatagram.cpp
+++ b/lib/Permits/LoadDatagram.cpp
@@ -182,6 +182,56 @@
     return lost;
 }
 
+void write(load::SegmentEvidence::Builder builder, const policy::SegmentEvidence &evidence)
+{
+    builder.setSegment(evidence.segment);
+    builder.setPosition(static_cast<std::uint16_t>(evidence.position));
+    builder.setHasOutput(evidence.outputAge.has_value());
+    builder.setOutputAgeMs(static_cast<std::uint32_t>(evidence.outputAge.value_or(std::chrono::milliseconds(0)).count()));
+    auto crashes = builder.initCrashes(static_cast<unsigned>(evidence.crashes.size()));
+    for (unsigned index = 0; index < crashes.size(); ++index) {
+        crashes[index].setId(evidence.crashes[index].id);
+        crashes[index].setAgeMs(static_cast<std::uint32_t>(evidence.crashes[index].age.count()));
+    }
+}
+
+policy::SegmentEvidence read(load::SegmentEvidence::Reader reader)
+{
+    policy::SegmentEvidence evidence {.segment = reader.getSegment(), .position = reader.getPosition()};
+    if (reader.getHasOutput()) {
+        evidence.outputAge = std::chrono::milliseconds(reader.getOutputAgeMs());
+    }
+    for (const auto crash : reader.getCrashes()) {
+        evidence.crashes.push_back({.id = crash.getId(), .age = std::chrono::milliseconds(crash.getAgeMs())});
+    }
+    return evidence;
+}
+
+void write(capnp::List<load::PoolSegments>::Builder builder, const SegmentReport &report)
+{
+    for (unsigned index = 0; index < builder.size(); ++index) {
+        const auto &[pool, segments] = report[index];
+        builder[index].setPool(pool.value());
+        auto list = builder[index].initSegments(static_cast<unsigned>(segments.size()));
+        for (unsigned position = 0; position < list.size(); ++position) {
+            write(list[position], segments[position]);
+        }
+    }
+}
+
+SegmentReport read(capnp::List<load::PoolSegments>::Reader reader)
+{
+    SegmentReport report;
+    for (const auto pool : reader) {
+        std::vector<policy::SegmentEvidence> segments;
+        for (const auto segment : pool.getSegments()) {
+            segments.push_back(read(segment));
+        }
+        report.emplace_back(support::PoolId(pool.getPool().cStr()), std::move(segments));
+    }
+    return report;
+}
+
 void write(load::LoadDatagram::Builder root, const PeerLoadSummary &summary)
 {
     root.setDataCentre(summary.dataCentre.value());
@@ -232,7 +282,8 @@
         .echoHeld = std::chrono::milliseconds(root.getEchoHeldMs()),
         .store = {.freshness = {.configuration = read(root.getConfiguration()), .endpoints = read(root.getEndpoints())},
             .changes = {.configuration = read(root.getConfigurationChanges()), .endpoints = read(root.getEndpointChanges())}},
-        .lost = read(root.getLost())};
+        .lost = read(root.getLost()),
+        .segments = read(root.getSegments())};
     switch (root.which()) {
     case load::LoadDatagram::REQUESTS:
         datagram.load = readReport(root.getRequests());
@@ -299,6 +350,7 @@
     write(root.initConfigurationChanges(static_cast<unsigned>(changes.configuration.size())), changes.configuration);
     write(root.initEndpointChanges(static_cast<unsigned>(changes.endpoints.size())), changes.endpoints);
     write(root.initLost(static_cast<unsigned>(datagram.lost.size())), datagram.lost);
+    write(root.initSegments(static_cast<unsigned>(datagram.segments.size())), datagram.segments);
     std::visit([&root](const auto &load) { write(root, load); }, datagram.load);
     kj::VectorOutputStream stream;
     capnp::writePackedMessage(stream, message);
--- a/lib/Permits/LoadExchange.cpp
+++ b/lib/Permits/LoadExchange.cpp
@@ -144,11 +144,11 @@
             sentReports_.pop_front();
         }
         sentReports_.push_back({.sentAtMs = makeStamp(support::BootClock::now()), .report = std::move(current)});
-        const std::vector<policy::LostEndpoint> lost = lostEndpoints(policy::LossSource::Own);
+        const Findings findings = collectFindings(policy::LossSource::Own);
         for (const membership::Member &peer : routes.reportReceivers) {
             // Aggregators read changes at once; hundreds of routers that passed on the same ones would fill their links.
             const StoreChanges changes = routes.role == LoadRole::Direct ? changesFor(peer, options_.directChangeDelay) : StoreChanges();
-            send(peer, sentReports_.back().report, lost, changes);
+            send(peer, sentReports_.back().report, findings, changes);
         }
     }
 
@@ -178,11 +178,11 @@
 
     void sendSummaries(std::span<const membership::Member> receivers, std::span<const PeerLoadSummary> parts, policy::LossSource farthestLoss)
     {
-        const std::vector<policy::LostEndpoint> lost = lostEndpoints(farthestLoss);
+        const Findings findings = collectFindings(farthestLoss);
         for (const membership::Member &peer : receivers) {
             const StoreChanges changes = changesFor(peer, std::chrono::milliseconds(0));
             for (const PeerLoadSummary &part : parts) {
-                send(peer, part, lost, changes);
+                send(peer, part, findings, changes);
             }
         }
     }
@@ -194,20 +194,29 @@
         return latest == lastReceived_.end() ? StoreChanges() : handlers_.changesAfter(latest->second.freshness, minimumAge);
     }
 
-    [[nodiscard]] std::vector<policy::LostEndpoint> lostEndpoints(policy::LossSource farthest) const
+    /// What routers pass on to each other besides their load.
+    struct Findings
     {
-        std::vector<policy::LostEndpoint> result;
+        std::vector<policy::LostEndpoint> lost;
+        SegmentReport segments;
+    };
+
+    [[nodiscard]] Findings collectFindings(policy::LossSource farthestLoss) const
+    {
+        Findings result;
         for (const auto &[id, pool] : pools_.pools()) {
-            const std::vector<policy::LostEndpoint> lost = pool->lostEndpoints(farthest);
-            result.insert(result.end(), lost.begin(), lost.end());
+            const std::vector<policy::LostEndpoint> lost = pool->lostEndpoints(farthestLoss);
+            result.lost.insert(result.lost.end(), lost.begin(), lost.end());
+            std::vector<policy::SegmentEvidence> segments = pool->segmentEvidence();
+            if (!segments.empty()) {
+                result.segments.emplace_back(id, std::move(segments));
+            }
         }
         return result;
     }
 
-    void send(const membership::Member &peer,
-        const std::variant<RouterLoadReport, PeerLoadSummary> &load,
-        const std::vector<policy::LostEndpoint> &lost,
-        const StoreChanges &changes)
+    void send(
+        const membership::Member &peer, const std::variant<RouterLoadReport, PeerLoadSummary> &load, const Findings &findings, const StoreChanges &changes)
     {
         const auto latest = lastReceived_.find(peer.instance);
         LoadDatagram datagram {.instance = options_.instance,
@@ -216,7 +225,8 @@
             .echoMs = latest == lastReceived_.end() ? 0 : latest->second.sentAtMs,
             .echoHeld = latest == lastReceived_.end() ? std::chrono::milliseconds(0) : timeSince(latest->second.arrivedAt),
             .store = {.freshness = handlers_.storeFreshness(), .changes = changes},
-            .lost = lost,
+            .lost = findings.lost,
+            .segments = findings.segments,
             .load = load};
         std::vector<std::uint8_t> bytes = encode(datagram);
         if (bytes.size() > maxPayloadBytes) {
@@ -259,6 +269,7 @@
             handlers_.recordPeerReport(datagram->store, std::min(*echo + datagram->echoHeld, support::BootClock::now()));
         }
         recordLostEndpoints(*datagram);
+        recordSegmentEvidence(*datagram);
         if (const auto *report = std::get_if<RouterLoadReport>(&datagram->load)) {
             recordReport(datagram->instance, *report);
             return;
@@ -277,6 +288,15 @@
         }
     }
 
+    void recordSegmentEvidence(const LoadDatagram &datagram)
+    {
+        for (const auto &[id, evidence] : datagram.segments) {
+            if (const auto pool = pools_.find(id)) {
+                pool->recordSegmentEvidence(evidence);
+            }
+        }
+    }
+
     void recordReport(const support::InstanceId &router, const RouterLoadReport &report)
     {
         for (const auto &[id, pool] : pools_.pools()) {
--- a/lib/Permits/LoadReport.capnp
+++ b/lib/Permits/LoadReport.capnp
@@ -30,6 +30,30 @@
   echoHeldMs @13 :UInt32;
   # Endpoints that were found lost recently.
   lost @14 :List(LostEndpoint);
+  # Evidence about prompt segments on which endpoints crash.
+  segments @15 :List(PoolSegments);
+}
+
+struct PoolSegments {
+  pool @0 :Text;
+  segments @1 :List(SegmentEvidence);
+}
+
+struct SegmentEvidence {
+  # Hash of the segment's id.
+  segment @0 :UInt64;
+  # Crashes of endpoints that ran requests with the segment and had produced no output for them.
+  crashes @1 :List(SegmentCrash);
+  # Time since an endpoint last produced output for a request with the segment.
+  outputAgeMs @2 :UInt32;
+  hasOutput @3 :Bool;
+  # Number of segments before it in the prompt.
+  position @4 :UInt16;
+}
+
+struct SegmentCrash {
+  id @0 :UInt64;
+  ageMs @1 :UInt32;
 }
 
 # An endpoint whose address refuses connections, or where another endpoint answers.
--- a/lib/Permits/OwnedPool.cpp
+++ b/lib/Permits/OwnedPool.cpp
@@ -220,6 +220,23 @@
     execute([&] { return functions_.recordLostEndpoints(pool_.get(), lost, source, startCommand()); });
 }
 
+void OwnedPool::recordSegmentEvidence(std::span<const policy::SegmentEvidence> evidence)
+{
+    execute([&] { return functions_.recordSegmentEvidence(pool_.get(), evidence, startCommand()); });
+}
+
+std::vector<policy::SegmentEvidence> OwnedPool::segmentEvidence() const
+{
+    const std::scoped_lock lock(mutex_);
+    return functions_.segmentEvidence(pool_.get(), now());
+}
+
+policy::PoolStatistics OwnedPool::statistics() const
+{
+    const std::scoped_lock lock(mutex_);
+    return functions_.statistics(pool_.get());
+}
+
 std::vector<policy::LostEndpoint> OwnedPool::lostEndpoints(policy::LossSource farthest) const
 {
     const std::scoped_lock lock(mutex_);
@@ -277,9 +294,19 @@
     });
 }
 
+static void logSegmentChange(const policy::SegmentChange &change)
+{
+    support::log(support::Severity::Warning,
+        change.isQuarantined ? "prompt segment quarantined; endpoints crash on it" : "quarantine of a prompt segment ended",
+        {{"segmentHash", change.segment}, {"crashes", change.crashes}});
+}
+
 std::vector<OwnedPool::Notification> OwnedPool::takeNotifications(const policy::Decisions &decisions)
 {
     std::vector<Notification> notifications;
+    for (const policy::SegmentChange &change : decisions.segmentChanges) {
+        notifications.emplace_back([change] { logSegmentChange(change); });
+    }
     for (const policy::Grant &grant : decisions.grants) {
         auto acquisition = pendingAcquisitions_.extract(grant.permit);
         if (!acquisition.empty()) {
--- a/lib/Permits/Peer.capnp
+++ b/lib/Permits/Peer.capnp
@@ -98,6 +98,8 @@
   unreachableOwners @10 :List(Text);
   # True if an owner of the pool that can no longer be reached, or that has handed over the pool, had queued the request.
   wasQueued @11 :Bool;
+  # Hashes of the prompt's segments that other requests may share.
+  segments @12 :List(UInt64);
 }
 
 struct Endpoint {
--- a/lib/Permits/PeerRpcCodec.cpp
+++ b/lib/Permits/PeerRpcCodec.cpp
@@ -77,6 +77,10 @@
     for (unsigned index = 0; index < excluded.size(); ++index) {
         excluded.set(index, submission.excludedEndpoints[index].value().c_str());
     }
+    auto segments = builder.initSegments(submission.segments.size());
+    for (unsigned index = 0; index < segments.size(); ++index) {
+        segments.set(index, submission.segments[index]);
+    }
     auto owners = builder.initUnreachableOwners(unreachable.size());
     for (unsigned index = 0; index < owners.size(); ++index) {
         owners.set(index, unreachable[index].value().c_str());
@@ -99,6 +103,9 @@
     for (const auto endpoint : reader.getExcludedEndpoints()) {
         submission.excludedEndpoints.emplace_back(toString(endpoint));
     }
+    for (const auto segment : reader.getSegments()) {
+        submission.segments.push_back(segment);
+    }
     if (reader.getRemainingMs() != noDeadline) {
         submission.deadline = steady_clock::now() + milliseconds(reader.getRemainingMs());
     }
--- a/lib/Policy/CrashQuarantine.cpp
+++ b/lib/Policy/CrashQuarantine.cpp
@@ -1,6 +1,7 @@
 #include "mulberrywall/Policy/CrashQuarantine.h"
 
 #include "mulberrywall/Policy/EndpointSelection.h"
+#include "mulberrywall/Policy/SegmentQuarantine.h"
 
 #include <algorithm>
 #include <set>
@@ -206,6 +207,7 @@
     }
     ++pool.statistics.endpointCrashes;
     removeExpired(pool, now);
+    recordSegmentCrash(pool, *failed.endpoint, now);
     std::set<Fingerprint> fingerprints;
     for (const PermitId permit : permitsAt(pool, *failed.endpoint)) {
         ActiveRequest &request = pool.active.at(permit);
--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -15,9 +15,11 @@
 #include "mulberrywall/Policy/PromptCache.h"
 #include "mulberrywall/Policy/PromptPlacement.h"
 #include "mulberrywall/Policy/Scheduling.h"
+#include "mulberrywall/Policy/SegmentQuarantine.h"
 #include "mulberrywall/Policy/SlowEndpoints.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace mulberrywall::policy
 {
@@ -86,7 +88,7 @@
 
 SchedulingGroup schedulingGroupOf(const Pool &pool, const Submission &submission, double work, TimePoint now)
 {
-    if (attributedCrashes(pool, submission.fingerprint, now) > 0) {
+    if (attributedCrashes(pool, submission.fingerprint, now) > 0 || isSegmentTrial(pool, submission)) {
         return SchedulingGroup::Quarantined;
     }
     if (submission.purpose == AttemptPurpose::Resume) {
@@ -107,13 +109,31 @@
         .work = work};
 }
 
-/// Rejects or regroups the waiting requests after a change of the quarantine.
+/// Returns the remaining time of the quarantine for which the request is rejected, or std::nullopt if it is not.
+std::optional<std::chrono::milliseconds> quarantineOf(const Pool &pool, const Submission &submission, TimePoint now)
+{
+    if (isRejectedForCrashes(pool, submission.fingerprint, now)) {
+        return remainingQuarantine(pool, submission.fingerprint, now);
+    }
+    if (const auto segment = rejectingSegment(pool, submission, now)) {
+        return remainingSegmentQuarantine(pool, *segment, now);
+    }
+    return std::nullopt;
+}
+
+/// Rejects or regroups the waiting requests after a change of the quarantine, and cancels running ones that it concerns.
 void applyQuarantineChanges(Pool &pool, TimePoint now, Decisions &decisions)
 {
     if (!pool.quarantine.changed) {
         return;
     }
     pool.quarantine.changed = false;
+    const auto &changes = pool.segments.changes;
+    if (std::any_of(changes.begin(), changes.end(), [](const SegmentChange &change) { return change.isQuarantined; })) {
+        cancelQuarantinedSegments(pool, now, decisions);
+    }
+    std::move(pool.segments.changes.begin(), pool.segments.changes.end(), std::back_inserter(decisions.segmentChanges));
+    pool.segments.changes.clear();
     std::vector<PermitId> waiting;
     for (const auto &[permit, request] : pool.queue.requests) {
         waiting.push_back(permit);
@@ -121,10 +141,9 @@
     std::sort(waiting.begin(), waiting.end());
     for (const PermitId permit : waiting) {
         const WaitingRequest &request = pool.queue.requests.at(permit);
-        const Fingerprint fingerprint = request.submission.fingerprint;
-        if (isRejectedForCrashes(pool, fingerprint, now)) {
+        if (const auto retryAfter = quarantineOf(pool, request.submission, now)) {
             removeWaiting(pool.queue, permit);
-            reject(decisions, permit, RejectionReason::Quarantined, remainingQuarantine(pool, fingerprint, now));
+            reject(decisions, permit, RejectionReason::Quarantined, *retryAfter);
             continue;
         }
         changeSchedulingGroup(pool.queue, permit, schedulingGroupOf(pool, request.submission, request.work, now));
@@ -147,7 +166,7 @@
     if (submission.deadline <= now) {
         return RejectionReason::DeadlineExpired;
     }
-    if (isRejectedForCrashes(pool, submission.fingerprint, now)) {
+    if (quarantineOf(pool, submission, now)) {
         return RejectionReason::Quarantined;
     }
     if (!hasUsableEndpoint(pool, submission)) {
@@ -205,8 +224,7 @@
     Decisions decisions;
     if (const auto reason = immediateRejection(pool, submission, now)) {
         pool.statistics.hedgesDenied += *reason == RejectionReason::HedgeDenied ? 1 : 0;
-        const bool crashed = *reason == RejectionReason::Quarantined;
-        reject(decisions, submission.permit, *reason, crashed ? remainingQuarantine(pool, submission.fingerprint, now) : defaultRetryAfter);
+        reject(decisions, submission.permit, *reason, quarantineOf(pool, submission, now).value_or(defaultRetryAfter));
         scheduleAll(pool, now, decisions);
         return decisions;
     }
@@ -215,6 +233,7 @@
         scheduleAll(pool, now, decisions);
         return decisions;
     }
+    startSegmentTrial(pool, submission, now);
     ClassState &requestClass = *findClass(pool, submission.requestClass);
     accountHedging(pool, requestClass, submission.purpose);
     activateOrganisation(pool, requestClass.spec.tier, submission.organisation);
@@ -254,6 +273,7 @@
         recordProbeProgress(pool, found->second, now);
         if (progressed) {
             recordQuarantinedProgress(pool, found->second);
+            recordSegmentOutput(pool, found->second, now);
         }
         if (markLongIfExceeded(pool, found->second)) {
             decisions.priorityChanges.push_back({.permit = permit, .enginePriority = enginePriority(pool, found->second.tier, SchedulingGroup::Long)});
@@ -269,6 +289,7 @@
     switch (outcome) {
     case AttemptOutcome::Completed:
         clearCompletedRequest(pool, request);
+        recordSegmentCompletion(pool, request, now);
         return;
     case AttemptOutcome::NotRun:
     case AttemptOutcome::Stalled:
@@ -394,6 +415,17 @@
     return recentLosses(asPool(handle), farthest, now);
 }
 
+Decisions recordSegments(void *handle, std::span<const SegmentEvidence> evidence, TimePoint now)
+{
+    mergeSegmentEvidence(beginCommand(handle, now), evidence, now);
+    return advance(handle, now);
+}
+
+std::vector<SegmentEvidence> segmentsToReport(const void *handle, TimePoint now)
+{
+    return segmentEvidence(asPool(handle), now);
+}
+
 PeerSummary summarizeLoadForPeers(const void *handle, SummaryScope scope, TimePoint now)
 {
     return summarizeLoad(asPool(handle), scope, now);
@@ -472,7 +504,10 @@
 
 PoolStatistics statistics(const void *handle)
 {
-    return asPool(handle).statistics;
+    const Pool &pool = asPool(handle);
+    PoolStatistics result = pool.statistics;
+    result.quarantinedSegments = quarantinedSegments(pool, pool.now);
+    return result;
 }
 
 constexpr PolicyFunctions standardFunctions {.create = create,
@@ -488,6 +523,7 @@
     .recordPeerRequests = recordPeerReport,
     .recordPeerSummary = recordSummary,
     .recordLostEndpoints = recordLostEndpoints,
+    .recordSegmentEvidence = recordSegments,
     .recordPause = recordProcessPause,
     .advance = advance,
     .nextWakeUp = nextWakeUp,
@@ -495,6 +531,7 @@
     .runningRequests = listRunningRequests,
     .summarizeLoad = summarizeLoadForPeers,
     .lostEndpoints = lostEndpoints,
+    .segmentEvidence = segmentsToReport,
     .quarantineEntries = quarantineEntries,
     .hedgeDelay = hedgeDelay,
     .endpointStatus = endpointStatus,
--- a/lib/Router/AdminPages.cpp
+++ b/lib/Router/AdminPages.cpp
@@ -127,6 +127,16 @@
     return json::serialize(status);
 }
 
+/// Sets the metrics of the pools, which count for themselves.
+static void collectPoolMetrics(const AdminContext &admin)
+{
+    for (const auto &[id, pool] : admin.pools.pools()) {
+        const policy::PoolStatistics statistics = pool->statistics();
+        admin.state.metrics.setGauge("mulberrywall_endpoint_crashes", static_cast<double>(statistics.endpointCrashes), {{"pool", id.value()}});
+        admin.state.metrics.setGauge("mulberrywall_quarantined_segments", static_cast<double>(statistics.quarantinedSegments), {{"pool", id.value()}});
+    }
+}
+
 http::Response answerAdminRequest(const AdminContext &admin, const http::Request &request)
 {
     const std::string_view path = http::pathOf({request.target().data(), request.target().size()});
@@ -144,6 +154,7 @@
     }
     if (path == "/metrics") {
         admin.state.metrics.setGauge("mulberrywall_log_lines_dropped", static_cast<double>(support::droppedLogLines()));
+        collectPoolMetrics(admin);
         http::Response response = http::makeJsonResponse(http::Status::ok, admin.state.metrics.renderPrometheus());
         response.set(http::Field::content_type, "text/plain; version=0.0.4");
         return response;
--- a/lib/Router/CallerRequest.cpp
+++ b/lib/Router/CallerRequest.cpp
@@ -204,6 +204,15 @@
     return XXH3_64bits_withSeed(request.upstream.body().data(), request.upstream.body().size(), seed);
 }
 
+std::vector<policy::Fingerprint> segmentFingerprints(const CallerRequest &request)
+{
+    std::vector<policy::Fingerprint> result;
+    for (const std::string &segment : request.sharedSegments) {
+        result.push_back(XXH3_64bits(segment.data(), segment.size()));
+    }
+    return result;
+}
+
 std::variant<CallerRequest, http::Problem> parseCallerRequest(
     const http::Request &request, const configuration::SiteConfiguration &configuration, policy::TimePoint now)
 {
--- a/lib/Router/CallerSession.cpp
+++ b/lib/Router/CallerSession.cpp
@@ -191,6 +191,7 @@
             .promptTokens = request_->promptTokens,
             .spreadSeed = XXH3_64bits(request_->id.value().data(), request_->id.value().size()),
             .prefixTokens = request_->prefixTokens,
+            .segments = segmentFingerprints(*request_),
             .purpose = purpose,
             .excludedEndpoints = excludedEndpoints(purpose),
             .deadline = request_->deadline}};
@@ -201,6 +202,17 @@
     });
 }
 
+/// Returns the ids for a log line, whose length they must not dominate.
+static std::string joinSegments(std::span<const std::string> segments)
+{
+    constexpr std::size_t maxLoggedSegments = 8;
+    std::string text;
+    for (const std::string &segment : segments.first(std::min(segments.size(), maxLoggedSegments))) {
+        text += (text.empty() ? "" : ",") + segment;
+    }
+    return segments.size() > maxLoggedSegments ? text + ",..." : text;
+}
+
 static http::Problem makeRejectionProblem(const permits::PermitRejection &rejection, Verdict verdict, http::Status expiredStatus)
 {
     std::string detail = "no capacity: " + std::string(policy::toString(rejection.reason)) + "; send the request again later";
@@ -229,6 +241,7 @@
                 {"reason", policy::toString(rejection->reason)},
                 {"tier", static_cast<unsigned>(request_->requestClass.tier)},
                 {"promptTokens", request_->promptTokens},
+                {"segments", joinSegments(request_->sharedSegments)},
                 {"retryAfterMs", std::int64_t {rejection->retryAfter.count()}}});
         fail(makeRejectionProblem(*rejection, verdict_, expiredStatus()), rejection->retryAfter);
         return;
@@ -313,17 +326,6 @@
     state_.serviceLevels.record(request_->requestClass.id, {.wastedTokens = attempt->outputTokens()}, std::chrono::steady_clock::now());
 }
 
-/// Returns the ids for a log line, whose length they must not dominate.
-static std::string joinSegments(std::span<const std::string> segments)
-{
-    constexpr std::size_t maxLoggedSegments = 8;
-    std::string text;
-    for (const std::string &segment : segments.first(std::min(segments.size(), maxLoggedSegments))) {
-        text += (text.empty() ? "" : ",") + segment;
-    }
-    return segments.size() > maxLoggedSegments ? text + ",..." : text;
-}
-
 void CallerSession::startAttempt(AttemptPurpose purpose, std::shared_ptr<permits::Permit> permit)
 {
     ++attempts_;
@@ -387,7 +389,8 @@
     cancelAttempts();
     fail({.status = statusWithoutResponse(verdict_),
         .title = "refused",
-        .detail = "the running request was cancelled: " + std::string(policy::toString(reason)) + "; the same request crashed endpoints, change it",
+        .detail = "the running request was cancelled: " + std::string(policy::toString(reason))
+            + "; this request, or others with a part of its prompt, crashed endpoints; change it",
         .verdict = verdict_});
 }
 
@@ -453,8 +456,7 @@
             {"fingerprint", request_->fingerprint},
             {"segments", joinSegments(request_->sharedSegments)},
             {"deliveredTokens", deliveredTokens_}});
-    state_.metrics.increment(
-        "mulberrywall_attempts_failed_total", {{"pool", request_->pool.value()}, {"outcome", policy::toString(attemptResult.outcome)}});
+    state_.metrics.increment("mulberrywall_attempts_failed_total", {{"pool", request_->pool.value()}, {"outcome", policy::toString(attemptResult.outcome)}});
     // By the time a long stream breaks again, endpoints that failed earlier may have recovered.
     if (attempt->outputTokens() > 0) {
         failedEndpoints_.clear();
--- a/test/Support/Naive/NaivePolicy.cpp
+++ b/test/Support/Naive/NaivePolicy.cpp
@@ -260,6 +260,16 @@
     return {};
 }
 
+Decisions recordSegmentEvidence(void * /*handle*/, std::span<const SegmentEvidence> /*evidence*/, TimePoint /*now*/)
+{
+    return {};
+}
+
+std::vector<SegmentEvidence> segmentEvidence(const void * /*handle*/, TimePoint /*now*/)
+{
+    return {};
+}
+
 Decisions recordPeerSummary(void * /*handle*/, const ReceivedSummary & /*received*/, TimePoint /*now*/)
 {
     return {};
@@ -315,6 +325,7 @@
     .recordPeerRequests = recordPeerRequests,
     .recordPeerSummary = recordPeerSummary,
     .recordLostEndpoints = recordLostEndpoints,
+    .recordSegmentEvidence = recordSegmentEvidence,
     .recordPause = recordPause,
     .advance = advance,
     .nextWakeUp = nextWakeUp,
@@ -322,6 +333,7 @@
     .runningRequests = runningRequests,
     .summarizeLoad = summarizeLoad,
     .lostEndpoints = lostEndpoints,
+    .segmentEvidence = segmentEvidence,
     .quarantineEntries = quarantineEntries,
     .hedgeDelay = hedgeDelay,
     .endpointStatus = endpointStatus,
--- a/unittests/Adapter/CrashingSegmentTest.cpp
+++ b/unittests/Adapter/CrashingSegmentTest.cpp
@@ -20,8 +20,12 @@
     {
         const support::PoolId pool("engines");
         site_.classes.push_back({.id = support::ClassId("report"), .idempotency = configuration::Idempotency::NonIdempotent});
-        site_.routes.push_back(
-            {.host = "h", .prefix = "/report/", .requestClass = support::ClassId("report"), .targets = {{.pool = pool}}, .maximumAttempts = 2, .streams = true});
+        site_.routes.push_back({.host = "h",
+            .prefix = "/report/",
+            .requestClass = support::ClassId("report"),
+            .targets = {{.pool = pool}},
+            .maximumAttempts = 2,
+            .streams = true});
         site_.pools.push_back({.id = pool, .kind = configuration::PoolKind::ModelEngine});
         site_.revision = 1;
         for (std::size_t index = 0; index < engines_.size(); ++index) {
--- a/unittests/Permits/LoadExchangeTest.cpp
+++ b/unittests/Permits/LoadExchangeTest.cpp
@@ -64,6 +64,16 @@
     EXPECT_EQ(decoded->lost, sent.lost);
 }
 
+TEST(LoadDatagramCodec, RoundTripsSegmentEvidence)
+{
+    const policy::SegmentEvidence refuted {.segment = 8, .outputAge = milliseconds(0)};
+    const policy::SegmentEvidence suspected {.segment = 7, .position = 1, .crashes = {{.id = 5, .age = milliseconds(250)}, {.id = 6, .age = milliseconds(0)}}};
+    const LoadDatagram sent {.segments = {{support::PoolId("p"), {suspected, refuted}}}, .load = RouterLoadReport()};
+    const auto decoded = decodeLoadDatagram(encode(sent));
+    ASSERT_TRUE(decoded.has_value());
+    EXPECT_EQ(decoded->segments, sent.segments);
+}
+
 /// Guards against pending prefill that is ignored while routers of an earlier version are replaced, which send no tiers.
 TEST(LoadDatagramCodec, CountsPrefillWithoutTiersAsOfTheHighestTier)
 {
@@ -411,6 +421,22 @@
     expectDifferentEndpoints();
 }
 
+/// Guards against crashes of many engines on one prompt segment, of which each router sees only its own.
+TEST_F(LoadExchangeTest, RoutersLearnOfCrashesOnASegment)
+{
+    first_.sendsSummaries = true;
+    startBoth();
+    const auto &pool = second_.pools.find(support::PoolId("p"));
+    const std::vector<policy::SegmentEvidence> evidence {{.segment = 7, .crashes = {{.id = 5}}}};
+    first_.pools.find(support::PoolId("p"))->recordSegmentEvidence(evidence);
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (pool->segmentEvidence().empty() && std::chrono::steady_clock::now() < deadline) {
+        std::this_thread::yield();
+    }
+    ASSERT_EQ(pool->segmentEvidence().size(), 1U);
+    EXPECT_EQ(pool->segmentEvidence().at(0).segment, 7U);
+}
+
 /// Guards against a crashed endpoint that each of many routers tries after another one was refused there.
 TEST_F(LoadExchangeTest, RoutersAvoidAnEndpointThatAPeerFoundLost)
 {
