--- a/lib/Router/CallerRequest.cpp
+++ b/lib/Router/CallerRequest.cpp
@@ -131,6 +131,22 @@
     return {};
 }
 
+/// Returns names of the messages that other requests of the conversation, or with the same instructions, may share: all but the
+/// last one. A name is a hash, because the text must not get into logs.
+static std::vector<std::string> sharedMessages(const json::object &body)
+{
+    const json::value *messages = body.if_contains("messages");
+    const json::array *list = messages == nullptr ? nullptr : messages->if_array();
+    std::vector<std::string> names;
+    for (std::size_t index = 0; list != nullptr && index + 1 < list->size(); ++index) {
+        const std::string text = json::serialize((*list)[index]);
+        std::array<char, 16> digits {};
+        const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), XXH3_64bits(text.data(), text.size()), 16).ptr;
+        names.emplace_back(digits.data(), end);
+    }
+    return names;
+}
+
 static std::optional<http::Problem> readModelBody(const http::Request &request, const configuration::SiteConfiguration &configuration, CallerRequest &result)
 {
     json::error_code error;
@@ -155,6 +171,7 @@
     const std::string prompt = collectPrompt(body);
     result.promptTokens = static_cast<std::uint32_t>(prompt.size() / bytesPerToken + 1);
     result.prefixHash = XXH3_64bits(prompt.data(), std::min(prompt.size(), prefixHashBytes));
+    result.sharedSegments = sharedMessages(body);
     return std::nullopt;
 }
 
--- a/unittests/Router/CallerRequestTest.cpp
+++ b/unittests/Router/CallerRequestTest.cpp
@@ -87,6 +87,21 @@
     EXPECT_EQ(first.requestClass.id, support::ClassId("fast"));
 }
 
+// Guards against conversations that crash engines by a message which they share, and are not recognised by it.
+TEST(CallerRequestTest, ConversationsShareTheirEarlierMessages)
+{
+    const auto segmentsOf = [](const std::string &messages) {
+        const http::Request request = makeRequest("/v1/chat/completions", R"({"model":"m","messages":[)" + messages + "]}");
+        return std::get<CallerRequest>(parseCallerRequest(request, makeSite(), policy::TimePoint {})).sharedSegments;
+    };
+    const std::vector<std::string> first = segmentsOf(R"({"role":"system","content":"rules"},{"role":"user","content":"a"})");
+    ASSERT_EQ(first.size(), 1U);
+    EXPECT_EQ(first, segmentsOf(R"({"role":"system","content":"rules"},{"role":"user","content":"b"})"));
+    EXPECT_NE(first, segmentsOf(R"({"role":"system","content":"other"},{"role":"user","content":"a"})"));
+    EXPECT_EQ(first.at(0).find("rules"), std::string::npos) << "the text of a message must not get into logs";
+    EXPECT_TRUE(segmentsOf(R"({"role":"user","content":"a"})").empty());
+}
+
 // Guards against a service path that is forwarded to the endpoint with the router's prefix or without
 // its query.
 TEST(CallerRequestTest, ServicePathIsForwardedWithoutPrefix)
