router: keep error responses out of streams that have begun

Cause: a response that is not a stream counted as the completed answer, and CallerSession passed it to the exchange without asking whether the caller's stream had begun. Only 5xx were handled, on another path.

Change: such a response fails the attempt, so that the stream is resumed elsewhere or ends incomplete.

--- a/lib/Router/CallerSession.cpp
+++ b/lib/Router/CallerSession.cpp
@@ -429,6 +429,12 @@
 void CallerSession::onAttemptEnd(const AttemptPtr &attempt, AttemptResult attemptResult)
 {
     std::erase(running_, attempt);
+    if (attemptResult.response && relay_->isStarted()) {
+        // The endpoint that should have continued the stream answered with something else, which must not get into it.
+        const std::string status = std::to_string(attemptResult.response->result_int());
+        attemptResult
+            = {.outcome = policy::AttemptOutcome::Cancelled, .reason = "the endpoint answered with status " + status + " instead of continuing the stream"};
+    }
     verdict_ = support::combineVerdicts(verdict_, attemptResult.verdict);
     if (attemptResult.verdict == Verdict::Completed) {
         if (!relay_->isStarted()) {
--- /dev/null
+++ b/unittests/Adapter/BrokenStreamTest.cpp
@@ -0,0 +1,198 @@
+#include "RawEndpoint.h"
+#include "ScriptedEndpoint.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <ostream>
+
+namespace mulberrywall::platform
+{
+
+/// A router with two endpoints of one resumable stream route, a stream route that must not be repeated, and a call route.
+class BrokenStreamTest : public testing::Test
+{
+protected:
+    ~BrokenStreamTest() override
+    {
+        workers_.stop();
+        workers_.join();
+    }
+
+    void addRoute(const std::string &prefix, configuration::Idempotency idempotency, bool streams)
+    {
+        site_.classes.push_back({.id = support::ClassId(prefix), .idempotency = idempotency, .retryBudgetPercent = 20});
+        site_.routes.push_back({.host = "h",
+            .prefix = prefix,
+            .requestClass = support::ClassId(prefix),
+            .targets = {{.pool = support::PoolId("p")}},
+            .timeout = std::chrono::seconds(5),
+            .maximumAttempts = 2,
+            .streams = streams,
+            .resumable = streams && idempotency == configuration::Idempotency::Idempotent});
+    }
+
+    void addEndpoint(std::uint16_t port)
+    {
+        site_.endpoints.push_back({.id = support::EndpointId("e" + std::to_string(site_.endpoints.size())),
+            .address = "127.0.0.1",
+            .port = port,
+            .pools = {support::PoolId("p")},
+            .maximumConcurrency = 8});
+    }
+
+    void start()
+    {
+        addRoute("/resumable/", configuration::Idempotency::Idempotent, true);
+        addRoute("/stream/", configuration::Idempotency::NonIdempotent, true);
+        addRoute("/call/", configuration::Idempotency::NonIdempotent, false);
+        site_.pools.push_back({.id = support::PoolId("p"), .kind = configuration::PoolKind::PlainService});
+        site_.revision = 1;
+        service_ = std::make_unique<router::RouterService>(workers_.context(), makeRouterOptions("router"), policy::standardPolicy());
+        service_->configure(site_);
+        service_->start();
+    }
+
+    http::BufferedResponse send(const std::string &target)
+    {
+        start();
+        return sendRequest(workers_, *service_, target, "r1");
+    }
+
+    /// Sends a request and returns all bytes of the connection up to its end: an HTTP client shows none that follow an error.
+    std::string sendAndReadBytes(const std::string &target)
+    {
+        start();
+        http::Request request = makeCallerRequest(target, "r1");
+        request.keep_alive(false);
+        request.prepare_payload();
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::socket socket(context);
+        socket.connect(service_->callerEndpoint());
+        boost::beast::http::write(socket, request);
+        std::string bytes;
+        boost::system::error_code error;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(bytes), error);
+        return bytes;
+    }
+
+    /// Sends a request to an endpoint that answers it with the given bytes.
+    http::BufferedResponse sendToRawEndpoint(const std::string &target, const std::string &bytes, AfterWrite then)
+    {
+        rawEndpoint_
+            = std::make_unique<RawEndpoint>(workers_, [bytes, then](const std::string &) { return std::vector<Write> {{.bytes = bytes, .then = then}}; });
+        addEndpoint(rawEndpoint_->port());
+        return send(target);
+    }
+
+    support::WorkerPool workers_ {2};
+    configuration::SiteConfiguration site_;
+    std::unique_ptr<RawEndpoint> rawEndpoint_;
+    std::unique_ptr<router::RouterService> service_;
+};
+
+static const std::string firstEvents = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
+
+/// Header of a response with neither a length nor chunks.
+static const std::string headWithoutLength = "HTTP/1.1 200 OK\r\nMulberrywall-Request-Id: r1\r\nMulberrywall-Server-Seal: seal\r\n\r\n";
+
+/// Status and body with which the second endpoint answers.
+struct ErrorResponse
+{
+    http::Status status = http::Status::ok;
+    std::string body;
+};
+
+static std::ostream &operator<<(std::ostream &stream, const ErrorResponse &response)
+{
+    return stream << static_cast<unsigned>(response.status) << " " << response.body;
+}
+
+class ResumedStreamTest : public BrokenStreamTest, public testing::WithParamInterface<ErrorResponse>
+{
+};
+
+/// Guards against the response of an endpoint that refuses to resume a stream, or its header, in the middle of the caller's
+/// stream, and against such a stream that looks complete.
+TEST_P(ResumedStreamTest, NeverContainsAnErrorResponse)
+{
+    std::atomic<unsigned> resumes = 0;
+    const auto script = [&resumes](const http::ServerExchangePtr &exchange) {
+        if (!http::fieldValue(exchange->request(), "Last-Event-Id").empty()) {
+            ++resumes;
+            answer(exchange, GetParam().status, GetParam().body);
+            return;
+        }
+        http::ResponseHeader header;
+        header.result(http::Status::ok);
+        addConfirmation(header, exchange->request());
+        exchange->startStream(header, [exchange](const boost::system::error_code &) {
+            exchange->writeChunk(firstEvents, [exchange](const boost::system::error_code &) { exchange->abortStream(); });
+        });
+    };
+    const ScriptedEndpoint first(workers_, script);
+    const ScriptedEndpoint second(workers_, script);
+    addEndpoint(first.port());
+    addEndpoint(second.port());
+    const std::string bytes = sendAndReadBytes("/resumable/");
+    EXPECT_EQ(resumes, 1U);
+    const std::size_t events = bytes.find(firstEvents);
+    ASSERT_NE(events, std::string::npos);
+    // Anything else would be an error's text, or the last chunk, which makes the stream look complete.
+    EXPECT_EQ(bytes.substr(events + firstEvents.size()), "\r\n");
+}
+
+INSTANTIATE_TEST_SUITE_P(Statuses,
+    ResumedStreamTest,
+    testing::Values(ErrorResponse {http::Status::bad_request, "bad"},
+        ErrorResponse {http::Status::not_found, "unknown"},
+        ErrorResponse {http::Status::conflict, "id: 3\ndata: looks like an event\n\n"},
+        ErrorResponse {http::Status::created, "created"},
+        ErrorResponse {http::Status::internal_server_error, "failed"},
+        ErrorResponse {http::Status::gateway_timeout, "late"},
+        ErrorResponse {http::Status::ok, "not a stream"},
+        ErrorResponse {http::Status::service_unavailable, "without a statement that it has not run"}));
+
+/// Guards against answers with neither a length nor chunks that are taken for incomplete.
+TEST_F(BrokenStreamTest, AnswersWithoutLengthEndWithTheConnection)
+{
+    EXPECT_EQ(sendToRawEndpoint("/call/", headWithoutLength + "whole", AfterWrite::Close).body, "whole");
+}
+
+TEST_F(BrokenStreamTest, StreamsWithoutLengthEndWithTheConnection)
+{
+    const http::BufferedResponse response = sendToRawEndpoint("/stream/", headWithoutLength + firstEvents, AfterWrite::Close);
+    EXPECT_EQ(response.body, firstEvents);
+    EXPECT_FALSE(response.result.error);
+}
+
+/// Guards against an answer without length that is passed on as complete although its connection was reset on the way.
+TEST_F(BrokenStreamTest, AnswerWithoutLengthThatIsResetIsIncomplete)
+{
+    const http::BufferedResponse response = sendToRawEndpoint("/call/", headWithoutLength + "part", AfterWrite::Reset);
+    EXPECT_EQ(response.status, http::Status::bad_gateway);
+    EXPECT_EQ(response.body.find("part"), std::string::npos);
+}
+
+TEST_F(BrokenStreamTest, StreamWithoutLengthThatIsResetIsIncomplete)
+{
+    const http::BufferedResponse response = sendToRawEndpoint("/stream/", headWithoutLength + firstEvents, AfterWrite::Reset);
+    EXPECT_TRUE(response.result.error || response.status == http::Status::bad_gateway);
+}
+
+/// Guards against a stream without length that is passed on as complete although it ends inside an event.
+TEST_F(BrokenStreamTest, StreamWithoutLengthThatEndsInsideAnEventIsIncomplete)
+{
+    for (const std::string part : {"id: 3", "id: 3\ndata: th", "id: 3\ndata: three\n", ":", "id: 3\ndata: three\n\r"}) {
+        service_ = nullptr;
+        site_ = {};
+        const http::BufferedResponse response = sendToRawEndpoint("/stream/", headWithoutLength + firstEvents + part, AfterWrite::Close);
+        EXPECT_EQ(response.body, firstEvents) << part;
+        EXPECT_TRUE(response.result.error) << part;
+    }
+}
+
+} // namespace mulberrywall::platform
--- a/unittests/Adapter/RepeatedResponseTest.cpp
+++ b/unittests/Adapter/RepeatedResponseTest.cpp
@@ -1,11 +1,6 @@
+#include "RawEndpoint.h"
 #include "ScriptedEndpoint.h"
 
-#include <boost/asio/buffers_iterator.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/streambuf.hpp>
-#include <boost/asio/write.hpp>
-
 #include <gtest/gtest.h>
 
 #include <ostream>
@@ -14,99 +9,8 @@
 namespace mulberrywall::platform
 {
 
-using boost::asio::ip::tcp;
 using std::chrono::milliseconds;
 
-/// Bytes that an endpoint writes, after a pause.
-struct Write
-{
-    milliseconds pause {0};
-    std::string bytes;
-};
-
-/// An endpoint that answers a request on a kept connection with the writes that the script returns for its id.
-class RawEndpoint
-{
-public:
-    using Script = std::function<std::vector<Write>(const std::string &id)>;
-
-    RawEndpoint(support::WorkerPool &workers, Script script)
-        : acceptor_(workers.context(), {boost::asio::ip::address_v4::loopback(), 0}),
-          script_(std::make_shared<Script>(std::move(script)))
-    {
-        accept();
-    }
-
-    [[nodiscard]] std::uint16_t port() const
-    {
-        return acceptor_.local_endpoint().port();
-    }
-
-private:
-    struct Connection : std::enable_shared_from_this<Connection>
-    {
-        Connection(tcp::socket accepted, std::shared_ptr<Script> scripted)
-            : socket(std::move(accepted)),
-              timer(socket.get_executor()),
-              script(std::move(scripted))
-        {
-        }
-
-        void readRequest()
-        {
-            boost::asio::async_read_until(socket, received, "\r\n\r\n", [self = shared_from_this()](const boost::system::error_code &error, std::size_t size) {
-                if (error) {
-                    return;
-                }
-                const auto begin = boost::asio::buffers_begin(self->received.data());
-                const std::string head(begin, begin + static_cast<std::ptrdiff_t>(size));
-                self->received.consume(size);
-                self->write((*self->script)(idOf(head)), 0);
-                self->readRequest();
-            });
-        }
-
-        static std::string idOf(const std::string &head)
-        {
-            const std::string name = "Mulberrywall-Request-Id: ";
-            const std::size_t start = head.find(name) + name.size();
-            return head.substr(start, head.find('\r', start) - start);
-        }
-
-        void write(const std::vector<Write> &writes, std::size_t index)
-        {
-            if (index == writes.size()) {
-                return;
-            }
-            timer.expires_after(writes[index].pause);
-            timer.async_wait([self = shared_from_this(), writes, index](const boost::system::error_code &) {
-                boost::asio::async_write(self->socket,
-                    boost::asio::buffer(writes[index].bytes),
-                    [self, writes, index](const boost::system::error_code &, std::size_t) { self->write(writes, index + 1); });
-            });
-        }
-
-        tcp::socket socket;
-        boost::asio::steady_timer timer;
-        std::shared_ptr<Script> script;
-        boost::asio::streambuf received;
-    };
-
-    void accept()
-    {
-        acceptor_.async_accept(boost::asio::make_strand(acceptor_.get_executor()), [this](const boost::system::error_code &error, tcp::socket socket) {
-            if (error) {
-                return;
-            }
-            std::make_shared<Connection>(std::move(socket), script_)->readRequest();
-            accept();
-        });
-    }
-
-    tcp::acceptor acceptor_;
-    std::shared_ptr<Script> script_;
-};
-
 static std::string bodyOf(const std::string &target, const std::string &id)
 {
     return target == "/stream/" ? "id: 1\ndata: for " + id + "\n\n" : "for " + id;
