router: do not take the refusal of another request for the own one

The router told the caller of the next request 'not run' although the endpoint ran it (REFUSED), or sent it to a second endpoint (TWICE).

Cause: a refusal was recognised by its status and its statement alone; the id of the response was looked at afterwards. The product's dialect had the same order.

Change: a refusal with the id of another request is skipped like any other late response. One without an id proves that the request has not run only on a new connection; on a kept one the verdict is may-have-run.

RepeatedRefusalTest: 2 of 3 failed before (503 and two runs instead of one), the third guards the proof on a new connection. DialectTest required that a refusal without id is the request's own: it now requires that it is told apart, and the same for refusals with an id.

--- a/include/mulberrywall/Http/ClientCall.h
+++ b/include/mulberrywall/Http/ClientCall.h
@@ -99,6 +99,8 @@
     /// Closes the connection. No handler is called afterwards.
     virtual void cancel() = 0;
     [[nodiscard]] virtual ClientCallStage stage() const = 0;
+    /// Returns whether the connection was taken from the pool, so that it has carried other requests.
+    [[nodiscard]] virtual bool isReused() const = 0;
 };
 
 /// Result of a call with the complete response body.
--- a/include/mulberrywall/Router/Dialect.h
+++ b/include/mulberrywall/Router/Dialect.h
@@ -36,6 +36,9 @@
     Response,
     /// The endpoint states that the request has not run.
     Refusal,
+    /// The endpoint states that a request has not run, but not which one. On a connection that was used before, it may be a late
+    /// copy of an earlier refusal.
+    UnattributedRefusal,
     /// The endpoint states that the request has not run and that it accepts no new work.
     LeavingRefusal,
     /// The response belongs to another request; the connection must be closed.
--- a/lib/Http/ClientCall.cpp
+++ b/lib/Http/ClientCall.cpp
@@ -134,6 +134,11 @@
         return stage_;
     }
 
+    [[nodiscard]] bool isReused() const override
+    {
+        return reused_;
+    }
+
 private:
     void resetParser()
     {
--- a/lib/Router/Attempt.cpp
+++ b/lib/Router/Attempt.cpp
@@ -157,6 +157,13 @@
     switch (const HeaderKind kind = dialect_.classifyHeader(*request_, responseHeader)) {
     case HeaderKind::Response:
         break;
+    case HeaderKind::UnattributedRefusal:
+        if (call_->isReused()) {
+            std::exchange(call_, nullptr)->cancel();
+            end({.reason = "the endpoint sent a refusal that may be of an earlier request"});
+            return;
+        }
+        [[fallthrough]];
     case HeaderKind::Refusal:
     case HeaderKind::LeavingRefusal:
         std::exchange(call_, nullptr)->cancel();
--- a/lib/Router/ProductDialect.cpp
+++ b/lib/Router/ProductDialect.cpp
@@ -50,15 +50,17 @@
 
 static HeaderKind classifyHeader(const CallerRequest &request, const http::ResponseHeader &responseHeader)
 {
+    const std::string_view responseId = http::fieldValue(responseHeader, http::header::requestId);
+    if (!responseId.empty() && !matchesRequestId(responseId, request.id.value())) {
+        return HeaderKind::OtherRequest;
+    }
     const http::Status status = responseHeader.result();
     const bool refused = status == http::Status::too_many_requests || status == http::Status::service_unavailable;
     if (refused && http::fieldValue(responseHeader, http::header::notRun) == "1") {
         const bool leaving = http::fieldValue(responseHeader, http::header::leaving) == "1";
         return leaving ? HeaderKind::LeavingRefusal : HeaderKind::Refusal;
     }
-    const std::string_view responseId = http::fieldValue(responseHeader, http::header::requestId);
-    const bool own = responseId.empty() || matchesRequestId(responseId, request.id.value());
-    return own ? HeaderKind::Response : HeaderKind::OtherRequest;
+    return HeaderKind::Response;
 }
 
 static http::ResponseHeader makeCallerHeader(const CallerRequest &request, const http::ResponseHeader &responseHeader)
--- a/unittests/Adapter/DialectTest.cpp
+++ b/unittests/Adapter/DialectTest.cpp
@@ -156,8 +156,10 @@
 {
     EXPECT_EQ(classify(200, {ownId, seal}), HeaderKind::Response);
     EXPECT_EQ(classify(500, {ownId, seal}), HeaderKind::Response);
-    EXPECT_EQ(classify(503, {{"Mulberrywall-Not-Run", "1"}}), HeaderKind::Refusal);
-    EXPECT_EQ(classify(421, {}), HeaderKind::Refusal);
+    EXPECT_EQ(classify(503, {ownId, {"Mulberrywall-Not-Run", "1"}}), HeaderKind::Refusal);
+    EXPECT_EQ(classify(421, {ownId}), HeaderKind::Refusal);
+    EXPECT_EQ(classify(503, {{"Mulberrywall-Not-Run", "1"}}), HeaderKind::UnattributedRefusal);
+    EXPECT_EQ(classify(421, {}), HeaderKind::UnattributedRefusal);
     EXPECT_EQ(classify(503, {ownId, seal}), HeaderKind::Malformed);
     EXPECT_EQ(classify(200, {ownId}), HeaderKind::Malformed);
     EXPECT_EQ(classify(200, {seal}), HeaderKind::Malformed);
@@ -169,6 +171,8 @@
 TEST_F(DialectTest, DetectsResponseToEarlierRequest)
 {
     EXPECT_EQ(classify(200, {{"Mulberrywall-Request-Id", "0000000000000000"}, seal}), HeaderKind::EarlierRequest);
+    EXPECT_EQ(classify(503, {{"Mulberrywall-Request-Id", "0000000000000000"}, {"Mulberrywall-Not-Run", "1"}}), HeaderKind::EarlierRequest);
+    EXPECT_EQ(classify(421, {{"Mulberrywall-Request-Id", "0000000000000000"}}), HeaderKind::EarlierRequest);
 }
 
 TEST_F(DialectTest, CallerHeaderOmitsHopByHopFields)
--- a/unittests/Adapter/RepeatedResponseTest.cpp
+++ b/unittests/Adapter/RepeatedResponseTest.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <ostream>
 #include <thread>
 
@@ -113,6 +114,93 @@
     }
 }
 
+static std::string refusalWith(const std::string &idField)
+{
+    return "HTTP/1.1 503 Service Unavailable\r\nMulberrywall-Not-Run: 1\r\n" + idField + "Content-Length: 0\r\n\r\n";
+}
+
+/// A router with two endpoints that answer the first request on each connection, and repeat an earlier refusal before their
+/// response to the second one.
+class RepeatedRefusalTest : public testing::Test
+{
+protected:
+    ~RepeatedRefusalTest() override
+    {
+        workers_.stop();
+        workers_.join();
+    }
+
+    void start(const std::string &idField)
+    {
+        configuration::SiteConfiguration site;
+        site.classes.push_back({.id = support::ClassId("c"), .idempotency = configuration::Idempotency::NonIdempotent, .retryBudgetPercent = 100});
+        site.routes.push_back({.host = "h",
+            .prefix = "/call/",
+            .requestClass = support::ClassId("c"),
+            .targets = {{.pool = support::PoolId("p")}},
+            .timeout = std::chrono::seconds(5),
+            .maximumAttempts = 2});
+        site.pools.push_back({.id = support::PoolId("p"), .kind = configuration::PoolKind::PlainService});
+        site.revision = 1;
+        for (unsigned index = 0; index < 2; ++index) {
+            endpoints_.push_back(std::make_unique<RawEndpoint>(workers_, [this, idField](const std::string &id) {
+                ++runs_[id];
+                const std::string own = responseTo("/call/", id);
+                return std::vector<Write> {{.bytes = id == "r2" ? refusalWith(idField) + own : own}};
+            }));
+            site.endpoints.push_back({.id = support::EndpointId("e" + std::to_string(index)),
+                .address = "127.0.0.1",
+                .port = endpoints_.back()->port(),
+                .pools = {support::PoolId("p")},
+                .maximumConcurrency = 1});
+        }
+        service_ = std::make_unique<router::RouterService>(workers_.context(), makeRouterOptions("router"), policy::standardPolicy());
+        service_->configure(site);
+        service_->start();
+    }
+
+    http::BufferedResponse send(const std::string &id)
+    {
+        return sendRequest(workers_, *service_, "/call/", id);
+    }
+
+    /// One worker thread, so that the endpoints' scripts do not run at the same time.
+    support::WorkerPool workers_ {1};
+    std::map<std::string, unsigned> runs_;
+    std::vector<std::unique_ptr<RawEndpoint>> endpoints_;
+    std::unique_ptr<router::RouterService> service_;
+};
+
+/// Guards against a caller that is told "not run", and a request that runs twice, because of the refusal of another request.
+TEST_F(RepeatedRefusalTest, RefusalOfAnotherRequestIsSkipped)
+{
+    start("Mulberrywall-Request-Id: r0\r\n");
+    for (const std::string id : {"r1", "r1b", "r2"}) {
+        const http::BufferedResponse response = send(id);
+        EXPECT_EQ(response.status, http::Status::ok) << id;
+        EXPECT_EQ(response.body, bodyOf("/call/", id));
+    }
+    EXPECT_EQ(runs_["r2"], 1U);
+}
+
+/// Guards against the same where the refusal does not say to which request it belongs.
+TEST_F(RepeatedRefusalTest, RefusalWithoutIdOnAKeptConnectionProvesNothing)
+{
+    start("");
+    send("r1");
+    send("r1b");
+    EXPECT_EQ(send("r2").status, http::Status::bad_gateway);
+    EXPECT_EQ(runs_["r2"], 1U);
+}
+
+/// Guards against losing the proof where the connection is new, so that no other request can have been refused on it.
+TEST_F(RepeatedRefusalTest, RefusalWithoutIdOnANewConnectionIsTheOwnOne)
+{
+    start("");
+    EXPECT_EQ(send("r2").status, http::Status::service_unavailable);
+    EXPECT_EQ(runs_["r2"], 2U);
+}
+
 static std::vector<RepeatedCase> repeatedCases()
 {
     std::vector<RepeatedCase> cases;
--- a/unittests/Router/VerdictTest.cpp
+++ b/unittests/Router/VerdictTest.cpp
@@ -25,6 +25,21 @@
     EXPECT_EQ(decideNextStep({.deliveredTokens = 5, .endpointResumes = false}), NextStep::Fail);
 }
 
+// Guards against a caller that is told "not run" because of the refusal of another request.
+TEST(ProductDialect, RefusalOfAnotherRequestIsNotTheOwnOne)
+{
+    CallerRequest request;
+    request.id = support::RequestId("own");
+    http::ResponseHeader refusal;
+    refusal.result(http::Status::service_unavailable);
+    refusal.set(http::header::notRun, "1");
+    EXPECT_EQ(productDialect().classifyHeader(request, refusal), HeaderKind::Refusal);
+    refusal.set(http::header::requestId, "own");
+    EXPECT_EQ(productDialect().classifyHeader(request, refusal), HeaderKind::Refusal);
+    refusal.set(http::header::requestId, "other");
+    EXPECT_EQ(productDialect().classifyHeader(request, refusal), HeaderKind::OtherRequest);
+}
+
 // Guards against a request that fails after one endpoint has refused it as not run, although another
 // endpoint could run it.
 TEST_F(RouterTest, RefusedNonIdempotentCallRunsElsewhere)
