--- a/unittests/Adapter/EndpointEntryTest.cpp
+++ b/unittests/Adapter/EndpointEntryTest.cpp
@@ -28,6 +28,16 @@
     EXPECT_TRUE(std::get<router::RegisteredEndpoint>(leaving).leaving);
 }
 
+/// Guards against an id from another writer that adds fields to the requests for its endpoint.
+TEST(EndpointEntry, RejectsIdsThatNoFieldCanCarry)
+{
+    const std::string_view entry = R"({"service":"s1","address":"10.0.0.1:80","zone":"west","slots":6,"state":"ready"})";
+    for (const std::string_view id : {"", "a\r\nX-Injected: 1", "a b", "\xff"}) {
+        EXPECT_TRUE(std::holds_alternative<EndpointEntryError>(readEndpointEntry(id, entry))) << id;
+    }
+    EXPECT_TRUE(std::holds_alternative<router::RegisteredEndpoint>(readEndpointEntry("i-1", entry)));
+}
+
 /// Guards against a malformed entry that is used with default values, or that prevents the other entries from being read.
 TEST(EndpointEntry, RejectsMalformedEntries)
 {
@@ -39,6 +49,10 @@
     EXPECT_TRUE(isRejected(R"({"service":"s1","address":"10.0.0.1:80","zone":"west","slots":"6","state":"ready"})"));
     EXPECT_TRUE(isRejected(R"({"service":"s1","address":"10.0.0.1:80","zone":"west","slots":0,"state":"ready"})"));
     EXPECT_TRUE(isRejected(R"({"service":"s1","address":"10.0.0.1:80","zone":"west","slots":-1,"state":"ready"})"));
+    EXPECT_TRUE(isRejected(R"({"service":"s1","address":"10.0.0.1:80","zone":"west","slots":4294967295,"state":"ready"})"));
+    EXPECT_TRUE(isRejected(R"({"service":"s1","address":"10.0.0.1:80","zone":"west","slots":1e300,"state":"ready"})"));
+    EXPECT_TRUE(isRejected(R"({"service":"s1","address":"10.0.0.1:65536","zone":"west","slots":6,"state":"ready"})"));
+    EXPECT_TRUE(isRejected(R"({"service":)" + std::string(30'000, '[') + "}"));
     EXPECT_TRUE(isRejected(R"({"service":["s1"],"address":"10.0.0.1:80","zone":"west","slots":6,"state":"ready"})"));
     EXPECT_TRUE(isRejected(R"({"service":"s1","address":"10.0.0.1:80","zone":"west","slots":6,"state":"asleep"})"));
 }
