--- a/test/PlatformRouter/PlatformRouterTest.cpp
+++ b/test/PlatformRouter/PlatformRouterTest.cpp
@@ -280,6 +280,41 @@
     EXPECT_FALSE(router_->hasEnded()) << router_->output();
 }
 
+/// Guards against an entry of another writer among those of the endpoints that ends the process, stops it from following the list,
+/// or keeps it from using the endpoints.
+TEST_F(PlatformRouterTest, FollowsTheListBesideOddEntries)
+{
+    const std::string port = std::to_string(endpoint_.port());
+    const auto entry = [](const std::string &address, const std::string &slots) {
+        return R"({"service":"s","address":")" + address + R"(","zone":"dc-a","slots":)" + slots + R"(,"state":"ready","seq":1})";
+    };
+    const std::vector<std::pair<std::string, std::string>> odd {
+        {"nested", R"({"service":)" + std::string(30'000, '[') + std::string(30'000, ']') + "}"},
+        // Together with the slots of the other endpoint, they are 2^32.
+        {"overflow", entry("127.0.0.1:" + port, "4294967288")},
+        {"huge", entry("127.0.0.1:" + port, "1e999")},
+        {"too-large", entry("127.0.0.1:" + port, "18446744073709551616")},
+        {"negative", entry("127.0.0.1:" + port, "-8")},
+        {"port-out-of-range", entry("127.0.0.1:65536", "8")},
+        {"port-negative", entry("127.0.0.1:-1", "8")},
+        {"port-zero", entry("127.0.0.1:0", "8")},
+        {"name\r\nX-Injected: 1", entry("127.0.0.1:" + port, "8")},
+        {std::string(200, '\xff'), entry("127.0.0.1:" + port, "8")},
+    };
+    for (const auto &[key, value] : odd) {
+        store_.write("servers", key, value);
+        EXPECT_EQ(request(validKey).status, ok) << key;
+    }
+    for (const http::Request &run : endpoint_.requests()) {
+        EXPECT_EQ(http::fieldValue(run, "Mulberrywall-Expect-Instance"), "endpoint-0");
+    }
+    store_.remove("servers", "endpoint-0");
+    harness::waitUntil("the router follows the list", [&] { return request(validKey).status == unavailable; });
+    store_.write("servers", "endpoint-1", endpointEntry(endpoint_.port()));
+    waitUntilServed(validKey);
+    EXPECT_FALSE(router_->hasEnded()) << router_->output();
+}
+
 /// Guards against an unreadable configuration that ends the process, or that is taken for a confirmation of the last one.
 TEST_F(PlatformRouterTest, UnreadableConfigurationEndsTheLeaseAndNotTheProcess)
 {
