router: heed what endpoints state about themselves in their responses

Endpoints say in every response that they are leaving (Server-Leaving), and with a 503 for how long they want no request of this router (Retry-After). The router read neither: it went on sending to a leaving endpoint until the store's table said so (never, while the store is down), and came back 100 ms after a refusal.

The dialects translate both into EndpointStatement; the product's X-Leaving goes the same way now and counts in all responses, not in refusals alone. A header that says 'leaving' takes effect when it arrives, also while its stream runs; it ends with the endpoint's entry or the next start under its id, by the incarnation in the configuration. The time of a refusal is in policy/ EndpointRefusal, which slotLimit asks, so that first attempts, retries, hedges, resumes and trials all keep away. If no endpoint accepts requests, a request waits for half of its first-token target at most; otherwise the caller gets 503 at once with the time after which there is room, spread over the callers. Values that are no number of seconds are ignored and logged; of several the longest counts; ten minutes at most.

EndpointStatementTest (five cases through the request path) failed before: a leaving endpoint got 2 to 20 requests instead of 1, one that wanted none for 0.6 s got the next after 0.1 s, and callers were told 1 s instead of 3 s. EndpointRefusalTest has the decisions without a network.

--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -120,6 +120,8 @@
     ConcurrencyLimit concurrency;
     FailureBackoff backoff;
     std::optional<EndpointLoss> loss;
+    /// The endpoint has stated that it accepts no requests until then.
+    TimePoint refusesUntil;
     SlowEndpointState slow;
     /// Until then the endpoint accepts no requests besides the quarantined one that runs on it.
     TimePoint exclusiveUntil;
--- a/include/mulberrywall/Policy/Tuning.h
+++ b/include/mulberrywall/Policy/Tuning.h
@@ -93,6 +93,9 @@
     /// Backoff after a failed or refused attempt; doubles with each further failure.
     std::chrono::milliseconds initialBackoff {100};
     std::chrono::milliseconds maximumBackoff {5'000};
+    /// While no endpoint accepts requests, a request waits for the first one up to this share of its first-token target, and is
+    /// rejected otherwise.
+    double refusalWaitShare = 0.5;
     /// A lost endpoint is avoided for this long unless a router finds it lost again. The registry removes it within seconds.
     std::chrono::milliseconds lossLifetime {2'000};
 };
--- a/include/mulberrywall/Policy/Types.h
+++ b/include/mulberrywall/Policy/Types.h
@@ -161,6 +161,8 @@
     /// Ages of the latest and of the first token, as in Progress.
     std::chrono::milliseconds sinceLatestToken {0};
     std::chrono::milliseconds sinceFirstToken {0};
+    /// Time for which the endpoint stated that it accepts no further request; 0 if it stated none.
+    std::chrono::milliseconds refusesFor {0};
 };
 
 /// Configuration of a request class as far as the policy uses it.
--- a/include/mulberrywall/Router/Attempt.h
+++ b/include/mulberrywall/Router/Attempt.h
@@ -55,8 +55,6 @@
     std::string reason;
     /// The complete response if the endpoint did not stream; also set for a server error.
     std::optional<http::Response> response;
-    /// True if the endpoint stated that it accepts no new work.
-    bool leaving = false;
     /// False if no connection was established, so that the attempt used none of the endpoint's capacity.
     bool connected = true;
     /// True if the header of the endpoint's response was received.
@@ -80,6 +78,8 @@
     /// Called with at least one event. Nothing more is read until Attempt::readMore is called.
     std::function<void(const std::vector<StreamEvent> &)> onEvents;
     std::function<void(AttemptResult)> onEnd;
+    /// Called when a response header arrives in which the endpoint states something about itself.
+    std::function<void(const EndpointStatement &)> onStatement;
     /// Called when the owner of the permit sends a command. The handler is responsible for cancelling
     /// the attempt.
     std::function<void(const permits::OwnerCommand &)> onOwnerCommand;
@@ -125,6 +125,7 @@
 
 private:
     void onHeader(const http::ResponseHeader &responseHeader);
+    void recordStatement(const http::ResponseHeader &responseHeader, HeaderKind kind);
     void skipEarlierResponse();
     void onBody(std::string_view data);
     void onStreamData(std::string_view data);
@@ -152,6 +153,7 @@
     std::shared_ptr<const CallerRequest> request_;
     bool streaming_ = false;
     bool responseStarted_ = false;
+    std::chrono::milliseconds refusesFor_ {0};
     /// True while the endpoint is probed after its connection broke.
     bool probing_ = false;
     http::Response response_;
--- a/include/mulberrywall/Router/CallerSession.h
+++ b/include/mulberrywall/Router/CallerSession.h
@@ -73,6 +73,7 @@
     /// Returns the milliseconds from the arrival of the request to its first token, or -1 if no token
     /// was delivered.
     [[nodiscard]] std::int64_t timeToFirstTokenMs() const;
+    void onStatement(const support::EndpointId &endpoint, const EndpointStatement &statement);
     void onOwnerCommand(const permits::OwnerCommand &command);
     void onAttemptEnd(const AttemptPtr &attempt, AttemptResult attemptResult);
     void onAttemptFailed(const AttemptPtr &attempt, AttemptResult attemptResult);
--- a/include/mulberrywall/Router/Dialect.h
+++ b/include/mulberrywall/Router/Dialect.h
@@ -3,6 +3,7 @@
 #include "mulberrywall/Router/CallerRequest.h"
 #include "mulberrywall/Router/CompletionChunk.h"
 #include "mulberrywall/Router/EndpointProbe.h"
+#include "mulberrywall/Router/EndpointStatement.h"
 #include "mulberrywall/Router/ServerSentEvents.h"
 
 #include <chrono>
@@ -39,8 +40,6 @@
     /// The endpoint states that a request has not run, but not which one. On a connection that was used before, it may be a late
     /// copy of an earlier refusal.
     UnattributedRefusal,
-    /// The endpoint states that the request has not run and that it accepts no new work.
-    LeavingRefusal,
     /// The response belongs to another request; the connection must be closed.
     OtherRequest,
     /// The response belongs to an earlier request; the next response on the connection may belong to
@@ -78,6 +77,8 @@
     /// Returns the response to a request for the router itself, or nothing for any other request.
     std::optional<http::Response> (*answerLocally)(const http::Request &request, const configuration::SiteConfiguration &configuration);
     http::Request (*makeAttemptRequest)(const CallerRequest &request, const AttemptParameters &parameters);
+    /// Returns what the endpoint states about itself, whichever request the response belongs to.
+    EndpointStatement (*readStatement)(const http::ResponseHeader &responseHeader);
     HeaderKind (*classifyHeader)(const CallerRequest &request, const http::ResponseHeader &responseHeader);
     /// Returns the status and the fields of an endpoint's response that are forwarded to the caller.
     http::ResponseHeader (*makeCallerHeader)(const CallerRequest &request, const http::ResponseHeader &responseHeader);
--- a/include/mulberrywall/Router/EndpointDirectory.h
+++ b/include/mulberrywall/Router/EndpointDirectory.h
@@ -38,6 +38,9 @@
     /// stale.
     IncarnationHash incarnation = unknownIncarnation;
     std::chrono::steady_clock::time_point reportedAt;
+    /// Incarnation of the endpoint in the configuration; 0 if it is unknown or not configured.
+    std::int64_t configuredIncarnation = 0;
+    bool isConfigured = false;
     /// Instance that the platform's list last contained for the endpoint's address.
     std::string instance;
     bool instanceIsLeaving = false;
@@ -56,6 +59,9 @@
 /// Records the entry of the instance list. A different instance at the address resets the whole state.
 void recordInstance(LeavingState &leavingState, std::string_view instance, backingservices::InstanceState state);
 
+/// Records the endpoint's incarnation in the configuration. A different one resets what was stated about the earlier one.
+void recordConfigured(LeavingState &leavingState, std::int64_t incarnation);
+
 /// Who stated that an endpoint is leaving.
 enum class LeavingOrigin : std::uint8_t {
     /// An operator's command to this router.
@@ -94,6 +100,8 @@
     [[nodiscard]] std::set<support::EndpointId> leaving() const;
 
 private:
+    /// Removes the states of endpoints that have left the configuration.
+    void matchIncarnations(const configuration::SiteConfiguration &configuration);
     void matchInstances(const configuration::SiteConfiguration &configuration);
     void publish();
 
@@ -102,6 +110,7 @@
     mutable std::mutex mutex_;
     std::map<support::EndpointId, LeavingState> leavingStates_;
     std::vector<backingservices::ListedInstance> instances_;
+    std::map<support::EndpointId, std::int64_t> configuredIncarnations_;
     std::set<support::EndpointId> published_;
 };
 
--- a/lib/Permits/Peer.capnp
+++ b/lib/Permits/Peer.capnp
@@ -37,7 +37,7 @@
 interface Permit {
   # Replaced by Peer.reportProgress; no longer sent or served.
   obsoleteProgress @0 (outputTokens :UInt64);
-  finish @1 (outcome :Outcome, outputTokens :UInt64, sinceLatestTokenMs :UInt16, sinceFirstTokenMs :UInt16);
+  finish @1 (outcome :Outcome, outputTokens :UInt64, sinceLatestTokenMs :UInt16, sinceFirstTokenMs :UInt16, refusesForMs :UInt32);
 }
 
 # Fits into one Cap'n Proto word, so that a list of these takes 8 bytes for each permit.
--- a/lib/Permits/PeerRpcClient.cpp
+++ b/lib/Permits/PeerRpcClient.cpp
@@ -477,6 +477,7 @@
     message.setOutputTokens(completion.outputTokens);
     message.setSinceLatestTokenMs(toWireMs(completion.sinceLatestToken));
     message.setSinceFirstTokenMs(toWireMs(completion.sinceFirstToken));
+    message.setRefusesForMs(static_cast<std::uint32_t>(completion.refusesFor.count()));
     sendAndRecordAnswer(*found->second.connection, kj::mv(message));
     --found->second.connection->openCallsAndPermits;
     found->second.connection->permits->erase(found->second.number);
--- a/lib/Permits/PeerRpcServer.cpp
+++ b/lib/Permits/PeerRpcServer.cpp
@@ -137,7 +137,8 @@
         permit_->finish({.outcome = fromWire(params.getOutcome()),
             .outputTokens = params.getOutputTokens(),
             .sinceLatestToken = std::chrono::milliseconds(params.getSinceLatestTokenMs()),
-            .sinceFirstToken = std::chrono::milliseconds(params.getSinceFirstTokenMs())});
+            .sinceFirstToken = std::chrono::milliseconds(params.getSinceFirstTokenMs()),
+            .refusesFor = std::chrono::milliseconds(params.getRefusesForMs())});
         return kj::READY_NOW;
     }
 
--- a/lib/Policy/EndpointSelection.cpp
+++ b/lib/Policy/EndpointSelection.cpp
@@ -1,6 +1,7 @@
 #include "mulberrywall/Policy/EndpointSelection.h"
 
 #include "mulberrywall/Policy/CrashQuarantine.h"
+#include "mulberrywall/Policy/EndpointRefusal.h"
 #include "mulberrywall/Policy/LongRequests.h"
 #include "mulberrywall/Policy/PromptPlacement.h"
 #include "mulberrywall/Policy/SlowEndpoints.h"
@@ -132,7 +133,7 @@
 
 unsigned slotLimit(const Pool &pool, const EndpointState &endpoint, TimePoint now)
 {
-    if (endpoint.spec.leaving || now < endpoint.backoff.until) {
+    if (endpoint.spec.leaving || now < endpoint.backoff.until || refusesRequests(endpoint, now)) {
         return 0;
     }
     const unsigned slots = currentLimit(endpoint.concurrency, endpoint.spec.maximumConcurrency);
--- a/lib/Policy/PrefillAdmission.cpp
+++ b/lib/Policy/PrefillAdmission.cpp
@@ -4,6 +4,7 @@
 #include "mulberrywall/Policy/EndpointSelection.h"
 #include "mulberrywall/Policy/PeerLoads.h"
 #include "mulberrywall/Policy/Prefill.h"
+#include "mulberrywall/Policy/RetrySpread.h"
 
 #include <algorithm>
 #include <limits>
@@ -65,15 +66,6 @@
     return spec.tier == highestTier ? std::max(byTier, tuning.admittedWaitShareOfHighestTier * Seconds(spec.firstTokenTarget)) : byTier;
 }
 
-/// Returns a delay that differs between requests, so that rejected callers do not return at the same time.
-std::chrono::milliseconds retryDelay(const Pool &pool, Seconds excess, std::uint64_t spreadSeed)
-{
-    constexpr std::uint64_t steps = 1'024;
-    const double spread = static_cast<double>(spreadSeed % steps) / steps;
-    const Seconds delay = std::max(excess, Seconds(pool.options.tuning.placement.minimumRetryDelay));
-    return std::chrono::ceil<std::chrono::milliseconds>(delay * (1.0 + spread));
-}
-
 } // namespace
 
 std::optional<std::chrono::milliseconds> rejectForPrefillBacklog(Pool &pool, const Submission &submission, TimePoint now)
@@ -88,7 +80,7 @@
     const bool isOverdue = now - admittedAt > requestClass->spec.maximumWait;
     const Seconds excess = isOverdue ? Seconds::zero() : expectedBacklog(pool, submission, tier, now) - longestAdmittedWait(pool, requestClass->spec);
     if (excess > Seconds::zero()) {
-        return retryDelay(pool, excess, submission.spreadSeed);
+        return spreadRetryDelay(std::max(excess, Seconds(pool.options.tuning.placement.minimumRetryDelay)), submission.spreadSeed);
     }
     admittedAt = now;
     return std::nullopt;
--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -1,6 +1,7 @@
 #include "mulberrywall/Policy/ActiveRequests.h"
 #include "mulberrywall/Policy/Admission.h"
 #include "mulberrywall/Policy/CrashQuarantine.h"
+#include "mulberrywall/Policy/EndpointRefusal.h"
 #include "mulberrywall/Policy/EndpointSelection.h"
 #include "mulberrywall/Policy/FailureBackoff.h"
 #include "mulberrywall/Policy/FairShare.h"
@@ -20,6 +21,8 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
+#include <vector>
 
 namespace mulberrywall::policy
 {
@@ -228,6 +231,11 @@
         scheduleAll(pool, now, decisions);
         return decisions;
     }
+    if (const auto retryAfter = rejectForRefusal(pool, submission, now)) {
+        reject(decisions, submission.permit, RejectionReason::TargetUnreachable, *retryAfter);
+        scheduleAll(pool, now, decisions);
+        return decisions;
+    }
     if (const auto retryAfter = rejectForPrefillBacklog(pool, submission, now)) {
         reject(decisions, submission.permit, RejectionReason::TargetUnreachable, *retryAfter);
         scheduleAll(pool, now, decisions);
@@ -311,6 +319,22 @@
     }
 }
 
+/// Rejects the waiting requests that no endpoint accepts soon enough.
+void rejectRefused(Pool &pool, TimePoint now, Decisions &decisions)
+{
+    std::vector<std::pair<PermitId, std::chrono::milliseconds>> refused;
+    for (const auto &[permit, request] : pool.queue.requests) {
+        if (const auto retryAfter = rejectForRefusal(pool, request.submission, now)) {
+            refused.emplace_back(permit, *retryAfter);
+        }
+    }
+    std::sort(refused.begin(), refused.end());
+    for (const auto &[permit, retryAfter] : refused) {
+        removeWaiting(pool.queue, permit);
+        reject(decisions, permit, RejectionReason::TargetUnreachable, retryAfter);
+    }
+}
+
 Decisions complete(void *handle, PermitId permit, const Completion &completion, TimePoint now)
 {
     Pool &pool = beginCommand(handle, now);
@@ -320,6 +344,10 @@
         ActiveRequest &request = found->second;
         observeCompletion(pool, request, completion, now);
         recordOutcome(pool, request, completion.outcome, now, decisions);
+        if (completion.refusesFor.count() > 0) {
+            recordRefusalTime(*request.endpoint, completion.refusesFor, now);
+            rejectRefused(pool, now, decisions);
+        }
         settleCharge(pool, request);
         endMinimumShareUse(pool, request);
         endIsolatedRun(pool, request);
@@ -355,6 +383,7 @@
         if (endpoint.spec.incarnation != spec.incarnation) {
             clearCachedPrefixes(endpoint);
             endpoint.backoff = {};
+            endpoint.refusesUntil = {};
             endpoint.loss.reset();
         }
         endpoint.spec = spec;
@@ -445,6 +474,7 @@
     std::optional<TimePoint> wakeUp = earliestDeadline(pool.queue);
     if (!pool.queue.requests.empty()) {
         wakeUp = earlier(wakeUp, nextBackoffEnd(pool, pool.now));
+        wakeUp = earlier(wakeUp, nextRefusalEnd(pool, pool.now));
         wakeUp = earlier(wakeUp, nextProbe(pool, pool.now));
         wakeUp = earlier(wakeUp, nextQuarantineChange(pool, pool.now));
         if (pool.quarantine.changed) {
--- a/lib/Router/Attempt.cpp
+++ b/lib/Router/Attempt.cpp
@@ -154,7 +154,9 @@
 void Attempt::onHeader(const http::ResponseHeader &responseHeader)
 {
     const auto self = shared_from_this();
-    switch (const HeaderKind kind = dialect_.classifyHeader(*request_, responseHeader)) {
+    const HeaderKind kind = dialect_.classifyHeader(*request_, responseHeader);
+    recordStatement(responseHeader, kind);
+    switch (kind) {
     case HeaderKind::Response:
         break;
     case HeaderKind::UnattributedRefusal:
@@ -165,12 +167,10 @@
         }
         [[fallthrough]];
     case HeaderKind::Refusal:
-    case HeaderKind::LeavingRefusal:
         std::exchange(call_, nullptr)->cancel();
         end({.verdict = Verdict::NotRun,
             .outcome = responseHeader.result() == http::Status::misdirected_request ? AttemptOutcome::EndpointLost : AttemptOutcome::NotRun,
-            .reason = "the endpoint refused the request with status " + std::to_string(responseHeader.result_int()),
-            .leaving = kind == HeaderKind::LeavingRefusal});
+            .reason = "the endpoint refused the request with status " + std::to_string(responseHeader.result_int())});
         return;
     case HeaderKind::EarlierRequest:
         skipEarlierResponse();
@@ -190,6 +190,19 @@
     readMore();
 }
 
+void Attempt::recordStatement(const http::ResponseHeader &responseHeader, HeaderKind kind)
+{
+    EndpointStatement statement = dialect_.readStatement(responseHeader);
+    if (kind == HeaderKind::EarlierRequest) {
+        // The time of a late copy has been counted before.
+        statement.refusesFor.reset();
+    }
+    refusesFor_ = std::max(refusesFor_, statement.refusesFor.value_or(std::chrono::milliseconds(0)));
+    if (const auto handlers = handlers_; statement.leaving || statement.refusesFor || statement.isTimeMalformed) {
+        handlers->onStatement(statement);
+    }
+}
+
 void Attempt::skipEarlierResponse()
 {
     ++earlierResponses_;
@@ -364,7 +377,7 @@
 {
     stopProgressTimer();
     attemptResult.responseStarted = responseStarted_;
-    permit_->finish({.outcome = attemptResult.outcome, .outputTokens = outputTokens_});
+    permit_->finish({.outcome = attemptResult.outcome, .outputTokens = outputTokens_, .refusesFor = refusesFor_});
     if (const auto handlers = std::exchange(handlers_, nullptr)) {
         handlers->onEnd(std::move(attemptResult));
     }
--- a/lib/Router/CallerSession.cpp
+++ b/lib/Router/CallerSession.cpp
@@ -353,6 +353,7 @@
             {"promptTokens", request_->promptTokens},
             {"segments", joinSegments(request_->sharedSegments)},
             {"enginePriority", std::max(permit->enginePriority(), enginePriority_)}});
+    const support::EndpointId endpoint = permit->endpoint().id;
     const auto attempt = std::make_shared<Attempt>(exchange_->executor(), state_.dialect, std::move(options), std::move(permit));
     running_.push_back(attempt);
     // The time to first token of a hedged attempt is measured from the start of the first one, so that
@@ -368,12 +369,33 @@
     attempt->start(request_,
         {.onEvents = [self, attempt](const std::vector<StreamEvent> &events) { self->onEvents(attempt, events); },
             .onEnd = [self, attempt](AttemptResult attemptResult) { self->onAttemptEnd(attempt, std::move(attemptResult)); },
+            .onStatement = [self, endpoint](const EndpointStatement &statement) { self->onStatement(endpoint, statement); },
             .onOwnerCommand =
                 [self](const permits::OwnerCommand &command) {
                     self->onOwnerCommand(command);
                 }});
 }
 
+void CallerSession::onStatement(const support::EndpointId &endpoint, const EndpointStatement &statement)
+{
+    if (statement.leaving) {
+        state_.metrics.increment("mulberrywall_leaving_responses_total", {{"pool", request_->pool.value()}});
+        state_.endpoints.markLeaving(endpoint, LeavingOrigin::Endpoint);
+    }
+    if (statement.refusesFor) {
+        // The pool learns of it with the end of the attempt.
+        state_.metrics.increment("mulberrywall_refusal_times_total", {{"pool", request_->pool.value()}});
+        support::log(support::Severity::Info,
+            "endpoint accepts no requests for a time",
+            {{"request", request_->id.value()}, {"endpoint", endpoint.value()}, {"refusesForMs", std::int64_t {statement.refusesFor->count()}}});
+    }
+    if (statement.isTimeMalformed) {
+        support::log(support::Severity::Warning,
+            "ignored a Retry-After field of an endpoint that is no number of seconds",
+            {{"request", request_->id.value()}, {"endpoint", endpoint.value()}});
+    }
+}
+
 /// Records a new priority or ends the request. A cancellation ends the whole request and not only one
 /// attempt, because owners cancel all attempts of a request.
 void CallerSession::onOwnerCommand(const permits::OwnerCommand &command)
@@ -468,9 +490,6 @@
         failedEndpoints_.clear();
     }
     failedEndpoints_.push_back(endpoint);
-    if (attemptResult.leaving) {
-        state_.endpoints.markLeaving(endpoint, LeavingOrigin::Endpoint);
-    }
     if (!attemptResult.connected) {
         ++failedConnections_;
         --attemptsWithoutToken_;
--- a/lib/Router/EndpointDirectory.cpp
+++ b/lib/Router/EndpointDirectory.cpp
@@ -58,6 +58,17 @@
     leavingState.instanceIsLeaving = leavingState.instanceIsLeaving || state == backingservices::InstanceState::Leaving;
 }
 
+void recordConfigured(LeavingState &leavingState, std::int64_t incarnation)
+{
+    const bool isOther = leavingState.configuredIncarnation != 0 && incarnation != 0 && incarnation != leavingState.configuredIncarnation;
+    if (isOther) {
+        leavingState.endpointIsLeaving = false;
+        leavingState.leavingIncarnation = unknownIncarnation;
+    }
+    leavingState.configuredIncarnation = incarnation;
+    leavingState.isConfigured = true;
+}
+
 /// Only the owner of a pool polls its endpoints, once a second. An older report is from an earlier
 /// ownership, and the endpoint may have been restarted since.
 static constexpr std::chrono::seconds reportLifetime {5};
@@ -101,6 +112,9 @@
             return;
         }
         const LeavingState before = leavingState;
+        if (const auto configured = configuredIncarnations_.find(endpoint); configured != configuredIncarnations_.end()) {
+            recordConfigured(leavingState, configured->second);
+        }
         dropStaleReport(leavingState);
         recordAnnouncement(leavingState, incarnation);
         leavingIncarnation = leavingState.leavingIncarnation;
@@ -159,9 +173,25 @@
 void EndpointDirectory::applyConfiguration(const configuration::SiteConfiguration &configuration)
 {
     const std::scoped_lock lock(mutex_);
+    matchIncarnations(configuration);
     matchInstances(configuration);
 }
 
+void EndpointDirectory::matchIncarnations(const configuration::SiteConfiguration &configuration)
+{
+    configuredIncarnations_.clear();
+    for (const configuration::Endpoint &endpoint : configuration.endpoints) {
+        configuredIncarnations_[endpoint.id] = endpoint.incarnation;
+    }
+    for (auto &[id, state] : leavingStates_) {
+        if (const auto configured = configuredIncarnations_.find(id); configured != configuredIncarnations_.end()) {
+            recordConfigured(state, configured->second);
+        }
+    }
+    // The state of an endpoint that was never configured is kept: another router may know it from a newer configuration.
+    std::erase_if(leavingStates_, [this](const auto &entry) { return entry.second.isConfigured && !configuredIncarnations_.contains(entry.first); });
+}
+
 void EndpointDirectory::matchInstances(const configuration::SiteConfiguration &configuration)
 {
     for (const configuration::Endpoint &endpoint : configuration.endpoints) {
--- a/lib/Router/ProductDialect.cpp
+++ b/lib/Router/ProductDialect.cpp
@@ -48,6 +48,13 @@
     return upstream;
 }
 
+static EndpointStatement readStatement(const http::ResponseHeader &responseHeader)
+{
+    EndpointStatement statement = readRefusalTime(responseHeader);
+    statement.leaving = http::fieldValue(responseHeader, http::header::leaving) == "1";
+    return statement;
+}
+
 static HeaderKind classifyHeader(const CallerRequest &request, const http::ResponseHeader &responseHeader)
 {
     const std::string_view responseId = http::fieldValue(responseHeader, http::header::requestId);
@@ -57,8 +64,7 @@
     const http::Status status = responseHeader.result();
     const bool refused = status == http::Status::too_many_requests || status == http::Status::service_unavailable;
     if (refused && http::fieldValue(responseHeader, http::header::notRun) == "1") {
-        const bool leaving = http::fieldValue(responseHeader, http::header::leaving) == "1";
-        return leaving ? HeaderKind::LeavingRefusal : HeaderKind::Refusal;
+        return HeaderKind::Refusal;
     }
     return HeaderKind::Response;
 }
@@ -122,6 +128,7 @@
     static constexpr Dialect dialect {.parseRequest = parseCallerRequest,
         .answerLocally = answerModels,
         .makeAttemptRequest = makeAttemptRequest,
+        .readStatement = readStatement,
         .classifyHeader = classifyHeader,
         .makeCallerHeader = makeCallerHeader,
         .classifyEvent = classifyEvent,
--- a/unittests/Adapter/DialectTest.cpp
+++ b/unittests/Adapter/DialectTest.cpp
@@ -175,6 +175,37 @@
     EXPECT_EQ(classify(421, {{"Mulberrywall-Request-Id", "0000000000000000"}}), HeaderKind::EarlierRequest);
 }
 
+/// Guards against a malformed time that is taken for zero, for ever or for an error, and against one of another status.
+TEST_F(DialectTest, ReadsWhatEndpointsStateAboutThemselves)
+{
+    const auto statement = [](unsigned status, const std::vector<std::string> &retryAfter) {
+        http::ResponseHeader header;
+        header.result(status);
+        for (const std::string &value : retryAfter) {
+            header.insert(http::Field::retry_after, value);
+        }
+        return dialect().readStatement(header);
+    };
+    const auto refusesFor = [&](const std::vector<std::string> &retryAfter) {
+        return statement(503, retryAfter).refusesFor.value_or(std::chrono::milliseconds(-1)).count();
+    };
+    EXPECT_EQ(refusesFor({"2"}), 2'000);
+    EXPECT_EQ(refusesFor({"0.25"}), 250);
+    EXPECT_EQ(refusesFor({"0"}), -1);
+    EXPECT_EQ(refusesFor({"1", "3", "2"}), 3'000);
+    EXPECT_EQ(refusesFor({"soon", "3"}), 3'000);
+    EXPECT_EQ(refusesFor({"99999999999999999999"}), 600'000);
+    EXPECT_EQ(statement(429, {"2"}).refusesFor, std::nullopt);
+    for (const std::string malformed : {"-1", "-0", "", "nan", "inf", "1e3", "2s", "2, 3", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+        EXPECT_EQ(refusesFor({malformed}), -1) << malformed;
+        EXPECT_TRUE(statement(503, {malformed}).isTimeMalformed) << malformed;
+    }
+    http::ResponseHeader leaving;
+    EXPECT_FALSE(dialect().readStatement(leaving).leaving);
+    leaving.set("Server-Leaving", "1");
+    EXPECT_TRUE(dialect().readStatement(leaving).leaving);
+}
+
 TEST_F(DialectTest, CallerHeaderOmitsHopByHopFields)
 {
     const auto header = makeHeader(200, {ownId, seal, {"X-Other", "kept"}, {"Keep-Alive", "timeout=5"}, {"Connection", "close"}, {"Content-Length", "7"}});
--- /dev/null
+++ b/unittests/Adapter/EndpointStatementTest.cpp
@@ -0,0 +1,222 @@
+#include "ScriptedEndpoint.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <charconv>
+#include <mutex>
+
+namespace mulberrywall::platform
+{
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+/// A router with two endpoints. The first one adds what it states about itself to each of its responses.
+class EndpointStatementTest : public testing::Test
+{
+protected:
+    ~EndpointStatementTest() override
+    {
+        held_ = nullptr;
+        workers_.stop();
+        workers_.join();
+    }
+
+    void addRoute(const std::string &prefix, configuration::Idempotency idempotency, bool streams)
+    {
+        site_.classes.push_back(
+            {.id = support::ClassId(prefix), .targets = {.timeToFirstToken = milliseconds(300)}, .idempotency = idempotency, .retryBudgetPercent = 100});
+        site_.routes.push_back({.host = "h",
+            .prefix = prefix,
+            .requestClass = support::ClassId(prefix),
+            .targets = {{.pool = support::PoolId("p")}},
+            .timeout = std::chrono::seconds(5),
+            .maximumAttempts = 2,
+            .streams = streams,
+            .resumable = streams});
+    }
+
+    void addEndpoint(const std::string &id, const ScriptedEndpoint &endpoint, std::int64_t incarnation = 1)
+    {
+        site_.endpoints.push_back({.id = support::EndpointId(id),
+            .address = "127.0.0.1",
+            .port = endpoint.port(),
+            .pools = {support::PoolId("p")},
+            .maximumConcurrency = 4,
+            .incarnation = incarnation});
+    }
+
+    void start()
+    {
+        addRoute("/safe/", configuration::Idempotency::Idempotent, false);
+        addRoute("/unsafe/", configuration::Idempotency::NonIdempotent, false);
+        addRoute("/stream/", configuration::Idempotency::Idempotent, true);
+        site_.pools.push_back({.id = support::PoolId("p"), .kind = configuration::PoolKind::PlainService});
+        site_.revision = 1;
+        service_ = std::make_unique<router::RouterService>(workers_.context(), makeRouterOptions("router"), policy::standardPolicy());
+        service_->configure(site_);
+        service_->start();
+    }
+
+    http::BufferedResponse send(const std::string &target)
+    {
+        return sendRequest(workers_, *service_, target, "r" + std::to_string(++sent_));
+    }
+
+    void sendUntilFirstIsReached(const std::string &target)
+    {
+        for (unsigned count = 0; count < 20 && first_.requests().empty(); ++count) {
+            send(target);
+        }
+        ASSERT_EQ(first_.requests().size(), 1U);
+    }
+
+    /// Answers with the status and the statement; 503 states that the request has not run.
+    void respondWithStatement(const http::ServerExchangePtr &exchange, http::Status status)
+    {
+        http::Response response(status, 11);
+        addConfirmation(response, exchange->request());
+        if (status == http::Status::service_unavailable) {
+            response.set("Mulberrywall-Not-Run", "1");
+        }
+        for (const auto &[name, value] : statement_) {
+            response.insert(name, value);
+        }
+        exchange->respond(std::move(response));
+    }
+
+    /// Sends requests of each kind, none of which may reach the first endpoint.
+    void expectFirstIsAvoided()
+    {
+        const std::size_t before = first_.requests().size();
+        for (unsigned count = 0; count < 5; ++count) {
+            for (const std::string target : {"/safe/", "/unsafe/", "/stream/"}) {
+                EXPECT_EQ(send(target).status, http::Status::ok);
+            }
+        }
+        EXPECT_EQ(first_.requests().size(), before);
+    }
+
+    support::WorkerPool workers_ {2};
+    std::vector<std::pair<std::string, std::string>> statement_;
+    std::atomic<http::Status> firstStatus_ = http::Status::ok;
+    http::ServerExchangePtr held_;
+    ScriptedEndpoint first_ {workers_, [this](const http::ServerExchangePtr &exchange) {
+                                 respondWithStatement(exchange, firstStatus_);
+                             }};
+    ScriptedEndpoint second_ {workers_, [](const http::ServerExchangePtr &exchange) {
+                                  answer(exchange, http::Status::ok, "id: 1\ndata: token\n\n");
+                              }};
+    configuration::SiteConfiguration site_;
+    std::unique_ptr<router::RouterService> service_;
+    unsigned sent_ = 0;
+};
+
+/// Guards against requests to an endpoint that has said in any of its responses that it is leaving.
+TEST_F(EndpointStatementTest, LeavingEndpointIsAvoided)
+{
+    for (const http::Status status : {http::Status::ok, http::Status::not_found, http::Status::internal_server_error, http::Status::service_unavailable}) {
+        statement_ = {{"Server-Leaving", "1"}};
+        firstStatus_ = status;
+        site_ = {};
+        const ScriptedEndpoint leaving(workers_, [this, status](const http::ServerExchangePtr &exchange) { respondWithStatement(exchange, status); });
+        addEndpoint("leaving", leaving);
+        addEndpoint("second", second_);
+        start();
+        for (unsigned count = 0; count < 20; ++count) {
+            send("/safe/");
+        }
+        EXPECT_EQ(leaving.requests().size(), 1U) << static_cast<unsigned>(status);
+    }
+}
+
+/// Guards against a leaving endpoint that is known only when its stream ends.
+TEST_F(EndpointStatementTest, LeavingEndpointIsAvoidedWhileItsStreamRuns)
+{
+    const ScriptedEndpoint leaving(workers_, [this](const http::ServerExchangePtr &exchange) {
+        held_ = exchange;
+        http::ResponseHeader header;
+        header.result(http::Status::ok);
+        addConfirmation(header, exchange->request());
+        header.set("Server-Leaving", "1");
+        exchange->startStream(header,
+            [exchange](const boost::system::error_code &) { exchange->writeChunk("id: 1\ndata: token\n\n", [](const boost::system::error_code &) {}); });
+    });
+    addEndpoint("leaving", leaving);
+    start();
+    std::promise<void> streaming;
+    std::promise<void> ended;
+    const auto call = http::ClientCall::start(boost::asio::make_strand(workers_.context()),
+        {.peer = service_->callerEndpoint()},
+        makeCallerRequest("/stream/", "s"),
+        {.onBody = [&streaming](std::string_view) { streaming.set_value(); },
+            .onEnd =
+                [&ended](const http::ClientCallResult &) {
+                    ended.set_value();
+                }});
+    streaming.get_future().wait();
+    EXPECT_EQ(send("/safe/").status, http::Status::service_unavailable) << "no other endpoint is there";
+    EXPECT_EQ(leaving.requests().size(), 1U);
+    boost::asio::post(held_->executor(), [this] { held_->abortStream(); });
+    boost::asio::post(workers_.context(), [call] { call->cancel(); });
+}
+
+/// Guards against an endpoint that stays unused after it has started again under its id.
+TEST_F(EndpointStatementTest, EndpointThatStartsAgainIsUsed)
+{
+    statement_ = {{"Server-Leaving", "1"}};
+    addEndpoint("first", first_);
+    start();
+    EXPECT_EQ(send("/safe/").status, http::Status::ok);
+    EXPECT_EQ(send("/safe/").status, http::Status::service_unavailable);
+    service_->setEndpoints(site_.endpoints);
+    EXPECT_EQ(send("/safe/").status, http::Status::service_unavailable) << "the same start of the endpoint";
+    site_.endpoints.clear();
+    addEndpoint("first", first_, 2);
+    service_->setEndpoints(site_.endpoints);
+    EXPECT_EQ(send("/safe/").status, http::Status::ok);
+}
+
+/// Guards against requests to an endpoint within the time for which it has said that it wants none.
+TEST_F(EndpointStatementTest, EndpointIsAvoidedForTheTimeThatItStates)
+{
+    statement_ = {{"Retry-After", "0.6"}};
+    firstStatus_ = http::Status::service_unavailable;
+    addEndpoint("first", first_);
+    addEndpoint("second", second_);
+    start();
+    sendUntilFirstIsReached("/safe/");
+    const auto statedAt = steady_clock::now();
+    expectFirstIsAvoided();
+    firstStatus_ = http::Status::ok;
+    while (first_.requests().size() == 1 && steady_clock::now() < statedAt + std::chrono::seconds(5)) {
+        send("/safe/");
+    }
+    EXPECT_EQ(first_.requests().size(), 2U);
+    EXPECT_GE(steady_clock::now() - statedAt, milliseconds(500));
+}
+
+/// Guards against callers who wait, or come back too early, while no endpoint of a service accepts requests.
+TEST_F(EndpointStatementTest, CallersAreToldWhenThereWillBeRoom)
+{
+    statement_ = {{"Retry-After", "3"}};
+    firstStatus_ = http::Status::service_unavailable;
+    addEndpoint("first", first_);
+    start();
+    send("/safe/");
+    const auto sentAt = steady_clock::now();
+    for (const std::string target : {"/safe/", "/unsafe/", "/stream/"}) {
+        const http::BufferedResponse response = send(target);
+        EXPECT_EQ(response.status, http::Status::service_unavailable);
+        const std::string_view text = http::fieldValue(response.header, "Retry-After");
+        double seconds = 0.0;
+        std::from_chars(text.data(), text.data() + text.size(), seconds);
+        EXPECT_GT(seconds, 2.0);
+        EXPECT_LE(seconds, 6.0);
+    }
+    EXPECT_LT(steady_clock::now() - sentAt, std::chrono::seconds(2));
+    EXPECT_EQ(first_.requests().size(), 1U);
+}
+
+} // namespace mulberrywall::platform
--- /dev/null
+++ b/unittests/Policy/EndpointRefusalTest.cpp
@@ -0,0 +1,98 @@
+#include "PolicyFixture.h"
+
+using namespace std::chrono_literals;
+
+namespace mulberrywall::policy
+{
+
+/// Endpoints that state for how long they accept no requests. The first-token target of the classes is 2 s.
+class EndpointRefusalTest : public PolicyFixture
+{
+protected:
+    void startPool(unsigned endpoints)
+    {
+        std::vector<EndpointSpec> specs;
+        for (unsigned index = 0; index < endpoints; ++index) {
+            specs.push_back(endpointSpec("e" + std::to_string(index), 1));
+        }
+        start({}, specs);
+    }
+
+    /// Lets the endpoint of a running request refuse it and state the time.
+    void refuse(PermitId permit, std::chrono::milliseconds refusesFor, std::chrono::milliseconds time)
+    {
+        complete(permit, time, {.outcome = AttemptOutcome::NotRun, .refusesFor = refusesFor});
+    }
+};
+
+// Guards against an endpoint that gets requests within the time that it has stated, although other endpoints are free.
+TEST_F(EndpointRefusalTest, RefusingEndpointGetsNoRequests)
+{
+    startPool(2);
+    const support::EndpointId refusing = submit(submissionOf(1, "tier0")).grants.at(0).endpoint;
+    refuse(1, 3s, 0ms);
+    for (PermitId permit = 2; permit < 6; ++permit) {
+        const Decisions decisions = submit(submissionOf(permit, "tier0"), permit * 100ms);
+        ASSERT_EQ(decisions.grants.size(), 1U);
+        EXPECT_NE(decisions.grants.at(0).endpoint, refusing);
+        complete(permit, permit * 100ms + 50ms);
+    }
+}
+
+// Guards against a second statement that shortens the first one.
+TEST_F(EndpointRefusalTest, LongestTimeCounts)
+{
+    startPool(1);
+    submit(submissionOf(1, "tier0"));
+    refuse(1, 3s, 0ms);
+    functions.reregister(pool.get(), {.submission = submissionOf(2, "tier0"), .endpoint = support::EndpointId("e0")}, at(10ms));
+    refuse(2, 1s, 20ms);
+    EXPECT_TRUE(submit(submissionOf(3, "tier0"), 1'500ms).grants.empty());
+}
+
+// Guards against a request that waits in vain where no endpoint accepts it, and against callers who are told to come back
+// before there is room, or all at the same time.
+TEST_F(EndpointRefusalTest, RejectsUntilAnEndpointAcceptsRequests)
+{
+    startPool(2);
+    submit(submissionOf(1, "tier0"));
+    submit(submissionOf(2, "tier0"));
+    ASSERT_TRUE(submit(submissionOf(3, "tier0")).grants.empty());
+    refuse(1, 5s, 0ms);
+    const Decisions ended = functions.complete(pool.get(), 2, {.outcome = AttemptOutcome::NotRun, .refusesFor = 8s}, at(0ms));
+    ASSERT_EQ(ended.rejections.size(), 1U) << "the request that waits has to be told as well";
+    EXPECT_EQ(ended.rejections.at(0).permit, 3U);
+    EXPECT_EQ(ended.rejections.at(0).retryAfter, 5s);
+    Submission spread = submissionOf(4, "tier0");
+    spread.spreadSeed = 512;
+    const Decisions rejected = submit(spread, 1s);
+    ASSERT_EQ(rejected.rejections.size(), 1U);
+    EXPECT_EQ(rejected.rejections.at(0).reason, RejectionReason::TargetUnreachable);
+    EXPECT_EQ(rejected.rejections.at(0).retryAfter, 6s);
+}
+
+// Guards against rejecting what could still be served in time, and against a request that waits beyond the end of the time.
+TEST_F(EndpointRefusalTest, RequestWaitsForAShortTime)
+{
+    startPool(1);
+    submit(submissionOf(1, "tier0"));
+    refuse(1, 800ms, 0ms);
+    const Decisions waiting = submit(submissionOf(2, "tier0"), 10ms);
+    EXPECT_TRUE(waiting.grants.empty());
+    EXPECT_TRUE(waiting.rejections.empty());
+    EXPECT_EQ(advanceThroughWakeUps(800ms).grants.size(), 1U);
+}
+
+// Guards against a statement that outlives the start of the endpoint which made it.
+TEST_F(EndpointRefusalTest, EndsWithTheIncarnation)
+{
+    startPool(1);
+    submit(submissionOf(1, "tier0"));
+    refuse(1, 1min, 0ms);
+    EndpointSpec restarted = endpointSpec("e0", 1);
+    restarted.incarnation = 2;
+    functions.setEndpoints(pool.get(), std::vector<EndpointSpec> {restarted}, at(1s));
+    EXPECT_EQ(submit(submissionOf(2, "tier0"), 1s).grants.size(), 1U);
+}
+
+} // namespace mulberrywall::policy
