--- a/unittests/Adapter/BrokenStreamTest.cpp
+++ b/unittests/Adapter/BrokenStreamTest.cpp
@@ -24,15 +24,9 @@
 
     void addRoute(const std::string &prefix, configuration::Idempotency idempotency, bool streams)
     {
-        site_.classes.push_back({.id = support::ClassId(prefix), .idempotency = idempotency, .retryBudgetPercent = 20});
-        site_.routes.push_back({.host = "h",
-            .prefix = prefix,
-            .requestClass = support::ClassId(prefix),
-            .targets = {{.pool = support::PoolId("p")}},
-            .timeout = std::chrono::seconds(5),
-            .maximumAttempts = 2,
-            .streams = streams,
-            .resumable = streams && idempotency == configuration::Idempotency::Idempotent});
+        configuration::Route &route = platform::addRoute(site_, prefix, idempotency);
+        route.streams = streams;
+        route.resumable = streams && idempotency == configuration::Idempotency::Idempotent;
     }
 
     void addEndpoint(std::uint16_t port)
--- a/unittests/Adapter/EndpointStatementTest.cpp
+++ b/unittests/Adapter/EndpointStatementTest.cpp
@@ -25,16 +25,11 @@
 
     void addRoute(const std::string &prefix, configuration::Idempotency idempotency, bool streams)
     {
-        site_.classes.push_back(
-            {.id = support::ClassId(prefix), .targets = {.timeToFirstToken = milliseconds(300)}, .idempotency = idempotency, .retryBudgetPercent = 100});
-        site_.routes.push_back({.host = "h",
-            .prefix = prefix,
-            .requestClass = support::ClassId(prefix),
-            .targets = {{.pool = support::PoolId("p")}},
-            .timeout = std::chrono::seconds(5),
-            .maximumAttempts = 2,
-            .streams = streams,
-            .resumable = streams});
+        configuration::Route &route = platform::addRoute(site_, prefix, idempotency);
+        route.streams = streams;
+        route.resumable = streams;
+        site_.classes.back().targets = {.timeToFirstToken = milliseconds(300)};
+        site_.classes.back().retryBudgetPercent = 100;
     }
 
     void addEndpoint(const std::string &id, const ScriptedEndpoint &endpoint, std::int64_t incarnation = 1)
--- a/unittests/Adapter/PlatformPathTest.cpp
+++ b/unittests/Adapter/PlatformPathTest.cpp
@@ -75,14 +75,7 @@
 
     configuration::Route &addRoute(const std::string &prefix, configuration::Idempotency idempotency)
     {
-        site_.classes.push_back({.id = support::ClassId(prefix), .idempotency = idempotency, .retryBudgetPercent = 20});
-        site_.routes.push_back({.host = "h",
-            .prefix = prefix,
-            .requestClass = support::ClassId(prefix),
-            .targets = {{.pool = support::PoolId("p")}},
-            .timeout = std::chrono::seconds(5),
-            .maximumAttempts = 2});
-        return site_.routes.back();
+        return platform::addRoute(site_, prefix, idempotency);
     }
 
     ScriptedEndpoint &addEndpoint(ScriptedEndpoint::Script script)
--- a/unittests/Adapter/ScriptedEndpoint.h
+++ b/unittests/Adapter/ScriptedEndpoint.h
@@ -93,6 +93,19 @@
     return options;
 }
 
+/// Adds a route to the pool "p", and a class of its own for it. The result is valid until the next route is added.
+inline configuration::Route &addRoute(configuration::SiteConfiguration &site, const std::string &prefix, configuration::Idempotency idempotency)
+{
+    site.classes.push_back({.id = support::ClassId(prefix), .idempotency = idempotency, .retryBudgetPercent = 20});
+    site.routes.push_back({.host = "h",
+        .prefix = prefix,
+        .requestClass = support::ClassId(prefix),
+        .targets = {{.pool = support::PoolId("p")}},
+        .timeout = std::chrono::seconds(5),
+        .maximumAttempts = 2});
+    return site.routes.back();
+}
+
 /// Returns a caller's request without an Authorization field.
 inline http::Request makeCallerRequest(const std::string &target, const std::string &id)
 {
