policy: one function for crashes that output refutes

The condition stood in addCrash and in dropRefutedCrashes, the latter behind a check that its only caller had made needless.

--- a/lib/Policy/SegmentQuarantine.cpp
+++ b/lib/Policy/SegmentQuarantine.cpp
@@ -58,13 +58,15 @@
     return state.sawLatestCrash && !isTrialRunning(pool, state) && now - state.crashes.back().at >= delay;
 }
 
-/// Drops the crashes for which the segment was not responsible: the engines produced output for it shortly before, or later.
+/// Returns whether the segment was not responsible for the crash: engines produced output for it shortly before, or later.
+bool isRefuted(const Pool &pool, const SegmentState &state, const SegmentCrashRecord &crash)
+{
+    return state.outputAt && crash.at <= *state.outputAt + tuningOf(pool).outputLifetime;
+}
+
 void dropRefutedCrashes(const Pool &pool, SegmentState &state)
 {
-    if (!state.outputAt) {
-        return;
-    }
-    std::erase_if(state.crashes, [&](const SegmentCrashRecord &crash) { return crash.at <= *state.outputAt + tuningOf(pool).outputLifetime; });
+    std::erase_if(state.crashes, [&](const SegmentCrashRecord &crash) { return isRefuted(pool, state, crash); });
     if (state.crashes.empty()) {
         state.sawLatestCrash = false;
         state.trials = 0;
@@ -187,8 +189,7 @@
 /// Adds a crash. Returns false if it was known already, or is refuted.
 bool addCrash(const Pool &pool, SegmentState &state, const SegmentCrashRecord &crash)
 {
-    const SegmentTuning &tuning = tuningOf(pool);
-    if (state.outputAt && crash.at <= *state.outputAt + tuning.outputLifetime) {
+    if (isRefuted(pool, state, crash)) {
         return false;
     }
     const auto same = std::find_if(state.crashes.begin(), state.crashes.end(), [&](const SegmentCrashRecord &known) { return known.id == crash.id; });
@@ -200,7 +201,7 @@
     }
     state.crashes.push_back(crash);
     sortByTime(state.crashes);
-    if (state.crashes.size() <= tuning.maximumCrashes) {
+    if (state.crashes.size() <= tuningOf(pool).maximumCrashes) {
         return true;
     }
     // Keeps the first one, from which the span is counted, and the latest ones.
