tests: end the stream of a leaving endpoint on its own strand

The process that crashed is the test: it posted `held_->abortStream()` to the endpoint's strand and returned, and its destructor set `held_` to null while the workers were still running. If the destructor came first, the posted function called a member of a null pointer. The call of the caller was also cancelled outside its strand. Ruled out: the router, whose log ends in order before the crash.

The test now cancels the caller's call on its strand and waits for it; the held exchange lives until the workers have been joined.

What the test requires of the router is unchanged.

--- a/unittests/Adapter/EndpointStatementTest.cpp
+++ b/unittests/Adapter/EndpointStatementTest.cpp
@@ -18,7 +18,6 @@
 protected:
     ~EndpointStatementTest() override
     {
-        held_ = nullptr;
         workers_.stop();
         workers_.join();
     }
@@ -141,20 +140,20 @@
     addEndpoint("leaving", leaving);
     start();
     std::promise<void> streaming;
-    std::promise<void> ended;
-    const auto call = http::ClientCall::start(boost::asio::make_strand(workers_.context()),
-        {.peer = service_->callerEndpoint()},
-        makeCallerRequest("/stream/", "s"),
-        {.onBody = [&streaming](std::string_view) { streaming.set_value(); },
-            .onEnd =
-                [&ended](const http::ClientCallResult &) {
-                    ended.set_value();
-                }});
+    const auto strand = boost::asio::make_strand(workers_.context());
+    const auto call
+        = http::ClientCall::start(strand, {.peer = service_->callerEndpoint()}, makeCallerRequest("/stream/", "s"), {.onBody = [&streaming](std::string_view) {
+              streaming.set_value();
+          }});
     streaming.get_future().wait();
     EXPECT_EQ(send("/safe/").status, http::Status::service_unavailable) << "no other endpoint is there";
     EXPECT_EQ(leaving.requests().size(), 1U);
-    boost::asio::post(held_->executor(), [this] { held_->abortStream(); });
-    boost::asio::post(workers_.context(), [call] { call->cancel(); });
+    std::promise<void> cancelled;
+    boost::asio::post(strand, [&] {
+        call->cancel();
+        cancelled.set_value();
+    });
+    cancelled.get_future().wait();
 }
 
 /// Guards against an endpoint that stays unused after it has started again under its id.
