policy: do not count crashes of a deadly segment against other requests

Cause: CrashQuarantine attributes each crash to all requests on the engine and takes two for proof. That evidence stayed although the segment that crashed the engines had been found.

Now crashes that a quarantined segment explains, by their time, do not count against requests. The decision is made anew whenever it is asked for: if the segment turns out to be sound, the crashes count again, so that a request that crashes engines by itself gains nothing by segments that it shares. Times are compared within two seconds, since routers tell each other the age of a crash in whole seconds.

SegmentQuarantineTest.RequestsThatWaitedBesideADeadlySegmentAreServed and ReportedCrashesCountAgainWhenTheSegmentIsReleased failed before: the request was rejected after the quarantine of the segment.

--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -265,6 +265,8 @@
 struct SegmentQuarantine
 {
     std::unordered_map<Fingerprint, SegmentState> states;
+    /// Times of the crashes that the quarantined segments explain.
+    std::vector<TimePoint> explainedCrashes;
     /// Changes that no command has reported yet.
     std::vector<SegmentChange> changes;
     TimePoint nextRemoval;
--- a/include/mulberrywall/Policy/SegmentQuarantine.h
+++ b/include/mulberrywall/Policy/SegmentQuarantine.h
@@ -23,6 +23,10 @@
 /// Returns the time until the quarantine of the segment expires.
 std::chrono::milliseconds remainingSegmentQuarantine(const Pool &pool, Fingerprint segment, TimePoint now);
 
+/// Returns whether an endpoint crashed at that time because of a segment that is quarantined now. Such a crash says nothing about
+/// the other requests that the endpoint was running.
+bool isExplainedBySegment(const Pool &pool, TimePoint crashAt);
+
 /// Makes the request the trial of its quarantined segments. Call it for each request that may run, before it is queued.
 void startSegmentTrial(Pool &pool, const Submission &submission, TimePoint now);
 
--- a/include/mulberrywall/Policy/Tuning.h
+++ b/include/mulberrywall/Policy/Tuning.h
@@ -231,6 +231,8 @@
     /// Output counts if the engine is alive this long after the first token. It may crash on a segment just after that.
     std::chrono::milliseconds lastingOutput {250};
     std::chrono::milliseconds expiry {600'000};
+    /// Routers tell each other in whole seconds when a request crashed an endpoint, each of them rounded.
+    std::chrono::milliseconds explainedCrashTolerance {2'000};
     /// Delay of the first trial after the latest crash, and the factor for each further one. A segment that is quarantined by
     /// mistake should be back soon; one that crashes engines should cost few of them.
     std::chrono::milliseconds firstTrialDelay {5'000};
--- a/lib/Policy/CrashQuarantine.cpp
+++ b/lib/Policy/CrashQuarantine.cpp
@@ -55,6 +55,13 @@
     return found == pool.quarantine.byFingerprint.end() || isExpired(pool, found->second, now) ? nullptr : &found->second;
 }
 
+/// Returns the entry if its crashes count against the request, otherwise nullptr.
+const QuarantinedRequest *findAttributed(const Pool &pool, Fingerprint fingerprint, TimePoint now)
+{
+    const QuarantinedRequest *quarantined = findQuarantined(pool, fingerprint, now);
+    return quarantined == nullptr || isExplainedBySegment(pool, quarantined->lastCrashAt) ? nullptr : quarantined;
+}
+
 /// Returns the attributed crashes whose position the request has not passed.
 unsigned unpassedCrashes(const QuarantinedRequest &quarantined)
 {
@@ -169,7 +176,7 @@
 
 unsigned attributedCrashes(const Pool &pool, Fingerprint fingerprint, TimePoint now)
 {
-    const QuarantinedRequest *quarantined = findQuarantined(pool, fingerprint, now);
+    const QuarantinedRequest *quarantined = findAttributed(pool, fingerprint, now);
     return quarantined == nullptr ? 0 : quarantined->crashes - quarantined->cleared;
 }
 
@@ -183,7 +190,7 @@
 
 bool isRejectedForCrashes(const Pool &pool, Fingerprint fingerprint, TimePoint now)
 {
-    const QuarantinedRequest *quarantined = findQuarantined(pool, fingerprint, now);
+    const QuarantinedRequest *quarantined = findAttributed(pool, fingerprint, now);
     if (quarantined == nullptr) {
         return false;
     }
--- a/lib/Policy/SegmentQuarantine.cpp
+++ b/lib/Policy/SegmentQuarantine.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <iterator>
 #include <set>
 #include <tuple>
@@ -124,7 +125,12 @@
 void updateQuarantine(Pool &pool, TimePoint now)
 {
     const std::set<Fingerprint> quarantined = segmentsToQuarantine(pool, now);
+    pool.segments.explainedCrashes.clear();
     for (auto &[segment, state] : pool.segments.states) {
+        if (quarantined.contains(segment)) {
+            std::transform(
+                state.crashes.begin(), state.crashes.end(), std::back_inserter(pool.segments.explainedCrashes), std::mem_fn(&SegmentCrashRecord::at));
+        }
         if (state.isQuarantined == quarantined.contains(segment)) {
             continue;
         }
@@ -309,6 +315,13 @@
                             : std::chrono::ceil<std::chrono::milliseconds>(state->crashes.back().at + tuningOf(pool).expiry - now);
 }
 
+bool isExplainedBySegment(const Pool &pool, TimePoint crashAt)
+{
+    const auto &explained = pool.segments.explainedCrashes;
+    const auto tolerance = tuningOf(pool).explainedCrashTolerance;
+    return std::any_of(explained.begin(), explained.end(), [&](TimePoint time) { return std::chrono::abs(time - crashAt) <= tolerance; });
+}
+
 void startSegmentTrial(Pool &pool, const Submission &submission, TimePoint now)
 {
     for (const Fingerprint segment : submission.segments) {
--- a/unittests/Policy/SegmentQuarantineTest.cpp
+++ b/unittests/Policy/SegmentQuarantineTest.cpp
@@ -40,6 +40,13 @@
         return submission;
     }
 
+    Submission submissionWithFingerprint(Fingerprint fingerprint)
+    {
+        Submission submission = submissionWith({other});
+        submission.fingerprint = fingerprint;
+        return submission;
+    }
+
     /// Submits a request. Returns its permit, or nothing if it was rejected as quarantined.
     std::optional<PermitId> submitWith(const std::vector<Fingerprint> &segments, std::chrono::milliseconds time)
     {
@@ -313,6 +320,39 @@
     EXPECT_TRUE(sound);
 }
 
+// Guards against rejecting a sound request for ten minutes because it waited on two engines beside requests with a deadly segment.
+TEST_F(SegmentQuarantineTest, RequestsThatWaitedBesideADeadlySegmentAreServed)
+{
+    constexpr Fingerprint request = 77;
+    startPool();
+    for (const std::chrono::milliseconds time : {0ms, 300ms}) {
+        const auto deadlyPermit = submitWith({common, deadly}, time);
+        ASSERT_TRUE(deadlyPermit);
+        functions.reregister(pool.get(), {.submission = submissionWithFingerprint(request), .endpoint = endpoints_.at(*deadlyPermit)}, at(time));
+        crash(*deadlyPermit, time + 10ms);
+        complete(permit_, time + 11ms, {.outcome = AttemptOutcome::EndpointFailed});
+    }
+    EXPECT_EQ(submit(submissionWithFingerprint(request), 350ms).rejections.size(), 1U) << "nothing explains the two crashes yet";
+    ASSERT_TRUE(runDeadly({common, deadly}, 600ms));
+    ASSERT_FALSE(submitWith({common, deadly}, 700ms));
+    EXPECT_EQ(submit(submissionWithFingerprint(request), 710ms).grants.size(), 1U);
+    EXPECT_TRUE(functions.quarantineEntries(pool.get()).empty()) << "other routers must not reject it either";
+}
+
+// Guards against the same at a router that knows of both only from others, and against a request that is released for good
+// although the segment turns out to be sound.
+TEST_F(SegmentQuarantineTest, ReportedCrashesCountAgainWhenTheSegmentIsReleased)
+{
+    constexpr Fingerprint request = 77;
+    startPool();
+    functions.recordQuarantineEntry(pool.get(), {.fingerprint = request, .crashes = 2, .expiresAt = at(600ms) + CrashTuning {}.expiry - 900ms}, at(600ms));
+    ASSERT_EQ(submit(submissionWithFingerprint(request), 610ms).rejections.size(), 1U);
+    merge({{.segment = deadly, .crashes = {{.id = 1, .age = 600ms}, {.id = 2, .age = 300ms}, {.id = 3, .age = 0ms}}}}, 620ms);
+    EXPECT_EQ(submit(submissionWithFingerprint(request), 630ms).grants.size(), 1U);
+    merge({{.segment = deadly, .outputAge = 0ms}}, 700ms);
+    EXPECT_EQ(submit(submissionWithFingerprint(request), 710ms).rejections.size(), 1U);
+}
+
 // Guards against memory that grows with each segment ever seen.
 TEST_F(SegmentQuarantineTest, RemembersABoundedNumberOfSegments)
 {
