policy: keep an endpoint's refusal when its entry lapses and returns

An endpoint that has said with a 503 for how long it wants no request of this router got requests again before the end of that time if its entry had left the list and come back: the store drops entries of living endpoints while it is down, and setEndpoints and endRequest forgot an idle endpoint without an entry together with what it had stated.

The pool now forgets an endpoint only when its time is over. An endpoint without an entry causes no wake-up.

EndpointRefusalTest.OutlastsTheEntry failed before: the request was granted after the entry's return. RefusingEndpointGetsNoHedges passed before; hedges had no test of their own.

--- a/include/mulberrywall/Policy/EndpointRefusal.h
+++ b/include/mulberrywall/Policy/EndpointRefusal.h
@@ -14,6 +14,11 @@
 /// Returns whether the endpoint accepts no requests now.
 bool refusesRequests(const EndpointState &endpoint, TimePoint now);
 
+/// Returns whether the pool may forget the endpoint: it has left the list, runs nothing, and accepts requests.
+///
+/// An entry may lapse and return while its endpoint runs on. What the endpoint has stated must hold then as well.
+bool mayForget(const EndpointState &endpoint, TimePoint now);
+
 /// Returns the earliest time after now at which an endpoint accepts requests again.
 std::optional<TimePoint> nextRefusalEnd(const Pool &pool, TimePoint now);
 
--- a/lib/Policy/ActiveRequests.cpp
+++ b/lib/Policy/ActiveRequests.cpp
@@ -1,5 +1,6 @@
 #include "mulberrywall/Policy/ActiveRequests.h"
 
+#include "mulberrywall/Policy/EndpointRefusal.h"
 #include "mulberrywall/Policy/FailureBackoff.h"
 #include "mulberrywall/Policy/PromptPlacement.h"
 
@@ -199,7 +200,7 @@
     if (endpoint.running == 0) {
         // Removes the rounding error of the sum.
         endpoint.work = 0.0;
-        if (endpoint.spec.leaving) {
+        if (mayForget(endpoint, pool.now)) {
             pool.endpoints.erase(support::EndpointId(endpoint.spec.id));
         }
     }
--- a/lib/Policy/EndpointRefusal.cpp
+++ b/lib/Policy/EndpointRefusal.cpp
@@ -20,11 +20,16 @@
     return now < endpoint.refusesUntil;
 }
 
+bool mayForget(const EndpointState &endpoint, TimePoint now)
+{
+    return endpoint.spec.leaving && endpoint.running == 0 && !refusesRequests(endpoint, now);
+}
+
 std::optional<TimePoint> nextRefusalEnd(const Pool &pool, TimePoint now)
 {
     std::optional<TimePoint> earliest;
     for (const auto &[id, endpoint] : pool.endpoints) {
-        if (refusesRequests(endpoint, now) && (!earliest || endpoint.refusesUntil < *earliest)) {
+        if (!endpoint.spec.leaving && refusesRequests(endpoint, now) && (!earliest || endpoint.refusesUntil < *earliest)) {
             earliest = endpoint.refusesUntil;
         }
     }
--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -388,7 +388,7 @@
         }
         endpoint.spec = spec;
     }
-    std::erase_if(pool.endpoints, [](const auto &entry) { return entry.second.spec.leaving && entry.second.running == 0; });
+    std::erase_if(pool.endpoints, [now](const auto &entry) { return mayForget(entry.second, now); });
     enforceSlowBound(pool);
     Decisions decisions;
     rejectWithoutEndpoint(pool, decisions);
--- a/unittests/Policy/EndpointRefusalTest.cpp
+++ b/unittests/Policy/EndpointRefusalTest.cpp
@@ -83,6 +83,42 @@
     EXPECT_EQ(advanceThroughWakeUps(800ms).grants.size(), 1U);
 }
 
+// Guards against requests to a refusing endpoint whose entry has lapsed in the store and come back.
+TEST_F(EndpointRefusalTest, OutlastsTheEntry)
+{
+    startPool(1);
+    const std::vector<EndpointSpec> specs {endpointSpec("e0", 1)};
+    submit(submissionOf(1, "tier0"));
+    functions.setEndpoints(pool.get(), {}, at(0ms));
+    refuse(1, 10s, 0ms);
+    functions.setEndpoints(pool.get(), specs, at(1s));
+    EXPECT_TRUE(submit(submissionOf(3, "tier0"), 1s).grants.empty());
+    functions.setEndpoints(pool.get(), {}, at(2s));
+    functions.setEndpoints(pool.get(), specs, at(3s));
+    EXPECT_TRUE(submit(submissionOf(4, "tier0"), 3s).grants.empty());
+    functions.setEndpoints(pool.get(), {}, at(11s));
+    EXPECT_TRUE(functions.endpointStatus(pool.get()).empty()) << "nothing is left to remember";
+}
+
+// Guards against a hedge at an endpoint that accepts no requests.
+TEST_F(EndpointRefusalTest, RefusingEndpointGetsNoHedges)
+{
+    ClassSpec hedged = tierClass(0);
+    hedged.hedgeBudgetPercent = 100;
+    start({.classes = {hedged}}, {endpointSpec("e0", 8), endpointSpec("e1", 8)});
+    const support::EndpointId refusing = submit(submissionOf(1, "tier0")).grants.at(0).endpoint;
+    refuse(1, 3s, 0ms);
+    Submission hedge = submissionOf(3, "tier0");
+    hedge.purpose = AttemptPurpose::Hedge;
+    hedge.excludedEndpoints = {submit(submissionOf(2, "tier0"), 1s).grants.at(0).endpoint};
+    EXPECT_NE(hedge.excludedEndpoints.at(0), refusing);
+    EXPECT_TRUE(submit(hedge, 1s).grants.empty());
+    hedge.permit = 4;
+    const Decisions later = submit(hedge, 4s);
+    ASSERT_EQ(later.grants.size(), 1U) << "the endpoint accepts requests again";
+    EXPECT_EQ(later.grants.at(0).endpoint, refusing);
+}
+
 // Guards against a statement that outlives the start of the endpoint which made it.
 TEST_F(EndpointRefusalTest, EndsWithTheIncarnation)
 {
