router: remember that an endpoint leaves when its entry lapses and returns

EndpointDirectory dropped the state with the endpoint's entry, so that an entry which lapsed while the store was down and came back made the leaving endpoint usable again, although it was the same incarnation.

A state that the endpoint itself has caused, of an incarnation that the list names, is now kept for ten minutes without an entry. Another incarnation ends it as before; endpoints without an incarnation are forgotten as before.

EndpointStatementTest.LeavingEndpointIsAvoidedAfterItsEntryHasReturned failed before: the request was sent to the leaving endpoint.

--- a/include/mulberrywall/Router/EndpointDirectory.h
+++ b/include/mulberrywall/Router/EndpointDirectory.h
@@ -41,6 +41,8 @@
     /// Incarnation of the endpoint in the configuration; 0 if it is unknown or not configured.
     std::int64_t configuredIncarnation = 0;
     bool isConfigured = false;
+    /// Time of the latest configuration that contains the endpoint.
+    std::chrono::steady_clock::time_point configuredAt;
     /// Instance that the platform's list last contained for the endpoint's address.
     std::string instance;
     bool instanceIsLeaving = false;
@@ -100,7 +102,7 @@
     [[nodiscard]] std::set<support::EndpointId> leaving() const;
 
 private:
-    /// Removes the states of endpoints that have left the configuration.
+    /// Removes the states of endpoints that have left the configuration and will not return as the same incarnation.
     void matchIncarnations(const configuration::SiteConfiguration &configuration);
     void matchInstances(const configuration::SiteConfiguration &configuration);
     void publish();
--- a/lib/Router/EndpointDirectory.cpp
+++ b/lib/Router/EndpointDirectory.cpp
@@ -114,6 +114,7 @@
         const LeavingState before = leavingState;
         if (const auto configured = configuredIncarnations_.find(endpoint); configured != configuredIncarnations_.end()) {
             recordConfigured(leavingState, configured->second);
+            leavingState.configuredAt = std::chrono::steady_clock::now();
         }
         dropStaleReport(leavingState);
         recordAnnouncement(leavingState, incarnation);
@@ -177,8 +178,18 @@
     matchInstances(configuration);
 }
 
+/// An endpoint's entry may lapse in the store and return while the endpoint runs on.
+static constexpr std::chrono::minutes leavingStateLifetime {10};
+
+/// Returns whether an endpoint without an entry may come back as the incarnation that has stated that it is leaving.
+static bool mayReturn(const LeavingState &leavingState, std::chrono::steady_clock::time_point now)
+{
+    return leavingState.endpointIsLeaving && leavingState.configuredIncarnation != 0 && now - leavingState.configuredAt < leavingStateLifetime;
+}
+
 void EndpointDirectory::matchIncarnations(const configuration::SiteConfiguration &configuration)
 {
+    const auto now = std::chrono::steady_clock::now();
     configuredIncarnations_.clear();
     for (const configuration::Endpoint &endpoint : configuration.endpoints) {
         configuredIncarnations_[endpoint.id] = endpoint.incarnation;
@@ -186,10 +197,14 @@
     for (auto &[id, state] : leavingStates_) {
         if (const auto configured = configuredIncarnations_.find(id); configured != configuredIncarnations_.end()) {
             recordConfigured(state, configured->second);
+            state.configuredAt = now;
         }
     }
     // The state of an endpoint that was never configured is kept: another router may know it from a newer configuration.
-    std::erase_if(leavingStates_, [this](const auto &entry) { return entry.second.isConfigured && !configuredIncarnations_.contains(entry.first); });
+    std::erase_if(leavingStates_, [&](const auto &entry) {
+        const auto &[id, state] = entry;
+        return state.isConfigured && !configuredIncarnations_.contains(id) && !mayReturn(state, now);
+    });
 }
 
 void EndpointDirectory::matchInstances(const configuration::SiteConfiguration &configuration)
--- a/unittests/Adapter/EndpointStatementTest.cpp
+++ b/unittests/Adapter/EndpointStatementTest.cpp
@@ -172,6 +172,24 @@
     EXPECT_EQ(send("/safe/").status, http::Status::ok);
 }
 
+/// Guards against requests to a leaving endpoint whose entry has lapsed in the store and come back.
+TEST_F(EndpointStatementTest, LeavingEndpointIsAvoidedAfterItsEntryHasReturned)
+{
+    statement_ = {{"Server-Leaving", "1"}};
+    addEndpoint("first", first_);
+    start();
+    EXPECT_EQ(send("/safe/").status, http::Status::ok);
+    const std::vector<configuration::Endpoint> listed = site_.endpoints;
+    service_->setEndpoints({});
+    service_->setEndpoints(listed);
+    EXPECT_EQ(send("/safe/").status, http::Status::service_unavailable);
+    site_.endpoints.clear();
+    addEndpoint("first", first_, 2);
+    service_->setEndpoints({});
+    service_->setEndpoints(site_.endpoints);
+    EXPECT_EQ(send("/safe/").status, http::Status::ok) << "another start of the endpoint";
+}
+
 /// Guards against requests to an endpoint within the time for which it has said that it wants none.
 TEST_F(EndpointStatementTest, EndpointIsAvoidedForTheTimeThatItStates)
 {
