policy: let callers of higher tiers return first after a refusal

While no endpoint of a service accepts requests, callers get 503 with the time after which there is room, spread over as much time again. The spread did not know tiers, so that a lookup of the lowest tier could take the first free slot before an urgent one was told to ask for it.

The spread is divided into one equal part a tier, the highest first. Callers of one tier are still spread.

EndpointRefusalTest.CallersOfHigherTiersReturnFirst failed before.

--- a/include/mulberrywall/Policy/EndpointRefusal.h
+++ b/include/mulberrywall/Policy/EndpointRefusal.h
@@ -23,7 +23,8 @@
 std::optional<TimePoint> nextRefusalEnd(const Pool &pool, TimePoint now);
 
 /// Returns the time after which the caller should send the request again if no endpoint accepts it for longer than it may
-/// reasonably wait; otherwise std::nullopt. The time differs between requests, so that callers do not return together.
+/// reasonably wait; otherwise std::nullopt. The time differs between requests, so that callers do not return together,
+/// and those of a higher tier return first.
 std::optional<std::chrono::milliseconds> rejectForRefusal(const Pool &pool, const Submission &submission, TimePoint now);
 
 } // namespace mulberrywall::policy
