tests: let the engine stand-in state that it leaves, and for how long it refuses

Until now only scripted endpoints inside unit tests spoke both fields. engine-standin now adds X-Leaving to its responses while it serves on ("statesLeaving"), and refuses with the time that is left ("refuseForMs").

Real router processes in front of it: LeavingSourceTest with the response as the only source, with and without the platform, and RefusingEndpoint. ReceivesNoWorkForTheStatedTime, in which two routers under the load of 30 clients send at most two requests each from half a second after the first refusal on, no caller is affected, and the endpoint is used again afterwards.

--- a/test/LeavingEndpoint/LeavingEndpointTest.cpp
+++ b/test/LeavingEndpoint/LeavingEndpointTest.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <ostream>
 #include <stdexcept>
+#include <thread>
 
 /// LeavingEndpoint: a leaving endpoint receives no new work after 3 s.
 namespace mulberrywall::harness
@@ -131,6 +132,9 @@
     const auto endpointItself = [](Deployment &deployment) {
         postJson(deployment.engine(0).port, "/control", {{"leaving", true}});
     };
+    const auto responses = [](Deployment &deployment) {
+        postJson(deployment.engine(0).port, "/control", {{"statesLeaving", true}});
+    };
     const auto owner = [](Deployment &deployment) {
         drainThrough(deployment.router(ownerOfPool(deployment)));
     };
@@ -140,10 +144,12 @@
     };
     return {{"InstanceList", instanceList},
         {"ReportedByEndpoint", endpointItself},
+        {"StatedInResponses", responses},
         {"DrainAtOwner", owner},
         {"DrainAtPeer", peer},
         {"DrainCommand", drainByCommand},
         {"ReportedByEndpointWithoutPlatform", endpointItself, "drop"},
+        {"StatedInResponsesWithoutPlatform", responses, "drop"},
         {"DrainAtOwnerWithoutPlatform", owner, "drop"},
         {"DrainAtPeerWithoutPlatform", peer, "drop"},
         {"DrainCommandWithoutPlatform", drainByCommand, "refuse"}};
@@ -228,6 +234,29 @@
     EXPECT_EQ(requestsReceived(drained), before);
 }
 
+// Guards against requests to an endpoint within the time for which it has said that it wants none, against callers who are affected
+// by it, and against an endpoint that stays unused afterwards.
+TEST(RefusingEndpoint, ReceivesNoWorkForTheStatedTime)
+{
+    constexpr std::chrono::milliseconds refusalTime {4'000};
+    constexpr std::chrono::milliseconds slack {500};
+    Deployment deployment(threeEngines(PlatformUse::None));
+    const Node &refusing = deployment.engine(0);
+    RepeatedCalls load(makeCalls(deployment));
+    waitUntilAllReceiveRequests(deployment);
+    postJson(refusing.port, "/control", {{"refuseForMs", refusalTime.count()}});
+    const auto refusesUntil = Clock::now() + refusalTime;
+    waitUntil("the endpoint refuses a request", [&] { return countOf(refusing, "refused") > 0; });
+    std::this_thread::sleep_for(slack);
+    const std::uint64_t before = requestsReceived(refusing);
+    std::this_thread::sleep_until(refusesUntil - slack);
+    EXPECT_LE(requestsReceived(refusing), before + 2 * routers);
+    waitUntil("the endpoint receives requests again", [&] { return requestsReceived(refusing) > before + clients; });
+    for (const Reply &reply : load.stop()) {
+        EXPECT_EQ(reply.text(), standin::answerFor("q", tokens)) << reply.status << reply.error << reply.body;
+    }
+}
+
 // Guards against running streams that are interrupted because their endpoint is leaving.
 TEST(LeavingEndpoint, RunningStreamsComplete)
 {
--- a/test/Support/Engine/Engine.cpp
+++ b/test/Support/Engine/Engine.cpp
@@ -111,9 +111,8 @@
 
 void Engine::generate(const ServerExchangePtr &exchange, bool chat)
 {
-    if (leaving_ || refusing_) {
-        ++refused_;
-        refuse(exchange, Status::service_unavailable, leaving_ ? "the engine is leaving" : "the engine refuses requests");
+    if (leaving_ || refusing_ || Clock::now() < refusesUntil_) {
+        refuseGeneration(exchange);
         return;
     }
     const json::object body = parseJsonBody(exchange);
@@ -145,6 +144,25 @@
     admit();
 }
 
+void Engine::refuseGeneration(const ServerExchangePtr &exchange)
+{
+    ++refused_;
+    http::Response response = makeRefusal(Status::service_unavailable, leaving_ ? "the engine is leaving" : "the engine refuses requests");
+    addStatement(response);
+    const std::chrono::duration<double> timeLeft = refusesUntil_ - Clock::now();
+    if (timeLeft.count() > 0) {
+        response.set(http::Field::retry_after, std::to_string(timeLeft.count()));
+    }
+    exchange->respond(std::move(response));
+}
+
+void Engine::addStatement(http::ResponseHeader &header) const
+{
+    if (statesLeaving_) {
+        header.set(http::header::leaving, "1");
+    }
+}
+
 void Engine::admit()
 {
     while (!waiting_.empty() && running_.size() < options_.batchLimit) {
@@ -244,6 +262,7 @@
         http::ResponseHeader header;
         header.result(Status::ok);
         header.set(http::Field::content_type, "text/event-stream");
+        addStatement(header);
         generation->exchange->startStream(std::move(header), written);
         return;
     }
@@ -273,7 +292,9 @@
         {"model", generation->model},
         {"choices", makeChoices(generation->chat, false, answerFor(generation->prompt, generation->lastToken, generation->firstToken), true)},
         {"usage", {{"prompt_tokens", generation->prompt.size() / bytesPerPromptToken}, {"completion_tokens", produced}}}};
-    respondJson(generation->exchange, body);
+    http::Response response = http::makeJsonResponse(Status::ok, json::serialize(body));
+    addStatement(response);
+    generation->exchange->respond(std::move(response));
     generation->exchange.reset();
 }
 
--- a/test/Support/Engine/Engine.h
+++ b/test/Support/Engine/Engine.h
@@ -107,6 +107,9 @@
     };
 
     void generate(const http::ServerExchangePtr &exchange, bool chat);
+    void refuseGeneration(const http::ServerExchangePtr &exchange);
+    /// Adds to a response for a generation that the engine is leaving, if it is to say so.
+    void addStatement(http::ResponseHeader &header) const;
     void admit();
     void armStep();
     void step();
@@ -159,6 +162,10 @@
     bool frozen_ = false;
     bool leaving_ = false;
     bool refusing_ = false;
+    /// Requests are refused until then, with the time that is left.
+    Clock::time_point refusesUntil_;
+    /// The engine goes on serving and says in its responses, and nowhere else, that it is leaving.
+    bool statesLeaving_ = false;
     /// The process exits when it generates a token for a prompt that contains this text; empty
     /// disables the fault.
     std::string crashMarker_;
--- a/test/Support/Engine/EngineMessages.cpp
+++ b/test/Support/Engine/EngineMessages.cpp
@@ -17,11 +17,16 @@
     exchange->respond(http::makeJsonResponse(status, json::serialize(body)));
 }
 
-void refuse(const ServerExchangePtr &exchange, Status status, std::string detail)
+http::Response makeRefusal(Status status, std::string detail)
 {
     http::Response response = http::makeProblemResponse({.status = status, .title = "refused", .detail = std::move(detail)});
     response.set(http::header::notRun, "1");
-    exchange->respond(std::move(response));
+    return response;
+}
+
+void refuse(const ServerExchangePtr &exchange, Status status, std::string detail)
+{
+    exchange->respond(makeRefusal(status, std::move(detail)));
 }
 
 std::uint64_t parseNumber(std::string_view text, std::uint64_t fallback)
--- a/test/Support/Engine/EngineMessages.h
+++ b/test/Support/Engine/EngineMessages.h
@@ -19,7 +19,9 @@
 
 /// Responds with the JSON value.
 void respondJson(const http::ServerExchangePtr &exchange, const json::value &body, http::Status status = http::Status::ok);
-/// Responds with a problem document that says that the request was not run.
+/// Returns a problem document that says that the request was not run.
+http::Response makeRefusal(http::Status status, std::string detail);
+/// Responds with such a problem document.
 void refuse(const http::ServerExchangePtr &exchange, http::Status status, std::string detail);
 /// Returns the number at the beginning of the text, or the fallback if there is none.
 std::uint64_t parseNumber(std::string_view text, std::uint64_t fallback = 0);
--- a/test/Support/Engine/EnginePages.cpp
+++ b/test/Support/Engine/EnginePages.cpp
@@ -166,6 +166,10 @@
     readBoolMember(body, "frozen", frozen_);
     readBoolMember(body, "leaving", leaving_);
     readBoolMember(body, "refuse", refusing_);
+    readBoolMember(body, "statesLeaving", statesLeaving_);
+    if (body.contains("refuseForMs")) {
+        refusesUntil_ = Clock::now() + std::chrono::milliseconds(numberMember(body, "refuseForMs"));
+    }
     respondJson(exchange, state());
     if (!frozen_) {
         for (const ServerExchangePtr &held : std::exchange(heldWhileFrozen_, {})) {
