policy: a module for rejections

No change of behaviour. Policy/Rejections decides that now, and returns the rejection whole, so that submit no longer asks twice whether a request is quarantined; one loop serves the three that looked through the waiting requests. Policy/WaitingRequests makes the queue's entries.

--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -12,15 +12,15 @@
 #include "mulberrywall/Policy/PeerLoads.h"
 #include "mulberrywall/Policy/PolicyFunctions.h"
 #include "mulberrywall/Policy/Pool.h"
-#include "mulberrywall/Policy/PrefillAdmission.h"
 #include "mulberrywall/Policy/PromptCache.h"
 #include "mulberrywall/Policy/PromptPlacement.h"
+#include "mulberrywall/Policy/Rejections.h"
 #include "mulberrywall/Policy/Scheduling.h"
 #include "mulberrywall/Policy/SegmentQuarantine.h"
 #include "mulberrywall/Policy/SlowEndpoints.h"
+#include "mulberrywall/Policy/WaitingRequests.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -30,8 +30,6 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds defaultRetryAfter {1'000};
-
 Pool &asPool(void *pool)
 {
     return *static_cast<Pool *>(pool);
@@ -57,11 +55,6 @@
     return pool;
 }
 
-void reject(Decisions &decisions, PermitId permit, RejectionReason reason, std::chrono::milliseconds retryAfter = defaultRetryAfter)
-{
-    decisions.rejections.push_back({.permit = permit, .reason = reason, .retryAfter = retryAfter});
-}
-
 void configure(void *handle, const PoolOptions &options)
 {
     Pool &pool = asPool(handle);
@@ -89,122 +82,12 @@
     return pool;
 }
 
-SchedulingGroup schedulingGroupOf(const Pool &pool, const Submission &submission, double work, TimePoint now)
-{
-    if (attributedCrashes(pool, submission.fingerprint, now) > 0 || isSegmentTrial(pool, submission)) {
-        return SchedulingGroup::Quarantined;
-    }
-    if (submission.purpose == AttemptPurpose::Resume) {
-        return SchedulingGroup::Resume;
-    }
-    return isExpectedLong(pool, work) ? SchedulingGroup::Long : SchedulingGroup::Normal;
-}
-
-WaitingRequest makeWaiting(const Pool &pool, const Submission &submission, const ClassSpec &spec, TimePoint now)
-{
-    const double work = estimatedWork(pool.lengths, submission, pool.options.tuning.length);
-    return {.submission = submission,
-        .tier = spec.tier,
-        .group = schedulingGroupOf(pool, submission, work, now),
-        .submittedAt = now,
-        .targetAt = now + spec.firstTokenTarget,
-        .overdueAt = now + spec.maximumWait,
-        .work = work};
-}
-
-/// Returns the remaining time of the quarantine for which the request is rejected, or std::nullopt if it is not.
-std::optional<std::chrono::milliseconds> quarantineOf(const Pool &pool, const Submission &submission, TimePoint now)
-{
-    if (isRejectedForCrashes(pool, submission.fingerprint, now)) {
-        return remainingQuarantine(pool, submission.fingerprint, now);
-    }
-    if (const auto segment = rejectingSegment(pool, submission, now)) {
-        return remainingSegmentQuarantine(pool, *segment, now);
-    }
-    return std::nullopt;
-}
-
-/// Rejects or regroups the waiting requests after a change of the quarantine, and cancels running ones that it concerns.
-void applyQuarantineChanges(Pool &pool, TimePoint now, Decisions &decisions)
-{
-    if (!pool.quarantine.changed) {
-        return;
-    }
-    pool.quarantine.changed = false;
-    const auto &changes = pool.segments.changes;
-    if (std::any_of(changes.begin(), changes.end(), [](const SegmentChange &change) { return change.isQuarantined; })) {
-        cancelQuarantinedSegments(pool, now, decisions);
-    }
-    std::move(pool.segments.changes.begin(), pool.segments.changes.end(), std::back_inserter(decisions.segmentChanges));
-    pool.segments.changes.clear();
-    std::vector<PermitId> waiting;
-    for (const auto &[permit, request] : pool.queue.requests) {
-        waiting.push_back(permit);
-    }
-    std::sort(waiting.begin(), waiting.end());
-    for (const PermitId permit : waiting) {
-        const WaitingRequest &request = pool.queue.requests.at(permit);
-        if (const auto retryAfter = quarantineOf(pool, request.submission, now)) {
-            removeWaiting(pool.queue, permit);
-            reject(decisions, permit, RejectionReason::Quarantined, *retryAfter);
-            continue;
-        }
-        changeSchedulingGroup(pool.queue, permit, schedulingGroupOf(pool, request.submission, request.work, now));
-    }
-}
-
 void scheduleAll(Pool &pool, TimePoint now, Decisions &decisions)
 {
     applyQuarantineChanges(pool, now, decisions);
     schedule(pool, now, decisions);
 }
 
-/// Returns the reason to reject the submission without queueing it, or std::nullopt if it may be queued.
-std::optional<RejectionReason> immediateRejection(Pool &pool, const Submission &submission, TimePoint now)
-{
-    const ClassState *requestClass = findClass(pool, submission.requestClass);
-    if (requestClass == nullptr) {
-        return RejectionReason::UnknownClass;
-    }
-    if (submission.deadline <= now) {
-        return RejectionReason::DeadlineExpired;
-    }
-    if (quarantineOf(pool, submission, now)) {
-        return RejectionReason::Quarantined;
-    }
-    if (!hasUsableEndpoint(pool, submission)) {
-        return RejectionReason::NoEndpoint;
-    }
-    if (submission.purpose == AttemptPurpose::Hedge) {
-        const WaitingRequest attempt = makeWaiting(pool, submission, requestClass->spec, now);
-        if (!mayHedge(pool, *requestClass, attempt, now) || selectEndpoint(pool, attempt, now) == nullptr) {
-            return RejectionReason::HedgeDenied;
-        }
-    }
-    return std::nullopt;
-}
-
-void rejectIfUnreachable(Pool &pool, PermitId permit, TimePoint now, Decisions &decisions)
-{
-    const auto waiting = pool.queue.requests.find(permit);
-    if (waiting == pool.queue.requests.end()) {
-        return;
-    }
-    if (const auto retryAfter = unreachableTarget(pool, waiting->second, now)) {
-        removeWaiting(pool.queue, permit);
-        reject(decisions, permit, RejectionReason::TargetUnreachable, *retryAfter);
-    }
-}
-
-void shedExcessRequests(Pool &pool, TimePoint now, Decisions &decisions)
-{
-    while (pool.queue.requests.size() > pool.options.queueLimit) {
-        const PermitId shedPermit = *sheddingCandidate(pool.queue);
-        removeWaiting(pool.queue, shedPermit);
-        reject(decisions, shedPermit, RejectionReason::Shed, retryDelay(pool, now));
-    }
-}
-
 void accountHedging(Pool &pool, ClassState &requestClass, AttemptPurpose purpose)
 {
     switch (purpose) {
@@ -225,19 +108,9 @@
 {
     Pool &pool = beginCommand(handle, now);
     Decisions decisions;
-    if (const auto reason = immediateRejection(pool, submission, now)) {
-        pool.statistics.hedgesDenied += *reason == RejectionReason::HedgeDenied ? 1 : 0;
-        reject(decisions, submission.permit, *reason, quarantineOf(pool, submission, now).value_or(defaultRetryAfter));
-        scheduleAll(pool, now, decisions);
-        return decisions;
-    }
-    if (const auto retryAfter = rejectForRefusal(pool, submission, now)) {
-        reject(decisions, submission.permit, RejectionReason::TargetUnreachable, *retryAfter);
-        scheduleAll(pool, now, decisions);
-        return decisions;
-    }
-    if (const auto retryAfter = rejectForPrefillBacklog(pool, submission, now)) {
-        reject(decisions, submission.permit, RejectionReason::TargetUnreachable, *retryAfter);
+    if (const auto rejection = rejectionOnArrival(pool, submission, now)) {
+        pool.statistics.hedgesDenied += rejection->reason == RejectionReason::HedgeDenied ? 1 : 0;
+        decisions.rejections.push_back(*rejection);
         scheduleAll(pool, now, decisions);
         return decisions;
     }
@@ -319,22 +192,6 @@
     }
 }
 
-/// Rejects the waiting requests that no endpoint accepts soon enough.
-void rejectRefused(Pool &pool, TimePoint now, Decisions &decisions)
-{
-    std::vector<std::pair<PermitId, std::chrono::milliseconds>> refused;
-    for (const auto &[permit, request] : pool.queue.requests) {
-        if (const auto retryAfter = rejectForRefusal(pool, request.submission, now)) {
-            refused.emplace_back(permit, *retryAfter);
-        }
-    }
-    std::sort(refused.begin(), refused.end());
-    for (const auto &[permit, retryAfter] : refused) {
-        removeWaiting(pool.queue, permit);
-        reject(decisions, permit, RejectionReason::TargetUnreachable, retryAfter);
-    }
-}
-
 Decisions complete(void *handle, PermitId permit, const Completion &completion, TimePoint now)
 {
     Pool &pool = beginCommand(handle, now);
@@ -357,21 +214,6 @@
     return decisions;
 }
 
-void rejectWithoutEndpoint(Pool &pool, Decisions &decisions)
-{
-    std::vector<PermitId> unservable;
-    for (const auto &[permit, request] : pool.queue.requests) {
-        if (!hasUsableEndpoint(pool, request.submission)) {
-            unservable.push_back(permit);
-        }
-    }
-    std::sort(unservable.begin(), unservable.end());
-    for (const PermitId permit : unservable) {
-        removeWaiting(pool.queue, permit);
-        reject(decisions, permit, RejectionReason::NoEndpoint);
-    }
-}
-
 Decisions setEndpoints(void *handle, std::span<const EndpointSpec> endpoints, TimePoint now)
 {
     Pool &pool = beginCommand(handle, now);
