--- a/include/mulberrywall/Router/CallerRequest.h
+++ b/include/mulberrywall/Router/CallerRequest.h
@@ -81,6 +81,9 @@
 /// Returns hashes of the segments that other requests may share, by which these are recognised.
 std::vector<policy::Fingerprint> segmentFingerprints(const CallerRequest &request);
 
+/// Returns the ids of these segments for a log line: the first eight, whose length must not dominate the line.
+std::string segmentsForLog(const CallerRequest &request);
+
 /// Returns the SHA-256 of a bearer key in lower-case hexadecimal, as the configuration stores it.
 std::string hashKey(std::string_view key);
 
--- a/include/mulberrywall/Router/CallerSession.h
+++ b/include/mulberrywall/Router/CallerSession.h
@@ -46,6 +46,9 @@
     static constexpr std::string_view completedResult = "completed";
     static constexpr std::string_view callerGoneResult = "caller-gone";
 
+    /// Retry-After value for a request that endpoints refused or that reached none, after which they may have capacity again.
+    static constexpr std::chrono::milliseconds endpointRefusalRetryAfter {500};
+
     void armDeadline();
     void onDeadline();
     void onReservationResult(const backingservices::ReservationResult &result);
@@ -80,7 +83,11 @@
     void continueAfterFailure(const AttemptPtr &attempt, AttemptResult attemptResult);
     [[nodiscard]] std::vector<support::EndpointId> excludedEndpoints(policy::AttemptPurpose purpose) const;
     void failStream(const http::Problem &problem);
+    /// Returns the status of a request that ends without a response of an endpoint. 503 tells the caller that it has not run: if an
+    /// earlier attempt may have run, the request has failed and is not merely rejected.
+    [[nodiscard]] http::Status statusWithoutResponse() const;
     [[nodiscard]] http::Status expiredStatus() const;
+    [[nodiscard]] http::Problem makeRejectionProblem(const permits::PermitRejection &rejection) const;
     [[nodiscard]] bool canResume(const AttemptPtr &attempt) const;
     void complete(AttemptResult attemptResult);
     void fail(http::Problem problem, std::chrono::milliseconds retryAfter = {});
--- a/lib/Router/CallerRequest.cpp
+++ b/lib/Router/CallerRequest.cpp
@@ -11,6 +11,7 @@
 #include <array>
 #include <charconv>
 #include <optional>
+#include <span>
 
 namespace mulberrywall::router
 {
@@ -230,6 +231,17 @@
     return result;
 }
 
+std::string segmentsForLog(const CallerRequest &request)
+{
+    constexpr std::size_t maxLoggedSegments = 8;
+    const std::span<const std::string> segments = request.sharedSegments;
+    std::string text;
+    for (const std::string &segment : segments.first(std::min(segments.size(), maxLoggedSegments))) {
+        text += (text.empty() ? "" : ",") + segment;
+    }
+    return segments.size() > maxLoggedSegments ? text + ",..." : text;
+}
+
 std::variant<CallerRequest, http::Problem> parseCallerRequest(
     const http::Request &request, const configuration::SiteConfiguration &configuration, policy::TimePoint now)
 {
