tests: one fixture for a router on the platform

BrokenStreamTest and EndpointStatementTest had it twice. It ends the workers in TearDown, before the members of the derived fixture are destroyed.

--- a/unittests/Adapter/BrokenStreamTest.cpp
+++ b/unittests/Adapter/BrokenStreamTest.cpp
@@ -1,5 +1,5 @@
 #include "RawEndpoint.h"
-#include "ScriptedEndpoint.h"
+#include "RouterTestBase.h"
 
 #include <boost/asio/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -13,15 +13,9 @@
 {
 
 /// A router with two endpoints of one resumable stream route, a stream route that must not be repeated, and a call route.
-class BrokenStreamTest : public testing::Test
+class BrokenStreamTest : public RouterTestBase
 {
 protected:
-    ~BrokenStreamTest() override
-    {
-        workers_.stop();
-        workers_.join();
-    }
-
     void addRoute(const std::string &prefix, configuration::Idempotency idempotency, bool streams)
     {
         configuration::Route &route = platform::addRoute(site_, prefix, idempotency);
@@ -29,25 +23,12 @@
         route.resumable = streams && idempotency == configuration::Idempotency::Idempotent;
     }
 
-    void addEndpoint(std::uint16_t port)
-    {
-        site_.endpoints.push_back({.id = support::EndpointId("e" + std::to_string(site_.endpoints.size())),
-            .address = "127.0.0.1",
-            .port = port,
-            .pools = {support::PoolId("p")},
-            .maximumConcurrency = 8});
-    }
-
     void start()
     {
         addRoute("/resumable/", configuration::Idempotency::Idempotent, true);
         addRoute("/stream/", configuration::Idempotency::NonIdempotent, true);
         addRoute("/call/", configuration::Idempotency::NonIdempotent, false);
-        site_.pools.push_back({.id = support::PoolId("p"), .kind = configuration::PoolKind::PlainService});
-        site_.revision = 1;
-        service_ = std::make_unique<router::RouterService>(workers_.context(), makeRouterOptions("router"), policy::standardPolicy());
-        service_->configure(site_);
-        service_->start();
+        startRouter();
     }
 
     http::BufferedResponse send(const std::string &target)
@@ -78,14 +59,11 @@
     {
         rawEndpoint_
             = std::make_unique<RawEndpoint>(workers_, [bytes, then](const std::string &) { return std::vector<Write> {{.bytes = bytes, .then = then}}; });
-        addEndpoint(rawEndpoint_->port());
+        addEndpoint("raw", rawEndpoint_->port());
         return send(target);
     }
 
-    support::WorkerPool workers_ {2};
-    configuration::SiteConfiguration site_;
     std::unique_ptr<RawEndpoint> rawEndpoint_;
-    std::unique_ptr<router::RouterService> service_;
 };
 
 static const std::string firstEvents = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
@@ -129,8 +107,8 @@
     };
     const ScriptedEndpoint first(workers_, script);
     const ScriptedEndpoint second(workers_, script);
-    addEndpoint(first.port());
-    addEndpoint(second.port());
+    addEndpoint("first", first.port());
+    addEndpoint("second", second.port());
     const std::string bytes = sendAndReadBytes("/resumable/");
     EXPECT_EQ(resumes, 1U);
     const std::size_t events = bytes.find(firstEvents);
--- a/unittests/Adapter/EndpointStatementTest.cpp
+++ b/unittests/Adapter/EndpointStatementTest.cpp
@@ -1,6 +1,4 @@
-#include "ScriptedEndpoint.h"
-
-#include <gtest/gtest.h>
+#include "RouterTestBase.h"
 
 #include <atomic>
 #include <charconv>
@@ -13,15 +11,9 @@
 using std::chrono::steady_clock;
 
 /// A router with two endpoints. The first one adds what it states about itself to each of its responses.
-class EndpointStatementTest : public testing::Test
+class EndpointStatementTest : public RouterTestBase
 {
 protected:
-    ~EndpointStatementTest() override
-    {
-        workers_.stop();
-        workers_.join();
-    }
-
     void addRoute(const std::string &prefix, configuration::Idempotency idempotency, bool streams)
     {
         configuration::Route &route = platform::addRoute(site_, prefix, idempotency);
@@ -33,12 +25,7 @@
 
     void addEndpoint(const std::string &id, const ScriptedEndpoint &endpoint, std::int64_t incarnation = 1)
     {
-        site_.endpoints.push_back({.id = support::EndpointId(id),
-            .address = "127.0.0.1",
-            .port = endpoint.port(),
-            .pools = {support::PoolId("p")},
-            .maximumConcurrency = 4,
-            .incarnation = incarnation});
+        RouterTestBase::addEndpoint(id, endpoint.port()).incarnation = incarnation;
     }
 
     void start()
@@ -46,11 +33,7 @@
         addRoute("/safe/", configuration::Idempotency::Idempotent, false);
         addRoute("/unsafe/", configuration::Idempotency::NonIdempotent, false);
         addRoute("/stream/", configuration::Idempotency::Idempotent, true);
-        site_.pools.push_back({.id = support::PoolId("p"), .kind = configuration::PoolKind::PlainService});
-        site_.revision = 1;
-        service_ = std::make_unique<router::RouterService>(workers_.context(), makeRouterOptions("router"), policy::standardPolicy());
-        service_->configure(site_);
-        service_->start();
+        startRouter();
     }
 
     http::BufferedResponse send(const std::string &target)
@@ -92,7 +75,6 @@
         EXPECT_EQ(first_.requests().size(), before);
     }
 
-    support::WorkerPool workers_ {2};
     std::vector<std::pair<std::string, std::string>> statement_;
     std::atomic<http::Status> firstStatus_ = http::Status::ok;
     http::ServerExchangePtr held_;
@@ -102,8 +84,6 @@
     ScriptedEndpoint second_ {workers_, [](const http::ServerExchangePtr &exchange) {
                                   answer(exchange, http::Status::ok, "id: 1\ndata: token\n\n");
                               }};
-    configuration::SiteConfiguration site_;
-    std::unique_ptr<router::RouterService> service_;
     unsigned sent_ = 0;
 };
 
--- /dev/null
+++ b/unittests/Adapter/RouterTestBase.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "ScriptedEndpoint.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace mulberrywall::platform
+{
+
+/// A router on the platform with one pool "p" of plain services, whose routes and endpoints the test adds before the start.
+class RouterTestBase : public testing::Test
+{
+protected:
+    /// Ends the workers before the endpoints of the test, which they call, are destroyed.
+    void TearDown() override
+    {
+        workers_.stop();
+        workers_.join();
+    }
+
+    configuration::Endpoint &addEndpoint(const std::string &id, std::uint16_t port)
+    {
+        return site_.endpoints.emplace_back(configuration::Endpoint {
+            .id = support::EndpointId(id), .address = "127.0.0.1", .port = port, .pools = {support::PoolId("p")}, .maximumConcurrency = 8});
+    }
+
+    void startRouter()
+    {
+        site_.pools.push_back({.id = support::PoolId("p"), .kind = configuration::PoolKind::PlainService});
+        site_.revision = 1;
+        service_ = std::make_unique<router::RouterService>(workers_.context(), makeRouterOptions("router"), policy::standardPolicy());
+        service_->configure(site_);
+        service_->start();
+    }
+
+    support::WorkerPool workers_ {2};
+    configuration::SiteConfiguration site_;
+    std::unique_ptr<router::RouterService> service_;
+};
+
+} // namespace mulberrywall::platform
