router: keep quarantined prompt segments in the store

Callers and engines: when all routers lose power while requests with a deadly prompt segment keep coming, the routers begin anew, and the segment crashes four engines more (three until it is quarantined again, and the next trial). Spread over some seconds, that alone is more than the three requests that the rule allows after the fifth crash.

Cause: the evidence is in the routers' memory only. They tell each other, so that it survives any of them, but not all of them. On the platform nothing else may hold what must last but its store.

Router/SegmentArchive writes a row for a segment when this router has seen the latest crash on it, again after each further crash, until the store has acknowledged it, and removes its own row when the quarantine ends, also that of the process before. The key differs by router, so that none overwrites or removes the row of another one. Ages grow while a row is stored, by the time of day; it is compared with ten minutes, and differs by seconds. Rows that cannot be read are logged and skipped.

CrashingSegmentTest.QuarantineOutlastsARestartOfAllRouters fails when the rows are not loaded: three more crashes.

--- a/include/mulberrywall/Permits/OwnedPool.h
+++ b/include/mulberrywall/Permits/OwnedPool.h
@@ -74,6 +74,7 @@
     [[nodiscard]] std::vector<policy::LostEndpoint> lostEndpoints(policy::LossSource farthest) const;
     /// Returns the evidence about prompt segments to send to other routers.
     [[nodiscard]] std::vector<policy::SegmentEvidence> segmentEvidence() const;
+    [[nodiscard]] std::vector<policy::QuarantinedSegment> quarantinedSegments() const;
     [[nodiscard]] policy::PoolStatistics statistics() const;
     [[nodiscard]] OwnershipState ownership() const;
     [[nodiscard]] policy::PoolSummary summarize() const;
--- a/include/mulberrywall/Policy/PolicyFunctions.h
+++ b/include/mulberrywall/Policy/PolicyFunctions.h
@@ -62,6 +62,8 @@
     std::vector<LostEndpoint> (*lostEndpoints)(const void *pool, LossSource farthest, TimePoint now);
     /// Returns the evidence about prompt segments to send to other routers.
     std::vector<SegmentEvidence> (*segmentEvidence)(const void *pool, TimePoint now);
+    /// Returns the quarantined prompt segments, ordered by their hash.
+    std::vector<QuarantinedSegment> (*quarantinedSegments)(const void *pool, TimePoint now);
     /// Returns the quarantined requests to report to other owners, ordered by fingerprint.
     std::vector<QuarantineEntry> (*quarantineEntries)(const void *pool);
     /// Returns the delay after dispatch from which a hedged attempt of the class pays off, or std::nullopt if hedging is
--- a/include/mulberrywall/Policy/SegmentQuarantine.h
+++ b/include/mulberrywall/Policy/SegmentQuarantine.h
@@ -47,6 +47,9 @@
 /// Returns the evidence to pass on: that of quarantined segments and all that is new.
 std::vector<SegmentEvidence> segmentEvidence(const Pool &pool, TimePoint now);
 
+/// Returns the quarantined segments with the evidence, ordered by their hash.
+std::vector<QuarantinedSegment> listQuarantinedSegments(const Pool &pool, TimePoint now);
+
 /// Cancels the running requests without output that have a quarantined segment, except trials.
 void cancelQuarantinedSegments(const Pool &pool, TimePoint now, Decisions &decisions);
 
--- a/include/mulberrywall/Policy/Types.h
+++ b/include/mulberrywall/Policy/Types.h
@@ -239,6 +239,14 @@
     friend bool operator==(const SegmentEvidence &, const SegmentEvidence &) = default;
 };
 
+/// A prompt segment that a router has quarantined.
+struct QuarantinedSegment
+{
+    SegmentEvidence evidence;
+    /// True if the router itself saw the latest crash, so that it is one of few.
+    bool sawLatestCrash = false;
+};
+
 /// Where a router knows a loss from, closest first. Each router passes on only what it knows from closer by, so that a loss
 /// does not circulate between routers.
 enum class LossSource : std::uint8_t {
--- a/lib/Permits/OwnedPool.cpp
+++ b/lib/Permits/OwnedPool.cpp
@@ -231,6 +231,12 @@
     return functions_.segmentEvidence(pool_.get(), now());
 }
 
+std::vector<policy::QuarantinedSegment> OwnedPool::quarantinedSegments() const
+{
+    const std::scoped_lock lock(mutex_);
+    return functions_.quarantinedSegments(pool_.get(), now());
+}
+
 policy::PoolStatistics OwnedPool::statistics() const
 {
     const std::scoped_lock lock(mutex_);
--- a/lib/Policy/SegmentQuarantine.cpp
+++ b/lib/Policy/SegmentQuarantine.cpp
@@ -261,6 +261,18 @@
     return std::max(std::chrono::milliseconds(0), std::chrono::ceil<std::chrono::milliseconds>(now - time));
 }
 
+SegmentEvidence evidenceOf(Fingerprint segment, const SegmentState &state, TimePoint now)
+{
+    SegmentEvidence evidence {.segment = segment, .position = state.position};
+    if (state.outputAt) {
+        evidence.outputAge = ageOf(*state.outputAt, now);
+    }
+    for (const SegmentCrashRecord &crash : state.crashes) {
+        evidence.crashes.push_back({.id = crash.id, .age = ageOf(crash.at, now)});
+    }
+    return evidence;
+}
+
 bool mustReport(const Pool &pool, const SegmentState &state, TimePoint now)
 {
     return state.isQuarantined || (state.changedAt && now - *state.changedAt <= tuningOf(pool).reportLifetime);
@@ -405,14 +417,22 @@
     reported.resize(std::min(reported.size(), tuningOf(pool).maximumReported));
     std::vector<SegmentEvidence> result;
     for (const auto &[segment, state] : reported) {
-        SegmentEvidence &evidence = result.emplace_back(SegmentEvidence {.segment = segment, .position = state->position});
-        if (state->outputAt) {
-            evidence.outputAge = ageOf(*state->outputAt, now);
-        }
-        for (const SegmentCrashRecord &crash : state->crashes) {
-            evidence.crashes.push_back({.id = crash.id, .age = ageOf(crash.at, now)});
+        result.push_back(evidenceOf(segment, *state, now));
+    }
+    return result;
+}
+
+std::vector<QuarantinedSegment> listQuarantinedSegments(const Pool &pool, TimePoint now)
+{
+    std::vector<QuarantinedSegment> result;
+    for (const auto &[segment, state] : pool.segments.states) {
+        if (state.isQuarantined && !isExpired(pool, state, now)) {
+            result.push_back({.evidence = evidenceOf(segment, state, now), .sawLatestCrash = state.sawLatestCrash});
         }
     }
+    std::sort(result.begin(), result.end(), [](const QuarantinedSegment &left, const QuarantinedSegment &right) {
+        return left.evidence.segment < right.evidence.segment;
+    });
     return result;
 }
 
--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -297,6 +297,11 @@
     return segmentEvidence(asPool(handle), now);
 }
 
+std::vector<QuarantinedSegment> quarantinedSegmentList(const void *handle, TimePoint now)
+{
+    return listQuarantinedSegments(asPool(handle), now);
+}
+
 PeerSummary summarizeLoadForPeers(const void *handle, SummaryScope scope, TimePoint now)
 {
     return summarizeLoad(asPool(handle), scope, now);
@@ -404,6 +409,7 @@
     .summarizeLoad = summarizeLoadForPeers,
     .lostEndpoints = lostEndpoints,
     .segmentEvidence = segmentsToReport,
+    .quarantinedSegments = quarantinedSegmentList,
     .quarantineEntries = quarantineEntries,
     .hedgeDelay = hedgeDelay,
     .endpointStatus = endpointStatus,
--- /dev/null
+++ b/lib/Router/SegmentArchive.cpp
@@ -0,0 +1,170 @@
+#include "mulberrywall/Router/SegmentArchive.h"
+
+#include "mulberrywall/Support/Log.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+
+namespace mulberrywall::router
+{
+
+/// Crashes are seconds apart, and a row that is stored later than this after a crash is seldom missed.
+static constexpr std::chrono::milliseconds compareInterval {500};
+/// A pool that does not exist this long after the start of the router is no longer configured.
+static constexpr std::chrono::minutes loadedLifetime {1};
+
+SegmentArchive::SegmentArchive(boost::asio::io_context &context, permits::PoolTable &pools, support::InstanceId instance, RowStore store)
+    : pools_(pools),
+      instance_(std::move(instance)),
+      store_(std::move(store)),
+      strand_(boost::asio::make_strand(context)),
+      timer_(strand_)
+{
+}
+
+void SegmentArchive::start()
+{
+    boost::asio::post(strand_, [self = shared_from_this()] { self->compareWithStore(); });
+}
+
+void SegmentArchive::stop()
+{
+    boost::asio::post(strand_, [self = shared_from_this()] {
+        self->stopped_ = true;
+        self->timer_.cancel();
+    });
+}
+
+void SegmentArchive::load(std::span<const TableRow> rows)
+{
+    std::vector<TableRow> segmentRows;
+    std::copy_if(rows.begin(), rows.end(), std::back_inserter(segmentRows), [](const TableRow &row) { return isSegmentRowKey(row.key) && !row.deleted; });
+    if (segmentRows.empty()) {
+        return;
+    }
+    boost::asio::post(strand_, [self = shared_from_this(), segmentRows = std::move(segmentRows)] {
+        for (const TableRow &row : segmentRows) {
+            self->loadRow(row);
+        }
+        self->recordPending();
+    });
+}
+
+void SegmentArchive::recordLoaded()
+{
+    boost::asio::dispatch(strand_, [self = shared_from_this()] { self->recordPending(); });
+}
+
+void SegmentArchive::loadRow(const TableRow &row)
+{
+    auto segment = parseSegmentRow(row.value, std::chrono::system_clock::now());
+    if (!segment) {
+        support::log(support::Severity::Warning, "ignored a stored prompt segment that cannot be read", {{"key", row.key}});
+        return;
+    }
+    if (segment->writer == instance_) {
+        // Removes the row when the quarantine ends, as the process before would have done.
+        ownRows_.try_emplace(row.key, OwnRow {});
+    }
+    loaded_.push_back({.segment = std::move(*segment), .loadedAt = std::chrono::steady_clock::now()});
+}
+
+void SegmentArchive::recordPending()
+{
+    const auto pools = pools_.pools();
+    const auto now = std::chrono::steady_clock::now();
+    std::erase_if(loaded_, [&](const LoadedSegment &loaded) {
+        const auto pool = pools.find(loaded.segment.pool);
+        if (pool == pools.end()) {
+            return now - loaded.loadedAt > loadedLifetime;
+        }
+        policy::SegmentEvidence evidence = loaded.segment.evidence;
+        const auto waited = std::chrono::ceil<std::chrono::milliseconds>(now - loaded.loadedAt);
+        for (policy::SegmentCrash &crash : evidence.crashes) {
+            crash.age += waited;
+        }
+        if (evidence.outputAge) {
+            *evidence.outputAge += waited;
+        }
+        pool->second->recordSegmentEvidence({&evidence, 1});
+        return true;
+    });
+}
+
+static std::uint64_t latestCrashOf(const policy::SegmentEvidence &evidence)
+{
+    return evidence.crashes.empty() ? 0 : evidence.crashes.back().id;
+}
+
+void SegmentArchive::compareWithStore()
+{
+    if (stopped_) {
+        return;
+    }
+    std::set<std::string> quarantined;
+    for (const auto &[id, pool] : pools_.pools()) {
+        for (policy::QuarantinedSegment &found : pool->quarantinedSegments()) {
+            const StoredSegment segment {.pool = id, .writer = instance_, .evidence = std::move(found.evidence)};
+            const std::string key = segmentRowKey(segment);
+            quarantined.insert(key);
+            const auto stored = ownRows_.find(key);
+            const bool isStored = stored != ownRows_.end() && (stored->second.isPending || stored->second.latestCrash == latestCrashOf(segment.evidence));
+            if (found.sawLatestCrash && !isStored) {
+                put(key, segment);
+            }
+        }
+    }
+    std::vector<std::string> obsolete;
+    for (const auto &[key, row] : ownRows_) {
+        if (!row.isPending && loaded_.empty() && !quarantined.contains(key)) {
+            obsolete.push_back(key);
+        }
+    }
+    for (const std::string &key : obsolete) {
+        remove(key);
+    }
+    timer_.expires_after(compareInterval);
+    timer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self) {
+            self->compareWithStore();
+        }
+    });
+}
+
+void SegmentArchive::put(const std::string &key, const StoredSegment &segment)
+{
+    ownRows_[key].isPending = true;
+    store_.put(key,
+        renderSegmentRow(segment, std::chrono::system_clock::now()),
+        [weak = weak_from_this(), strand = strand_, key, latestCrash = latestCrashOf(segment.evidence)](bool isStored) {
+            boost::asio::post(strand, [weak, key, latestCrash, isStored] {
+                if (const auto self = weak.lock()) {
+                    // A row whose writing failed is written again by the next comparison.
+                    self->ownRows_[key] = {.latestCrash = isStored ? latestCrash : 0};
+                }
+            });
+        });
+}
+
+void SegmentArchive::remove(const std::string &key)
+{
+    ownRows_[key].isPending = true;
+    store_.remove(key, [weak = weak_from_this(), strand = strand_, key](bool isRemoved) {
+        boost::asio::post(strand, [weak, key, isRemoved] {
+            const auto self = weak.lock();
+            if (self && isRemoved) {
+                self->ownRows_.erase(key);
+            } else if (self) {
+                self->ownRows_[key].isPending = false;
+            }
+        });
+    });
+}
+
+} // namespace mulberrywall::router
--- a/test/Support/Naive/NaivePolicy.cpp
+++ b/test/Support/Naive/NaivePolicy.cpp
@@ -270,6 +270,11 @@
     return {};
 }
 
+std::vector<QuarantinedSegment> quarantinedSegments(const void * /*handle*/, TimePoint /*now*/)
+{
+    return {};
+}
+
 Decisions recordPeerSummary(void * /*handle*/, const ReceivedSummary & /*received*/, TimePoint /*now*/)
 {
     return {};
@@ -334,6 +339,7 @@
     .summarizeLoad = summarizeLoad,
     .lostEndpoints = lostEndpoints,
     .segmentEvidence = segmentEvidence,
+    .quarantinedSegments = quarantinedSegments,
     .quarantineEntries = quarantineEntries,
     .hedgeDelay = hedgeDelay,
     .endpointStatus = endpointStatus,
--- a/tools/mulberrywall-router/NodeProgram.cpp
+++ b/tools/mulberrywall-router/NodeProgram.cpp
@@ -10,6 +10,7 @@
 
 #include "mulberrywall/Router/LoadPeerGroup.h"
 #include "mulberrywall/Router/RouterService.h"
+#include "mulberrywall/Router/SegmentArchive.h"
 #include "mulberrywall/Router/StoreWatcher.h"
 #include "mulberrywall/Support/Log.h"
 #include "mulberrywall/Support/Settings.h"
@@ -145,9 +146,13 @@
     return options;
 }
 
-StoreWatcherHandlers makeStoreWatcherHandlers(RouterService &service)
+StoreWatcherHandlers makeStoreWatcherHandlers(RouterService &service, const std::shared_ptr<SegmentArchive> &segments)
 {
-    return {.configurationChanged = [&service](configuration::SiteConfiguration configuration) { service.configure(std::move(configuration)); },
+    return {.configurationChanged =
+                [&service, segments](configuration::SiteConfiguration configuration) {
+                    service.configure(std::move(configuration));
+                    segments->recordLoaded();
+                },
         .configurationConfirmed = [&service](support::BootClock::time_point confirmedAt) { service.renewConfiguration(confirmedAt); },
         .endpointsChanged =
             [&service](const std::vector<configuration::Endpoint> &endpoints) {
@@ -171,19 +176,45 @@
     return secret;
 }
 
-SecretStore makeSecretStore(const std::shared_ptr<platform::StoreClient> &client)
+/// Reads the rows of the routers' table into the archive.
+void loadSegments(const std::shared_ptr<platform::StoreClient> &client, const std::shared_ptr<SegmentArchive> &segments)
+{
+    client->readTable(routerTable, [segments](const TableResult &table) { segments->load(table.rows); });
+}
+
+/// Returns a store whose responses also load the archive, whose rows are in the same table.
+SecretStore makeSecretStore(const std::shared_ptr<platform::StoreClient> &client, const std::shared_ptr<SegmentArchive> &segments)
 {
     return {.read =
-                [client](StoredSecretHandler handler) {
-                    client->readTable(routerTable, [handler = std::move(handler)](TableResult table) { handler(findSecret(std::move(table))); });
+                [client, segments](StoredSecretHandler handler) {
+                    client->readTable(routerTable, [segments, handler = std::move(handler)](TableResult table) {
+                        segments->load(table.rows);
+                        handler(findSecret(std::move(table)));
+                    });
                 },
         .insertIfAbsent =
-            [client](std::string candidate, StoredSecretHandler handler) {
-                client->createRow(routerTable, secretKey, std::move(candidate), [handler = std::move(handler)](std::optional<std::string> stored) {
-                    const bool responded = stored.has_value();
-                    handler({.responded = responded, .value = std::move(stored)});
-                });
+            [client, segments](std::string candidate, StoredSecretHandler handler) {
+                client->createRow(
+                    routerTable, secretKey, std::move(candidate), [client, segments, handler = std::move(handler)](std::optional<std::string> stored) {
+                        const bool responded = stored.has_value();
+                        handler({.responded = responded, .value = std::move(stored)});
+                        if (responded) {
+                            loadSegments(client, segments);
+                        }
+                    });
+            }};
+}
+
+std::shared_ptr<SegmentArchive> makeSegmentArchive(
+    boost::asio::io_context &context, RouterService &service, const platform::NodeSettings &settings, const std::shared_ptr<platform::StoreClient> &client)
+{
+    RowStore store {.put
+        = [client](const std::string &key, const std::string &value, StoredHandler handler) { client->putRow(routerTable, key, value, std::move(handler)); },
+        .remove =
+            [client](const std::string &key, StoredHandler handler) {
+                client->removeRow(routerTable, key, std::move(handler));
             }};
+    return std::make_shared<SegmentArchive>(context, service.pools(), settings.instance, std::move(store));
 }
 
 /// Returns nullptr if the users' platform provides no ports for traffic between routers.
@@ -191,7 +222,8 @@
     RouterService &service,
     const platform::NodeSettings &settings,
     const std::shared_ptr<platform::StoreClient> &client,
-    const std::shared_ptr<StoreWatcher> &storeWatcher)
+    const std::shared_ptr<StoreWatcher> &storeWatcher,
+    const std::shared_ptr<SegmentArchive> &segments)
 {
     if (settings.firstPeerPort == 0) {
         return nullptr;
@@ -215,7 +247,7 @@
             [&service, slack = settings.retries.slack](std::size_t routers) {
                 service.setRetryCapacity(retryBurstPerRouter(slack, routers));
             }};
-    return std::make_shared<LoadPeerGroup>(context, service.pools(), std::move(options), makeSecretStore(client), std::move(handlers));
+    return std::make_shared<LoadPeerGroup>(context, service.pools(), std::move(options), makeSecretStore(client, segments), std::move(handlers));
 }
 
 int serve(const platform::NodeSettings &settings, const RouterProgram &program, const std::string &nodeFile, std::uint16_t metricsPort)
@@ -229,14 +261,15 @@
     try {
         RouterService service(workers.context(), makeServiceOptions(settings, metricsPort), program.policy);
         const auto client = std::make_shared<platform::StoreClient>(workers.context(), platform::StoreClientOptions {.address = settings.store});
+        const auto segments = makeSegmentArchive(workers.context(), service, settings, client);
         const auto storeWatcher = std::make_shared<StoreWatcher>(
-            workers.context(), makeStoreWatcherOptions(settings), makeStoreWatcherSources(client, settings), makeStoreWatcherHandlers(service));
+            workers.context(), makeStoreWatcherOptions(settings), makeStoreWatcherSources(client, settings), makeStoreWatcherHandlers(service, segments));
         const auto settingsWatcher
             = std::make_shared<NodeSettingsWatcher>(workers.context(), nodeFile, settings, [client, &service](const platform::NodeSettings &changed) {
                   client->setAddress(changed.store);
                   service.setConfigurationLifetime(configurationLifetime(changed));
               });
-        const auto peerGroup = makePeerGroup(workers.context(), service, settings, client, storeWatcher);
+        const auto peerGroup = makePeerGroup(workers.context(), service, settings, client, storeWatcher, segments);
         support::onTerminationSignal(workers.context(), [&service, &drained, peerGroup] {
             if (peerGroup) {
                 peerGroup->leave();
@@ -245,8 +278,11 @@
         });
         service.start();
         storeWatcher->start();
+        segments->start();
         if (peerGroup) {
             peerGroup->start();
+        } else {
+            loadSegments(client, segments);
         }
         settingsWatcher->start();
         drained.get_future().wait();
--- a/unittests/Adapter/CrashingSegmentTest.cpp
+++ b/unittests/Adapter/CrashingSegmentTest.cpp
@@ -1,10 +1,15 @@
 #include "ScriptedEndpoint.h"
 
+#include "mulberrywall/Router/SegmentArchive.h"
+
 #include <gtest/gtest.h>
 
 #include <array>
 #include <atomic>
 #include <chrono>
+#include <map>
+#include <mutex>
+#include <thread>
 
 namespace mulberrywall::platform
 {
@@ -42,9 +47,61 @@
             boost::asio::post(executor, [handler = std::move(handler)] { handler(router::ProbeResult::Crashed); });
         };
         options_.dialect = &dialect_;
+        startRouter();
+    }
+
+    /// Starts a router that knows nothing, in place of the one before if there is one. It keeps segments in rows_.
+    void startRouter()
+    {
+        if (archive_) {
+            archive_->stop();
+        }
         service_ = std::make_unique<router::RouterService>(workers_.context(), options_, policy::standardPolicy());
+        archive_ = std::make_shared<router::SegmentArchive>(workers_.context(),
+            service_->pools(),
+            support::InstanceId("router"),
+            router::RowStore {.put = [this](const std::string &key, const std::string &value, const router::StoredHandler &handler) {
+                put(key, value, handler);
+            }});
+        archive_->load(rows());
         service_->configure(site_);
+        archive_->recordLoaded();
         service_->start();
+        archive_->start();
+    }
+
+    void put(const std::string &key, const std::string &value, const router::StoredHandler &handler)
+    {
+        const std::scoped_lock lock(rowsMutex_);
+        ++writes_;
+        if (writes_ > failingWrites_) {
+            rows_[key] = value;
+        }
+        boost::asio::post(workers_.context(), [handler, isStored = writes_ > failingWrites_] { handler(isStored); });
+    }
+
+    std::vector<router::TableRow> rows()
+    {
+        const std::scoped_lock lock(rowsMutex_);
+        std::vector<router::TableRow> result {{.key = "peer-secret", .value = "not a segment"}};
+        for (const auto &[key, value] : rows_) {
+            result.push_back({.key = key, .value = value});
+        }
+        return result;
+    }
+
+    static void waitUntil(const std::function<bool()> &condition)
+    {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        while (!condition() && std::chrono::steady_clock::now() < end) {
+            std::this_thread::sleep_for(milliseconds(10));
+        }
+        ASSERT_TRUE(condition());
+    }
+
+    std::size_t quarantinedSegments()
+    {
+        return service_->pools().pools().at(support::PoolId("engines"))->quarantinedSegments().size();
     }
 
     ~CrashingSegmentTest() override
@@ -94,7 +151,13 @@
     router::Dialect dialect_ = dialect();
     router::RouterServiceOptions options_ = makeRouterOptions("router");
     configuration::SiteConfiguration site_;
+    std::mutex rowsMutex_;
+    std::map<std::string, std::string> rows_;
+    unsigned writes_ = 0;
+    /// Number of writes that the store does not execute.
+    unsigned failingWrites_ = 0;
     std::unique_ptr<router::RouterService> service_;
+    std::shared_ptr<router::SegmentArchive> archive_;
     unsigned sent_ = 0;
 };
 
@@ -114,4 +177,21 @@
     sendSoundRequests();
 }
 
+/// Guards against crashes of several more engines after all routers have restarted at once, so that none can tell the others, also if
+/// the store was not available at first.
+TEST_F(CrashingSegmentTest, QuarantineOutlastsARestartOfAllRouters)
+{
+    failingWrites_ = 1;
+    while (send("common:800,deadly:100") != http::Status::service_unavailable) {
+        sendSoundRequests();
+    }
+    waitUntil([this] { return rows().size() == 2; });
+    const unsigned crashesBefore = crashes_;
+    startRouter();
+    waitUntil([this] { return quarantinedSegments() == 1; });
+    EXPECT_EQ(send("common:800,deadly:100"), http::Status::service_unavailable);
+    EXPECT_EQ(crashes_, crashesBefore);
+    sendSoundRequests();
+}
+
 } // namespace mulberrywall::platform
--- a/unittests/Adapter/StoreClientTest.cpp
+++ b/unittests/Adapter/StoreClientTest.cpp
@@ -69,6 +69,7 @@
     {
         const std::scoped_lock lock(mutex_);
         targets_.emplace_back(exchange->request().target().data(), exchange->request().target().size());
+        requestBodies_.push_back(exchange->request().body());
         if (bodies_.empty()) {
             held_.push_back(exchange);
             return;
@@ -94,6 +95,7 @@
     std::mutex mutex_;
     std::vector<std::string> bodies_;
     std::vector<std::string> targets_;
+    std::vector<std::string> requestBodies_;
     std::vector<http::ServerExchangePtr> held_;
     std::shared_ptr<http::Server> server_;
 };
@@ -149,4 +151,22 @@
     EXPECT_EQ(targets_.front(), "/mulberrywall/rows-feed?table=op&sinceRev=7&waitMs=100");
 }
 
+/// Guards against a write that is taken for done although the store did not acknowledge it.
+TEST_F(StoreClientTest, WritesAndRemovesRows)
+{
+    const auto execute = [](auto command) {
+        std::promise<bool> acknowledged;
+        command([&acknowledged](bool isAcknowledged) { acknowledged.set_value(isAcknowledged); });
+        return acknowledged.get_future().get();
+    };
+    const auto client = makeClient();
+    bodies_ = {"{}", "{}"};
+    EXPECT_TRUE(execute([&](auto handler) { client->putRow("t", "k", "hello", std::move(handler)); }));
+    EXPECT_TRUE(execute([&](auto handler) { client->removeRow("t", "k", std::move(handler)); }));
+    EXPECT_FALSE(execute([&](auto handler) { client->putRow("t", "k", "hello", std::move(handler)); })) << "no response";
+    ASSERT_EQ(requestBodies_.size(), 3U);
+    EXPECT_EQ(requestBodies_[0], R"({"expectRev":[],"writes":[{"table":"t","part":"","key":"k","value":"aGVsbG8="}],"deletes":[]})");
+    EXPECT_EQ(requestBodies_[1], R"({"expectRev":[],"writes":[],"deletes":[{"table":"t","part":"","key":"k"}]})");
+}
+
 } // namespace mulberrywall::platform
