--- a/unittests/Adapter/EndpointStatementTest.cpp
+++ b/unittests/Adapter/EndpointStatementTest.cpp
@@ -1,3 +1,4 @@
+#include "RawEndpoint.h"
 #include "RouterTestBase.h"
 
 #include <atomic>
@@ -105,6 +106,26 @@
     }
 }
 
+/// Guards against a statement that is overlooked in a response without a length, after an interim response, or in one that is broken off.
+TEST_F(EndpointStatementTest, LeavingEndpointIsAvoidedWhateverTheFormOfItsResponse)
+{
+    static const std::string head = "HTTP/1.1 200 OK\r\nMulberrywall-Request-Id: r1\r\nMulberrywall-Server-Seal: seal\r\nServer-Leaving: 1\r\n";
+    for (const std::string &response : {head + "\r\nwhole", "HTTP/1.1 102 Processing\r\n\r\n" + head + "\r\nwhole", head + "Content-Length: 9\r\n\r\npart"}) {
+        site_ = {};
+        sent_ = 0;
+        std::atomic<unsigned> received = 0;
+        const RawEndpoint leaving(workers_, [&received, response](const std::string &) {
+            ++received;
+            return std::vector<Write> {{.bytes = response, .then = AfterWrite::Close}};
+        });
+        RouterTestBase::addEndpoint("leaving", leaving.port());
+        start();
+        EXPECT_NE(send("/unsafe/").status, http::Status::service_unavailable) << response;
+        EXPECT_EQ(send("/unsafe/").status, http::Status::service_unavailable) << response;
+        EXPECT_EQ(received, 1U) << response;
+    }
+}
+
 /// Guards against a leaving endpoint that is known only when its stream ends.
 TEST_F(EndpointStatementTest, LeavingEndpointIsAvoidedWhileItsStreamRuns)
 {
