--- a/include/mulberrywall/Router/SegmentArchive.h
+++ b/include/mulberrywall/Router/SegmentArchive.h
@@ -67,6 +67,7 @@
     void recordPending();
     void compareWithStore();
     void put(const std::string &key, const StoredSegment &segment);
+    void onPut(const std::string &key, std::uint64_t latestCrash, bool isStored);
     void remove(const std::string &key);
 
     permits::PoolTable &pools_;
--- a/lib/Router/SegmentArchive.cpp
+++ b/lib/Router/SegmentArchive.cpp
@@ -13,7 +13,7 @@
 namespace mulberrywall::router
 {
 
-/// Crashes are seconds apart, and a row that is stored later than this after a crash is seldom missed.
+/// For this long at most, a new quarantine is in the routers' memory only.
 static constexpr std::chrono::milliseconds compareInterval {500};
 /// A pool that does not exist this long after the start of the router is no longer configured.
 static constexpr std::chrono::minutes loadedLifetime {1};
@@ -67,6 +67,9 @@
         support::log(support::Severity::Warning, "ignored a stored prompt segment that cannot be read", {{"key", row.key}});
         return;
     }
+    support::log(support::Severity::Info,
+        "loaded a stored prompt segment",
+        {{"segmentHash", segment->evidence.segment}, {"pool", segment->pool.value()}, {"writer", segment->writer.value()}});
     if (segment->writer == instance_) {
         // Removes the row when the quarantine ends, as the process before would have done.
         ownRows_.try_emplace(row.key, OwnRow {});
@@ -76,6 +79,9 @@
 
 void SegmentArchive::recordPending()
 {
+    if (loaded_.empty()) {
+        return;
+    }
     const auto pools = pools_.pools();
     const auto now = std::chrono::steady_clock::now();
     std::erase_if(loaded_, [&](const LoadedSegment &loaded) {
@@ -106,6 +112,7 @@
     if (stopped_) {
         return;
     }
+    recordPending();
     std::set<std::string> quarantined;
     for (const auto &[id, pool] : pools_.pools()) {
         for (policy::QuarantinedSegment &found : pool->quarantinedSegments()) {
@@ -145,13 +152,23 @@
         [weak = weak_from_this(), strand = strand_, key, latestCrash = latestCrashOf(segment.evidence)](bool isStored) {
             boost::asio::post(strand, [weak, key, latestCrash, isStored] {
                 if (const auto self = weak.lock()) {
-                    // A row whose writing failed is written again by the next comparison.
-                    self->ownRows_[key] = {.latestCrash = isStored ? latestCrash : 0};
+                    self->onPut(key, latestCrash, isStored);
                 }
             });
         });
 }
 
+void SegmentArchive::onPut(const std::string &key, std::uint64_t latestCrash, bool isStored)
+{
+    if (isStored) {
+        support::log(support::Severity::Info, "stored a quarantined prompt segment", {{"key", key}});
+    } else {
+        support::log(support::Severity::Warning, "could not store a quarantined prompt segment; trying again", {{"key", key}});
+    }
+    // The next comparison writes a row again whose latest crash differs.
+    ownRows_[key] = {.latestCrash = isStored ? latestCrash : 0};
+}
+
 void SegmentArchive::remove(const std::string &key)
 {
     ownRows_[key].isPending = true;
