router: read the time of a stored prompt segment without overflow

A damaged row with a very negative time overflowed a signed difference, which is undefined. Such a row cannot be read now, like others with members out of range. SegmentRow.RejectsMalformedRows has the case; before, the row was accepted.

--- a/lib/Router/SegmentRow.cpp
+++ b/lib/Router/SegmentRow.cpp
@@ -31,9 +31,9 @@
     return key.starts_with(keyPrefix);
 }
 
-static std::int64_t millisecondsOf(system_clock::time_point time)
+static std::uint64_t millisecondsOf(system_clock::time_point time)
 {
-    return std::chrono::floor<milliseconds>(time.time_since_epoch()).count();
+    return static_cast<std::uint64_t>(std::chrono::floor<milliseconds>(time.time_since_epoch()).count());
 }
 
 std::string renderSegmentRow(const StoredSegment &segment, system_clock::time_point now)
@@ -57,7 +57,8 @@
 static StoredSegment readSegment(const json::object &object, system_clock::time_point now)
 {
     // The clock of this instance may be behind that of the writer.
-    const milliseconds stored {std::max<std::int64_t>(0, millisecondsOf(now) - json::value_to<std::int64_t>(object.at("writtenAtMs")))};
+    const std::uint64_t readAt = millisecondsOf(now);
+    const milliseconds stored {readAt - std::min(readAt, json::value_to<std::uint64_t>(object.at("writtenAtMs")))};
     const auto readAge = [stored](const json::value &age) {
         return stored + milliseconds(json::value_to<std::uint32_t>(age));
     };
--- a/unittests/Router/SegmentArchiveTest.cpp
+++ b/unittests/Router/SegmentArchiveTest.cpp
@@ -53,6 +53,7 @@
              {"\"ageMs\":3000", "\"ageMs\":1e30"},
              {"\"ageMs\":3000", "\"ageMs\":-1"},
              {"\"crashes\":[", "\"crashes\":7,\"other\":["},
+             {"\"writtenAtMs\":", "\"writtenAtMs\":-"},
              {"\"segment\":", "\"other\":"}}) {
         std::string malformed = sound;
         ASSERT_NE(malformed.find(part), std::string::npos) << part;
