router: one member for whether and when an endpoint was configured

No change of behaviour. LeavingState had a flag and a time that were set together, at two places by two lines each; the flag follows from the time, which recordConfigured sets now.

--- a/include/mulberrywall/Router/EndpointDirectory.h
+++ b/include/mulberrywall/Router/EndpointDirectory.h
@@ -40,9 +40,8 @@
     std::chrono::steady_clock::time_point reportedAt;
     /// Incarnation of the endpoint in the configuration; 0 if it is unknown or not configured.
     std::int64_t configuredIncarnation = 0;
-    bool isConfigured = false;
-    /// Time of the latest configuration that contains the endpoint.
-    std::chrono::steady_clock::time_point configuredAt;
+    /// Time of the latest configuration that contains the endpoint; empty if none did.
+    std::optional<std::chrono::steady_clock::time_point> configuredAt;
     /// Instance that the platform's list last contained for the endpoint's address.
     std::string instance;
     bool instanceIsLeaving = false;
@@ -62,7 +61,7 @@
 void recordInstance(LeavingState &leavingState, std::string_view instance, backingservices::InstanceState state);
 
 /// Records the endpoint's incarnation in the configuration. A different one resets what was stated about the earlier one.
-void recordConfigured(LeavingState &leavingState, std::int64_t incarnation);
+void recordConfigured(LeavingState &leavingState, std::int64_t incarnation, std::chrono::steady_clock::time_point now);
 
 /// Who stated that an endpoint is leaving.
 enum class LeavingOrigin : std::uint8_t {
--- a/lib/Router/EndpointDirectory.cpp
+++ b/lib/Router/EndpointDirectory.cpp
@@ -58,7 +58,7 @@
     leavingState.instanceIsLeaving = leavingState.instanceIsLeaving || state == backingservices::InstanceState::Leaving;
 }
 
-void recordConfigured(LeavingState &leavingState, std::int64_t incarnation)
+void recordConfigured(LeavingState &leavingState, std::int64_t incarnation, std::chrono::steady_clock::time_point now)
 {
     const bool isOther = leavingState.configuredIncarnation != 0 && incarnation != 0 && incarnation != leavingState.configuredIncarnation;
     if (isOther) {
@@ -66,7 +66,7 @@
         leavingState.leavingIncarnation = unknownIncarnation;
     }
     leavingState.configuredIncarnation = incarnation;
-    leavingState.isConfigured = true;
+    leavingState.configuredAt = now;
 }
 
 /// Only the owner of a pool polls its endpoints, once a second. An older report is from an earlier
@@ -113,8 +113,7 @@
         }
         const LeavingState before = leavingState;
         if (const auto configured = configuredIncarnations_.find(endpoint); configured != configuredIncarnations_.end()) {
-            recordConfigured(leavingState, configured->second);
-            leavingState.configuredAt = std::chrono::steady_clock::now();
+            recordConfigured(leavingState, configured->second, std::chrono::steady_clock::now());
         }
         dropStaleReport(leavingState);
         recordAnnouncement(leavingState, incarnation);
@@ -184,7 +183,7 @@
 /// Returns whether an endpoint without an entry may come back as the incarnation that has stated that it is leaving.
 static bool mayReturn(const LeavingState &leavingState, std::chrono::steady_clock::time_point now)
 {
-    return leavingState.endpointIsLeaving && leavingState.configuredIncarnation != 0 && now - leavingState.configuredAt < leavingStateLifetime;
+    return leavingState.endpointIsLeaving && leavingState.configuredIncarnation != 0 && now - leavingState.configuredAt.value() < leavingStateLifetime;
 }
 
 void EndpointDirectory::matchIncarnations(const configuration::SiteConfiguration &configuration)
@@ -196,14 +195,13 @@
     }
     for (auto &[id, state] : leavingStates_) {
         if (const auto configured = configuredIncarnations_.find(id); configured != configuredIncarnations_.end()) {
-            recordConfigured(state, configured->second);
-            state.configuredAt = now;
+            recordConfigured(state, configured->second, now);
         }
     }
     // The state of an endpoint that was never configured is kept: another router may know it from a newer configuration.
     std::erase_if(leavingStates_, [&](const auto &entry) {
         const auto &[id, state] = entry;
-        return state.isConfigured && !configuredIncarnations_.contains(id) && !mayReturn(state, now);
+        return state.configuredAt && !configuredIncarnations_.contains(id) && !mayReturn(state, now);
     });
 }
 
