--- a/lib/Policy/SegmentQuarantine.cpp
+++ b/lib/Policy/SegmentQuarantine.cpp
@@ -34,6 +34,11 @@
     return crashes.size() >= tuning.crashesToQuarantine && crashes.back().at - crashes.front().at >= tuning.minimumCrashSpan;
 }
 
+bool isQuarantinedNow(const Pool &pool, const SegmentState &state, TimePoint now)
+{
+    return state.isQuarantined && !isExpired(pool, state, now);
+}
+
 const SegmentState *findSegment(const Pool &pool, Fingerprint segment)
 {
     const auto found = pool.segments.states.find(segment);
@@ -44,7 +49,7 @@
 const SegmentState *findQuarantined(const Pool &pool, Fingerprint segment, TimePoint now)
 {
     const SegmentState *state = findSegment(pool, segment);
-    return state != nullptr && state->isQuarantined && !isExpired(pool, *state, now) ? state : nullptr;
+    return state != nullptr && isQuarantinedNow(pool, *state, now) ? state : nullptr;
 }
 
 bool isTrialRunning(const Pool &pool, const SegmentState &state)
@@ -338,7 +343,7 @@
 {
     for (const Fingerprint segment : submission.segments) {
         const auto found = pool.segments.states.find(segment);
-        if (found == pool.segments.states.end() || !found->second.isQuarantined || isExpired(pool, found->second, now)) {
+        if (found == pool.segments.states.end() || !isQuarantinedNow(pool, found->second, now)) {
             continue;
         }
         found->second.trial = submission.permit;
@@ -426,7 +431,7 @@
 {
     std::vector<QuarantinedSegment> result;
     for (const auto &[segment, state] : pool.segments.states) {
-        if (state.isQuarantined && !isExpired(pool, state, now)) {
+        if (isQuarantinedNow(pool, state, now)) {
             result.push_back({.evidence = evidenceOf(segment, state, now), .sawLatestCrash = state.sawLatestCrash});
         }
     }
@@ -453,9 +458,8 @@
 
 std::size_t quarantinedSegments(const Pool &pool, TimePoint now)
 {
-    return static_cast<std::size_t>(std::count_if(pool.segments.states.begin(), pool.segments.states.end(), [&](const auto &entry) {
-        return entry.second.isQuarantined && !isExpired(pool, entry.second, now);
-    }));
+    return static_cast<std::size_t>(
+        std::count_if(pool.segments.states.begin(), pool.segments.states.end(), [&](const auto &entry) { return isQuarantinedNow(pool, entry.second, now); }));
 }
 
 } // namespace mulberrywall::policy
