--- a/review/2/Case.cpp
+++ b/review/2/Case.cpp
@@ -1,12 +1,9 @@
 // The operator moves a route to another service and drops the old one, while requests wait for a slot of the old one.
 
-#include "Case.h"
+#include "Endpoint.h"
 
 #include <array>
-#include <atomic>
 #include <iostream>
-#include <memory>
-#include <set>
 
 namespace review
 {
@@ -18,54 +15,17 @@
 constexpr unsigned requests = 18;
 /// Time for which an endpoint works on each request.
 constexpr milliseconds workTime {700};
-constexpr milliseconds calmWorkTime {60};
 /// The time of the change after the requests were sent.
 constexpr milliseconds timeOfChange {400};
 /// Calm time before the requests: longer than contactMs, 3,000.
 constexpr milliseconds calmTime {4'000};
 /// Requests of the calm time, which shows how often the router closes connections without an answer at other times.
-constexpr unsigned calmRequests = 20;
+constexpr unsigned calmRequests = 5;
 /// Bound lossSlackMs: a request whose connection ends sooner after its last byte doesn't count.
 constexpr milliseconds lossSlack {200};
 constexpr unsigned deadlineMs = 8'000;
 constexpr milliseconds clientTimeout {10'000};
 
-/// An endpoint that answers each request after workTime.
-class SlowEndpoint
-{
-public:
-    SlowEndpoint(Record &record, std::string id, const std::string &host)
-        : record_(record),
-          id_(std::move(id)),
-          listener_(host, [this](Connection &connection) { serve(connection); })
-    {
-    }
-
-    [[nodiscard]] const Address &address() const
-    {
-        return listener_.address();
-    }
-
-private:
-    void serve(Connection &connection)
-    {
-        Request request;
-        while (connection.readRequest(request)) {
-            const std::string id(headerOf(request.headers, "Mulberrywall-Request-Id"));
-            record_.add(id_ + " runs " + id);
-            std::this_thread::sleep_for(id.starts_with("calm") ? calmWorkTime : workTime);
-            const std::string body = "answer to " + id;
-            connection.send("HTTP/1.1 200 OK\r\nMulberrywall-Request-Id: " + id + "\r\nMulberrywall-Server-Seal: seal-of-" + id
-                + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
-            request = {};
-        }
-    }
-
-    Record &record_;
-    std::string id_;
-    Listener listener_;
-};
-
 bool isLost(const Reply &reply)
 {
     return !reply.complete && reply.duration > lossSlack;
@@ -92,8 +52,8 @@
     Store store(host);
     RouteOptions route {.name = "book", .prefix = "/book/", .type = "unsafe", .service = "office", .targetMs = 6'000};
     store.write("op", "config", renderConfiguration(1, {route}, {"office", "desk"}));
-    SlowEndpoint office(record, "endpoint-of-office", host);
-    SlowEndpoint desk(record, "endpoint-of-desk", host);
+    Endpoint office(record, {.id = "endpoint-of-office", .host = host, .workTime = workTime});
+    Endpoint desk(record, {.id = "endpoint-of-desk", .host = host, .workTime = workTime});
     store.write("servers", "endpoint-of-office", renderEndpoint("office", office.address(), slots));
     store.write("servers", "endpoint-of-desk", renderEndpoint("desk", desk.address(), slots));
     RouterProcess router({.command = deployedCommand("deploy/system.toml"), .host = host, .store = store.address(), .folder = temporary.path()});
--- a/review/standins/Http.h
+++ b/review/standins/Http.h
@@ -97,6 +97,8 @@
     std::string failure;
 };
 
+/// Sends the bytes of a request on the connection and reads the response.
+Reply exchangeBytes(Connection &connection, std::string_view request, milliseconds timeout);
 /// Sends the request on the connection and reads the response.
 Reply exchange(Connection &connection, const Request &request, milliseconds timeout);
 /// The same on a new connection.
