review: long requests within the limits exceed the memory of the process

Each request keeps three copies of its body until it ends, and nothing bounds their sum. A burst of 4.19 MB bodies takes the process over memoryMb; the platform kills it and all requests at work lose their connections.

--- a/review/standins/RouterProcess.cpp
+++ b/review/standins/RouterProcess.cpp
@@ -108,6 +108,20 @@
     return false;
 }
 
+std::size_t RouterProcess::memoryMb() const
+{
+    constexpr std::size_t kilobytesPerMegabyte = 1'000;
+    constexpr std::string_view name = "VmRSS:";
+    std::ifstream status("/proc/" + std::to_string(process_) + "/status");
+    std::string line;
+    while (std::getline(status, line)) {
+        if (line.starts_with(name)) {
+            return std::stoul(line.substr(name.size())) / kilobytesPerMegabyte;
+        }
+    }
+    return 0;
+}
+
 const Address &RouterProcess::front() const
 {
     return front_;
--- a/review/standins/RouterProcess.h
+++ b/review/standins/RouterProcess.h
@@ -2,6 +2,7 @@
 
 #include "Http.h"
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,9 @@
     /// Returns true if the process has ended by itself.
     [[nodiscard]] bool hasEnded();
 
+    /// Returns the resident memory of the process, 0 if there is none.
+    [[nodiscard]] std::size_t memoryMb() const;
+
     [[nodiscard]] const Address &front() const;
 
 private:
