--- a/review/standins/Http.cpp
+++ b/review/standins/Http.cpp
@@ -248,6 +248,14 @@
     ::shutdown(descriptor_, SHUT_RDWR);
 }
 
+void Connection::interruptAndReset()
+{
+    const linger immediate {.l_onoff = 1, .l_linger = 0};
+    const std::scoped_lock lock(mutex_);
+    ::setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &immediate, sizeof(immediate));
+    ::shutdown(descriptor_, SHUT_RD);
+}
+
 std::string &Connection::buffer()
 {
     return buffer_;
@@ -400,8 +408,8 @@
     return exchange(*connection, request, timeout);
 }
 
-Listener::Listener(const std::string &host, Serve serve, int receiveBufferBytes)
-    : descriptor_(bindSocket(host, 0)),
+Listener::Listener(const std::string &host, Serve serve, int receiveBufferBytes, std::uint16_t port)
+    : descriptor_(bindSocket(host, port)),
       address_ {.host = host, .port = portOf(descriptor_)},
       serve_(std::move(serve))
 {
@@ -445,6 +453,14 @@
     ::close(descriptor_);
 }
 
+void Listener::resetConnections()
+{
+    const std::scoped_lock lock(mutex_);
+    for (const auto &connection : connections_) {
+        connection->interruptAndReset();
+    }
+}
+
 void Listener::accept()
 {
     while (true) {
--- a/review/standins/Http.h
+++ b/review/standins/Http.h
@@ -67,6 +67,8 @@
     void endSending();
     /// Makes the blocking calls of other threads return, as after the end of the peer.
     void interrupt();
+    /// The same, and the connection is closed with a reset.
+    void interruptAndReset();
 
     [[nodiscard]] std::string &buffer();
     /// Returns true once the peer has closed or reset the connection. Bytes that were received stay unread.
@@ -113,8 +115,8 @@
 public:
     using Serve = std::function<void(Connection &)>;
 
-    /// Listens on a free port of the host. A receive buffer of 0 keeps the default size.
-    Listener(const std::string &host, Serve serve, int receiveBufferBytes = 0);
+    /// Listens on a port of the host; port 0 takes a free one. A receive buffer of 0 keeps the default size.
+    Listener(const std::string &host, Serve serve, int receiveBufferBytes = 0, std::uint16_t port = 0);
     Listener(const Listener &) = delete;
     Listener &operator=(const Listener &) = delete;
     Listener(Listener &&) = delete;
@@ -125,6 +127,8 @@
     [[nodiscard]] const Address &address() const;
     /// Accepts no more connections; later ones are refused. Open ones stay.
     void close();
+    /// Ends the open connections with a reset.
+    void resetConnections();
 
 private:
     void accept();
