--- a/review/1/Case.cpp
+++ b/review/1/Case.cpp
@@ -25,10 +25,10 @@
 constexpr unsigned requests = 8;
 constexpr unsigned deadlineMs = 8'000;
 constexpr milliseconds clientTimeout {10'000};
-/// The time of the crash after the requests were sent. All have begun to run by then.
-constexpr milliseconds timeOfCrash {600};
-/// Time after which the sound endpoints read the bodies and send the rest of their answers.
-constexpr milliseconds timeOfRest {900};
+/// Time within which all requests have to begin to run.
+constexpr milliseconds startTimeout {8'000};
+/// Time from then to the crash, and from the crash until the sound endpoints read the bodies and send the rest of their answers.
+constexpr milliseconds pauseInAnswers {300};
 constexpr int receiveBufferBytes = 16 * 1024;
 constexpr std::string_view headerEnd = "\r\n\r\n";
 
@@ -79,6 +79,11 @@
         mayEnd_ = true;
     }
 
+    [[nodiscard]] unsigned begun() const
+    {
+        return begun_;
+    }
+
 private:
     void serve(Connection &connection)
     {
@@ -94,6 +99,7 @@
         connection.send(
             "HTTP/1.1 200 OK\r\nMulberrywall-Request-Id: " + request + "\r\nMulberrywall-Server-Seal: seal-of-" + request + "\r\nConnection: close\r\n\r\n");
         connection.send(std::string_view(answer).substr(0, sentBeforeCrash));
+        ++begun_;
         while (!crashed_ && !mayEnd_) {
             std::this_thread::sleep_for(milliseconds(5));
         }
@@ -113,6 +119,7 @@
 
     Record &record_;
     std::string id_;
+    std::atomic<unsigned> begun_ {0};
     std::atomic<bool> crashed_ {false};
     std::atomic<bool> mayEnd_ {false};
     Listener listener_;
@@ -156,6 +163,23 @@
     return trouble == Trouble::Off && whole < requests ? CaseResult::NotRun : CaseResult::RuleHeld;
 }
 
+/// Waits until the endpoints run all requests. Returns false at the timeout.
+bool waitUntilBegun(const std::vector<std::unique_ptr<EarlyEndpoint>> &running)
+{
+    const Clock::time_point end = Clock::now() + startTimeout;
+    while (Clock::now() < end) {
+        unsigned begun = 0;
+        for (const auto &endpoint : running) {
+            begun += endpoint->begun();
+        }
+        if (begun == requests) {
+            return true;
+        }
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    return false;
+}
+
 CaseResult run(const std::string &folder, Trouble trouble)
 {
     Record record(folder + "/record.txt");
@@ -187,17 +211,22 @@
             outcome.reply = exchange(front, request, clientTimeout);
         });
     }
-    std::this_thread::sleep_for(timeOfCrash);
+    const bool haveBegun = waitUntilBegun(running);
+    std::this_thread::sleep_for(pauseInAnswers);
     if (trouble == Trouble::On) {
         running.front()->crash();
     }
-    std::this_thread::sleep_for(timeOfRest - timeOfCrash);
+    std::this_thread::sleep_for(pauseInAnswers);
     for (const auto &endpoint : running) {
         endpoint->sendRest();
     }
     for (std::thread &client : clients) {
         client.join();
     }
+    if (!haveBegun) {
+        record.add("not all requests began to run in time");
+        return CaseResult::NotRun;
+    }
     return judge(record, outcomes, trouble);
 }
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -2,7 +2,8 @@
 # Builds the stand-ins and the cases of the review, each as review/build/case-N. Needs the packages of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")"
-mkdir -p build
+rm -rf build
+mkdir build
 flags=(-std=c++20 -O2 -Wall -Wextra -Wno-missing-field-initializers -pthread -Istandins)
 objects=()
 for source in standins/*.cpp; do
