--- a/review/1/Case.cpp
+++ b/review/1/Case.cpp
@@ -1,7 +1,7 @@
 // One of four endpoints crashes while it sends its answers. It has begun them before it has read the long bodies of the requests, and
 // they have no length: they end with their connections. An answer whose connection is reset must not be passed on as a whole one.
 
-#include "Case.h"
+#include "../standins/Case.h"
 
 #include <array>
 #include <atomic>
--- a/review/2/Case.cpp
+++ b/review/2/Case.cpp
@@ -1,6 +1,6 @@
 // The operator moves a route to another service and drops the old one, while requests wait for a slot of the old one.
 
-#include "Endpoint.h"
+#include "../standins/Endpoint.h"
 
 #include <array>
 #include <iostream>
--- a/review/4/Case.cpp
+++ b/review/4/Case.cpp
@@ -1,6 +1,6 @@
 // The body of a request holds the bytes of another request. Its transfer coding is not one that tells where the body ends.
 
-#include "Endpoint.h"
+#include "../standins/Endpoint.h"
 
 #include <iostream>
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")"
 rm -rf build
 mkdir build
-flags=(-std=c++20 -O2 -Wall -Wextra -Wno-missing-field-initializers -pthread -Istandins)
+flags=(-std=c++20 -O2 -Wall -Wextra -Wno-missing-field-initializers -pthread)
 objects=()
 for source in standins/*.cpp; do
     object="build/$(basename "$source" .cpp).o"
