http: reject requests whose transfer coding does not frame the body

Cause: Beast's parser takes a message whose last coding is not "chunked" for one without a body and leaves the decision to its caller. The server made none, and the platform's dialect removed the field, so that the endpoint could not see it either.

Change: transferCodingOf() reads the fields. Requests without a single, final "chunked" get 400, chunks around another coding 501, and the connection is closed after the response, so that nothing behind the header is read as a request. A response with such a coding ends its call with an error; its coded body was passed on as the whole one before.

--- a/lib/Http/ClientCall.cpp
+++ b/lib/Http/ClientCall.cpp
@@ -1,5 +1,7 @@
 #include "mulberrywall/Http/ClientCall.h"
 
+#include "TransferCoding.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -215,6 +217,11 @@
             return;
         }
         stage_ = ClientCallStage::HeaderReceived;
+        const TransferCoding coding = transferCodingOf(parser_->get().base());
+        if (coding != TransferCoding::None && coding != TransferCoding::Chunked) {
+            end(beast::http::error::bad_transfer_encoding);
+            return;
+        }
         if (!handlers_.onHeader) {
             readMore();
             return;
--- a/lib/Http/RequestProblems.cpp
+++ b/lib/Http/RequestProblems.cpp
@@ -1,5 +1,7 @@
 #include "RequestProblems.h"
 
+#include "TransferCoding.h"
+
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -35,6 +37,36 @@
     return std::nullopt;
 }
 
+static constexpr unsigned http11 = 11;
+
+static Problem makeFramingProblem(Status status, std::string detail)
+{
+    return {.status = status, .title = "request body without a usable framing", .detail = std::move(detail)};
+}
+
+std::optional<Problem> problemForFraming(const RequestHeader &header)
+{
+    const TransferCoding coding = transferCodingOf(header);
+    if (coding == TransferCoding::None) {
+        return std::nullopt;
+    }
+    if (header.version() < http11) {
+        return makeFramingProblem(Status::bad_request, "a request of HTTP/1.0 must not have a field Transfer-Encoding; send its body with a Content-Length");
+    }
+    switch (coding) {
+    case TransferCoding::None:
+    case TransferCoding::Chunked:
+        return std::nullopt;
+    case TransferCoding::UnsupportedInChunks:
+        return makeFramingProblem(Status::not_implemented, "the only transfer coding that is supported is chunked; send the body without other codings");
+    case TransferCoding::Unframed:
+        return makeFramingProblem(Status::bad_request,
+            "the field Transfer-Encoding does not end in a single 'chunked', so that the end of the body is unknown; send the body in chunks or with a "
+            "Content-Length");
+    }
+    return std::nullopt;
+}
+
 std::optional<Problem> problemForRequest(const Request &request)
 {
     if (request.method() == Verb::unknown) {
--- a/lib/Http/Server.cpp
+++ b/lib/Http/Server.cpp
@@ -211,13 +211,24 @@
     void readHeader()
     {
         startReadTimer(limits_.headerTimeout);
-        beast::http::async_read_header(stream_, buffer_, *parser_, [self = shared_from_this()](const error_code &error, std::size_t) {
-            if (error || self->parser_->is_done()) {
-                self->onRequest(error);
+        beast::http::async_read_header(
+            stream_, buffer_, *parser_, [self = shared_from_this()](const error_code &error, std::size_t) { self->onHeader(error); });
+    }
+
+    void onHeader(const error_code &error)
+    {
+        if (!error) {
+            if (const auto problem = problemForFraming(parser_->get().base())) {
+                readTimer_.cancel();
+                rejectAndClose(*problem, "no usable framing of the body");
                 return;
             }
-            self->readBody();
-        });
+        }
+        if (error || parser_->is_done()) {
+            onRequest(error);
+            return;
+        }
+        readBody();
     }
 
     void readBody()
@@ -295,15 +306,21 @@
             close();
             return;
         }
-        std::optional<Problem> problem = problemForReadError(error, limits_);
+        const std::optional<Problem> problem = problemForReadError(error, limits_);
         if (!problem) {
             close();
             return;
         }
-        support::log(support::Severity::Warning, "rejected a request that could not be read", {{"reason", error.message()}});
+        rejectAndClose(*problem, error.message());
+    }
+
+    /// Responds to a request that was not read to its end, and closes the connection after the response.
+    void rejectAndClose(const Problem &problem, std::string_view reason)
+    {
+        support::log(support::Severity::Warning, "rejected a request that could not be read", {{"reason", reason}});
         requestKeepAlive_ = false;
         isHeadRequest_ = parser_->is_header_done() && parser_->get().method() == Verb::head;
-        respond(makeProblemResponse(*problem));
+        respond(makeProblemResponse(problem));
     }
 
     void onResponseEnd(const error_code &error)
