http: a response without a length is not complete after a failed write

Cause: after a partial write the call reads on, since the endpoint may have rejected a long body early. The failed write consumes the error of the socket; the reads that follow return the bytes that had arrived and then an end of stream, which ends such a response in order.

Change: the call keeps the error of the write, and a response that ends with its connection ends with that error. Responses with a length or in chunks show their end themselves and still count, which a second test checks. Buffered, streamed and resumed answers, both interfaces and the store's client share this code.

--- a/lib/Http/ClientCall.cpp
+++ b/lib/Http/ClientCall.cpp
@@ -107,6 +107,11 @@
                 readHeader();
                 return;
             }
+            if (writeError_ && parser_->need_eof()) {
+                // The failed write has consumed the error of the socket, so that the end of the stream may hide a reset.
+                end(writeError_);
+                return;
+            }
             stage_ = ClientCallStage::ResponseComplete;
             end({});
             return;
@@ -189,7 +194,7 @@
         }
         // After a partial write the endpoint may already have responded, for example with a refusal of a large body. The
         // rest of the body was not sent, so that the connection cannot be reused for another request.
-        partiallyWritten_ = error.failed();
+        writeError_ = error;
         readHeader();
     }
 
@@ -273,8 +278,7 @@
     /// belong to no request, so that a connection with such bytes must not be reused.
     void recycleOrClose()
     {
-        const bool reusable
-            = options_.pool && stage_ == ClientCallStage::ResponseComplete && parser_->keep_alive() && !partiallyWritten_ && buffer_.size() == 0;
+        const bool reusable = options_.pool && stage_ == ClientCallStage::ResponseComplete && parser_->keep_alive() && !writeError_ && buffer_.size() == 0;
         if (!reusable) {
             stream_.close();
             return;
@@ -291,9 +295,10 @@
     std::optional<beast::http::response_parser<beast::http::buffer_body>> parser_;
     std::array<char, bodyBufferBytes> bodyBuffer_ {};
     ClientCallStage stage_ = ClientCallStage::Connecting;
+    /// Error that ended the write of the request before its last byte.
+    error_code writeError_;
     unsigned interimResponses_ = 0;
     bool reused_ = false;
-    bool partiallyWritten_ = false;
     bool skippingResponse_ = false;
     bool cancelled_ = false;
     bool ended_ = false;
--- a/unittests/Http/ClientCallTest.cpp
+++ b/unittests/Http/ClientCallTest.cpp
@@ -2,16 +2,19 @@
 #include "mulberrywall/Support/WorkerPool.h"
 
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <future>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <thread>
 
 namespace mulberrywall::http
 {
@@ -54,6 +57,30 @@
         return response.get();
     }
 
+    /// Sends a long body to an endpoint that answers with the given bytes before it has read the body, and resets the connection.
+    BufferedResponse fetchFromEarlyEndpoint(std::string_view answer)
+    {
+        // Together with the socket buffers of the client much shorter than the body, so that the client is still writing.
+        constexpr int receiveBufferBytes = 16 * 1024;
+        constexpr std::size_t bodyBytes = std::size_t {8} * 1024 * 1024;
+        tcp::acceptor acceptor(pool_.context(), tcp::v4());
+        acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes));
+        acceptor.bind({asio::ip::address_v4::loopback(), 0});
+        acceptor.listen();
+        Request request(Verb::post, "/", 11);
+        request.body().assign(bodyBytes, 'x');
+        std::future<BufferedResponse> response = startFetch(acceptor.local_endpoint(), std::move(request));
+        tcp::socket socket = acceptor.accept();
+        std::string header;
+        asio::read_until(socket, asio::dynamic_buffer(header), "\r\n\r\n");
+        asio::write(socket, asio::buffer(answer));
+        // Data that is in flight when a connection is reset may be lost.
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        socket.set_option(asio::socket_base::linger(true, 0));
+        socket.close();
+        return response.get();
+    }
+
     support::WorkerPool pool_ {2};
 };
 
@@ -86,6 +113,28 @@
     }
 }
 
+// Guards against a response that ends with its connection and is taken for whole although the connection was reset: the failed write of
+// the request had consumed the error of the socket, so that the next read returned an end of stream.
+TEST_F(ClientCallTest, ResponseWithoutLengthIsIncompleteAfterAReset)
+{
+    const BufferedResponse response = fetchFromEarlyEndpoint("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart");
+    EXPECT_TRUE(response.result.error.failed());
+    EXPECT_EQ(response.result.stage, ClientCallStage::HeaderReceived);
+    EXPECT_EQ(response.status, Status::ok);
+}
+
+// Guards against a response that is lost because the endpoint closed the connection before it had read the whole request.
+TEST_F(ClientCallTest, ResponseWithLengthIsCompleteDespiteAReset)
+{
+    for (const std::string_view answer : {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull",
+             "HTTP/1.1 503 Service Unavailable\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n"}) {
+        const BufferedResponse response = fetchFromEarlyEndpoint(answer);
+        EXPECT_FALSE(response.result.error) << response.result.error.message();
+        EXPECT_EQ(response.result.stage, ClientCallStage::ResponseComplete);
+        EXPECT_EQ(response.body, "full");
+    }
+}
+
 // Guards against a response without a length that is rejected although its connection ended in order.
 TEST_F(ClientCallTest, ResponseWithoutLengthEndsWithItsConnection)
 {
