permits: answer the requests that wait in a pool that is removed

Cause: PoolTable::configure() erased the pool and with it the handlers of its queued requests. Each held the last reference to its session, whose exchange closes the connection when it is destroyed without a response. Requests of other routers waited until their deadlines, and a request that found its pool just before the removal was queued in it for good.

The three new tests fail on the old code: 0 of 3 queued requests answered; no rejection from the removed pool; both routers' requests answered at their deadline, after 20 s.

Change: a removed pool is closed. It answers queued requests and those that arrive later with the rejection of an unknown pool, which callers get as 503, not run, at once; a repeated request is routed by the new configuration. Running requests continue.

A removed class whose pool stays had no such fault (RemovedClassAnswersQueuedRequests).

--- a/include/mulberrywall/Permits/OwnedPool.h
+++ b/include/mulberrywall/Permits/OwnedPool.h
@@ -29,6 +29,9 @@
 using OwnerAnswer = std::variant<std::shared_ptr<Permit>, PermitRejection, PoolMoved>;
 using OwnerAnswerHandler = std::function<void(OwnerAnswer)>;
 
+/// Returns the answer to permit requests for a pool that the configuration does not contain.
+[[nodiscard]] PermitRejection rejectionWithoutPool(const support::PoolId &pool);
+
 /// Ownership of a pool by this router, which determines how many slots of the endpoints it may grant.
 enum class OwnershipState : std::uint8_t {
     /// Another router owns the pool. No permits are granted; running requests are kept until they end.
@@ -58,6 +61,8 @@
     std::shared_ptr<Permit> reregister(policy::RunningRequest running);
     /// Changes the ownership. Released answers all queued requests with PoolMoved to the given router.
     void setOwnership(OwnershipState ownership, const support::InstanceId &newOwner);
+    /// Answers all queued requests, and those that arrive later, with the rejection. Running requests continue.
+    void close(const PermitRejection &rejection);
     void recordLoadReport(const policy::LoadReport &report);
     void recordQuarantineEntry(const policy::QuarantineEntry &entry);
     void recordPeerRequests(const policy::PeerReport &report);
@@ -104,7 +109,8 @@
     policy::Decisions applyEndpoints();
     /// Passes the options to the policy, with those that depend on the ownership.
     void applyOptions();
-    void redirectPendingAcquisitions(const support::InstanceId &newOwner, std::vector<Notification> &notifications);
+    /// Withdraws all queued requests from the policy, which must have no endpoints, and adds the answer to each.
+    void answerPendingAcquisitions(const OwnerAnswer &answer, std::vector<Notification> &notifications);
     void deliver(std::vector<Notification> notifications);
     void armTimer();
     void onTimer();
@@ -122,6 +128,8 @@
     std::vector<policy::EndpointSpec> specs_;
     OwnershipState ownership_ = OwnershipState::Owned;
     support::InstanceId newOwner_;
+    /// Set when the configuration no longer contains the pool.
+    std::optional<PermitRejection> closed_;
     policy::PermitId nextPermit_ = 1;
     boost::asio::steady_timer timer_;
     /// Expiry time of the pending timer.
@@ -153,6 +161,8 @@
     [[nodiscard]] std::vector<policy::QuarantineEntry> quarantineEntries() const;
 
 private:
+    /// Removes the pools that the configuration does not contain.
+    void removePoolsWithout(const configuration::SiteConfiguration &configuration);
     void updateEndpoints();
 
     boost::asio::io_context &context_;
--- a/lib/Permits/OwnedPool.cpp
+++ b/lib/Permits/OwnedPool.cpp
@@ -20,6 +20,11 @@
     return std::chrono::steady_clock::now();
 }
 
+PermitRejection rejectionWithoutPool(const support::PoolId &pool)
+{
+    return {.reason = policy::RejectionReason::NoEndpoint, .detail = "the configuration has no pool '" + pool.value() + "'"};
+}
+
 OwnedPool::OwnedPool(boost::asio::io_context &context, const policy::PolicyFunctions &functions, const policy::PoolOptions &options)
     : context_(context),
       functions_(functions),
@@ -130,7 +135,7 @@
         applyOptions();
         const policy::Decisions decisions = applyEndpoints();
         if (ownership == OwnershipState::Released) {
-            redirectPendingAcquisitions(newOwner, notifications);
+            answerPendingAcquisitions(PoolMoved {newOwner}, notifications);
         } else {
             notifications = takeNotifications(decisions);
         }
@@ -139,17 +144,30 @@
     deliver(std::move(notifications));
 }
 
-void OwnedPool::redirectPendingAcquisitions(const support::InstanceId &newOwner, std::vector<Notification> &notifications)
+void OwnedPool::answerPendingAcquisitions(const OwnerAnswer &answer, std::vector<Notification> &notifications)
 {
     // The decisions of withdraw are ignored: without endpoints it grants nothing, and a request that the policy has already
     // rejected is not in its queue any more.
     for (auto &[permit, acquisition] : pendingAcquisitions_) {
         functions_.withdraw(pool_.get(), permit, startCommand());
-        notifications.push_back(makeAnswer(std::move(acquisition.handler), PoolMoved {newOwner}));
+        notifications.push_back(makeAnswer(std::move(acquisition.handler), answer));
     }
     pendingAcquisitions_.clear();
 }
 
+void OwnedPool::close(const PermitRejection &rejection)
+{
+    std::vector<Notification> notifications;
+    {
+        const std::scoped_lock lock(mutex_);
+        closed_ = rejection;
+        specs_.clear();
+        static_cast<void>(applyEndpoints());
+        answerPendingAcquisitions(rejection, notifications);
+    }
+    deliver(std::move(notifications));
+}
+
 OwnershipState OwnedPool::ownership() const
 {
     const std::scoped_lock lock(mutex_);
@@ -182,6 +200,10 @@
     policy::PermitId permit = 0;
     {
         const std::scoped_lock lock(mutex_);
+        if (closed_) {
+            boost::asio::post(context_, makeAnswer(std::move(handler), *closed_));
+            return nullptr;
+        }
         if (ownership_ == OwnershipState::Released) {
             boost::asio::post(context_, [handler = std::move(handler), owner = newOwner_] { handler(PoolMoved {owner}); });
             return nullptr;
@@ -452,10 +474,22 @@
         }
         found->second->configure(options);
     }
-    std::erase_if(pools_, [&configuration](const auto &entry) { return configuration::findPool(configuration, entry.first) == nullptr; });
+    removePoolsWithout(configuration);
     updateEndpoints();
 }
 
+void PoolTable::removePoolsWithout(const configuration::SiteConfiguration &configuration)
+{
+    std::erase_if(pools_, [&configuration](const auto &entry) {
+        const auto &[id, pool] = entry;
+        if (configuration::findPool(configuration, id) != nullptr) {
+            return false;
+        }
+        pool->close(rejectionWithoutPool(id));
+        return true;
+    });
+}
+
 void PoolTable::setLeaving(std::set<support::EndpointId> leaving)
 {
     const std::scoped_lock lock(mutex_);
@@ -495,8 +529,7 @@
 {
     const std::shared_ptr<OwnedPool> pool = find(request.pool);
     if (!pool) {
-        PermitRejection rejection {.reason = policy::RejectionReason::NoEndpoint, .detail = "the configuration has no pool '" + request.pool.value() + "'"};
-        boost::asio::post(context_, [handler = std::move(handler), rejection = std::move(rejection)] { handler(rejection); });
+        boost::asio::post(context_, [handler = std::move(handler), rejection = rejectionWithoutPool(request.pool)] { handler(rejection); });
         return nullptr;
     }
     return pool->acquire(std::move(request), [handler = std::move(handler)](OwnerAnswer answer) {
--- a/lib/Permits/PoolOwnership.cpp
+++ b/lib/Permits/PoolOwnership.cpp
@@ -155,8 +155,7 @@
 {
     const std::shared_ptr<OwnedPool> pool = pools_.find(request.pool);
     if (!pool) {
-        PermitRejection rejection {.reason = policy::RejectionReason::NoEndpoint, .detail = "the configuration has no pool '" + request.pool.value() + "'"};
-        boost::asio::post(context_, [handler = std::move(handler), rejection = std::move(rejection)] { handler(rejection); });
+        boost::asio::post(context_, [handler = std::move(handler), rejection = rejectionWithoutPool(request.pool)] { handler(rejection); });
         return nullptr;
     }
     {
--- a/unittests/Permits/OwnedPoolTest.cpp
+++ b/unittests/Permits/OwnedPoolTest.cpp
@@ -7,6 +7,8 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
+#include <string>
 #include <thread>
 #include <variant>
 #include <vector>
@@ -24,12 +26,17 @@
     static constexpr milliseconds target {3'000};
 
     OwnedPoolTest()
+    {
+        pools_.configure(makeSite());
+    }
+
+    static configuration::SiteConfiguration makeSite()
     {
         configuration::SiteConfiguration site;
         site.classes = {{.id = support::ClassId("chat"), .targets = {.timeToFirstToken = target}, .maximumWait = milliseconds(1)}};
         site.pools = {{.id = support::PoolId("model")}};
         site.endpoints = {{.id = support::EndpointId("engine"), .pools = {support::PoolId("model")}, .maximumConcurrency = slots}};
-        pools_.configure(site);
+        return site;
     }
 
     void acquire()
@@ -41,6 +48,7 @@
                 permits_.push_back(std::move(*permit));
                 return;
             }
+            lastRejection_ = std::get<PermitRejection>(result);
             ++rejections_;
         }));
         runReadyHandlers();
@@ -57,6 +65,7 @@
     std::vector<AcquireTicket> tickets_;
     std::vector<std::shared_ptr<Permit>> permits_;
     unsigned rejections_ = 0;
+    PermitRejection lastRejection_;
 };
 
 /// Guards against callers that are rejected after a pause of the router, because the responses that arrived meanwhile are taken
@@ -81,4 +90,63 @@
     EXPECT_EQ(rejections_, 0U);
 }
 
+/// Guards against queued requests that are dropped without an answer when a configuration no longer has their pool: their callers'
+/// connections were closed without a response.
+TEST_F(OwnedPoolTest, RemovedPoolRejectsQueuedRequests)
+{
+    constexpr unsigned waiting = 3;
+    for (unsigned request = 0; request < slots + waiting; ++request) {
+        acquire();
+    }
+    ASSERT_EQ(permits_.size(), slots);
+    configuration::SiteConfiguration site = makeSite();
+    site.pools = {{.id = support::PoolId("other")}};
+    pools_.configure(site);
+    runReadyHandlers();
+    EXPECT_EQ(rejections_, waiting);
+    EXPECT_EQ(lastRejection_.reason, policy::RejectionReason::NoEndpoint);
+    EXPECT_NE(lastRejection_.detail.find("model"), std::string::npos) << lastRejection_.detail;
+    for (const std::shared_ptr<Permit> &permit : permits_) {
+        permit->finish({.outcome = policy::AttemptOutcome::Completed});
+    }
+    runReadyHandlers();
+    EXPECT_EQ(rejections_, waiting) << "a request was answered twice";
+}
+
+/// Guards against a request that found its pool before the pool was removed, and that waits in it without an answer.
+TEST_F(OwnedPoolTest, RemovedPoolRejectsLaterRequests)
+{
+    const std::shared_ptr<OwnedPool> pool = pools_.find(support::PoolId("model"));
+    configuration::SiteConfiguration site = makeSite();
+    site.pools.clear();
+    pools_.configure(site);
+    std::optional<OwnerAnswer> result;
+    PermitRequest request {.request = support::RequestId("r"), .pool = support::PoolId("model")};
+    request.submission.requestClass = support::ClassId("chat");
+    const AcquireTicket ticket = pool->acquire(request, [&result](OwnerAnswer answer) { result = std::move(answer); });
+    runReadyHandlers();
+    ASSERT_TRUE(result);
+    EXPECT_TRUE(std::holds_alternative<PermitRejection>(*result));
+}
+
+/// Guards against queued requests without an answer when a configuration no longer has their class, but still has their pool.
+TEST_F(OwnedPoolTest, RemovedClassAnswersQueuedRequests)
+{
+    constexpr unsigned waiting = 3;
+    for (unsigned request = 0; request < slots + waiting; ++request) {
+        acquire();
+    }
+    configuration::SiteConfiguration site = makeSite();
+    site.classes = {{.id = support::ClassId("batch")}};
+    pools_.configure(site);
+    runReadyHandlers();
+    const std::vector<std::shared_ptr<Permit>> running = std::move(permits_);
+    permits_.clear();
+    for (const std::shared_ptr<Permit> &permit : running) {
+        permit->finish({.outcome = policy::AttemptOutcome::Completed});
+    }
+    runReadyHandlers();
+    EXPECT_EQ(permits_.size() + rejections_, waiting);
+}
+
 } // namespace mulberrywall::permits
--- a/unittests/Permits/RoutedPermitsTest.cpp
+++ b/unittests/Permits/RoutedPermitsTest.cpp
@@ -131,6 +131,28 @@
     EXPECT_TRUE(eventually([&] { return owner().summary().running == 0 && owner().permits->peers().counters().permitsHeldByPeers == 0; }));
 }
 
+// Guards against requests of the owner and of other routers that wait until their deadlines when the configuration of the owner no
+// longer has their pool.
+TEST_F(RoutedPermitsTest, RemovedPoolAnswersWaitingRequestsOfAllRouters)
+{
+    addTwoRouters();
+    TestRouter &owning = owner();
+    const auto first = requestPermit(owning).getPermit();
+    const auto second = requestPermit(owning).getPermit();
+    std::vector<PendingAcquire> waiting;
+    waiting.push_back(requestPermit(owning));
+    waiting.push_back(requestPermit(nonOwner()));
+    ASSERT_TRUE(eventually([&] { return owning.summary().waiting == waiting.size(); }));
+    owning.pools.configure({});
+    const auto limit = std::chrono::steady_clock::now() + testLimit / 2;
+    for (PendingAcquire &request : waiting) {
+        const PermitResult result = request.get();
+        ASSERT_TRUE(std::holds_alternative<PermitRejection>(result));
+        EXPECT_EQ(std::get<PermitRejection>(result).reason, policy::RejectionReason::NoEndpoint);
+    }
+    EXPECT_LT(std::chrono::steady_clock::now(), limit) << "the requests waited for their deadlines";
+}
+
 // Guards against a slot that leaks when its holder drops the permit.
 TEST_F(RoutedPermitsTest, DroppedPermitFreesTheSlot)
 {
