router: bound the memory of all responses that are being received

Report of another operator: a faulty endpoint sent bytes without end, and the router that had called it ran out of memory, with the requests of all its other callers.

Cause here: each response has a limit, their sum had none. Calls about the state of an endpoint could buffer 64 MiB each.

Change: support::MemoryBudget bounds the bytes that attempts buffer at a quarter of the instance's memory (limits.memoryMb; 512 MiB on the product's interface). Above it the largest holders are asked to release theirs, so that sound responses, which are smaller than endless ones, are not affected; an attempt that is asked ends as may have run. Calls about the state of instances and endpoints take 1 MiB at most.

The fixture of the platform's router process and the endless endpoint move to headers of their own, for the new test files.

--- a/include/mulberrywall/Http/ClientCall.h
+++ b/include/mulberrywall/Http/ClientCall.h
@@ -37,10 +37,14 @@
     std::chrono::milliseconds unacknowledgedTimeout {0};
 };
 
-/// Returns options with the same timeout for connecting, for the header and for each chunk of the body.
-[[nodiscard]] inline ClientCallOptions makeClientCallOptions(const boost::asio::ip::tcp::endpoint &peer, std::chrono::milliseconds timeout)
+/// Limit on the body of a response about the state of an instance or an endpoint.
+inline constexpr std::size_t maxStatusResponseBytes = std::size_t {1024} * 1024;
+
+/// Returns options for a call about the state of an instance or an endpoint, with the same timeout for connecting, for the header and for
+/// each chunk of the body.
+[[nodiscard]] inline ClientCallOptions makeStatusCallOptions(const boost::asio::ip::tcp::endpoint &peer, std::chrono::milliseconds timeout)
 {
-    return {.peer = peer, .connectTimeout = timeout, .headerTimeout = timeout, .idleTimeout = timeout};
+    return {.peer = peer, .connectTimeout = timeout, .headerTimeout = timeout, .idleTimeout = timeout, .maxResponseBytes = maxStatusResponseBytes};
 }
 
 /// Last step that a call has completed. The verdict of an attempt is derived from it.
--- a/include/mulberrywall/Router/Attempt.h
+++ b/include/mulberrywall/Router/Attempt.h
@@ -5,6 +5,7 @@
 #include "mulberrywall/Router/CallerRequest.h"
 #include "mulberrywall/Router/Dialect.h"
 #include "mulberrywall/Router/ServerSentEvents.h"
+#include "mulberrywall/Support/MemoryBudget.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -29,6 +30,8 @@
     std::chrono::milliseconds responseTimeout {120'000};
     /// Maximum size of a response body that is not streamed.
     std::size_t maxResponseBytes = http::defaultMaxResponseBytes;
+    /// Bounds the bytes of all responses that are being received; null means no bound.
+    std::shared_ptr<support::MemoryBudget> responseMemory;
     /// Number of the attempt for the request, starting at 1.
     unsigned number = 1;
     /// Number of tokens that earlier attempts have already delivered to the caller.
@@ -140,6 +143,10 @@
     void stopProgressTimer();
     void onNoProgress();
     void onStreamEnd();
+    /// Accounts for the bytes of the response that are buffered now.
+    void holdMemory(std::size_t bytes);
+    /// Ends the attempt because the responses at this router exceed their memory and this one is the largest.
+    void onMemoryReclaimed();
 
     boost::asio::any_io_executor executor_;
     boost::asio::steady_timer progressTimer_;
@@ -151,6 +158,8 @@
     std::shared_ptr<const AttemptHandlers> handlers_;
     std::shared_ptr<http::ClientCall> call_;
     std::shared_ptr<const CallerRequest> request_;
+    /// Null until bytes of the response are buffered.
+    std::unique_ptr<support::MemoryBudget::Share> memory_;
     bool streaming_ = false;
     bool responseStarted_ = false;
     std::chrono::milliseconds refusesFor_ {0};
--- a/include/mulberrywall/Router/RouterState.h
+++ b/include/mulberrywall/Router/RouterState.h
@@ -13,6 +13,7 @@
 #include "mulberrywall/Router/RetryBudget.h"
 #include "mulberrywall/Router/RetryDecision.h"
 #include "mulberrywall/Router/ServiceLevelWindows.h"
+#include "mulberrywall/Support/MemoryBudget.h"
 #include "mulberrywall/Support/Metrics.h"
 
 #include <boost/asio/io_context.hpp>
@@ -20,6 +21,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstddef>
+#include <memory>
 #include <optional>
 
 namespace mulberrywall::router
@@ -36,6 +38,8 @@
     /// Maximum size of a response body that is not streamed. The router buffers it, so that an endpoint that sends without
     /// end must not exhaust the instance's memory.
     std::size_t maxResponseBytes = http::defaultMaxResponseBytes;
+    /// Maximum size of all responses that are being received. Above it the largest ones fail.
+    std::size_t maxResponseMemoryBytes = std::size_t {512} * 1024 * 1024;
     /// Maximum number of attempts for one request, including the first.
     unsigned maximumAttempts = 3;
     NextStep (*decideNextStep)(const FailedAttempt &) = router::decideNextStep;
@@ -73,6 +77,7 @@
     std::shared_ptr<http::ConnectionPool> connections = options.reusesConnections ? std::make_shared<http::ConnectionPool>() : nullptr;
     HedgeDelays hedgeDelays;
     OrganisationLimits organisationLimits;
+    std::shared_ptr<support::MemoryBudget> responseMemory = std::make_shared<support::MemoryBudget>(options.maxResponseMemoryBytes);
     std::atomic<std::size_t> activeRequests {0};
     /// True from the start of the shutdown. The router then reports that it is not ready; running
     /// requests end normally.
--- a/lib/Control/RouterAdminRequests.cpp
+++ b/lib/Control/RouterAdminRequests.cpp
@@ -35,7 +35,9 @@
         if (!options.operatorKey.empty()) {
             call.set(http::Field::authorization, "Bearer " + options.operatorKey);
         }
-        const http::ClientCallOptions callOptions = http::makeClientCallOptions(router, options.timeout);
+        http::ClientCallOptions callOptions = http::makeStatusCallOptions(router, options.timeout);
+        // A page of a large site lists all of its requests and endpoints.
+        callOptions.maxResponseBytes = http::defaultMaxResponseBytes;
         const asio::any_io_executor strand = asio::make_strand(pool.context());
         asio::post(strand, [strand, callOptions, call = std::move(call), promise]() mutable {
             http::fetch(strand, callOptions, std::move(call), [promise](BufferedResponse response) { promise->set_value(std::move(response)); });
--- a/lib/Orders/Controller.cpp
+++ b/lib/Orders/Controller.cpp
@@ -289,9 +289,8 @@
     {
         request.set(http::Field::host, engine.address);
         const auto address = support::toEndpoint(engine.address, engine.port);
-        http::ClientCallOptions callOptions
-            = http::makeClientCallOptions(address.value_or(asio::ip::tcp::endpoint(asio::ip::address(), engine.port)), options_.engineTimeout);
-        callOptions.maxResponseBytes = 1024 * 1024;
+        const http::ClientCallOptions callOptions
+            = http::makeStatusCallOptions(address.value_or(asio::ip::tcp::endpoint(asio::ip::address(), engine.port)), options_.engineTimeout);
         http::fetch(strand_, callOptions, std::move(request), [self = shared_from_this(), handler = std::move(handler)](const BufferedResponse &response) {
             if (!self->stopped_) {
                 handler(response);
--- a/lib/Router/Attempt.cpp
+++ b/lib/Router/Attempt.cpp
@@ -126,6 +126,7 @@
 Verdict Attempt::cancel()
 {
     handlers_ = nullptr;
+    memory_ = nullptr;
     stopProgressTimer();
     Verdict verdict = probing_ ? Verdict::MayHaveRun : Verdict::NotRun;
     if (const auto call = std::exchange(call_, nullptr)) {
@@ -148,7 +149,7 @@
     if (!cancellation || !address) {
         return;
     }
-    http::fetch(executor_, http::makeClientCallOptions(*address, cancellationTimeout), std::move(*cancellation), [](const http::BufferedResponse &) {});
+    http::fetch(executor_, http::makeStatusCallOptions(*address, cancellationTimeout), std::move(*cancellation), [](const http::BufferedResponse &) {});
 }
 
 void Attempt::onHeader(const http::ResponseHeader &responseHeader)
@@ -223,6 +224,7 @@
         return;
     }
     response_.body() += data;
+    holdMemory(response_.body().capacity());
     // The limit of the call is higher for streams, but a response with another status is buffered whole.
     if (response_.body().size() > options_.maxResponseBytes) {
         std::exchange(call_, nullptr)->cancel();
@@ -232,6 +234,34 @@
     call_->readMore();
 }
 
+void Attempt::holdMemory(std::size_t bytes)
+{
+    if (!options_.responseMemory || (bytes == 0 && !memory_)) {
+        return;
+    }
+    if (!memory_) {
+        memory_ = options_.responseMemory->open([weak = weak_from_this(), executor = executor_] {
+            boost::asio::post(executor, [weak] {
+                if (const auto self = weak.lock()) {
+                    self->onMemoryReclaimed();
+                }
+            });
+        });
+    }
+    memory_->resize(bytes);
+}
+
+void Attempt::onMemoryReclaimed()
+{
+    if (!call_) {
+        return;
+    }
+    std::exchange(call_, nullptr)->cancel();
+    requestCancellation();
+    end({.reason
+        = "the responses that are being received exceed " + std::to_string(options_.responseMemory->limitBytes()) + " bytes, and this is the largest of them"});
+}
+
 /// Returns the result if the chunk ends the attempt, or nothing if the stream continues.
 static std::optional<AttemptResult> resultOf(ChunkKind kind)
 {
@@ -268,6 +298,7 @@
         outputTokens_ += isToken ? 1 : 0;
         checked.push_back({.raw = std::move(event.raw), .id = std::move(event.id), .isToken = isToken, .attemptTokens = outputTokens_});
     }
+    holdMemory(events_.incompleteEventBytes());
     if (!attemptResult && events_.incompleteEventBytes() > maxEventBytes) {
         attemptResult = AttemptResult {.reason = "the endpoint sent an event of more than " + std::to_string(maxEventBytes) + " bytes"};
     }
@@ -376,6 +407,7 @@
 void Attempt::end(AttemptResult attemptResult)
 {
     stopProgressTimer();
+    memory_ = nullptr;
     attemptResult.responseStarted = responseStarted_;
     permit_->finish({.outcome = attemptResult.outcome, .outputTokens = outputTokens_, .refusesFor = refusesFor_});
     if (const auto handlers = std::exchange(handlers_, nullptr)) {
--- a/lib/Router/CallerSessionAttempts.cpp
+++ b/lib/Router/CallerSessionAttempts.cpp
@@ -85,6 +85,7 @@
         .stallTimeout = state_.options.stallTimeout,
         .responseTimeout = state_.options.responseTimeout,
         .maxResponseBytes = state_.options.maxResponseBytes,
+        .responseMemory = state_.responseMemory,
         .number = attempts_,
         .resumeFrom = deliveredTokens_,
         .lastEventId = lastEventId_,
--- a/lib/Router/EndpointProbe.cpp
+++ b/lib/Router/EndpointProbe.cpp
@@ -30,7 +30,7 @@
     http::Request request(http::Verb::get, "/v1/state", 11);
     request.set(http::Field::host, endpoint.address().to_string());
     http::fetch(executor,
-        http::makeClientCallOptions(endpoint, probeTimeout),
+        http::makeStatusCallOptions(endpoint, probeTimeout),
         std::move(request),
         [handler = std::move(handler)](const http::BufferedResponse &response) { handler(probeResultOf(response.result.error)); });
 }
--- a/lib/Router/EndpointWatcher.cpp
+++ b/lib/Router/EndpointWatcher.cpp
@@ -93,7 +93,7 @@
     http::Request request(http::Verb::get, target, 11);
     request.set(http::Field::host, endpoint.address);
     http::fetch(
-        executor, http::makeClientCallOptions(*address, timeout), std::move(request), [handler = std::move(handler)](const http::BufferedResponse &response) {
+        executor, http::makeStatusCallOptions(*address, timeout), std::move(request), [handler = std::move(handler)](const http::BufferedResponse &response) {
             boost::system::error_code parseError;
             const json::value body = json::parse(response.body, parseError);
             const bool usable = !response.result.error && response.status == http::Status::ok && !parseError && body.is_object();
--- a/test/PlatformRouter/PlatformRouterTest.cpp
+++ b/test/PlatformRouter/PlatformRouterTest.cpp
@@ -1,65 +1,16 @@
-#include "ScriptedStore.h"
+#include "PlatformRouterFixture.h"
 
-#include "Adapter/ScriptedEndpoint.h"
-#include "Harness/ChildProcess.h"
-#include "Harness/Deployment.h"
-#include "Harness/PortReservation.h"
-#include "Harness/TestClient.h"
-#include "Harness/Wait.h"
-
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
-
-#include <gtest/gtest.h>
-
-#include <array>
-#include <atomic>
 #include <csignal>
-#include <filesystem>
-#include <fstream>
 #include <future>
-#include <memory>
-#include <set>
-#include <string>
 #include <thread>
 #include <vector>
 
 namespace mulberrywall::platform
 {
 
-using harness::Call;
-using harness::ChildProcess;
-using harness::Reply;
-using std::chrono::milliseconds;
-
 namespace
 {
 
-constexpr std::string_view validKey = "valid-key";
-constexpr std::string_view withdrawnKey = "withdrawn-key";
-/// Time after which a withdrawn key must not be used, also by a router that cannot know of the withdrawal.
-constexpr milliseconds revocationLimit {1'500};
-constexpr unsigned ok = 200;
-constexpr unsigned unauthorized = 401;
-constexpr unsigned unavailable = 503;
-
-std::string documentWithKeys(unsigned version, const std::string &keys)
-{
-    return R"({"version":)" + std::to_string(version)
-        + R"(,"routes":[{"name":"r","host":"h","prefix":"/safe/","type":"safe","timeoutMs":4000,"sloMs":300,"priority":1,"service":"s","attempts":2}],)"
-          R"("services":[{"name":"s","healthPath":"/healthz","maxConns":100,"protocol":"h1","tls":false}],)"
-          R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},)"
-          R"("tenants":[{"name":"t","apiKeys":[)"
-        + keys + "]}]}";
-}
-
-std::string endpointEntry(std::uint16_t port)
-{
-    return R"({"service":"s","address":"127.0.0.1:)" + std::to_string(port)
-        + R"(","zone":"dc-a","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"seq":1,"born":1})";
-}
-
 /// The requests of one client and what became of them.
 struct ClientLog
 {
@@ -88,101 +39,6 @@
 
 } // namespace
 
-/// A router process on the users' platform, whose store and endpoint are in this process.
-class PlatformRouterTest : public testing::Test
-{
-protected:
-    PlatformRouterTest()
-    {
-        callerPort_ = ports_.reserve("127.0.0.1");
-        std::ofstream(settingsFile_) << R"({"nodeName":"router-0","zone":"dc-a","listen":{"front":"127.0.0.1:)" << callerPort_ << R"(","ready":"127.0.0.1:)"
-                                     << ports_.reserve("127.0.0.1") << R"("},"bounds":{"graceS":3,"strictRevoke":true,"revokeMs":)" << revocationLimit.count()
-                                     << R"(,"configApplyMs":1000,"drainMs":1000},"platform":{"address":"127.0.0.1:)" << store_.port() << "\"}}";
-        writeConfiguration(R"("valid-key","withdrawn-key")");
-        store_.write("servers", "endpoint-0", endpointEntry(endpoint_.port()));
-        startRouter();
-        waitUntilServed(withdrawnKey);
-    }
-
-    ~PlatformRouterTest() override
-    {
-        router_.reset();
-        std::filesystem::remove(settingsFile_);
-        workers_.stop();
-        workers_.join();
-    }
-
-    void startRouter()
-    {
-        router_ = std::make_unique<ChildProcess>(
-            harness::ChildOptions {.name = "router-0", .binary = harness::routerBinary(), .environment = {{"MULBERRYWALL_NODE_FILE", settingsFile_}}});
-        router_->waitForPort("caller");
-    }
-
-    [[nodiscard]] Call makeCall(std::string_view key, const std::string &id) const
-    {
-        return {.port = callerPort_,
-            .target = "/safe/x",
-            .headers = {{"Host", "h"}, {"Mulberrywall-Request-Id", id}, {"Mulberrywall-Deadline-Ms", "4000"}, {"Authorization", "Bearer " + std::string(key)}},
-            .timeout = milliseconds(10'000)};
-    }
-
-    [[nodiscard]] Reply request(std::string_view key)
-    {
-        return send(makeCall(key, "request-" + std::to_string(++requests_)));
-    }
-
-    [[nodiscard]] std::set<std::string> idsOfRuns() const
-    {
-        std::set<std::string> result;
-        for (const http::Request &request : endpoint_.requests()) {
-            result.emplace(http::fieldValue(request, "Mulberrywall-Request-Id"));
-        }
-        return result;
-    }
-
-    /// Writes the bytes to the router's caller port and waits until the router closes the connection or has responded.
-    void sendBytes(std::string_view bytes) const
-    {
-        boost::asio::io_context context;
-        boost::asio::ip::tcp::socket socket(context);
-        socket.connect({boost::asio::ip::address_v4::loopback(), callerPort_});
-        boost::system::error_code ignored;
-        boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
-        socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-        std::array<char, 512> response {};
-        socket.read_some(boost::asio::buffer(response), ignored);
-    }
-
-    void waitUntilServed(std::string_view key)
-    {
-        harness::waitUntil("a request with the key " + std::string(key) + " is served", [&] { return request(key).status == ok; });
-    }
-
-    /// Writes the next version of the configuration, with these keys.
-    void writeConfiguration(const std::string &keys)
-    {
-        store_.write("op", "config", documentWithKeys(++configurationVersion_, keys));
-    }
-
-    void withdrawKey()
-    {
-        writeConfiguration(R"("valid-key")");
-    }
-
-    support::WorkerPool workers_ {2};
-    ScriptedStore store_ {workers_};
-    ScriptedEndpoint endpoint_ {workers_, [](const http::ServerExchangePtr &exchange) {
-                                    answer(exchange, http::Status::ok, "served");
-                                }};
-    harness::PortReservation ports_;
-    std::uint16_t callerPort_ = 0;
-    std::string settingsFile_ = (std::filesystem::temp_directory_path() / ("mulberrywall-node-" + std::to_string(::getpid()) + ".json")).string();
-    std::unique_ptr<ChildProcess> router_;
-    std::atomic<unsigned> requests_ {0};
-    unsigned configurationVersion_ = 0;
-};
-
 /// Guards against a router that goes on with its lease on the configuration after a pause, although the lease ended meanwhile.
 TEST_F(PlatformRouterTest, PausedRouterUsesNoKeyThatWasWithdrawnMeanwhile)
 {
--- a/unittests/Adapter/EndlessResponseTest.cpp
+++ b/unittests/Adapter/EndlessResponseTest.cpp
@@ -1,108 +1,16 @@
+#include "EndlessEndpoint.h"
 #include "ScriptedEndpoint.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/write.hpp>
+#include "mulberrywall/Router/EndpointProbe.h"
 
 #include <gtest/gtest.h>
 
-#include <array>
-#include <atomic>
+#include <future>
 #include <thread>
 
 namespace mulberrywall::platform
 {
 
-using boost::asio::ip::tcp;
-
-/// Bytes that an endpoint sends in place of a response: a start, and a part that it repeats until the router closes.
-struct EndlessBytes
-{
-    std::string name;
-    std::string target;
-    std::string start;
-    std::string repeated;
-};
-
-/// An endpoint that reads the start of a request, ignores the rest and sends bytes without end on each connection.
-class EndlessEndpoint
-{
-public:
-    EndlessEndpoint(support::WorkerPool &workers, const EndlessBytes &bytes)
-        : acceptor_(workers.context(), {boost::asio::ip::address_v4::loopback(), 0}),
-          state_(std::make_shared<State>())
-    {
-        constexpr std::size_t writeBytes = 64 * 1024;
-        state_->start = bytes.start;
-        while (state_->repeated.size() < writeBytes) {
-            state_->repeated += bytes.repeated;
-        }
-        accept();
-    }
-
-    [[nodiscard]] std::uint16_t port() const
-    {
-        return acceptor_.local_endpoint().port();
-    }
-    [[nodiscard]] std::size_t sentBytes() const
-    {
-        return state_->sentBytes;
-    }
-    [[nodiscard]] bool isClosed() const
-    {
-        return state_->closed > 0;
-    }
-
-private:
-    struct State
-    {
-        std::string start;
-        std::string repeated;
-        std::atomic<std::size_t> sentBytes = 0;
-        std::atomic<unsigned> closed = 0;
-    };
-
-    struct Connection : std::enable_shared_from_this<Connection>
-    {
-        Connection(tcp::socket accepted, std::shared_ptr<State> owner)
-            : socket(std::move(accepted)),
-              state(std::move(owner))
-        {
-        }
-
-        void send(const std::string &bytes)
-        {
-            boost::asio::async_write(socket, boost::asio::buffer(bytes), [self = shared_from_this()](const boost::system::error_code &error, std::size_t size) {
-                self->state->sentBytes += size;
-                if (error) {
-                    ++self->state->closed;
-                    return;
-                }
-                self->send(self->state->repeated);
-            });
-        }
-
-        tcp::socket socket;
-        std::shared_ptr<State> state;
-        std::array<char, 1024> request {};
-    };
-
-    void accept()
-    {
-        acceptor_.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
-            if (error) {
-                return;
-            }
-            const auto connection = std::make_shared<Connection>(std::move(socket), state_);
-            connection->socket.async_read_some(boost::asio::buffer(connection->request),
-                [connection](const boost::system::error_code &, std::size_t) { connection->send(connection->state->start); });
-            accept();
-        });
-    }
-
-    tcp::acceptor acceptor_;
-    std::shared_ptr<State> state_;
-};
-
 static std::string confirmedHead(const std::string &id, const std::string &fields, const std::string &status = "200 OK")
 {
     return "HTTP/1.1 " + status + "\r\nMulberrywall-Request-Id: " + id + "\r\nMulberrywall-Server-Seal: seal\r\n" + fields + "\r\n";
@@ -189,6 +97,26 @@
     EXPECT_LT(endpoint_.sentBytes(), mostBytes);
 }
 
+/// Guards against an endpoint that answers a probe without end: each probe buffered up to 64 MiB.
+TEST(EndlessProbeResponseTest, EndsTheProbe)
+{
+    constexpr std::size_t mostBytes = std::size_t {8} * 1024 * 1024;
+    support::WorkerPool workers(2);
+    const EndlessEndpoint endpoint(workers, {.name = "Probe", .start = "HTTP/1.1 200 OK\r\n\r\n", .repeated = "x"});
+    std::promise<router::ProbeResult> promise;
+    router::probeEndpoint(workers.context().get_executor(),
+        {boost::asio::ip::address_v4::loopback(), endpoint.port()},
+        configuration::PoolKind::ModelEngine,
+        [&promise](router::ProbeResult result) { promise.set_value(result); });
+    promise.get_future().wait();
+    while (!endpoint.isClosed()) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    EXPECT_LT(endpoint.sentBytes(), mostBytes);
+    workers.stop();
+    workers.join();
+}
+
 INSTANTIATE_TEST_SUITE_P(Responses, EndlessResponseTest, testing::ValuesIn(endlessResponses()), [](const auto &info) { return info.param.name; });
 
 } // namespace mulberrywall::platform
--- a/unittests/Adapter/NodeSettingsTest.cpp
+++ b/unittests/Adapter/NodeSettingsTest.cpp
@@ -9,6 +9,7 @@
     "nodeName": "edge-west-1", "zone": "west", "unknownField": {"a": [1, 2]},
     "listen": {"front": "10.1.0.40:8227", "ready": "10.1.0.40:8220"},
     "bounds": {"graceS": 8, "configApplyMs": 4000, "drainMs": 3000, "strictRevoke": true, "revokeMs": 5000, "retryRatio": 0.25, "retrySlack": 54.0},
+    "limits": {"cpuShare": 0.25, "memoryMb": 260, "maxFds": 4100},
     "platform": {"address": "10.200.1.7:8223"}})";
 
 static std::string errorOf(std::string_view text)
@@ -31,6 +32,8 @@
     EXPECT_EQ(settings.terminationGrace, std::chrono::seconds(8));
     EXPECT_EQ(settings.keyRevocationLimit, std::chrono::seconds(5));
     EXPECT_EQ(settings.changeDelayLimit, std::chrono::seconds(3)) << "the shorter of both limits";
+    EXPECT_DOUBLE_EQ(settings.processorCores, 0.25);
+    EXPECT_EQ(settings.memoryLimit, 260'000'000U);
     EXPECT_DOUBLE_EQ(settings.retries.ratio, 0.25);
     EXPECT_DOUBLE_EQ(settings.retries.slack, 54.0);
 }
@@ -49,12 +52,13 @@
 TEST(NodeSettings, LimitsDurationsAndCores)
 {
     const auto read = readNodeSettings(R"({"nodeName": "a", "zone": "z", "listen": {"front": "10.1.0.1:1", "ready": "10.1.0.1:2"},
-        "bounds": {"graceS": 3e71, "strictRevoke": true, "revokeMs": 3e71}, "limits": {"cpuShare": 3e71}, "platform": {"address": "10.1.0.2:3"}})");
+        "bounds": {"graceS": 3e71, "strictRevoke": true, "revokeMs": 3e71}, "limits": {"cpuShare": 3e71, "memoryMb": 3e71}, "platform": {"address": "10.1.0.2:3"}})");
     ASSERT_TRUE(std::holds_alternative<NodeSettings>(read));
     const auto &settings = std::get<NodeSettings>(read);
     EXPECT_EQ(settings.terminationGrace, std::chrono::years(1));
     EXPECT_EQ(settings.keyRevocationLimit, std::chrono::years(1));
     EXPECT_LE(settings.processorCores, 512.0);
+    EXPECT_EQ(settings.memoryLimit, 1'000'000'000'000U);
 }
 
 TEST(NodeSettings, ErrorNamesMissingOrInvalidField)
