router: answer waiting and running requests before a planned stop ends

Cause here: the end of the drain ended the process and left the requests at work, and those that waited for an endpoint, to their connections. A slot that became free just before the end was still given to a request.

Evidence, on the code before: PlannedStopTest.AnswersRunningAndWaiting- Requests, 4 of 4 connections closed without a response, three of them of requests that had not run; PassesNothingOnShortlyBeforeTheEnd, a request passed on 0.36 s before the end and cut.

Change: SessionRegistry knows the sessions at work. From the middle of the drain limit on no attempt starts, and what waits is rejected as not run, so that callers have time for another router. 200 ms before the end of the drain, running requests are answered with 502 and streams are broken off, so that the responses reach their callers.

After: both tests pass; BrokenStreamDoesNotLookComplete passed before too.

--- a/include/mulberrywall/Router/CallerSession.h
+++ b/include/mulberrywall/Router/CallerSession.h
@@ -11,6 +11,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -38,6 +39,10 @@
     ~CallerSession();
 
     void start();
+    /// Rejects the request if it waits for an endpoint. May be called on any thread.
+    void rejectIfWaiting();
+    /// Ends the request with an error response. A stream that has started is broken off. May be called on any thread.
+    void abort();
 
 private:
     using AttemptPtr = std::shared_ptr<Attempt>;
@@ -51,6 +56,7 @@
 
     void armDeadline();
     void onDeadline();
+    void failForShutdown();
     void onReservationResult(const backingservices::ReservationResult &result);
     /// Releases the key reservation before it responds, so that it does not block the caller's next
     /// request with the key.
@@ -103,6 +109,8 @@
     http::ServerExchangePtr exchange_;
     std::shared_ptr<const CallerRequest> request_;
     ConcurrencySlot concurrencySlot_;
+    /// Number in the registry of sessions; 0 until the session starts.
+    std::uint64_t registryNumber_ = 0;
     boost::asio::steady_timer deadlineTimer_;
     boost::asio::steady_timer hedgeTimer_;
     std::shared_ptr<StreamRelay> relay_;
--- a/include/mulberrywall/Router/RouterService.h
+++ b/include/mulberrywall/Router/RouterService.h
@@ -115,6 +115,8 @@
     void startWatchers();
     void stopWatchers();
     void endGrace();
+    /// Ends requests as the end of the process comes nearer: first those that wait, then those that run.
+    void endRequestsInTime(policy::TimePoint now);
     void waitUntilIdle();
     void endDrain();
 
@@ -133,7 +135,12 @@
     std::shared_ptr<EndpointWatcher> endpointWatcher_;
     std::shared_ptr<backingservices::InstanceList> instanceList_;
     boost::asio::steady_timer drainTimer_;
+    /// Time of the shutdown from which no attempt starts.
+    policy::TimePoint lastStartAt_ = policy::TimePoint::max();
+    /// Time of the shutdown at which running requests are aborted.
+    policy::TimePoint abortAt_ = policy::TimePoint::max();
     policy::TimePoint drainDeadline_ = policy::TimePoint::max();
+    bool aborted_ = false;
     /// Time since which no request is active during a shutdown.
     std::optional<policy::TimePoint> idleSince_;
     std::function<void()> onDrained_;
--- a/include/mulberrywall/Router/RouterState.h
+++ b/include/mulberrywall/Router/RouterState.h
@@ -13,6 +13,7 @@
 #include "mulberrywall/Router/RetryBudget.h"
 #include "mulberrywall/Router/RetryDecision.h"
 #include "mulberrywall/Router/ServiceLevelWindows.h"
+#include "mulberrywall/Router/SessionRegistry.h"
 #include "mulberrywall/Support/MemoryBudget.h"
 #include "mulberrywall/Support/Metrics.h"
 
@@ -78,10 +79,13 @@
     HedgeDelays hedgeDelays;
     OrganisationLimits organisationLimits;
     std::shared_ptr<support::MemoryBudget> responseMemory = std::make_shared<support::MemoryBudget>(options.maxResponseMemoryBytes);
+    SessionRegistry sessions;
     std::atomic<std::size_t> activeRequests {0};
     /// True from the start of the shutdown. The router then reports that it is not ready; running
     /// requests end normally.
     std::atomic<bool> draining {false};
+    /// True from the time of the shutdown at which a new attempt might not end before the process does.
+    std::atomic<bool> startsNoAttempts {false};
 };
 
 } // namespace mulberrywall::router
--- a/lib/Router/CallerSession.cpp
+++ b/lib/Router/CallerSession.cpp
@@ -31,11 +31,13 @@
 
 CallerSession::~CallerSession()
 {
+    state_.sessions.remove(registryNumber_);
     --state_.activeRequests;
 }
 
 void CallerSession::start()
 {
+    registryNumber_ = state_.sessions.add(weak_from_this());
     relay_ = std::make_shared<StreamRelay>(exchange_,
         StreamRelay::Handlers {.onDrained =
                                    [weak = weak_from_this()] {
@@ -130,6 +132,10 @@
         onDeadline();
         return true;
     }
+    if (state_.startsNoAttempts) {
+        failForShutdown();
+        return true;
+    }
     // A stream that the caller already receives was permitted when it started.
     if (purpose == AttemptPurpose::Resume || state_.lease.isValid(support::BootClock::now())) {
         return false;
@@ -155,6 +161,31 @@
         .verdict = verdict_});
 }
 
+void CallerSession::failForShutdown()
+{
+    cancelAttempts();
+    fail({.status = statusWithoutResponse(), .title = "shutting down", .detail = "the router is shutting down; use another instance", .verdict = verdict_},
+        verdict_ == Verdict::NotRun ? endpointRefusalRetryAfter : std::chrono::milliseconds(0));
+}
+
+void CallerSession::rejectIfWaiting()
+{
+    boost::asio::dispatch(exchange_->executor(), [self = shared_from_this()] {
+        if (!self->ended_ && self->running_.empty() && !self->relay_->isStarted()) {
+            self->failForShutdown();
+        }
+    });
+}
+
+void CallerSession::abort()
+{
+    boost::asio::dispatch(exchange_->executor(), [self = shared_from_this()] {
+        if (!self->ended_) {
+            self->failForShutdown();
+        }
+    });
+}
+
 std::vector<support::EndpointId> CallerSession::excludedEndpoints(AttemptPurpose purpose) const
 {
     std::vector<support::EndpointId> excluded = failedEndpoints_;
--- a/lib/Router/RouterService.cpp
+++ b/lib/Router/RouterService.cpp
@@ -6,6 +6,7 @@
 #include "mulberrywall/Router/CallerSession.h"
 #include "mulberrywall/Support/Log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace mulberrywall::router
@@ -18,6 +19,12 @@
 /// still be under way, and the last responses must reach their callers before the connections are closed.
 static constexpr std::chrono::milliseconds drainSettleTime {250};
 
+/// Share of the drain limit in which attempts may start. The rest of it remains for them to end.
+static constexpr double drainStartShare = 0.5;
+
+/// Time before the end of a drain at which running requests are aborted, so that the error responses reach their callers.
+static constexpr std::chrono::milliseconds abortTime {200};
+
 /// Retry-After value of a router that cannot serve, within which the load balancer usually switches to
 /// another router.
 static constexpr std::chrono::milliseconds notReadyRetryAfter {500};
@@ -232,7 +239,10 @@
     }
     support::log(support::Severity::Info, "draining", {{"activeRequests", state_.activeRequests.load()}});
     if (options_.drainLimit.count() > 0) {
-        drainDeadline_ = std::chrono::steady_clock::now() + options_.drainGrace + options_.drainLimit;
+        const policy::TimePoint graceEnd = std::chrono::steady_clock::now() + options_.drainGrace;
+        lastStartAt_ = graceEnd + std::chrono::duration_cast<std::chrono::milliseconds>(options_.drainLimit * drainStartShare);
+        drainDeadline_ = graceEnd + options_.drainLimit;
+        abortAt_ = drainDeadline_ - std::min(abortTime, options_.drainLimit);
     }
     drainTimer_.expires_after(options_.drainGrace);
     drainTimer_.async_wait([this](const boost::system::error_code &error) {
@@ -260,9 +270,28 @@
     waitUntilIdle();
 }
 
+void RouterService::endRequestsInTime(policy::TimePoint now)
+{
+    if (now >= lastStartAt_ && !state_.startsNoAttempts.exchange(true)) {
+        for (const std::shared_ptr<CallerSession> &session : state_.sessions.sessions()) {
+            session->rejectIfWaiting();
+        }
+    }
+    if (now < abortAt_ || std::exchange(aborted_, true)) {
+        return;
+    }
+    support::log(support::Severity::Warning,
+        "drain limit exceeded; running requests are aborted; raise --drain-limit-ms",
+        {{"activeRequests", state_.activeRequests.load()}});
+    for (const std::shared_ptr<CallerSession> &session : state_.sessions.sessions()) {
+        session->abort();
+    }
+}
+
 void RouterService::waitUntilIdle()
 {
     const policy::TimePoint now = std::chrono::steady_clock::now();
+    endRequestsInTime(now);
     // Sessions do not suffice: a session ends before its response is written.
     const bool isIdle = state_.activeRequests == 0 && callerServer_->activeExchanges() == 0;
     if (!isIdle) {
@@ -277,9 +306,6 @@
         return;
     }
     if (now >= drainDeadline_) {
-        support::log(support::Severity::Warning,
-            "drain limit exceeded; running requests are aborted; raise --drain-limit-ms",
-            {{"activeRequests", state_.activeRequests.load()}});
         endDrain();
         return;
     }
