tests: responses that end within their header

Report of another operator: an endpoint closed within the header of its answer, and clients got a 200 with an empty or short body.

The test of streams that end inside an event destroyed a router whose handlers could still run on the workers; a crash of the new test showed it. Routers are now kept until the workers have ended.

--- a/unittests/Adapter/BrokenStreamTest.cpp
+++ b/unittests/Adapter/BrokenStreamTest.cpp
@@ -7,7 +7,9 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <mutex>
 #include <ostream>
+#include <set>
 
 namespace mulberrywall::platform
 {
@@ -23,6 +25,13 @@
         route.resumable = streams && idempotency == configuration::Idempotency::Idempotent;
     }
 
+    /// Lets the test start another router. Workers may still run handlers of this one, which is kept until they have ended.
+    void retireRouter()
+    {
+        retired_.push_back(std::move(service_));
+        site_ = {};
+    }
+
     void start()
     {
         addRoute("/resumable/", configuration::Idempotency::Idempotent, true);
@@ -38,10 +47,9 @@
     }
 
     /// Sends a request and returns all bytes of the connection up to its end: an HTTP client shows none that follow an error.
-    std::string sendAndReadBytes(const std::string &target)
+    std::string sendAndReadBytes(const std::string &target, const std::string &id = "r1")
     {
-        start();
-        http::Request request = makeCallerRequest(target, "r1");
+        http::Request request = makeCallerRequest(target, id);
         request.keep_alive(false);
         request.prepare_payload();
         boost::asio::io_context context;
@@ -64,12 +72,18 @@
     }
 
     std::unique_ptr<RawEndpoint> rawEndpoint_;
+    std::vector<std::unique_ptr<router::RouterService>> retired_;
 };
 
 static const std::string firstEvents = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
 
 /// Header of a response with neither a length nor chunks.
-static const std::string headWithoutLength = "HTTP/1.1 200 OK\r\nMulberrywall-Request-Id: r1\r\nMulberrywall-Server-Seal: seal\r\n\r\n";
+static std::string headWithoutLengthFor(const std::string &id)
+{
+    return "HTTP/1.1 200 OK\r\nMulberrywall-Request-Id: " + id + "\r\nMulberrywall-Server-Seal: seal\r\n\r\n";
+}
+
+static const std::string headWithoutLength = headWithoutLengthFor("r1");
 
 /// Status and body with which the second endpoint answers.
 struct ErrorResponse
@@ -109,6 +123,7 @@
     const ScriptedEndpoint second(workers_, script);
     addEndpoint("first", first.port());
     addEndpoint("second", second.port());
+    start();
     const std::string bytes = sendAndReadBytes("/resumable/");
     EXPECT_EQ(resumes, 1U);
     const std::size_t events = bytes.find(firstEvents);
@@ -159,12 +174,103 @@
 TEST_F(BrokenStreamTest, StreamWithoutLengthThatEndsInsideAnEventIsIncomplete)
 {
     for (const std::string part : {"id: 3", "id: 3\ndata: th", "id: 3\ndata: three\n", ":", "id: 3\ndata: three\n\r"}) {
-        service_ = nullptr;
-        site_ = {};
+        retireRouter();
         const http::BufferedResponse response = sendToRawEndpoint("/stream/", headWithoutLength + firstEvents + part, AfterWrite::Close);
         EXPECT_EQ(response.body, firstEvents) << part;
         EXPECT_TRUE(response.result.error) << part;
     }
 }
 
+/// How a response with its body is framed, and how the endpoint ends the connection within the header.
+struct CutHeader
+{
+    std::string name;
+    std::string fields;
+    AfterWrite then = AfterWrite::Close;
+};
+
+static std::ostream &operator<<(std::ostream &stream, const CutHeader &cut)
+{
+    return stream << cut.name;
+}
+
+class CutHeaderTest : public BrokenStreamTest, public testing::WithParamInterface<CutHeader>
+{
+protected:
+    static std::string header(const std::string &id)
+    {
+        return "HTTP/1.1 200 OK\r\nMulberrywall-Request-Id: " + id + "\r\nMulberrywall-Server-Seal: seal\r\n" + GetParam().fields + "\r\n";
+    }
+
+    /// Returns the number at the end of an id, after the last dash.
+    static std::size_t numberIn(const std::string &id)
+    {
+        return std::stoul(id.substr(id.rfind('-') + 1));
+    }
+
+    /// Starts a router with two endpoints whose responses end after as many bytes of the header as the request's id says. Each request
+    /// needs a new one: an endpoint that failed is avoided for a time.
+    void startWithCutHeaders(const std::string &eventsBefore)
+    {
+        const auto script = [this, eventsBefore](const std::string &id) -> std::vector<Write> {
+            if (!eventsBefore.empty() && isFirst(id)) {
+                return {{.bytes = headWithoutLengthFor(id) + eventsBefore}, {.pause = std::chrono::milliseconds(5), .bytes = "id", .then = AfterWrite::Reset}};
+            }
+            return {{.bytes = header(id).substr(0, numberIn(id)), .then = GetParam().then}};
+        };
+        retireRouter();
+        for (const std::string name : {"first", "second"}) {
+            endpoints_.push_back(std::make_unique<RawEndpoint>(workers_, script));
+            addEndpoint(name, endpoints_.back()->port());
+        }
+        start();
+    }
+
+    bool isFirst(const std::string &id)
+    {
+        const std::scoped_lock lock(mutex_);
+        return seen_.insert(id).second;
+    }
+
+    std::vector<std::unique_ptr<RawEndpoint>> endpoints_;
+    std::mutex mutex_;
+    std::set<std::string> seen_;
+};
+
+/// Guards against an endpoint that ends its connection within the header of its response, and whose caller gets a success with an
+/// empty or a short body.
+TEST_P(CutHeaderTest, IsNoSuccess)
+{
+    for (const std::string target : {"/call/", "/stream/", "/resumable/"}) {
+        for (std::size_t size = 0; size < header("r-0").size(); ++size) {
+            startWithCutHeaders("");
+            const std::string bytes = sendAndReadBytes(target, "r-" + std::to_string(size));
+            EXPECT_TRUE(bytes.starts_with("HTTP/1.1 50")) << target << ' ' << size << ' ' << bytes.substr(0, 200);
+        }
+    }
+}
+
+/// Guards against a stream that is resumed at such an endpoint and ends as if it were complete.
+TEST_P(CutHeaderTest, DoesNotEndAResumedStream)
+{
+    for (std::size_t size = 0; size < header("resumed-0").size(); ++size) {
+        startWithCutHeaders(firstEvents);
+        const std::string bytes = sendAndReadBytes("/resumable/", "resumed-" + std::to_string(size));
+        const std::size_t events = bytes.find(firstEvents);
+        ASSERT_NE(events, std::string::npos) << size << ' ' << bytes;
+        // Anything else would be a part of a response, or the last chunk, which makes the stream look complete.
+        EXPECT_EQ(bytes.substr(events + firstEvents.size()), "\r\n") << size;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Framings,
+    CutHeaderTest,
+    testing::Values(CutHeader {"LengthClosed", "Content-Length: 5\r\n", AfterWrite::Close},
+        CutHeader {"LengthReset", "Content-Length: 5\r\n", AfterWrite::Reset},
+        CutHeader {"ChunksClosed", "Transfer-Encoding: chunked\r\n", AfterWrite::Close},
+        CutHeader {"ChunksReset", "Transfer-Encoding: chunked\r\n", AfterWrite::Reset},
+        CutHeader {"UntilCloseClosed", "", AfterWrite::Close},
+        CutHeader {"UntilCloseReset", "", AfterWrite::Reset}),
+    [](const auto &info) { return info.param.name; });
+
 } // namespace mulberrywall::platform
