router: sessions do not remove themselves from the registry

Trace: a mutex lock on freed memory, in the destructor of a session that a handler still owned after its router was destroyed. The test replaces its router while workers run, and serve() destroys the service before the pending handlers too. The destructor only decremented a counter before.

The registry holds weak pointers, so the removal was needed for its size only.

--- a/include/mulberrywall/Router/CallerSession.h
+++ b/include/mulberrywall/Router/CallerSession.h
@@ -109,8 +109,6 @@
     http::ServerExchangePtr exchange_;
     std::shared_ptr<const CallerRequest> request_;
     ConcurrencySlot concurrencySlot_;
-    /// Number in the registry of sessions; 0 until the session starts.
-    std::uint64_t registryNumber_ = 0;
     boost::asio::steady_timer deadlineTimer_;
     boost::asio::steady_timer hedgeTimer_;
     std::shared_ptr<StreamRelay> relay_;
--- a/include/mulberrywall/Router/SessionRegistry.h
+++ b/include/mulberrywall/Router/SessionRegistry.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include <cstdint>
-#include <map>
+#include <cstddef>
 #include <memory>
 #include <mutex>
 #include <vector>
@@ -12,18 +11,22 @@
 class CallerSession;
 
 /// The sessions at work, so that a shutdown can end them with a response. Thread-safe.
+///
+/// Sessions do not remove themselves: one that a pending handler owns may end after the registry.
 class SessionRegistry
 {
 public:
-    /// Returns the number under which the session is removed.
-    std::uint64_t add(std::weak_ptr<CallerSession> session);
-    void remove(std::uint64_t number);
+    void add(std::weak_ptr<CallerSession> session);
     [[nodiscard]] std::vector<std::shared_ptr<CallerSession>> sessions() const;
 
 private:
+    static constexpr std::size_t minimumCleanupSize = 64;
+
     mutable std::mutex mutex_;
-    std::map<std::uint64_t, std::weak_ptr<CallerSession>> sessions_;
-    std::uint64_t lastNumber_ = 0;
+    /// Also contains sessions that have ended since the last clean-up.
+    std::vector<std::weak_ptr<CallerSession>> sessions_;
+    /// Number of entries at which those of ended sessions are removed.
+    std::size_t cleanupSize_ = minimumCleanupSize;
 };
 
 } // namespace mulberrywall::router
--- a/lib/Router/CallerSession.cpp
+++ b/lib/Router/CallerSession.cpp
@@ -31,13 +31,12 @@
 
 CallerSession::~CallerSession()
 {
-    state_.sessions.remove(registryNumber_);
     --state_.activeRequests;
 }
 
 void CallerSession::start()
 {
-    registryNumber_ = state_.sessions.add(weak_from_this());
+    state_.sessions.add(weak_from_this());
     relay_ = std::make_shared<StreamRelay>(exchange_,
         StreamRelay::Handlers {.onDrained =
                                    [weak = weak_from_this()] {
--- a/lib/Router/SessionRegistry.cpp
+++ b/lib/Router/SessionRegistry.cpp
@@ -1,29 +1,27 @@
 #include "mulberrywall/Router/SessionRegistry.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace mulberrywall::router
 {
 
-std::uint64_t SessionRegistry::add(std::weak_ptr<CallerSession> session)
+void SessionRegistry::add(std::weak_ptr<CallerSession> session)
 {
     const std::scoped_lock lock(mutex_);
-    sessions_.emplace(++lastNumber_, std::move(session));
-    return lastNumber_;
-}
-
-void SessionRegistry::remove(std::uint64_t number)
-{
-    const std::scoped_lock lock(mutex_);
-    sessions_.erase(number);
+    if (sessions_.size() >= cleanupSize_) {
+        std::erase_if(sessions_, [](const std::weak_ptr<CallerSession> &entry) { return entry.expired(); });
+        cleanupSize_ = std::max(minimumCleanupSize, 2 * sessions_.size());
+    }
+    sessions_.push_back(std::move(session));
 }
 
 std::vector<std::shared_ptr<CallerSession>> SessionRegistry::sessions() const
 {
     const std::scoped_lock lock(mutex_);
     std::vector<std::shared_ptr<CallerSession>> result;
-    for (const auto &[number, weak] : sessions_) {
-        if (auto session = weak.lock()) {
+    for (const std::weak_ptr<CallerSession> &entry : sessions_) {
+        if (auto session = entry.lock()) {
             result.push_back(std::move(session));
         }
     }
