tests: keep a replaced router until the workers have ended

Handlers of a replaced router could still run and count their sessions in freed memory: 1 crash in 200 runs of EndpointStatementTest.Leaving*.

--- a/unittests/Adapter/BrokenStreamTest.cpp
+++ b/unittests/Adapter/BrokenStreamTest.cpp
@@ -25,13 +25,6 @@
         route.resumable = streams && idempotency == configuration::Idempotency::Idempotent;
     }
 
-    /// Lets the test start another router. Workers may still run handlers of this one, which is kept until they have ended.
-    void retireRouter()
-    {
-        retired_.push_back(std::move(service_));
-        site_ = {};
-    }
-
     void start()
     {
         addRoute("/resumable/", configuration::Idempotency::Idempotent, true);
@@ -72,7 +65,6 @@
     }
 
     std::unique_ptr<RawEndpoint> rawEndpoint_;
-    std::vector<std::unique_ptr<router::RouterService>> retired_;
 };
 
 static const std::string firstEvents = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
@@ -174,7 +166,7 @@
 TEST_F(BrokenStreamTest, StreamWithoutLengthThatEndsInsideAnEventIsIncomplete)
 {
     for (const std::string part : {"id: 3", "id: 3\ndata: th", "id: 3\ndata: three\n", ":", "id: 3\ndata: three\n\r"}) {
-        retireRouter();
+        site_ = {};
         const http::BufferedResponse response = sendToRawEndpoint("/stream/", headWithoutLength + firstEvents + part, AfterWrite::Close);
         EXPECT_EQ(response.body, firstEvents) << part;
         EXPECT_TRUE(response.result.error) << part;
@@ -218,7 +210,7 @@
             }
             return {{.bytes = header(id).substr(0, numberIn(id)), .then = GetParam().then}};
         };
-        retireRouter();
+        site_ = {};
         for (const std::string name : {"first", "second"}) {
             endpoints_.push_back(std::make_unique<RawEndpoint>(workers_, script));
             addEndpoint(name, endpoints_.back()->port());
--- a/unittests/Adapter/RouterTestBase.h
+++ b/unittests/Adapter/RouterTestBase.h
@@ -7,6 +7,8 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace mulberrywall::platform
 {
@@ -28,8 +30,12 @@
             .id = support::EndpointId(id), .address = "127.0.0.1", .port = port, .pools = {support::PoolId("p")}, .maximumConcurrency = 8});
     }
 
+    /// Starts a router, also in place of an earlier one. Workers may still run handlers of that one, which is kept until they have ended.
     void startRouter()
     {
+        if (service_) {
+            replaced_.push_back(std::move(service_));
+        }
         site_.pools.push_back({.id = support::PoolId("p"), .kind = configuration::PoolKind::PlainService});
         site_.revision = 1;
         service_ = std::make_unique<router::RouterService>(workers_.context(), makeRouterOptions("router"), policy::standardPolicy());
@@ -40,6 +46,7 @@
     support::WorkerPool workers_ {2};
     configuration::SiteConfiguration site_;
     std::unique_ptr<router::RouterService> service_;
+    std::vector<std::unique_ptr<router::RouterService>> replaced_;
 };
 
 } // namespace mulberrywall::platform
