tests: one function each for a confirmed header and for a request's id

EndlessResponseTest had the former before its twins were written for cut headers and for the memory limit; the raw and the endless endpoint each read the id by themselves. Assertions are unchanged.

--- a/test/PlatformRouter/MemoryLimitTest.cpp
+++ b/test/PlatformRouter/MemoryLimitTest.cpp
@@ -1,6 +1,7 @@
 #include "PlatformRouterFixture.h"
 
 #include "Adapter/EndlessEndpoint.h"
+#include "Adapter/EndpointBytes.h"
 
 #include <future>
 #include <memory>
@@ -31,9 +32,9 @@
 
 std::vector<EndlessBytes> endlessResponses()
 {
-    const std::string confirmedHead = "HTTP/1.1 200 OK\r\nMulberrywall-Request-Id: {id}\r\nMulberrywall-Server-Seal: seal\r\n\r\n";
-    return {{.name = "body", .target = "/other/x", .start = confirmedHead, .repeated = "x"},
-        {.name = "event", .target = "/other-stream/x", .start = confirmedHead, .repeated = "data: x\n"},
+    const std::string head = confirmedHead("{id}");
+    return {{.name = "body", .target = "/other/x", .start = head, .repeated = "x"},
+        {.name = "event", .target = "/other-stream/x", .start = head, .repeated = "data: x\n"},
         {.name = "header", .target = "/other/x", .start = "HTTP/1.1 200 OK\r\n", .repeated = "field: value\r\n"},
         {.name = "noise", .target = "/other/x", .start = "\x01", .repeated = "\x01\x02\x7f"}};
 }
--- a/unittests/Adapter/BrokenStreamTest.cpp
+++ b/unittests/Adapter/BrokenStreamTest.cpp
@@ -1,3 +1,4 @@
+#include "EndpointBytes.h"
 #include "RawEndpoint.h"
 #include "RouterTestBase.h"
 
@@ -70,12 +71,7 @@
 static const std::string firstEvents = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
 
 /// Header of a response with neither a length nor chunks.
-static std::string headWithoutLengthFor(const std::string &id)
-{
-    return "HTTP/1.1 200 OK\r\nMulberrywall-Request-Id: " + id + "\r\nMulberrywall-Server-Seal: seal\r\n\r\n";
-}
-
-static const std::string headWithoutLength = headWithoutLengthFor("r1");
+static const std::string headWithoutLength = confirmedHead("r1");
 
 /// Status and body with which the second endpoint answers.
 struct ErrorResponse
@@ -191,7 +187,7 @@
 protected:
     static std::string header(const std::string &id)
     {
-        return "HTTP/1.1 200 OK\r\nMulberrywall-Request-Id: " + id + "\r\nMulberrywall-Server-Seal: seal\r\n" + GetParam().fields + "\r\n";
+        return confirmedHead(id, GetParam().fields);
     }
 
     /// Returns the number at the end of an id, after the last dash.
@@ -206,7 +202,7 @@
     {
         const auto script = [this, eventsBefore](const std::string &id) -> std::vector<Write> {
             if (!eventsBefore.empty() && isFirst(id)) {
-                return {{.bytes = headWithoutLengthFor(id) + eventsBefore}, {.pause = std::chrono::milliseconds(5), .bytes = "id", .then = AfterWrite::Reset}};
+                return {{.bytes = confirmedHead(id) + eventsBefore}, {.pause = std::chrono::milliseconds(5), .bytes = "id", .then = AfterWrite::Reset}};
             }
             return {{.bytes = header(id).substr(0, numberIn(id)), .then = GetParam().then}};
         };
--- a/unittests/Adapter/EndlessEndpoint.h
+++ b/unittests/Adapter/EndlessEndpoint.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "EndpointBytes.h"
+
 #include "mulberrywall/Support/WorkerPool.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -11,7 +13,6 @@
 #include <cstdint>
 #include <memory>
 #include <string>
-#include <string_view>
 #include <utility>
 
 namespace mulberrywall::platform
@@ -79,19 +80,12 @@
                 self->startBytes = self->state->start;
                 const std::size_t placeholder = self->startBytes.find("{id}");
                 if (placeholder != std::string::npos) {
-                    self->startBytes.replace(placeholder, 4, idIn({self->request.data(), size}));
+                    self->startBytes.replace(placeholder, 4, requestIdIn({self->request.data(), size}));
                 }
                 self->send(self->startBytes);
             });
         }
 
-        static std::string idIn(std::string_view request)
-        {
-            constexpr std::string_view name = "Mulberrywall-Request-Id: ";
-            const std::size_t begin = request.find(name) + name.size();
-            return std::string(request.substr(begin, request.find('\r', begin) - begin));
-        }
-
         void send(const std::string &bytes)
         {
             boost::asio::async_write(socket, boost::asio::buffer(bytes), [self = shared_from_this()](const boost::system::error_code &error, std::size_t size) {
--- a/unittests/Adapter/EndlessResponseTest.cpp
+++ b/unittests/Adapter/EndlessResponseTest.cpp
@@ -1,4 +1,5 @@
 #include "EndlessEndpoint.h"
+#include "EndpointBytes.h"
 #include "ScriptedEndpoint.h"
 
 #include "mulberrywall/Router/EndpointProbe.h"
@@ -11,11 +12,6 @@
 namespace mulberrywall::platform
 {
 
-static std::string confirmedHead(const std::string &id, const std::string &fields, const std::string &status = "200 OK")
-{
-    return "HTTP/1.1 " + status + "\r\nMulberrywall-Request-Id: " + id + "\r\nMulberrywall-Server-Seal: seal\r\n" + fields + "\r\n";
-}
-
 static std::vector<EndlessBytes> endlessResponses()
 {
     const std::string chunked = "Transfer-Encoding: chunked\r\n";
@@ -27,13 +23,13 @@
             .target = "/unsafe/",
             .start = confirmedHead("earlier", "Content-Length: 0\r\n"),
             .repeated = confirmedHead("earlier", "Content-Length: 0\r\n")},
-        {.name = "EarlierResponseWithoutEnd", .target = "/unsafe/", .start = confirmedHead("earlier", ""), .repeated = "x"},
-        {.name = "BodyUntilClose", .target = "/unsafe/", .start = confirmedHead("r1", ""), .repeated = "x"},
+        {.name = "EarlierResponseWithoutEnd", .target = "/unsafe/", .start = confirmedHead("earlier"), .repeated = "x"},
+        {.name = "BodyUntilClose", .target = "/unsafe/", .start = confirmedHead("r1"), .repeated = "x"},
         {.name = "ChunkedBody", .target = "/unsafe/", .start = confirmedHead("r1", chunked), .repeated = "400\r\n" + std::string(1024, 'x') + "\r\n"},
         {.name = "ChunkOfNoise", .target = "/unsafe/", .start = confirmedHead("r1", chunked), .repeated = "\x01\x02\x7f"},
         {.name = "ChunkExtension", .target = "/unsafe/", .start = confirmedHead("r1", chunked) + "10;x=", .repeated = "x"},
         {.name = "ErrorBodyOfStream", .target = "/stream/", .start = confirmedHead("r1", "", "500 Failed"), .repeated = "x"},
-        {.name = "EventWithoutEnd", .target = "/stream/", .start = confirmedHead("r1", ""), .repeated = "data: x\n"},
+        {.name = "EventWithoutEnd", .target = "/stream/", .start = confirmedHead("r1"), .repeated = "data: x\n"},
         {.name = "EventOfNoise", .target = "/stream/", .start = confirmedHead("r1", chunked) + "10\r\n0123456789abcdef\r\n", .repeated = "\x01\x02\x7f"}};
 }
 
--- a/unittests/Adapter/RawEndpoint.h
+++ b/unittests/Adapter/RawEndpoint.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "EndpointBytes.h"
+
 #include "mulberrywall/Support/WorkerPool.h"
 
 #include <boost/asio/buffers_iterator.hpp>
@@ -74,18 +76,11 @@
                 const auto begin = boost::asio::buffers_begin(self->received.data());
                 const std::string head(begin, begin + static_cast<std::ptrdiff_t>(size));
                 self->received.consume(size);
-                self->write((*self->script)(idOf(head)), 0);
+                self->write((*self->script)(requestIdIn(head)), 0);
                 self->readRequest();
             });
         }
 
-        static std::string idOf(const std::string &head)
-        {
-            const std::string name = "Mulberrywall-Request-Id: ";
-            const std::size_t start = head.find(name) + name.size();
-            return head.substr(start, head.find('\r', start) - start);
-        }
-
         void write(const std::vector<Write> &writes, std::size_t index)
         {
             if (index == writes.size()) {
