duties: one lease state machine for duties and for engine orders

The lease of the engine orders was tied to the table client, whose rows and conditions differ from those of the platform's store. The machine now describes a read or write without the store's format.

--- a/lib/Orders/Controller.cpp
+++ b/lib/Orders/Controller.cpp
@@ -27,6 +27,7 @@
 using boost::system::error_code;
 using configuration::RevisionHeadResult;
 using configuration::RevisionResult;
+using duties::readLeaseClocks;
 using http::BufferedResponse;
 using support::log;
 using support::Severity;
@@ -118,7 +119,7 @@
 
     void advanceLease()
     {
-        LeaseStep step = nextStep(lease_, options_.lease, Clock::now());
+        LeaseStep step = nextStep(lease_, options_.lease, readLeaseClocks());
         handleLeaseChange();
         switch (step.kind) {
         case LeaseStepKind::Wait:
@@ -127,16 +128,16 @@
         case LeaseStepKind::Read:
             table_.read(leaseTable, lease_.key, [self = shared_from_this()](const ReadResult &result) {
                 self->onStrand([self, result] {
-                    onRead(self->lease_, self->options_.lease, result, Clock::now());
+                    onRead(self->lease_, self->options_.lease, result, readLeaseClocks());
                     self->advanceLease();
                 });
             });
             return;
         case LeaseStepKind::Write: {
-            const TimePoint sentAt = Clock::now();
+            const LeaseTime sentAt = readLeaseClocks();
             table_.commit(leaseTable, {step.operation}, [self = shared_from_this(), row = step.row, sentAt](const CommitResult &result) {
                 self->onStrand([self, row, sentAt, result] {
-                    onWrite(self->lease_, self->options_.lease, row, result, sentAt, Clock::now());
+                    onWrite(self->lease_, self->options_.lease, row, result, sentAt, readLeaseClocks());
                     self->advanceLease();
                 });
             });
@@ -203,7 +204,7 @@
     /// Requests the state of all engines. Sends orders after the last response.
     void startEngineRound()
     {
-        if (!maySendOrder(lease_, options_.lease, Clock::now()) || desired_.empty()) {
+        if (!maySendOrder(lease_, options_.lease, readLeaseClocks()) || desired_.empty()) {
             scheduleEngineRound();
             return;
         }
@@ -241,7 +242,7 @@
         const std::uint64_t fencing = lease_.fencing;
         request.body() = renderOrder(engine, fencing, std::chrono::system_clock::now() + options_.lease.orderTimeToLive);
         // Checked last, to keep the time between the check and the write as short as possible.
-        if (!maySendOrder(lease_, options_.lease, Clock::now())) {
+        if (!maySendOrder(lease_, options_.lease, readLeaseClocks())) {
             return;
         }
         // The order may take effect even without a response, so it is recorded as sent until a response shows otherwise.
@@ -262,7 +263,7 @@
             log(Severity::Warning, "order refused; the engine has seen a higher fencing number", {{"endpoint", id.value()}, {"fencing", fencing}});
             observed_[id].orderedAt.reset();
             observed_[id].attemptedAt.reset();
-            onHigherFencing(lease_, higherFencingOf(response), Clock::now());
+            onHigherFencing(lease_, higherFencingOf(response), readLeaseClocks());
             confirmLeaseNow();
             return;
         }
--- a/lib/Orders/Lease.cpp
+++ b/lib/Orders/Lease.cpp
@@ -1,192 +1,107 @@
 #include "mulberrywall/Orders/Lease.h"
 
-#include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
-#include <boost/json/serialize.hpp>
-
-#include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace mulberrywall::orders
 {
 
-namespace json = boost::json;
+using backingservices::CommitResult;
 using backingservices::CommitStatus;
 using backingservices::ReadStatus;
 using backingservices::WriteOperationKind;
+using duties::LeaseReadStatus;
+using duties::LeaseWriteStatus;
 
 namespace
 {
 
-LeaseStep makeWrite(const LeaseState &state, std::uint64_t fencing, WriteOperationKind kind, std::uint64_t version)
+duties::LeaseOptions toLeaseOptions(const LeaseOptions &options)
 {
-    LeaseStep step {.kind = LeaseStepKind::Write, .row = {.holder = state.self, .fencing = std::max(fencing, state.minimumFencing)}};
-    step.operation = {.kind = kind, .key = state.key, .value = encodeLease(step.row), .version = version};
-    return step;
+    return {.duration = options.duration,
+        .renewInterval = options.renewInterval,
+        .margin = options.margin,
+        .quietTime = options.orderTimeToLive,
+        .quietTimeOnReturn = options.orderTimeToLive,
+        .retryInterval = options.pollInterval,
+        .observeInterval = options.pollInterval};
 }
 
-/// Marks the lease as held, or extends it, after a write of this process was confirmed.
-void markHeld(LeaseState &state, const LeaseOptions &options, const LeaseRow &row, std::uint64_t version, TimePoint sentAt, TimePoint now)
+LeaseReadStatus toReadStatus(ReadStatus status)
 {
-    if (!state.isHeld) {
-        state.ordersAllowedFrom = now + options.orderTimeToLive;
+    switch (status) {
+    case ReadStatus::Found:
+        return LeaseReadStatus::Found;
+    case ReadStatus::Absent:
+        return LeaseReadStatus::Absent;
+    case ReadStatus::Unavailable:
+        return LeaseReadStatus::Unavailable;
     }
-    state.isHeld = true;
-    state.needsConfirmation = false;
-    state.fencing = row.fencing;
-    state.rowVersion = version;
-    state.validUntil = std::max(state.validUntil, sentAt + options.duration);
-    state.nextAccessAt = sentAt + options.renewInterval;
-    state.observedRow.reset();
-    state.unconfirmedWrite.reset();
+    return LeaseReadStatus::Unavailable;
 }
 
-void markLost(LeaseState &state)
+LeaseWriteStatus toWriteStatus(CommitStatus status)
 {
-    state.isHeld = false;
-    state.unconfirmedWrite.reset();
-}
-
-/// Returns true if the lease may be taken over: it was released, this process is the holder in the row, or it has expired.
-bool canTakeOver(const LeaseState &state, const LeaseOptions &options, TimePoint now)
-{
-    const LeaseState::ObservedRow &observedRow = *state.observedRow;
-    return observedRow.row.holder.empty() || observedRow.row.holder == state.self || now - observedRow.since >= options.duration;
-}
-
-/// Updates the state with the stored row, which was returned by a read or a conflict.
-void onStoredRow(LeaseState &state, const LeaseOptions &options, const backingservices::Row &stored, TimePoint now)
-{
-    const LeaseRow row = parseLease(stored.value).value_or(LeaseRow {.holder = "unreadable", .fencing = state.minimumFencing});
-    state.minimumFencing = std::max(state.minimumFencing, row.fencing);
-    const bool isCurrent = state.isHeld && row.holder == state.self && stored.version == state.rowVersion;
-    if (isCurrent) {
-        // The unconfirmed renewal has not been applied yet. It is sent again; the lease is still measured from its first
-        // attempt, which may be applied later.
-        if (state.unconfirmedWrite) {
-            state.unconfirmedWrite->needsRead = false;
-        }
-        state.nextAccessAt = now;
-        return;
-    }
-    const bool isUnconfirmedWrite = state.unconfirmedWrite && row.holder == state.self && row.fencing == state.unconfirmedWrite->fencing;
-    if (isUnconfirmedWrite) {
-        markHeld(state, options, row, stored.version, state.unconfirmedWrite->firstSentAt, now);
-        return;
-    }
-    markLost(state);
-    const bool isNew = !state.observedRow || state.observedRow->version != stored.version;
-    if (isNew) {
-        state.observedRow = LeaseState::ObservedRow {.version = stored.version, .row = row, .since = now};
+    switch (status) {
+    case CommitStatus::Applied:
+        return LeaseWriteStatus::Applied;
+    case CommitStatus::Conflict:
+        return LeaseWriteStatus::Conflict;
+    case CommitStatus::NotApplied:
+        return LeaseWriteStatus::NotApplied;
+    case CommitStatus::Unknown:
+        return LeaseWriteStatus::Unknown;
     }
-    state.hasFreshRead = true;
-    state.nextAccessAt = canTakeOver(state, options, now) ? now : now + options.pollInterval;
+    return LeaseWriteStatus::Unknown;
 }
 
-} // namespace
-
-std::string encodeLease(const LeaseRow &row)
+duties::StoredLease toStoredLease(const backingservices::Row &row)
 {
-    return json::serialize(json::object {{"holder", row.holder}, {"fencing", row.fencing}});
+    return {.version = row.version, .text = row.value};
 }
 
-std::optional<LeaseRow> parseLease(std::string_view text)
+duties::LeaseWriteResult toWriteResult(const CommitResult &result)
 {
-    try {
-        const json::value document = json::parse(json::string_view(text.data(), text.size()));
-        return LeaseRow {
-            .holder = std::string(document.as_object().at("holder").as_string()),
-            .fencing = document.as_object().at("fencing").to_number<std::uint64_t>(),
-        };
-    } catch (const std::exception &) {
-        return std::nullopt;
+    duties::LeaseWriteResult converted {.status = toWriteStatus(result.status), .version = result.version};
+    if (!result.conflicts.empty() && result.conflicts.front().current) {
+        converted.current = toStoredLease(*result.conflicts.front().current);
     }
+    return converted;
 }
 
-LeaseStep nextStep(LeaseState &state, const LeaseOptions &options, TimePoint now)
-{
-    if (state.isHeld && now >= state.validUntil) {
-        // The unconfirmed renewal may have been applied, but the time by which it extends the lease has passed as well.
-        markLost(state);
-        state.nextAccessAt = now;
-    }
-    if (now < state.nextAccessAt) {
-        const TimePoint until = state.isHeld ? std::min(state.nextAccessAt, state.validUntil) : state.nextAccessAt;
-        return {.kind = LeaseStepKind::Wait, .until = until};
-    }
-    if (state.isHeld && !(state.unconfirmedWrite && state.unconfirmedWrite->needsRead)) {
-        return makeWrite(state, state.fencing, WriteOperationKind::PutIfVersion, state.rowVersion);
-    }
-    const bool isFreshRead = std::exchange(state.hasFreshRead, false);
-    if (isFreshRead && !state.isHeld && canTakeOver(state, options, now)) {
-        const bool isAbsent = state.observedRow->version == 0;
-        return makeWrite(state,
-            state.observedRow->row.fencing + 1,
-            isAbsent ? WriteOperationKind::InsertIfAbsent : WriteOperationKind::PutIfVersion,
-            state.observedRow->version);
-    }
-    return {.kind = LeaseStepKind::Read};
-}
+} // namespace
 
-void onRead(LeaseState &state, const LeaseOptions &options, const backingservices::ReadResult &result, TimePoint now)
+LeaseStep nextStep(LeaseState &state, const LeaseOptions &options, const LeaseTime &now)
 {
-    switch (result.status) {
-    case ReadStatus::Unavailable:
-        state.nextAccessAt = now + options.pollInterval;
-        return;
-    case ReadStatus::Absent:
-        markLost(state);
-        // Version 0 represents the absent row.
-        state.observedRow = LeaseState::ObservedRow {};
-        state.hasFreshRead = true;
-        state.nextAccessAt = now;
-        return;
-    case ReadStatus::Found:
-        onStoredRow(state, options, result.row, now);
-        return;
+    duties::LeaseStep step = duties::nextStep(state, toLeaseOptions(options), now);
+    LeaseStep converted {.kind = step.kind, .until = step.until, .row = std::move(step.row)};
+    if (step.kind == LeaseStepKind::Write) {
+        converted.operation = {.kind = step.expectedVersion == 0 ? WriteOperationKind::InsertIfAbsent : WriteOperationKind::PutIfVersion,
+            .key = state.key,
+            .value = encodeLease(converted.row),
+            .version = step.expectedVersion};
     }
+    return converted;
 }
 
-void onWrite(LeaseState &state, const LeaseOptions &options, const LeaseRow &row, const backingservices::CommitResult &result, TimePoint sentAt, TimePoint now)
+void onRead(LeaseState &state, const LeaseOptions &options, const backingservices::ReadResult &result, const LeaseTime &now)
 {
-    switch (result.status) {
-    case CommitStatus::Applied:
-        markHeld(state, options, row, result.version, sentAt, now);
-        return;
-    case CommitStatus::NotApplied:
-        state.nextAccessAt = now + options.pollInterval;
-        return;
-    case CommitStatus::Unknown:
-        if (!state.unconfirmedWrite || state.unconfirmedWrite->fencing != row.fencing) {
-            state.unconfirmedWrite = LeaseState::UnconfirmedWrite {.fencing = row.fencing, .firstSentAt = sentAt};
-        }
-        state.unconfirmedWrite->needsRead = true;
-        state.nextAccessAt = now;
-        return;
-    case CommitStatus::Conflict:
-        if (!result.conflicts.empty() && result.conflicts.front().current) {
-            onStoredRow(state, options, *result.conflicts.front().current, now);
-            return;
-        }
-        markLost(state);
-        state.nextAccessAt = now + options.pollInterval;
-        return;
-    }
+    duties::onRead(state, toLeaseOptions(options), {.status = toReadStatus(result.status), .stored = toStoredLease(result.row)}, now);
 }
 
-bool maySendOrder(const LeaseState &state, const LeaseOptions &options, TimePoint now)
+void onWrite(LeaseState &state,
+    const LeaseOptions &options,
+    const LeaseRow &row,
+    const backingservices::CommitResult &result,
+    const LeaseTime &sentAt,
+    const LeaseTime &now)
 {
-    return state.isHeld && !state.needsConfirmation && now >= state.ordersAllowedFrom && now + options.margin <= state.validUntil;
+    duties::onWrite(state, toLeaseOptions(options), row, toWriteResult(result), sentAt, now);
 }
 
-void onHigherFencing(LeaseState &state, std::uint64_t engineFencing, TimePoint now)
+bool maySendOrder(const LeaseState &state, const LeaseOptions &options, const LeaseTime &now)
 {
-    if (engineFencing < state.fencing) {
-        return;
-    }
-    state.minimumFencing = std::max(state.minimumFencing, engineFencing + 1);
-    state.needsConfirmation = true;
-    state.nextAccessAt = now;
+    return duties::mayActUnderLease(state, toLeaseOptions(options), now);
 }
 
 backingservices::WriteOperation releaseOperation(const LeaseState &state)
@@ -194,7 +109,7 @@
     return {
         .kind = WriteOperationKind::PutIfVersion,
         .key = state.key,
-        .value = encodeLease({.holder = {}, .fencing = state.fencing}),
+        .value = encodeLease(duties::releasedRow(state)),
         .version = state.rowVersion,
     };
 }
--- a/unittests/Orders/LeaseTest.cpp
+++ b/unittests/Orders/LeaseTest.cpp
@@ -15,9 +15,9 @@
 
 using std::chrono::milliseconds;
 
-TimePoint at(std::int64_t ms)
+LeaseTime at(std::int64_t ms)
 {
-    return TimePoint(milliseconds(ms));
+    return {.monotonic = std::chrono::steady_clock::time_point(milliseconds(ms)), .boot = support::BootClock::time_point(milliseconds(ms))};
 }
 
 /// Simulates a lease row, whose writes may be slow, lost or late, and processes that use it and pause at random. Uses a
