--- a/include/mulberrywall/Http/ClientCall.h
+++ b/include/mulberrywall/Http/ClientCall.h
@@ -20,6 +20,14 @@
 /// Limit on the body of a response that is buffered whole, unless the caller sets another.
 inline constexpr std::size_t defaultMaxResponseBytes = std::size_t {64} * 1024 * 1024;
 
+/// How a connection is closed that is not reused.
+enum class ClientCallClose : std::uint8_t {
+    /// The system goes on sending what was written, if need be for minutes after the close.
+    Orderly,
+    /// Unless the response is complete, the connection is reset and bytes that were not sent are discarded, also at the end of the process.
+    Reset,
+};
+
 struct ClientCallOptions
 {
     boost::asio::ip::tcp::endpoint peer;
@@ -35,6 +43,9 @@
     /// Maximum time that sent bytes may remain unacknowledged by the peer before the connection fails (TCP_USER_TIMEOUT). 0
     /// selects the system's default, which takes minutes to detect a peer that has lost power.
     std::chrono::milliseconds unacknowledgedTimeout {0};
+    ClientCallClose close = ClientCallClose::Orderly;
+    /// Asked when the connection has been made. If it returns false, the call ends with operation_aborted and nothing is written.
+    std::function<bool()> mayWrite;
 };
 
 /// Limit on the body of a response about the state of an instance or an endpoint.
--- a/lib/Http/ClientCall.cpp
+++ b/lib/Http/ClientCall.cpp
@@ -50,6 +50,19 @@
     return {};
 }
 
+enum class CloseLinger : std::uint8_t {
+    Default,
+    Discard,
+};
+
+/// Sets whether the system discards unsent bytes when the socket is closed. Without Asio, which resets an option that it knows of when it
+/// destroys a socket.
+void setCloseLinger(asio::ip::tcp::socket &socket, CloseLinger mode)
+{
+    const linger option {.l_onoff = mode == CloseLinger::Discard ? 1 : 0, .l_linger = 0};
+    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
 /// Returns the timeout of a Keep-Alive field such as "timeout=5, max=100". Returns nothing if the field or its timeout
 /// parameter is missing, and 0 if the value is not a number.
 std::optional<std::chrono::seconds> keepAliveTimeoutOf(const ResponseHeader &responseHeader)
@@ -166,6 +179,13 @@
             return;
         }
         stage_ = ClientCallStage::NothingWritten;
+        if (options_.close == ClientCallClose::Reset) {
+            setCloseLinger(stream_.socket(), CloseLinger::Discard);
+        }
+        if (options_.mayWrite && !options_.mayWrite()) {
+            end(asio::error::operation_aborted);
+            return;
+        }
         error_code ignored;
         if (!reused_) {
             stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -279,6 +299,9 @@
     void recycleOrClose()
     {
         const bool reusable = options_.pool && stage_ == ClientCallStage::ResponseComplete && parser_->keep_alive() && !writeError_ && buffer_.size() == 0;
+        if (options_.close == ClientCallClose::Reset && stage_ == ClientCallStage::ResponseComplete) {
+            setCloseLinger(stream_.socket(), CloseLinger::Default);
+        }
         if (!reusable) {
             stream_.close();
             return;
