router: takes part in the duties that the settings name

Without a section cloud with duties nothing changes. The parts are made in NodeDuties; addDutyTasks is the place for metering and autoscaling. The live members reach the holder from the load peer group.

--- a/include/mulberrywall/Router/LoadPeerGroup.h
+++ b/include/mulberrywall/Router/LoadPeerGroup.h
@@ -68,6 +68,8 @@
     /// Called with the largest number of live routers seen so far, including this one, each time it
     /// increases.
     std::function<void(std::size_t)> peakRouterCountChanged;
+    /// Called with the live routers, including this one, after the members have changed; may be empty.
+    std::function<void(const std::vector<membership::Member> &)> liveMembersChanged;
 };
 
 /// Connects a router with peers that each decide for themselves and exchange their loads and
--- a/include/mulberrywall/Router/RouterService.h
+++ b/include/mulberrywall/Router/RouterService.h
@@ -98,6 +98,11 @@
     {
         return pools_;
     }
+    /// Returns the metrics of the process; valid as long as the service.
+    [[nodiscard]] support::MetricsRegistry &metrics()
+    {
+        return state_.metrics;
+    }
     [[nodiscard]] boost::asio::ip::tcp::endpoint callerEndpoint() const;
     [[nodiscard]] boost::asio::ip::tcp::endpoint adminEndpoint() const;
 
--- a/lib/Router/LoadPeerGroup.cpp
+++ b/lib/Router/LoadPeerGroup.cpp
@@ -161,6 +161,9 @@
         routes_ = permits::chooseLoadRoutes(live, options_.instance);
         handlers_.setWatchMode(watchModeOf(routes_.role));
         recordRouterCount(live.size());
+        if (handlers_.liveMembersChanged) {
+            handlers_.liveMembersChanged(live);
+        }
     }
     return routes_;
 }
--- a/tools/mulberrywall-router/NodeProgram.cpp
+++ b/tools/mulberrywall-router/NodeProgram.cpp
@@ -1,5 +1,6 @@
 #include "NodeProgram.h"
 
+#include "NodeDuties.h"
 #include "NodeSettingsWatcher.h"
 
 #include "platform/Dialect.h"
@@ -21,6 +22,7 @@
 #include <algorithm>
 #include <future>
 #include <iostream>
+#include <optional>
 #include <utility>
 
 namespace mulberrywall::router
@@ -167,8 +169,7 @@
             }};
 }
 
-/// Table and row key of the secret that all routers share.
-constexpr std::string_view routerTable = "mulberrywall";
+/// Row key of the secret that all routers share.
 constexpr std::string_view secretKey = "peer-secret";
 
 /// Returns the secret of the routers from the rows of their table.
@@ -230,7 +231,8 @@
     const platform::NodeSettings &settings,
     const std::shared_ptr<platform::StoreClient> &client,
     const std::shared_ptr<StoreWatcher> &storeWatcher,
-    const std::shared_ptr<SegmentArchive> &segments)
+    const std::shared_ptr<SegmentArchive> &segments,
+    const std::optional<NodeDuties> &duties)
 {
     if (settings.firstPeerPort == 0) {
         return nullptr;
@@ -254,9 +256,44 @@
             [&service, slack = settings.retries.slack](std::size_t routers) {
                 service.setRetryCapacity(retryBurstPerRouter(slack, routers));
             }};
+    if (duties) {
+        handlers.liveMembersChanged = [holder = duties->runner->holder()](const std::vector<membership::Member> &live) {
+            holder->setMembers(live);
+        };
+    }
     return std::make_shared<LoadPeerGroup>(context, service.pools(), std::move(options), makeSecretStore(client, segments), std::move(handlers));
 }
 
+/// Adds the duties that the settings name. Each begins when this router acquires the lease and ends when it loses it.
+void addDutyTasks(NodeDuties &duties, const platform::NodeSettings &settings)
+{
+    if (hasDuty(settings, "metering")) {
+        // lib/Metering adds its task here; it needs duties.store, duties.control and duties.runner->holder().
+        duties.runner->addTask({.name = "metering",
+            .begin = [](std::uint64_t) {},
+            .end =
+                [] {
+                }});
+    }
+    if (hasDuty(settings, "autoscale")) {
+        // lib/Policy/Autoscaling adds its task here.
+        duties.runner->addTask({.name = "autoscale",
+            .begin = [](std::uint64_t) {},
+            .end =
+                [] {
+                }});
+    }
+}
+
+/// Starts to take part in the duties. A router without peers is the only candidate.
+void startDuties(const NodeDuties &duties, const platform::NodeSettings &settings)
+{
+    duties.runner->start();
+    if (settings.firstPeerPort == 0) {
+        duties.runner->holder()->setMembers({{.instance = settings.instance, .dataCentre = settings.dataCentre}});
+    }
+}
+
 int serve(const platform::NodeSettings &settings, const RouterProgram &program, const std::string &nodeFile, std::uint16_t metricsPort)
 {
     support::initializeLog({.processName = program.name,
@@ -271,13 +308,23 @@
         const auto segments = makeSegmentArchive(workers.context(), service, settings, client);
         const auto storeWatcher = std::make_shared<StoreWatcher>(
             workers.context(), makeStoreWatcherOptions(settings), makeStoreWatcherSources(client, settings), makeStoreWatcherHandlers(service, segments));
+        std::optional<NodeDuties> duties = makeNodeDuties(workers.context(), settings, service.metrics());
+        if (duties) {
+            addDutyTasks(*duties, settings);
+        }
         const auto settingsWatcher
-            = std::make_shared<NodeSettingsWatcher>(workers.context(), nodeFile, settings, [client, &service](const platform::NodeSettings &changed) {
+            = std::make_shared<NodeSettingsWatcher>(workers.context(), nodeFile, settings, [client, duties, &service](const platform::NodeSettings &changed) {
                   client->setAddress(changed.store);
+                  if (duties) {
+                      duties->store->setAddress(changed.store);
+                  }
                   service.setConfigurationLifetime(configurationLifetime(changed));
               });
-        const auto peerGroup = makePeerGroup(workers.context(), service, settings, client, storeWatcher, segments);
-        support::onTerminationSignal(workers.context(), [&service, &drained, peerGroup] {
+        const auto peerGroup = makePeerGroup(workers.context(), service, settings, client, storeWatcher, segments, duties);
+        support::onTerminationSignal(workers.context(), [&service, &drained, peerGroup, duties] {
+            if (duties) {
+                duties->runner->release([] {});
+            }
             if (peerGroup) {
                 peerGroup->leave();
             }
@@ -292,6 +339,9 @@
             loadSegments(client, segments);
         }
         settingsWatcher->start();
+        if (duties) {
+            startDuties(*duties, settings);
+        }
         drained.get_future().wait();
         workers.stop();
         workers.join();
