--- a/lib/Membership/Codec.cpp
+++ b/lib/Membership/Codec.cpp
@@ -1,7 +1,8 @@
 #include "Codec.h"
 
+#include "mulberrywall/Support/BinaryFields.h"
+
 #include <algorithm>
-#include <concepts>
 
 namespace mulberrywall::membership
 {
@@ -13,64 +14,30 @@
 /// member ignores datagrams of other versions.
 constexpr std::uint8_t protocolVersion = 3;
 
-class Writer
+class Writer : public support::FieldWriter
 {
 public:
-    explicit Writer(std::vector<std::uint8_t> &bytes)
-        : bytes_(bytes)
-    {
-    }
+    using support::FieldWriter::FieldWriter;
 
-    template <std::unsigned_integral Number>
-    void number(Number value)
-    {
-        for (std::size_t index = 0; index < sizeof(Number); ++index) {
-            bytes_.push_back(static_cast<std::uint8_t>(value >> (8 * index)));
-        }
-    }
     void name(std::string_view text)
     {
-        const std::string_view bounded = text.substr(0, maxNameBytes);
-        number(static_cast<std::uint8_t>(bounded.size()));
-        bytes_.insert(bytes_.end(), bounded.begin(), bounded.end());
+        support::FieldWriter::name(text.substr(0, maxNameBytes));
     }
     void address(const SocketAddress &value)
     {
-        bytes_.insert(bytes_.end(), value.ip.begin(), value.ip.end());
+        bytes(value.ip);
         number(value.port);
     }
-
-private:
-    std::vector<std::uint8_t> &bytes_;
 };
 
-/// Reads consecutive fields. After the first invalid or truncated field, good() returns false and all values are 0.
-class Reader
+class Reader : public support::FieldReader
 {
 public:
-    explicit Reader(std::span<const std::uint8_t> bytes)
-        : bytes_(bytes)
-    {
-    }
+    using support::FieldReader::FieldReader;
 
-    template <std::unsigned_integral Number>
-    Number number()
-    {
-        Number value = 0;
-        const auto field = take(sizeof(Number));
-        for (std::size_t index = 0; index < field.size(); ++index) {
-            value = static_cast<Number>(value | static_cast<Number>(field[index]) << (8 * index));
-        }
-        return value;
-    }
     std::string name()
     {
-        const auto size = number<std::uint8_t>();
-        if (size > maxNameBytes) {
-            good_ = false;
-        }
-        const auto field = take(size);
-        return {field.begin(), field.end()};
+        return support::FieldReader::name(maxNameBytes);
     }
     SocketAddress address()
     {
@@ -80,33 +47,6 @@
         value.port = number<std::uint16_t>();
         return value;
     }
-    void fail()
-    {
-        good_ = false;
-    }
-    [[nodiscard]] bool good() const
-    {
-        return good_;
-    }
-    [[nodiscard]] bool atEnd() const
-    {
-        return bytes_.empty();
-    }
-
-private:
-    std::span<const std::uint8_t> take(std::size_t size)
-    {
-        if (!good_ || bytes_.size() < size) {
-            good_ = false;
-            return {};
-        }
-        const auto field = bytes_.first(size);
-        bytes_ = bytes_.subspan(size);
-        return field;
-    }
-
-    std::span<const std::uint8_t> bytes_;
-    bool good_ = true;
 };
 
 void write(Writer &writer, const Member &member)
