--- a/include/mulberrywall/Metering/UsageCounts.h
+++ b/include/mulberrywall/Metering/UsageCounts.h
@@ -60,7 +60,7 @@
     UsageCountsOptions options_;
     WindowNumber firstWindow_;
     /// Windows before this one are closed.
-    WindowNumber firstOpen_;
+    WindowNumber firstOpen_ = 0;
     /// Consecutive windows, oldest first.
     std::deque<Window> windows_;
     std::uint64_t uncounted_ = 0;
--- a/include/mulberrywall/Metering/WindowClock.h
+++ b/include/mulberrywall/Metering/WindowClock.h
@@ -12,13 +12,16 @@
 
 struct WindowClockOptions
 {
-    /// Time after the start at which the clock counts as settled although fewer than minimumClocks are known.
-    std::chrono::milliseconds startLimit {2'000};
+    /// Time after the first correction at which the clock counts as settled. The first few clocks may all be wrong; the others are
+    /// heard within some exchange intervals.
+    std::chrono::milliseconds settleTime {1'000};
+    /// Time after the start at which the clock counts as settled although it has not been corrected.
+    std::chrono::milliseconds startLimit {10'000};
     /// Samples of other clocks are used for one to two times this period.
     std::chrono::milliseconds samplePeriod {5'000};
     /// Minimum number of clocks for a correction, so that one wrong clock is in the minority.
     unsigned minimumClocks = 3;
-    /// Minimum interval between computations of the correction once the clock has settled.
+    /// Minimum interval between computations of the correction from the same clocks.
     std::chrono::milliseconds correctionInterval {100};
     std::size_t maxRouters = 4'096;
 };
@@ -43,7 +46,7 @@
     [[nodiscard]] TrueTime anchored(BootTime now) const;
     /// Returns the corrected time. It may be earlier than that of a previous call after a correction.
     [[nodiscard]] TrueTime now(BootTime now) const;
-    /// Returns whether the clock has been corrected by enough clocks, or started long enough ago.
+    /// Returns whether the clock has been corrected by enough clocks for some time, or started long enough ago.
     [[nodiscard]] bool isSettled(BootTime now) const;
     /// Returns the number of clocks that the estimate is based on, including this one.
     [[nodiscard]] unsigned clocks() const
@@ -66,8 +69,11 @@
     };
     using SampleTable = std::map<support::InstanceId, Samples>;
 
-    void record(SampleTable &table, const support::InstanceId &source, Offset difference, unsigned clocks, BootTime receivedAt) const;
+    /// Returns whether the sample is the first one of a clock, or of a candidate that knows more clocks than before.
+    bool record(SampleTable &table, const support::InstanceId &source, Offset difference, unsigned clocks, BootTime receivedAt) const;
     void correct(BootTime now);
+    void setCorrection(Offset correction, BootTime now);
+    [[nodiscard]] bool isCorrectionDue(BootTime now) const;
     [[nodiscard]] std::vector<Offset> recentOffsets(const SampleTable &table, BootTime now, unsigned minimumClocks) const;
 
     BootTime startedAt_;
@@ -77,7 +83,7 @@
     SampleTable candidates_;
     Offset correction_ {0};
     unsigned clocks_ = 1;
-    bool corrected_ = false;
+    std::optional<BootTime> firstCorrectionAt_;
     std::optional<BootTime> lastCorrectionAt_;
 };
 
--- a/include/mulberrywall/Router/Attempt.h
+++ b/include/mulberrywall/Router/Attempt.h
@@ -81,6 +81,8 @@
     /// Called with at least one event. Nothing more is read until Attempt::readMore is called.
     std::function<void(const std::vector<StreamEvent> &)> onEvents;
     std::function<void(AttemptResult)> onEnd;
+    /// Called when the header of a response arrives that is not streamed and no server error.
+    std::function<void()> onResponseStarted;
     /// Called when a response header arrives in which the endpoint states something about itself.
     std::function<void(const EndpointStatement &)> onStatement;
     /// Called when the owner of the permit sends a command. The handler is responsible for cancelling
--- a/include/mulberrywall/Router/CallerSession.h
+++ b/include/mulberrywall/Router/CallerSession.h
@@ -77,6 +77,9 @@
     /// Returns the time until the deadline, which also passes while the instance is suspended; nothing if there is none.
     [[nodiscard]] std::optional<std::chrono::milliseconds> timeLeft() const;
     void onEvents(const AttemptPtr &attempt, const std::vector<StreamEvent> &events);
+    /// Counts the request for its organisation. Called when the first output arrives; later calls have no effect.
+    void recordUsage();
+    void recordOutput(std::uint64_t tokens);
     void recordTimeToFirstToken();
     void recordInterTokenLatency();
     /// Returns the milliseconds from the arrival of the request to its first token, or -1 if no token
@@ -138,6 +141,7 @@
     /// Time that the request spent before its first attempt, which is mainly the wait for its permit.
     std::chrono::milliseconds queueTime_ {0};
     support::Verdict verdict_ = support::Verdict::NotRun;
+    bool usageRecorded_ = false;
     bool ended_ = false;
     policy::TimePoint startedAt_;
     /// The request's deadline on the clock that advances during a suspension; empty if it has none.
--- a/include/mulberrywall/Router/RouterService.h
+++ b/include/mulberrywall/Router/RouterService.h
@@ -3,6 +3,7 @@
 #include "mulberrywall/BackingServices/InstanceList.h"
 #include "mulberrywall/Configuration/Model.h"
 #include "mulberrywall/Http/Server.h"
+#include "mulberrywall/Metering/UsageCounter.h"
 #include "mulberrywall/Permits/OwnedPool.h"
 #include "mulberrywall/Policy/PolicyFunctions.h"
 #include "mulberrywall/Router/ConfigurationWatcher.h"
@@ -16,6 +17,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -49,6 +51,8 @@
     RouterOptions router;
     /// HTTP interface to callers and endpoints; must outlive the service.
     const Dialect *dialect = &productDialect();
+    /// Counts requests and demand; null if metering is not configured.
+    std::shared_ptr<metering::UsageCounter> usage;
     /// Table service and instance list; without them there are no key reservations and no configuration
     /// changes.
     std::optional<backingservices::BackingServiceOptions> platform;
@@ -98,6 +102,13 @@
     {
         return pools_;
     }
+    /// Returns the number of requests that wait for an endpoint, by pool.
+    [[nodiscard]] std::map<support::PoolId, std::uint32_t> waitingRequests() const;
+    /// Returns the metrics of this router; valid as long as the service.
+    [[nodiscard]] support::MetricsRegistry &metrics()
+    {
+        return state_.metrics;
+    }
     [[nodiscard]] boost::asio::ip::tcp::endpoint callerEndpoint() const;
     [[nodiscard]] boost::asio::ip::tcp::endpoint adminEndpoint() const;
 
--- a/include/mulberrywall/Router/RouterState.h
+++ b/include/mulberrywall/Router/RouterState.h
@@ -3,6 +3,7 @@
 #include "mulberrywall/BackingServices/ReservationBatch.h"
 #include "mulberrywall/Http/ClientCall.h"
 #include "mulberrywall/Http/ConnectionPool.h"
+#include "mulberrywall/Metering/UsageCounter.h"
 #include "mulberrywall/Permits/Permit.h"
 #include "mulberrywall/Router/ActiveConfiguration.h"
 #include "mulberrywall/Router/ConfigurationLease.h"
@@ -69,6 +70,8 @@
     /// then.
     std::shared_ptr<backingservices::ReservationBatch> keyReservations;
     EndpointDirectory &endpoints;
+    /// Counts requests and demand; null if metering is not configured.
+    std::shared_ptr<metering::UsageCounter> usage;
     ActiveConfiguration configuration;
     ConfigurationLease lease {options.configurationLifetime};
     support::MetricsRegistry metrics;
--- a/lib/Metering/UsageCounts.cpp
+++ b/lib/Metering/UsageCounts.cpp
@@ -8,7 +8,6 @@
 UsageCounts::UsageCounts(WindowNumber firstWindow, const UsageCountsOptions &options)
     : options_(options),
       firstWindow_(firstWindow),
-      firstOpen_(firstWindow),
       windows_ {{.number = firstWindow}}
 {
 }
--- a/lib/Metering/WindowClock.cpp
+++ b/lib/Metering/WindowClock.cpp
@@ -26,26 +26,30 @@
 
 bool WindowClock::isSettled(BootTime now) const
 {
-    return corrected_ || now - startedAt_ >= options_.startLimit;
+    return (firstCorrectionAt_ && now - *firstCorrectionAt_ >= options_.settleTime) || now - startedAt_ >= options_.startLimit;
 }
 
 void WindowClock::recordRouterClock(const support::InstanceId &router, TrueTime sentAt, BootTime receivedAt)
 {
-    record(routers_, router, sentAt - anchored(receivedAt), 1, receivedAt);
-    correct(receivedAt);
+    const bool isNew = record(routers_, router, sentAt - anchored(receivedAt), 1, receivedAt);
+    if (isNew || isCorrectionDue(receivedAt)) {
+        correct(receivedAt);
+    }
 }
 
 void WindowClock::recordCandidateClock(const support::InstanceId &candidate, TrueTime sentAt, unsigned clocks, BootTime receivedAt)
 {
-    record(candidates_, candidate, sentAt - anchored(receivedAt), clocks, receivedAt);
-    correct(receivedAt);
+    const bool isNew = record(candidates_, candidate, sentAt - anchored(receivedAt), clocks, receivedAt);
+    if (isNew || isCorrectionDue(receivedAt)) {
+        correct(receivedAt);
+    }
 }
 
-void WindowClock::record(SampleTable &table, const support::InstanceId &source, Offset difference, unsigned clocks, BootTime receivedAt) const
+bool WindowClock::record(SampleTable &table, const support::InstanceId &source, Offset difference, unsigned clocks, BootTime receivedAt) const
 {
     const auto found = table.find(source);
     if (found == table.end() && table.size() >= options_.maxRouters) {
-        return;
+        return false;
     }
     Samples &samples = found == table.end() ? table[source] : found->second;
     const bool isFirst = found == table.end();
@@ -53,7 +57,7 @@
     const bool isReplaced = clocks > samples.clocks;
     if (isFirst || isReplaced || receivedAt - samples.periodStart >= 2 * options_.samplePeriod) {
         samples = {.current = difference, .periodStart = receivedAt, .lastAt = receivedAt, .clocks = clocks};
-        return;
+        return true;
     }
     samples.lastAt = receivedAt;
     samples.clocks = clocks;
@@ -61,9 +65,10 @@
         samples.previous = samples.current;
         samples.current = difference;
         samples.periodStart = receivedAt;
-        return;
+        return false;
     }
     samples.current = std::max(samples.current, difference);
+    return false;
 }
 
 std::vector<WindowClock::Offset> WindowClock::recentOffsets(const SampleTable &table, BootTime now, unsigned minimumClocks) const
@@ -87,24 +92,30 @@
 
 void WindowClock::correct(BootTime now)
 {
-    if (corrected_ && lastCorrectionAt_ && now - *lastCorrectionAt_ < options_.correctionInterval) {
-        return;
-    }
-    lastCorrectionAt_ = now;
     std::vector<Offset> routers = recentOffsets(routers_, now, 1);
     routers.push_back(Offset(0));
     if (routers.size() >= options_.minimumClocks) {
         clocks_ = static_cast<unsigned>(routers.size());
-        correction_ = medianOf(std::move(routers));
-        corrected_ = true;
+        setCorrection(medianOf(std::move(routers)), now);
         return;
     }
     clocks_ = 1;
     std::vector<Offset> candidates = recentOffsets(candidates_, now, options_.minimumClocks);
     if (!candidates.empty()) {
-        correction_ = medianOf(std::move(candidates));
-        corrected_ = true;
+        setCorrection(medianOf(std::move(candidates)), now);
     }
 }
 
+void WindowClock::setCorrection(Offset correction, BootTime now)
+{
+    correction_ = correction;
+    lastCorrectionAt_ = now;
+    firstCorrectionAt_ = firstCorrectionAt_.value_or(now);
+}
+
+bool WindowClock::isCorrectionDue(BootTime now) const
+{
+    return !lastCorrectionAt_ || now - *lastCorrectionAt_ >= options_.correctionInterval;
+}
+
 } // namespace mulberrywall::metering
--- a/lib/Router/Attempt.cpp
+++ b/lib/Router/Attempt.cpp
@@ -188,6 +188,10 @@
     responseStarted_ = true;
     streaming_ = request_->responseMode == ResponseMode::Stream && responseHeader.result() == http::Status::ok;
     response_ = http::Response(dialect_.makeCallerHeader(*request_, responseHeader));
+    const auto handlers = handlers_;
+    if (request_->responseMode == ResponseMode::Buffered && responseHeader.result_int() < firstServerError && handlers->onResponseStarted) {
+        handlers->onResponseStarted();
+    }
     readMore();
 }
 
--- a/lib/Router/CallerSession.cpp
+++ b/lib/Router/CallerSession.cpp
@@ -254,6 +254,9 @@
                 {"promptTokens", request_->promptTokens},
                 {"segments", segmentsForLog(*request_)},
                 {"retryAfterMs", std::int64_t {rejection->retryAfter.count()}}});
+        if (state_.usage && attempts_ == 0) {
+            state_.usage->recordRefused(request_->pool, request_->promptTokens);
+        }
         fail(makeRejectionProblem(*rejection), rejection->retryAfter);
         return;
     }
@@ -278,6 +281,8 @@
     if (!relay_->isStarted()) {
         recordTimeToFirstToken();
     }
+    // A stream may end without a token.
+    recordUsage();
     cancelAttempts();
     ended_ = true;
     verdict_ = Verdict::Completed;
--- a/lib/Router/CallerSessionAttempts.cpp
+++ b/lib/Router/CallerSessionAttempts.cpp
@@ -115,12 +115,16 @@
     }
     if (purpose == AttemptPurpose::First) {
         queueTime_ = std::chrono::duration_cast<std::chrono::milliseconds>(attemptStartedAt_ - startedAt_);
+        if (state_.usage) {
+            state_.usage->recordAccepted(request_->pool, request_->promptTokens);
+        }
         armHedge();
     }
     const auto self = shared_from_this();
     attempt->start(request_,
         {.onEvents = [self, attempt](const std::vector<StreamEvent> &events) { self->onEvents(attempt, events); },
             .onEnd = [self, attempt](AttemptResult attemptResult) { self->onAttemptEnd(attempt, std::move(attemptResult)); },
+            .onResponseStarted = [self] { self->recordUsage(); },
             .onStatement = [self, endpoint](const EndpointStatement &statement) { self->onStatement(endpoint, statement); },
             .onOwnerCommand =
                 [self](const permits::OwnerCommand &command) {
@@ -175,6 +179,7 @@
         recordTimeToFirstToken();
     }
     std::string text;
+    const std::uint64_t tokensBefore = deliveredTokens_;
     for (const StreamEvent &event : events) {
         // The engine of a resumed stream repeats the events before the first token, which the caller
         // has already received.
@@ -190,6 +195,10 @@
             firstTokenAt_ = std::chrono::steady_clock::now();
         }
     }
+    if (deliveredTokens_ > tokensBefore) {
+        recordUsage();
+        recordOutput(deliveredTokens_ - tokensBefore);
+    }
     recordInterTokenLatency();
     if (attempt->outputTokens() > 0) {
         attemptsWithoutToken_ = 0;
@@ -214,6 +223,9 @@
         if (!relay_->isStarted()) {
             streamHeader_ = attempt->callerHeader();
         }
+        if (attemptResult.response) {
+            recordOutput(attempt->outputTokens());
+        }
         selectAttempt(attempt);
         complete(std::move(attemptResult));
         return;
--- a/lib/Router/CallerSessionRecords.cpp
+++ b/lib/Router/CallerSessionRecords.cpp
@@ -5,10 +5,25 @@
 #include "mulberrywall/Support/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mulberrywall::router
 {
 
+void CallerSession::recordUsage()
+{
+    if (state_.usage && !std::exchange(usageRecorded_, true)) {
+        state_.usage->recordStart(request_->organisation.id);
+    }
+}
+
+void CallerSession::recordOutput(std::uint64_t tokens)
+{
+    if (state_.usage) {
+        state_.usage->recordOutput(request_->pool, tokens);
+    }
+}
+
 void CallerSession::recordInterTokenLatency()
 {
     const auto now = std::chrono::steady_clock::now();
--- a/lib/Router/RouterService.cpp
+++ b/lib/Router/RouterService.cpp
@@ -60,7 +60,8 @@
           .dialect = *options_.dialect,
           .permits = peers_ ? peers_->source() : permits::makeLocalPermitSource(pools_),
           .keyReservations = makeKeyReservations(context, options_.platform),
-          .endpoints = endpoints_},
+          .endpoints = endpoints_,
+          .usage = options_.usage},
       callerServer_(http::Server::create(context, options_.callerServer, [this](const http::ServerExchangePtr &exchange) { handleCaller(exchange); })),
       adminServer_(http::Server::create(context, options_.adminServer, [this](const http::ServerExchangePtr &exchange) { handleAdmin(exchange); })),
       metricsServer_(makeMetricsServer()),
@@ -186,6 +187,15 @@
     return change;
 }
 
+std::map<support::PoolId, std::uint32_t> RouterService::waitingRequests() const
+{
+    std::map<support::PoolId, std::uint32_t> waiting;
+    for (const auto &[pool, summary] : pools_.summarize()) {
+        waiting.emplace(pool, summary.waiting);
+    }
+    return waiting;
+}
+
 void RouterService::applyCallerLimits(const configuration::SiteConfiguration &configuration)
 {
     if (!configuration.callerLimits) {
