--- a/include/mulberrywall/Metering/Metering.h
+++ b/include/mulberrywall/Metering/Metering.h
@@ -44,6 +44,7 @@
     /// Must be called when this router has taken the lease, before its first call.
     void becomeHolder();
     void loseLease();
+    /// Ends reporting and sends the last counts; see UsageExchange::stop. To be called when no request runs any more.
     void stop();
 
     // Queries
--- a/include/mulberrywall/Metering/SharedUsageLedger.h
+++ b/include/mulberrywall/Metering/SharedUsageLedger.h
@@ -28,7 +28,7 @@
     explicit SharedUsageLedger(const UsageLedgerOptions &options = {});
 
     // Commands
-    /// Records the message and returns what is known of its sender's windows afterwards.
+    /// Records the message and returns what is known afterwards of the windows in it.
     std::vector<WindowProgress> record(const UsageMessage &message, WindowNumber open, BootTime receivedAt);
 
     // Queries
--- a/include/mulberrywall/Metering/UsageCounter.h
+++ b/include/mulberrywall/Metering/UsageCounter.h
@@ -46,6 +46,8 @@
     void recordOutput(const support::PoolId &pool, std::uint64_t tokens);
     /// Closes the windows that have ended, once the clock has settled.
     void closeWindows(BootTime now);
+    /// Closes all windows up to the open one, because the process counts no more requests.
+    void closeAllWindows(BootTime now);
     void recordRouterClock(const support::InstanceId &router, TrueTime sentAt, BootTime receivedAt);
     void recordCandidateClock(const support::InstanceId &candidate, TrueTime sentAt, unsigned clocks, BootTime receivedAt);
 
--- a/include/mulberrywall/Metering/UsageExchange.h
+++ b/include/mulberrywall/Metering/UsageExchange.h
@@ -70,6 +70,8 @@
     virtual ~UsageExchange() = default;
 
     virtual void start() = 0;
+    /// Closes all windows, sends the last counts once and stops. They are sent before this returns if it is called on a worker thread
+    /// while nothing else of the exchange runs.
     virtual void stop() = 0;
     [[nodiscard]] virtual boost::asio::ip::udp::endpoint localEndpoint() const = 0;
 };
--- a/lib/Metering/AcknowledgedCounts.cpp
+++ b/lib/Metering/AcknowledgedCounts.cpp
@@ -1,11 +1,15 @@
 #include "mulberrywall/Metering/AcknowledgedCounts.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <iterator>
 
 namespace mulberrywall::metering
 {
 
+/// More than the windows that a router retains.
+static constexpr std::size_t maxWindows = 16;
+
 void AcknowledgedCounts::record(const UsageAcknowledgement &acknowledgement)
 {
     if (acknowledgement.incarnation != incarnation_) {
@@ -17,9 +21,8 @@
         progress.closed = progress.closed || received.closed;
         progress.total = std::max(progress.total, received.total);
     }
-    // An acknowledgement has at most the windows that a ledger retains; earlier ones need no entry any more.
-    if (!acknowledgement.windows.empty()) {
-        windows_.erase(windows_.begin(), windows_.lower_bound(acknowledgement.windows.front().window));
+    while (windows_.size() > maxWindows) {
+        windows_.erase(windows_.begin());
     }
 }
 
--- a/lib/Metering/SharedUsageLedger.cpp
+++ b/lib/Metering/SharedUsageLedger.cpp
@@ -1,5 +1,7 @@
 #include "mulberrywall/Metering/SharedUsageLedger.h"
 
+#include <algorithm>
+
 namespace mulberrywall::metering
 {
 
@@ -13,7 +15,11 @@
     const std::scoped_lock lock(mutex_);
     ledger_.advance(open);
     ledger_.record(message, receivedAt);
-    return ledger_.progress(message.instance, message.incarnation);
+    std::vector<WindowProgress> progress = ledger_.progress(message.instance, message.incarnation);
+    std::erase_if(progress, [&message](const WindowProgress &known) {
+        return std::none_of(message.windows.begin(), message.windows.end(), [&known](const WindowCounts &sent) { return sent.window == known.window; });
+    });
+    return progress;
 }
 
 AssembledReports SharedUsageLedger::assemble(
--- a/lib/Metering/UsageCounter.cpp
+++ b/lib/Metering/UsageCounter.cpp
@@ -92,6 +92,12 @@
     }
 }
 
+void UsageCounter::closeAllWindows(BootTime now)
+{
+    const std::scoped_lock lock(mutex_);
+    counts_.closeBefore(windowOf(clock_.now(now), options_.window) + 1);
+}
+
 void UsageCounter::recordRouterClock(const support::InstanceId &router, TrueTime sentAt, BootTime receivedAt)
 {
     const std::scoped_lock lock(mutex_);
--- a/lib/Metering/UsageExchange.cpp
+++ b/lib/Metering/UsageExchange.cpp
@@ -9,6 +9,7 @@
 #include "mulberrywall/Support/LogExceptions.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
@@ -67,8 +68,14 @@
 
     void stop() override
     {
-        asio::post(strand_, [self = shared_from_this()] {
-            self->stopped_ = true;
+        asio::dispatch(strand_, [self = shared_from_this()] {
+            if (std::exchange(self->stopped_, true)) {
+                return;
+            }
+            support::logExceptions("send last usage", [&self] {
+                self->counter_->closeAllWindows(support::BootClock::now());
+                self->sendCounts();
+            });
             self->timer_.cancel();
             boost::system::error_code ignored;
             self->socket_.close(ignored);
@@ -99,6 +106,7 @@
     {
         const auto now = support::BootClock::now();
         counter_->closeWindows(now);
+        logUncounted();
         UsageMessage message = counter_->message(now);
         message.sequence = ++sequence_;
         addWaiting(message.demand);
@@ -119,6 +127,15 @@
         }
     }
 
+    void logUncounted()
+    {
+        const std::uint64_t uncounted = counter_->uncounted();
+        if (uncounted > loggedUncounted_) {
+            support::log(support::Severity::Error, "requests not counted; too many organisations in one window", {{"requests", uncounted - loggedUncounted_}});
+            loggedUncounted_ = uncounted;
+        }
+    }
+
     void addWaiting(std::vector<PoolDemand> &demand) const
     {
         if (!handlers_.waiting) {
@@ -221,6 +238,7 @@
     UsageExchangeHandlers handlers_;
     std::uint64_t sequence_ = 0;
     std::vector<PoolDemand> lastDemand_;
+    std::uint64_t loggedUncounted_ = 0;
     std::map<support::InstanceId, AcknowledgedCounts> acknowledged_;
     udp::endpoint sender_;
     std::vector<std::uint8_t> buffer_;
--- a/lib/Metering/UsageLedger.cpp
+++ b/lib/Metering/UsageLedger.cpp
@@ -13,6 +13,9 @@
 
 void UsageLedger::advance(WindowNumber open)
 {
+    if (lastAccepted_ == open + options_.maxFutureWindows) {
+        return;
+    }
     lastAccepted_ = open + options_.maxFutureWindows;
     firstRetained_ = open + 1 - std::min<WindowNumber>(open + 1, options_.maxWindows);
     for (auto router = routers_.begin(); router != routers_.end();) {
--- a/unittests/Metering/ReportQueueTest.cpp
+++ b/unittests/Metering/ReportQueueTest.cpp
@@ -1,4 +1,5 @@
 #include "mulberrywall/Metering/ReportQueue.h"
+#include "mulberrywall/Metering/ReportRows.h"
 
 #include <gtest/gtest.h>
 
@@ -36,6 +37,15 @@
     EXPECT_EQ(assembleReport(353'445'120, {{"hule930", 412}, {"fida11", 412}}).body, R"({"window":353445120,"counts":{"fida11":412,"hule930":412}})");
 }
 
+// Guards against other rows of the table that are taken for reports.
+TEST(ReportRows, ReadsOnlyItsOwnKeys)
+{
+    EXPECT_EQ(windowOfReportRow(reportRowKey(353'445'120)), 353'445'120U);
+    for (const char *key : {"duty-lease", "usage-", "usage-1x", "usage--1", "usage-99999999999999999999"}) {
+        EXPECT_FALSE(windowOfReportRow(key).has_value()) << key;
+    }
+}
+
 // Guards against a report that the API accepts although the store does not have it.
 TEST(ReportQueue, SendsOnlyWhatIsStored)
 {
