--- a/include/mulberrywall/Router/LoadPeerGroup.h
+++ b/include/mulberrywall/Router/LoadPeerGroup.h
@@ -70,6 +70,8 @@
     std::function<void(std::size_t)> peakRouterCountChanged;
     /// Called with the live routers, including this one, after the members have changed; may be empty.
     std::function<void(const std::vector<membership::Member> &)> liveMembersChanged;
+    /// Called with the secret of the routers when this one has joined them; may be empty.
+    std::function<void(const std::string &)> joined;
 };
 
 /// Connects a router with peers that each decide for themselves and exchange their loads and
--- a/lib/Router/LoadPeerGroup.cpp
+++ b/lib/Router/LoadPeerGroup.cpp
@@ -100,6 +100,9 @@
     membership_->start();
     loads_->start();
     announceQuarantine();
+    if (handlers_.joined) {
+        handlers_.joined(secret);
+    }
     support::log(support::Severity::Info, "joined the other routers", {{"port", membership_->localEndpoint().port()}});
 }
 
--- a/tools/mulberrywall-router/NodeDuties.h
+++ b/tools/mulberrywall-router/NodeDuties.h
@@ -19,6 +19,10 @@
 /// Table of the routers in the store.
 inline constexpr std::string_view routerTable = "mulberrywall";
 
+/// Names of the duties in the settings.
+inline constexpr std::string_view meteringDuty = "metering";
+inline constexpr std::string_view autoscalingDuty = "autoscale";
+
 /// The parts of a router that perform the platform's duties while it holds their lease.
 struct NodeDuties
 {
--- a/tools/mulberrywall-router/NodeProgram.cpp
+++ b/tools/mulberrywall-router/NodeProgram.cpp
@@ -1,6 +1,8 @@
 #include "NodeProgram.h"
 
+#include "LiveMembers.h"
 #include "NodeDuties.h"
+#include "NodeMetering.h"
 #include "NodeSettingsWatcher.h"
 
 #include "platform/Dialect.h"
@@ -225,6 +227,33 @@
     return std::make_shared<SegmentArchive>(context, service.pools(), settings.instance, std::move(store));
 }
 
+/// The parts of a router that serve the duties which its settings name.
+struct DutyParts
+{
+    NodeDuties duties;
+    std::shared_ptr<LiveMembers> members;
+    /// Null if no duty needs the counts of the routers.
+    std::shared_ptr<NodeMetering> metering;
+};
+
+/// Returns the parts with a task for each duty, or std::nullopt if the settings name no duties.
+std::optional<DutyParts> makeDutyParts(
+    boost::asio::io_context &context, RouterService &service, const platform::NodeSettings &settings, const std::shared_ptr<metering::UsageCounter> &counter)
+{
+    auto duties = makeNodeDuties(context, settings, service.metrics());
+    if (!duties) {
+        return std::nullopt;
+    }
+    DutyParts parts {.duties = std::move(*duties), .members = std::make_shared<LiveMembers>()};
+    if (counter) {
+        parts.metering = std::make_shared<NodeMetering>(context, service, settings, counter, parts.duties, parts.members);
+    }
+    if (parts.metering && hasDuty(settings, meteringDuty)) {
+        parts.duties.runner->addTask(parts.metering->makeTask());
+    }
+    return parts;
+}
+
 /// Returns nullptr if the users' platform provides no ports for traffic between routers.
 std::shared_ptr<LoadPeerGroup> makePeerGroup(boost::asio::io_context &context,
     RouterService &service,
@@ -232,7 +261,7 @@
     const std::shared_ptr<platform::StoreClient> &client,
     const std::shared_ptr<StoreWatcher> &storeWatcher,
     const std::shared_ptr<SegmentArchive> &segments,
-    const std::optional<NodeDuties> &duties)
+    const std::optional<DutyParts> &duties)
 {
     if (settings.firstPeerPort == 0) {
         return nullptr;
@@ -257,40 +286,25 @@
                 service.setRetryCapacity(retryBurstPerRouter(slack, routers));
             }};
     if (duties) {
-        handlers.liveMembersChanged = [holder = duties->runner->holder()](const std::vector<membership::Member> &live) {
+        handlers.liveMembersChanged = [holder = duties->duties.runner->holder(), members = duties->members](const std::vector<membership::Member> &live) {
+            members->set(live);
             holder->setMembers(live);
         };
+        if (duties->metering) {
+            handlers.joined = [metering = duties->metering](const std::string &secret) {
+                metering->start(secret);
+            };
+        }
     }
     return std::make_shared<LoadPeerGroup>(context, service.pools(), std::move(options), makeSecretStore(client, segments), std::move(handlers));
 }
 
-/// Adds the duties that the settings name. Each begins when this router acquires the lease and ends when it loses it.
-void addDutyTasks(NodeDuties &duties, const platform::NodeSettings &settings)
-{
-    if (hasDuty(settings, "metering")) {
-        // lib/Metering adds its task here; it needs duties.store, duties.control and duties.runner->holder().
-        duties.runner->addTask({.name = "metering",
-            .begin = [](std::uint64_t) {},
-            .end =
-                [] {
-                }});
-    }
-    if (hasDuty(settings, "autoscale")) {
-        // lib/Policy/Autoscaling adds its task here.
-        duties.runner->addTask({.name = "autoscale",
-            .begin = [](std::uint64_t) {},
-            .end =
-                [] {
-                }});
-    }
-}
-
 /// Starts to take part in the duties. A router without peers is the only candidate.
-void startDuties(const NodeDuties &duties, const platform::NodeSettings &settings)
+void startDuties(const DutyParts &parts, const platform::NodeSettings &settings)
 {
-    duties.runner->start();
+    parts.duties.runner->start();
     if (settings.firstPeerPort == 0) {
-        duties.runner->holder()->setMembers({{.instance = settings.instance, .dataCentre = settings.dataCentre}});
+        parts.duties.runner->holder()->setMembers({{.instance = settings.instance, .dataCentre = settings.dataCentre}});
     }
 }
 
@@ -303,27 +317,27 @@
     support::WorkerPool workers(workerThreads);
     std::promise<void> drained;
     try {
-        RouterService service(workers.context(), makeServiceOptions(settings, metricsPort), program.policy);
+        const std::shared_ptr<metering::UsageCounter> usage = makeUsageCounter(settings);
+        RouterServiceOptions options = makeServiceOptions(settings, metricsPort);
+        options.usage = usage;
+        RouterService service(workers.context(), std::move(options), program.policy);
         const auto client = std::make_shared<platform::StoreClient>(workers.context(), platform::StoreClientOptions {.address = settings.store});
         const auto segments = makeSegmentArchive(workers.context(), service, settings, client);
         const auto storeWatcher = std::make_shared<StoreWatcher>(
             workers.context(), makeStoreWatcherOptions(settings), makeStoreWatcherSources(client, settings), makeStoreWatcherHandlers(service, segments));
-        std::optional<NodeDuties> duties = makeNodeDuties(workers.context(), settings, service.metrics());
-        if (duties) {
-            addDutyTasks(*duties, settings);
-        }
+        const std::optional<DutyParts> duties = makeDutyParts(workers.context(), service, settings, usage);
         const auto settingsWatcher
             = std::make_shared<NodeSettingsWatcher>(workers.context(), nodeFile, settings, [client, duties, &service](const platform::NodeSettings &changed) {
                   client->setAddress(changed.store);
                   if (duties) {
-                      duties->store->setAddress(changed.store);
+                      duties->duties.store->setAddress(changed.store);
                   }
                   service.setConfigurationLifetime(configurationLifetime(changed));
               });
         const auto peerGroup = makePeerGroup(workers.context(), service, settings, client, storeWatcher, segments, duties);
         support::onTerminationSignal(workers.context(), [&service, &drained, peerGroup, duties] {
             if (duties) {
-                duties->runner->release([] {});
+                duties->duties.runner->release([] {});
             }
             if (peerGroup) {
                 peerGroup->leave();
@@ -343,6 +357,9 @@
             startDuties(*duties, settings);
         }
         drained.get_future().wait();
+        if (duties && duties->metering) {
+            duties->metering->stop();
+        }
         workers.stop();
         workers.join();
     } catch (const boost::system::system_error &error) {
