--- a/lib/Duties/Lease.cpp
+++ b/lib/Duties/Lease.cpp
@@ -100,9 +100,10 @@
     if (isNew) {
         state.observedRow = LeaseState::ObservedRow {.version = version, .row = row, .since = now};
     }
-    state.hasFreshRead = true;
+    // What was read before a wait is not used for a takeover.
+    state.hasFreshRead = canTakeOver(state, options, now);
     const TimePoint mayExpireAt = state.observedRow->since + options.duration;
-    state.nextAccessAt = canTakeOver(state, options, now) ? now : std::min(now + options.observeInterval, mayExpireAt);
+    state.nextAccessAt = state.hasFreshRead ? now : std::min(now + options.observeInterval, mayExpireAt);
 }
 
 /// Handles a row that this process has written under its current fencing number, other than by its unconfirmed write.
@@ -141,6 +142,7 @@
     case LeaseWriteStatus::Applied:
         markLost(state);
         observe(state, options, result.version, row, now.monotonic);
+        state.hasFreshRead = false;
         state.nextAccessAt = now.monotonic + options.observeInterval;
         return;
     case LeaseWriteStatus::NotApplied:
