--- a/tools/mulberrywall-router/NodeDuties.cpp
+++ b/tools/mulberrywall-router/NodeDuties.cpp
@@ -22,6 +22,9 @@
 /// Calls to the control API end within this share of the lease, which is less than its margin of a third.
 constexpr int callTimesPerLease = 4;
 
+/// The members become known within this share of a lease after the start; before, each router is the only candidate that it knows.
+constexpr int startDelaysPerLease = 2;
+
 /// A holder that is no longer a candidate hands over after this many lease durations, since the members may change back.
 constexpr int leasesUntilHandOver = 2;
 
@@ -127,7 +130,7 @@
         platform::ControlClientOptions {.address = settings.control->address, .instance = settings.instance, .timeout = lease / callTimesPerLease},
         makeCallObserver(metrics));
     parts.runner = duties::DutyRunner::create(context,
-        {.instance = settings.instance, .lease = duties::makeLeaseOptions(lease), .startDelay = lease, .handOverDelay = lease * leasesUntilHandOver},
+        {.instance = settings.instance, .lease = duties::makeLeaseOptions(lease), .startDelay = lease / startDelaysPerLease, .handOverDelay = lease * leasesUntilHandOver},
         makeDutyStore(parts.store),
         metrics);
     parts.runner->addTask({.name = "calls",
--- a/unittests/Adapter/NodeSettingsTest.cpp
+++ b/unittests/Adapter/NodeSettingsTest.cpp
@@ -61,6 +61,36 @@
     EXPECT_EQ(settings.memoryLimit, 1'000'000'000'000U);
 }
 
+TEST(NodeSettings, ReadsDutiesAndTheirBounds)
+{
+    const auto read = readNodeSettings(R"({"nodeName": "a", "zone": "z", "listen": {"front": "10.1.0.1:1", "ready": "10.1.0.1:2"},
+        "bounds": {"fencing": false, "leaseMs": 2400, "thawMs": 250, "windowS": 4, "usageOff": 0.1, "usageLateS": 9},
+        "cloud": {"address": "10.200.0.113:8424", "ratePerS": 50.0, "duties": ["metering", 7, "autoscale"], "dutyPerS": 40.0},
+        "platform": {"address": "10.1.0.2:3"}})");
+    ASSERT_TRUE(std::holds_alternative<NodeSettings>(read));
+    const auto &settings = std::get<NodeSettings>(read);
+    ASSERT_TRUE(settings.control.has_value());
+    EXPECT_EQ(settings.control->address.port(), 8424);
+    EXPECT_EQ(settings.control->duties, (std::vector<std::string> {"metering", "autoscale"}));
+    EXPECT_DOUBLE_EQ(settings.control->callsPerSecond, 40.0);
+    const DutyBounds expected {.leaseDuration = std::chrono::milliseconds(2'400),
+        .thawTime = std::chrono::milliseconds(250),
+        .usageWindow = std::chrono::seconds(4),
+        .usageLateness = std::chrono::seconds(9),
+        .usageTolerance = 0.1};
+    EXPECT_EQ(settings.dutyBounds, expected);
+}
+
+/// Guards against duties in a deployment without a control API, and against a router that does not start because of its address.
+TEST(NodeSettings, HasNoDutiesWithoutAUsableAddress)
+{
+    EXPECT_FALSE(std::get<NodeSettings>(readNodeSettings(completeSettings)).control.has_value());
+    const auto read = readNodeSettings(R"({"nodeName": "a", "zone": "z", "listen": {"front": "10.1.0.1:1", "ready": "10.1.0.1:2"},
+        "cloud": {"address": "nowhere", "duties": ["metering"]}, "platform": {"address": "10.1.0.2:3"}})");
+    ASSERT_TRUE(std::holds_alternative<NodeSettings>(read));
+    EXPECT_FALSE(std::get<NodeSettings>(read).control.has_value());
+}
+
 TEST(NodeSettings, ErrorNamesMissingOrInvalidField)
 {
     EXPECT_NE(errorOf("{").find("not a JSON object"), std::string::npos);
--- a/unittests/Adapter/StoreClientTest.cpp
+++ b/unittests/Adapter/StoreClientTest.cpp
@@ -46,6 +46,22 @@
     EXPECT_EQ(page.result.rows[1].value, "");
 }
 
+/// Guards against a transaction that may still be applied and is taken for refused, and the reverse.
+TEST(TransactionResult, TellsRefusalFromUnknownOutcome)
+{
+    const TransactionResult applied = parseTransactionResult(200, R"({"ver":31})");
+    EXPECT_EQ(applied.status, TransactionStatus::Applied);
+    EXPECT_EQ(applied.version, 31U);
+    const TransactionResult conflict = parseTransactionResult(412, R"({"rows":[{"key":"k","value":"aGVsbG8=","ver":7}],"ver":31})");
+    EXPECT_EQ(conflict.status, TransactionStatus::Conflict);
+    EXPECT_EQ(conflict.current, (std::vector<VersionedRow> {{.key = "k", .version = 7, .value = "hello"}}));
+    EXPECT_TRUE(parseTransactionResult(412, R"({"rows":[{"key":"k","deleted":true,"ver":7}]})").current.empty());
+    EXPECT_EQ(parseTransactionResult(429, "").status, TransactionStatus::NotApplied);
+    EXPECT_EQ(parseTransactionResult(408, "").status, TransactionStatus::Unknown);
+    EXPECT_EQ(parseTransactionResult(503, "").status, TransactionStatus::Unknown);
+    EXPECT_EQ(parseTransactionResult(200, "<html>").status, TransactionStatus::Unknown);
+}
+
 /// Runs a store in this process that responds with prepared bodies and records the request targets. Requests without a
 /// prepared body get no response.
 class StoreClientTest : public testing::Test
@@ -151,6 +167,36 @@
     EXPECT_EQ(targets_.front(), "/mulberrywall/rows-feed?table=op&sinceRev=7&waitMs=100");
 }
 
+/// Guards against a transaction whose condition is lost on the way, and against a row of another key that is taken for the one asked for.
+TEST_F(StoreClientTest, CommitsConditionallyAndReadsOneRow)
+{
+    const auto client = makeClient();
+    bodies_ = {R"({"ver":8})",
+        R"({"rows":[{"key":"k","value":"aGVsbG8=","ver":8},{"key":"l","value":"","ver":9}],"truncated":false,"ver":9})",
+        R"({"rows":[{"key":"l","value":"","ver":9}],"truncated":false,"ver":10})"};
+    const auto commit = [&client] {
+        std::promise<TransactionResult> result;
+        client->commit({.table = "t", .conditions = {{.key = "k", .version = 7}}, .writes = {{.key = "k", .value = "hello"}}, .removals = {"u"}},
+            [&result](TransactionResult received) { result.set_value(std::move(received)); });
+        return result.get_future().get();
+    };
+    const auto readRow = [&client] {
+        std::promise<RowResult> result;
+        client->readRow("t", "k", [&result](RowResult received) { result.set_value(std::move(received)); });
+        return result.get_future().get();
+    };
+    EXPECT_EQ(commit().version, 8U);
+    EXPECT_EQ(requestBodies_[0],
+        R"({"expectRev":[{"table":"t","part":"","key":"k","ver":7}],"writes":[{"table":"t","part":"","key":"k","value":"aGVsbG8="}],)"
+        R"("deletes":[{"table":"t","part":"","key":"u"}]})");
+    const RowResult found = readRow();
+    EXPECT_EQ(found.status, RowStatus::Found);
+    EXPECT_EQ(found.row, (VersionedRow {.key = "k", .version = 8, .value = "hello"}));
+    EXPECT_EQ(readRow().status, RowStatus::Absent);
+    EXPECT_EQ(commit().status, TransactionStatus::Unknown) << "no response";
+    EXPECT_EQ(readRow().status, RowStatus::Unavailable) << "no response";
+}
+
 /// Guards against a write that is taken for done although the store did not acknowledge it.
 TEST_F(StoreClientTest, WritesAndRemovesRows)
 {
