policy: trials of a quarantined prompt segment continue after a restart

Cause: only the router that saw the latest crash makes trials. The row in the store kept the crashes, but not that its writer had seen the latest one, so that after the loss of all processes no router made a trial.

Evidence: MakesTrialsAfterARestart rejected the request 5.3 s after the latest crash on the code before.

Change: evidence that an instance loads from its own row carries the right to make trials, unless a later crash is known from elsewhere.

--- a/include/mulberrywall/Policy/SegmentQuarantine.h
+++ b/include/mulberrywall/Policy/SegmentQuarantine.h
@@ -17,7 +17,7 @@
 /// Returns a quarantined segment for which the request is rejected, or std::nullopt if it may run.
 ///
 /// A request may run in spite of a quarantined segment if it is that segment's next trial. Only the router that saw the latest
-/// crash makes trials, one at a time and after growing delays, so that all routers together make few.
+/// crash makes trials, also after a restart, one at a time and after growing delays, so that all routers together make few.
 std::optional<Fingerprint> rejectingSegment(const Pool &pool, const Submission &submission, TimePoint now);
 
 /// Returns the time until the quarantine of the segment expires.
--- a/include/mulberrywall/Policy/Types.h
+++ b/include/mulberrywall/Policy/Types.h
@@ -235,6 +235,8 @@
     std::vector<SegmentCrash> crashes;
     /// Time since an endpoint last produced output for a request with the segment; empty if none is known.
     std::optional<std::chrono::milliseconds> outputAge;
+    /// True if an earlier process of this router saw the latest of the crashes. Not passed on to peers.
+    bool sawLatestCrash = false;
 
     friend bool operator==(const SegmentEvidence &, const SegmentEvidence &) = default;
 };
--- a/lib/Policy/SegmentQuarantine.cpp
+++ b/lib/Policy/SegmentQuarantine.cpp
@@ -283,6 +283,13 @@
     return state.isQuarantined || (state.changedAt && now - *state.changedAt <= tuningOf(pool).reportLifetime);
 }
 
+/// Returns whether the evidence comes from an earlier process of this router that saw the latest crash which is known now.
+bool continuesTrials(const SegmentState &state, const SegmentEvidence &evidence)
+{
+    return evidence.sawLatestCrash && !state.crashes.empty()
+        && std::any_of(evidence.crashes.begin(), evidence.crashes.end(), [&](const SegmentCrash &crash) { return crash.id == state.crashes.back().id; });
+}
+
 /// Merges the evidence about one segment. Returns true if it was new.
 bool mergeEvidence(Pool &pool, const SegmentEvidence &evidence, TimePoint now)
 {
@@ -303,6 +310,8 @@
             state->changedAt = now;
         }
     }
+    // Without a trial, no router would find out that the segment does not crash engines.
+    state->sawLatestCrash = state->sawLatestCrash || continuesTrials(*state, evidence);
     return changed;
 }
 
--- a/lib/Router/SegmentArchive.cpp
+++ b/lib/Router/SegmentArchive.cpp
@@ -18,6 +18,11 @@
 /// A pool that does not exist this long after the start of the router is no longer configured.
 static constexpr std::chrono::minutes loadedLifetime {1};
 
+static std::uint64_t latestCrashOf(const policy::SegmentEvidence &evidence)
+{
+    return evidence.crashes.empty() ? 0 : evidence.crashes.back().id;
+}
+
 SegmentArchive::SegmentArchive(boost::asio::io_context &context, permits::PoolTable &pools, support::InstanceId instance, RowStore store)
     : pools_(pools),
       instance_(std::move(instance)),
@@ -71,8 +76,9 @@
         "loaded a stored prompt segment",
         {{"segmentHash", segment->evidence.segment}, {"pool", segment->pool.value()}, {"writer", segment->writer.value()}});
     if (segment->writer == instance_) {
-        // Removes the row when the quarantine ends, as the process before would have done.
-        ownRows_.try_emplace(row.key, OwnRow {});
+        // Removes the row when the quarantine ends, and makes trials, as the process before would have done.
+        ownRows_.try_emplace(row.key, OwnRow {.latestCrash = latestCrashOf(segment->evidence)});
+        segment->evidence.sawLatestCrash = true;
     }
     loaded_.push_back({.segment = std::move(*segment), .loadedAt = std::chrono::steady_clock::now()});
 }
@@ -102,11 +108,6 @@
     });
 }
 
-static std::uint64_t latestCrashOf(const policy::SegmentEvidence &evidence)
-{
-    return evidence.crashes.empty() ? 0 : evidence.crashes.back().id;
-}
-
 void SegmentArchive::compareWithStore()
 {
     if (stopped_) {
--- a/unittests/Policy/SegmentQuarantineTest.cpp
+++ b/unittests/Policy/SegmentQuarantineTest.cpp
@@ -309,6 +309,44 @@
     EXPECT_TRUE(submitWith({deadly}, latest + 100ms + SegmentTuning {}.expiry));
 }
 
+// Guards against a segment that is rejected until its quarantine expires, although engines no longer crash on it, because the
+// router that may make trials was restarted.
+TEST_F(SegmentQuarantineTest, MakesTrialsAfterARestart)
+{
+    startPool();
+    const auto crashedAt = quarantineDeadly();
+    std::vector<SegmentEvidence> stored = evidence(700ms);
+    for (SegmentEvidence &segment : stored) {
+        segment.sawLatestCrash = true;
+    }
+    startPool();
+    merge(evidence(800ms), 800ms);
+    merge(stored, 800ms);
+    EXPECT_FALSE(submitWith({common, deadly}, crashedAt + 4'900ms));
+    runSound({common, deadly}, crashedAt + 5'300ms);
+    EXPECT_TRUE(submitWith({common, deadly}, crashedAt + 5'400ms));
+}
+
+// Guards against a router that makes trials after a restart although another router has seen a later crash.
+TEST_F(SegmentQuarantineTest, MakesNoTrialsAfterARestartIfAnotherRouterSawALaterCrash)
+{
+    startPool();
+    const auto crashedAt = quarantineDeadly();
+    std::vector<SegmentEvidence> stored = evidence(700ms);
+    ASSERT_TRUE(runDeadly({common, deadly}, crashedAt + 5'100ms));
+    const std::vector<SegmentEvidence> later = evidence(crashedAt + 5'200ms);
+    for (SegmentEvidence &segment : stored) {
+        segment.sawLatestCrash = true;
+        for (SegmentCrash &crash : segment.crashes) {
+            crash.age += crashedAt + 4'500ms;
+        }
+    }
+    startPool();
+    merge(later, crashedAt + 5'200ms);
+    merge(stored, crashedAt + 5'200ms);
+    EXPECT_FALSE(submitWith({common, deadly}, crashedAt + 60s));
+}
+
 // Guards against engines that crash on requests which were sent to them before the quarantine and wait there.
 TEST_F(SegmentQuarantineTest, CancelsRequestsThatWaitAtEngines)
 {
--- a/unittests/Router/SegmentArchiveTest.cpp
+++ b/unittests/Router/SegmentArchiveTest.cpp
@@ -160,4 +160,14 @@
     EXPECT_EQ(quarantinedSegments(), 0U);
 }
 
+// Guards against a quarantine that no router may end by a trial after all routers were restarted.
+TEST_F(SegmentArchiveTest, ARestartedRouterMayMakeTrialsOfItsOwnSegments)
+{
+    pools_.configure(configuration_);
+    archive_->load(std::vector<TableRow> {rowOf(makeSegment("own", 1s))});
+    archive_->start();
+    ASSERT_TRUE(waitUntil([this] { return quarantinedSegments() == 1; }));
+    EXPECT_TRUE(pools_.pools().at(support::PoolId("p"))->quarantinedSegments().front().sawLatestCrash);
+}
+
 } // namespace mulberrywall::router
