duties: a holder that gets no responses from the control API hands over

A holder that reaches the store but not the control API renewed its lease without an end, and no duty was performed. After two unanswered calls and one lease duration without a response it releases the lease if there is another candidate; the time doubles for each such hand-over since the last response, since the API itself may be down.

The model now also contains hand-overs after which the process goes on as a candidate.

--- a/include/mulberrywall/Duties/DutyHolder.h
+++ b/include/mulberrywall/Duties/DutyHolder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mulberrywall/Duties/Lease.h"
+#include "mulberrywall/Duties/Reachability.h"
 #include "mulberrywall/Membership/Types.h"
 #include "mulberrywall/Support/Ids.h"
 #include "mulberrywall/Support/Metrics.h"
@@ -63,6 +64,7 @@
     std::chrono::milliseconds startDelay {3'000};
     /// Time after which a holder that is no longer a candidate hands over.
     std::chrono::milliseconds handOverDelay {6'000};
+    ReachabilityOptions reachability;
 };
 
 /// Called on the holder's strand.
@@ -92,6 +94,8 @@
     void release(std::function<void()> handler);
     /// Sets the live members, from which the candidates are chosen.
     void setMembers(std::vector<membership::Member> live);
+    /// Records how a call to the control API ended. A holder that gets no responses hands over if there is another candidate.
+    void recordCall(CallOutcome outcome);
     /// Stores the rows with the condition that this process still holds the lease, which is renewed thereby. Repeats the same write until
     /// its outcome is known.
     void storeUnderLease(DutyWrite write, DutyWriteHandler handler);
@@ -129,6 +133,8 @@
     void settleAttempt();
     void failWrites();
     void handOverIfReplaced();
+    void handOverIfUnanswered();
+    void onAnswered();
     void reportLeaseChange();
     void finishRelease();
 
@@ -149,7 +155,9 @@
     std::optional<TimePoint> replacedSince_;
     /// Version of the row whose holder was reported as gone.
     std::uint64_t goneVersion_ = 0;
+    Reachability reachability_;
     bool isCandidate_ = false;
+    bool hasOtherCandidates_ = false;
     bool isAwaitingStore_ = false;
     bool isStarted_ = false;
     bool isStopped_ = false;
--- a/lib/Duties/DutyHolder.cpp
+++ b/lib/Duties/DutyHolder.cpp
@@ -16,6 +16,15 @@
 using support::log;
 using support::Severity;
 
+/// Name of the value of the lease row that counts the hand-overs since a holder got a response from the control API.
+static constexpr std::string_view handOversName = "handOvers";
+
+static std::uint64_t handOversIn(const LeaseRow &row)
+{
+    const auto found = row.values.find(handOversName);
+    return found == row.values.end() ? 0 : found->second;
+}
+
 static std::int64_t toMilliseconds(std::chrono::nanoseconds duration)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -73,7 +82,9 @@
 void DutyHolder::setMembers(std::vector<membership::Member> live)
 {
     asio::post(strand_, [self = shared_from_this(), live = std::move(live)] {
-        self->isCandidate_ = containsInstance(dutyCandidates(live), self->options_.instance.value());
+        const std::vector<membership::Member> candidates = dutyCandidates(live);
+        self->isCandidate_ = containsInstance(candidates, self->options_.instance.value());
+        self->hasOtherCandidates_ = candidates.size() > 1;
         const auto &observed = self->state_.observedRow;
         const bool isGone = observed && !observed->row.holder.empty() && !containsInstance(live, instanceOf(observed->row.holder));
         if (isGone && std::exchange(self->goneVersion_, observed->version) != observed->version) {
@@ -84,6 +95,24 @@
     });
 }
 
+void DutyHolder::recordCall(CallOutcome outcome)
+{
+    asio::post(strand_, [self = shared_from_this(), outcome] {
+        if (!self->state_.isHeld) {
+            return;
+        }
+        duties::recordCall(self->reachability_, outcome, readLeaseClocks().monotonic);
+        switch (outcome) {
+        case CallOutcome::Answered:
+            self->onAnswered();
+            return;
+        case CallOutcome::Unanswered:
+            self->handOverIfUnanswered();
+            return;
+        }
+    });
+}
+
 void DutyHolder::storeUnderLease(DutyWrite write, DutyWriteHandler handler)
 {
     asio::post(strand_, [self = shared_from_this(), write = std::move(write), handler = std::move(handler)]() mutable {
@@ -292,6 +321,33 @@
     beginRelease(state_, now);
 }
 
+void DutyHolder::onAnswered()
+{
+    if (handOversIn(state_.row) > 0) {
+        storeUnderLease({.values = {{std::string(handOversName), 0}}}, [](DutyWriteOutcome) {});
+    }
+}
+
+void DutyHolder::handOverIfUnanswered()
+{
+    const LeaseTime now = readLeaseClocks();
+    const std::uint64_t handOvers = handOversIn(state_.row);
+    if (!hasOtherCandidates_ || !shouldHandOver(reachability_, options_.reachability, handOvers, now.monotonic)) {
+        return;
+    }
+    log(Severity::Warning,
+        "hands the duties over because the control API does not respond",
+        {{"fence", state_.fencing}, {"unansweredCalls", reachability_.unansweredCalls}});
+    {
+        const std::scoped_lock lock(mutex_);
+        state_.row.values[std::string(handOversName)] = handOvers + 1;
+        beginRelease(state_, now);
+    }
+    failWrites();
+    reportLeaseChange();
+    advance();
+}
+
 void DutyHolder::reportLeaseChange()
 {
     const std::optional<std::uint64_t> fence = state_.isHeld ? std::optional(state_.fencing) : std::nullopt;
@@ -313,6 +369,7 @@
         handlers_.lostLease();
     }
     if (fence) {
+        reachability_ = {};
         acquiredAt_ = now;
         metrics_.setGauge("mulberrywall_duty_fence", static_cast<double>(*fence));
         log(Severity::Info, "acquired the lease of the duties", {{"fence", *fence}, {"actsInMs", toMilliseconds(state_.actsFrom - now)}});
--- a/lib/Duties/DutyRunner.cpp
+++ b/lib/Duties/DutyRunner.cpp
@@ -7,7 +7,7 @@
 
 std::shared_ptr<DutyRunner> DutyRunner::create(boost::asio::io_context &context, DutyHolderOptions options, DutyStore store, support::MetricsRegistry &metrics)
 {
-    const std::shared_ptr<DutyRunner> runner(new DutyRunner());
+    std::shared_ptr<DutyRunner> runner(new DutyRunner());
     DutyHolderHandlers handlers {.becameHolder =
                                      [weak = std::weak_ptr(runner)](std::uint64_t fence) {
                                          if (const auto self = weak.lock()) {
--- a/tools/mulberrywall-router/NodeDuties.cpp
+++ b/tools/mulberrywall-router/NodeDuties.cpp
@@ -96,9 +96,12 @@
             }};
 }
 
-platform::ControlClient::Observer makeCallObserver(support::MetricsRegistry &metrics)
+platform::ControlClient::Observer makeCallObserver(const std::shared_ptr<duties::DutyHolder> &holder, support::MetricsRegistry &metrics)
 {
-    return [&metrics](std::string_view path, const platform::ControlResult &result) {
+    return [holder, &metrics](std::string_view path, const platform::ControlResult &result) {
+        if (result.reach != platform::ControlReach::NotTried) {
+            holder->recordCall(result.reach == platform::ControlReach::Answered ? duties::CallOutcome::Answered : duties::CallOutcome::Unanswered);
+        }
         metrics.increment("mulberrywall_duty_calls_total", {{"path", path}, {"result", toString(result.status)}});
         if (result.status == platform::ControlStatus::Rejected || result.status == platform::ControlStatus::Unknown) {
             support::log(support::Severity::Warning,
@@ -126,13 +129,16 @@
         platform::StoreClientOptions {.address = settings.store,
             .connectTimeout = std::min(maximumConnectTime, lease / connectTimesPerLease),
             .responseTimeout = std::min(maximumResponseTime, lease / responseTimesPerLease)});
-    parts.control = std::make_shared<platform::ControlClient>(context,
-        platform::ControlClientOptions {.address = settings.control->address, .instance = settings.instance, .timeout = lease / callTimesPerLease},
-        makeCallObserver(metrics));
     parts.runner = duties::DutyRunner::create(context,
-        {.instance = settings.instance, .lease = duties::makeLeaseOptions(lease), .startDelay = lease / startDelaysPerLease, .handOverDelay = lease * leasesUntilHandOver},
+        {.instance = settings.instance,
+            .lease = duties::makeLeaseOptions(lease),
+            .startDelay = lease / startDelaysPerLease,
+            .handOverDelay = lease * leasesUntilHandOver},
         makeDutyStore(parts.store),
         metrics);
+    parts.control = std::make_shared<platform::ControlClient>(context,
+        platform::ControlClientOptions {.address = settings.control->address, .instance = settings.instance, .timeout = lease / callTimesPerLease},
+        makeCallObserver(parts.runner->holder(), metrics));
     parts.runner->addTask({.name = "calls",
         .begin = [](std::uint64_t) {},
         .end =
--- a/unittests/Duties/DutyHolderTest.cpp
+++ b/unittests/Duties/DutyHolderTest.cpp
@@ -8,6 +8,7 @@
 #include <condition_variable>
 #include <future>
 #include <mutex>
+#include <thread>
 
 namespace mulberrywall::duties
 {
@@ -135,7 +136,10 @@
         lease.quietTime = std::chrono::milliseconds(0);
         lease.retryInterval = std::chrono::milliseconds(10);
         holder_ = std::make_shared<DutyHolder>(workers_.context(),
-            DutyHolderOptions {.instance = support::InstanceId("b"), .lease = lease, .startDelay = std::chrono::milliseconds(0)},
+            DutyHolderOptions {.instance = support::InstanceId("b"),
+                .lease = lease,
+                .startDelay = std::chrono::milliseconds(0),
+                .reachability = {.unansweredLimit = std::chrono::milliseconds(0)}},
             store_.access(),
             DutyHolderHandlers {.becameHolder = [this](std::uint64_t fence) { acquired_.set_value(fence); },
                 .lostLease =
@@ -219,6 +223,34 @@
     EXPECT_EQ(writes.back().lease.fencing, 1U);
 }
 
+// Guards against duties that nobody performs while the holder reaches the store but not the control API, and against routers that hand over
+// in turn, without an end to it, while the API is down.
+TEST_F(DutyHolderTest, HandsOverWithoutResponses)
+{
+    const TimePoint start {};
+    Reachability reachability;
+    recordCall(reachability, CallOutcome::Unanswered, start);
+    const ReachabilityOptions options;
+    EXPECT_FALSE(shouldHandOver(reachability, options, 0, start + std::chrono::seconds(4))) << "a single call";
+    recordCall(reachability, CallOutcome::Unanswered, start + std::chrono::seconds(3));
+    EXPECT_TRUE(shouldHandOver(reachability, options, 0, start + std::chrono::seconds(3)));
+    EXPECT_FALSE(shouldHandOver(reachability, options, 2, start + std::chrono::seconds(11)));
+    EXPECT_TRUE(shouldHandOver(reachability, options, 2, start + std::chrono::seconds(12)));
+    recordCall(reachability, CallOutcome::Answered, start + std::chrono::seconds(12));
+    EXPECT_FALSE(shouldHandOver(reachability, options, 0, start + std::chrono::seconds(60)));
+
+    acquire();
+    holder_->recordCall(CallOutcome::Unanswered);
+    holder_->recordCall(CallOutcome::Unanswered);
+    lost_.get_future().wait();
+    EXPECT_FALSE(holder_->mayAct().has_value());
+    while (store_.writes().size() < 2) {
+        std::this_thread::yield();
+    }
+    EXPECT_EQ(store_.writes()[1].lease.holder, "");
+    EXPECT_EQ(store_.writes()[1].lease.values.at("handOvers"), 1U);
+}
+
 // Guards against calls to the store by routers that come later in the succession.
 TEST_F(DutyHolderTest, OnlyCandidatesReadTheRow)
 {
--- a/unittests/Duties/LeaseModel.cpp
+++ b/unittests/Duties/LeaseModel.cpp
@@ -126,7 +126,8 @@
         return;
     }
     default:
-        process.isStopping = true;
+        // A release at a stop, or a hand-over after which the process goes on as a candidate.
+        process.isStopping = chance(0.5);
         process.callsEndedAt.push_back(now_);
         beginRelease(process.state, clocksOf(process));
         return;
