--- a/lib/Metering/ReportQueue.cpp
+++ b/lib/Metering/ReportQueue.cpp
@@ -180,18 +180,25 @@
 {
     std::size_t reports = 0;
     std::size_t bytes = 0;
+    for (const auto &[window, entry] : entries_) {
+        if (entry.stage == Stage::Stored) {
+            ++reports;
+            bytes += entry.body.size();
+        }
+    }
     std::vector<WindowNumber> dropped;
-    for (auto entry = entries_.rbegin(); entry != entries_.rend(); ++entry) {
-        if (entry->second.stage != Stage::Stored) {
-            continue;
+    for (auto &[window, entry] : entries_) {
+        if (reports <= options_.maxReports && bytes <= options_.maxBytes) {
+            break;
         }
-        ++reports;
-        bytes += entry->second.body.size();
-        if ((reports > options_.maxReports || bytes > options_.maxBytes) && sending_ != entry->first) {
-            entry->second.stage = Stage::Dropped;
-            entry->second.body.clear();
-            dropped.push_back(entry->first);
+        if (entry.stage != Stage::Stored || sending_ == window) {
+            continue;
         }
+        --reports;
+        bytes -= entry.body.size();
+        entry.stage = Stage::Dropped;
+        entry.body.clear();
+        dropped.push_back(window);
     }
     return dropped;
 }
--- a/lib/Metering/UsageLedger.cpp
+++ b/lib/Metering/UsageLedger.cpp
@@ -59,15 +59,18 @@
     if (message.instance.empty()) {
         return nullptr;
     }
-    std::vector<Process> &processes = routers_[message.instance];
-    const auto found = std::find_if(processes.begin(), processes.end(), [&](const Process &process) { return process.incarnation == message.incarnation; });
-    if (found != processes.end()) {
-        return &*found;
+    if (const auto router = routers_.find(message.instance); router != routers_.end()) {
+        std::vector<Process> &known = router->second;
+        const auto found = std::find_if(known.begin(), known.end(), [&](const Process &process) { return process.incarnation == message.incarnation; });
+        if (found != known.end()) {
+            return &*found;
+        }
     }
     if (processes_ >= options_.maxProcesses) {
         return nullptr;
     }
     ++processes_;
+    std::vector<Process> &processes = routers_[message.instance];
     processes.push_back({.incarnation = message.incarnation,
         .firstWindow = message.firstWindow,
         .demand = {.instance = message.instance, .dataCentre = message.dataCentre, .incarnation = message.incarnation}});
