metering: forget unused organisations and clocks of routers that have gone

A candidate that runs for months would have ignored new organisations after 65,536 names, and new routers' clocks after 4,096 names, since neither table forgot names that are no longer used. The gauge of pending reports follows the lease.

--- a/include/mulberrywall/Metering/UsageLedger.h
+++ b/include/mulberrywall/Metering/UsageLedger.h
@@ -83,6 +83,9 @@
         std::vector<std::uint64_t> demandSequences;
     };
 
+    void forgetUnusedOrganisations();
+    template <typename Function>
+    void forEachCount(const Function &function);
     Process *findOrAdd(const UsageMessage &message);
     void merge(Window &window, const WindowCounts &received);
     std::optional<OrganisationIndex> indexOf(const support::OrganisationId &organisation);
--- a/include/mulberrywall/Metering/UsageReporter.h
+++ b/include/mulberrywall/Metering/UsageReporter.h
@@ -75,6 +75,7 @@
     void onStored(const StoreBatch &batch, StoreOutcome outcome);
     void send(TrueTime now);
     void onSent(const ReportCall &call, SendOutcome outcome);
+    void recordPending() const;
     void recordWindows(std::string_view result, std::uint64_t windows) const;
     [[nodiscard]] TrueTime now() const;
 
--- a/include/mulberrywall/Metering/WindowClock.h
+++ b/include/mulberrywall/Metering/WindowClock.h
@@ -74,6 +74,7 @@
     void correct(BootTime now);
     void setCorrection(Offset correction, BootTime now);
     [[nodiscard]] bool isCorrectionDue(BootTime now) const;
+    [[nodiscard]] bool isExpired(const Samples &samples, BootTime now) const;
     [[nodiscard]] std::vector<Offset> recentOffsets(const SampleTable &table, BootTime now, unsigned minimumClocks) const;
 
     BootTime startedAt_;
--- a/lib/Metering/UsageLedger.cpp
+++ b/lib/Metering/UsageLedger.cpp
@@ -30,9 +30,39 @@
         processes_ -= std::erase_if(processes, [](const Process &process) { return process.windows.empty(); });
         router = processes.empty() ? routers_.erase(router) : std::next(router);
     }
-    if (counts_ == 0) {
-        organisations_.clear();
-        organisationIndexes_.clear();
+    if (organisations_.size() > options_.maxOrganisations / 2) {
+        forgetUnusedOrganisations();
+    }
+}
+
+void UsageLedger::forgetUnusedOrganisations()
+{
+    std::vector<bool> used(organisations_.size(), false);
+    forEachCount([&used](Count &count) { used[count.organisation] = true; });
+    std::vector<std::string> remaining;
+    std::vector<OrganisationIndex> newIndexes(organisations_.size(), 0);
+    organisationIndexes_.clear();
+    for (std::size_t index = 0; index < organisations_.size(); ++index) {
+        if (used[index]) {
+            newIndexes[index] = static_cast<OrganisationIndex>(remaining.size());
+            organisationIndexes_.emplace(organisations_[index], newIndexes[index]);
+            remaining.push_back(std::move(organisations_[index]));
+        }
+    }
+    organisations_ = std::move(remaining);
+    // The new indexes have the same order, so that the counts of each window stay ordered.
+    forEachCount([&newIndexes](Count &count) { count.organisation = newIndexes[count.organisation]; });
+}
+
+template <typename Function>
+void UsageLedger::forEachCount(const Function &function)
+{
+    for (auto &[instance, processes] : routers_) {
+        for (Process &process : processes) {
+            for (auto &[number, window] : process.windows) {
+                std::for_each(window.counts.begin(), window.counts.end(), function);
+            }
+        }
     }
 }
 
--- a/lib/Metering/UsageReporter.cpp
+++ b/lib/Metering/UsageReporter.cpp
@@ -36,6 +36,7 @@
         self->isHolder_ = false;
         ++self->tenure_;
         self->timer_.cancel();
+        self->recordPending();
     });
 }
 
@@ -73,6 +74,7 @@
         return;
     }
     queue_.begin(*stored);
+    recordPending();
     support::log(support::Severity::Info,
         "reporting usage",
         {{"storedReports", std::uint64_t {stored->reports.size()}}, {"highestWindow", stored->highestWindow.value_or(0)}});
@@ -151,6 +153,7 @@
 void UsageReporter::onStored(const StoreBatch &batch, StoreOutcome outcome)
 {
     queue_.onStored(outcome, now());
+    recordPending();
     for (const UsageReport &report : batch.put) {
         if (outcome == StoreOutcome::Stored) {
             support::log(support::Severity::Info, "usage report stored", {{"window", report.window}, {"bytes", std::uint64_t {report.body.size()}}});
@@ -198,7 +201,7 @@
 {
     const TrueTime time = now();
     const auto end = queue_.onSent(outcome, time);
-    dependencies_.metrics->setGauge("mulberrywall_usage_reports_pending", static_cast<double>(queue_.unacceptedReports()));
+    recordPending();
     if (!end) {
         const auto severity = outcome == SendOutcome::NotPermitted ? support::Severity::Debug : support::Severity::Warning;
         support::log(severity, "usage report not accepted; trying again", {{"window", call.report.window}, {"outcome", toString(outcome)}});
@@ -212,6 +215,11 @@
     step();
 }
 
+void UsageReporter::recordPending() const
+{
+    dependencies_.metrics->setGauge("mulberrywall_usage_reports_pending", static_cast<double>(queue_.unacceptedReports()));
+}
+
 void UsageReporter::recordWindows(std::string_view result, std::uint64_t windows) const
 {
     dependencies_.metrics->increment("mulberrywall_usage_windows_total", {{"result", result}}, windows);
--- a/lib/Metering/WindowClock.cpp
+++ b/lib/Metering/WindowClock.cpp
@@ -47,6 +47,9 @@
 
 bool WindowClock::record(SampleTable &table, const support::InstanceId &source, Offset difference, unsigned clocks, BootTime receivedAt) const
 {
+    if (table.size() >= options_.maxRouters) {
+        std::erase_if(table, [&](const auto &entry) { return isExpired(entry.second, receivedAt); });
+    }
     const auto found = table.find(source);
     if (found == table.end() && table.size() >= options_.maxRouters) {
         return false;
@@ -71,11 +74,16 @@
     return false;
 }
 
+bool WindowClock::isExpired(const Samples &samples, BootTime now) const
+{
+    return now - samples.lastAt >= 2 * options_.samplePeriod;
+}
+
 std::vector<WindowClock::Offset> WindowClock::recentOffsets(const SampleTable &table, BootTime now, unsigned minimumClocks) const
 {
     std::vector<Offset> offsets;
     for (const auto &[source, samples] : table) {
-        if (now - samples.lastAt < 2 * options_.samplePeriod && samples.clocks >= minimumClocks) {
+        if (!isExpired(samples, now) && samples.clocks >= minimumClocks) {
             offsets.push_back(std::max(samples.current, samples.previous.value_or(samples.current)));
         }
     }
--- a/unittests/Metering/UsageLedgerTest.cpp
+++ b/unittests/Metering/UsageLedgerTest.cpp
@@ -94,6 +94,19 @@
     EXPECT_EQ(ledger.counts(20), (std::map<std::string, std::uint64_t> {{"a", 5}}));
 }
 
+// Guards against organisations that are ignored because of the names of earlier ones, and counts that move between organisations.
+TEST_F(UsageLedgerTest, ForgetsOrganisationsWithoutCounts)
+{
+    UsageLedger ledger({.maxWindows = 2, .maxOrganisations = 3});
+    for (WindowNumber window = 20; window < 40; ++window) {
+        ledger.advance(window);
+        const support::OrganisationId organisation("organisation-" + std::to_string(window));
+        const support::OrganisationId last("z");
+        ledger.record(message(1, {.window = window, .total = 3, .counts = {{organisation, 1}, {last, 2}}}), boot);
+        EXPECT_EQ(ledger.counts(window), (std::map<std::string, std::uint64_t> {{organisation.value(), 1}, {"z", 2}}));
+    }
+}
+
 // Guards against demand that goes back to an earlier datagram or stays after its router has gone.
 TEST_F(UsageLedgerTest, DemandIsTheLatestOfEachRouter)
 {
