policy: number of endpoints by demand, price and risk of loss

The operator's document and the registry entries are read with what both need. A scaling that cannot be used is logged, and the service is served with the endpoints that it has.

--- a/include/mulberrywall/Configuration/Model.h
+++ b/include/mulberrywall/Configuration/Model.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -102,6 +103,22 @@
     friend bool operator==(const Endpoint &, const Endpoint &) = default;
 };
 
+/// Limits and prices within which the number of a pool's endpoints may be ordered. It is set by the operator's document only.
+struct ScalingSpec
+{
+    /// Limits for each data centre, for endpoints of both kinds together.
+    unsigned minimum = 0;
+    unsigned maximum = 0;
+    /// Time from an order until the new endpoint serves.
+    std::chrono::milliseconds bootTime {0};
+    /// Price of a spot endpoint as a share of the price of an on-demand endpoint; empty if spot endpoints are not to be ordered.
+    std::optional<double> spotPrice;
+    /// Price of an on-demand endpoint for one second, by data centre. No endpoints are ordered in other data centres.
+    std::map<support::DataCentreId, double> prices;
+
+    friend bool operator==(const ScalingSpec &, const ScalingSpec &) = default;
+};
+
 struct Pool
 {
     support::PoolId id;
@@ -110,6 +127,8 @@
     std::size_t queueLimit = 256;
     /// Number of priorities that the pool's engines distinguish, from 1 to 256.
     unsigned enginePriorityLevels = 256;
+    /// Empty if the number of endpoints is fixed.
+    std::optional<ScalingSpec> scaling;
 
     friend bool operator==(const Pool &, const Pool &) = default;
 };
--- a/include/mulberrywall/Configuration/Validation.h
+++ b/include/mulberrywall/Configuration/Validation.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <span>
+#include <string>
 #include <string_view>
 
 namespace mulberrywall::configuration
@@ -25,6 +26,9 @@
 /// when the fields are parsed.
 support::Result<void> validate(const SiteConfiguration &configuration, const Locator &locate);
 
+/// Returns why the number of endpoints cannot be ordered by the specification, or an empty string if it can.
+std::string describeScalingProblem(const ScalingSpec &scaling);
+
 /// Checks that no two sites have the same data centre, and that no two endpoints have the same id or address.
 support::Result<void> validateSites(std::span<const SiteConfiguration> sites);
 
--- a/include/mulberrywall/Router/EndpointRegistry.h
+++ b/include/mulberrywall/Router/EndpointRegistry.h
@@ -18,6 +18,10 @@
     support::DataCentreId dataCentre;
     /// True if the endpoint completes its running requests and accepts no new ones.
     bool leaving = false;
+    /// True if the platform may reclaim the endpoint, together with all others of its kind in the data centre.
+    bool spot = false;
+    /// Time for which the endpoint remained when the entry was written; empty if it has no notice.
+    std::optional<std::chrono::milliseconds> leavesIn;
 
     friend bool operator==(const RegisteredEndpoint &, const RegisteredEndpoint &) = default;
 };
@@ -46,7 +50,8 @@
 /// Starts the grace period.
 void recordStoreRecovered(EndpointRegistry &registry, EndpointRegistry::TimePoint now);
 
-/// Inserts or replaces an entry. Returns whether the usable endpoints may have changed.
+/// Inserts or replaces an entry. Returns whether the usable endpoints may have changed, which the remaining time of a leaving
+/// endpoint does not influence.
 bool recordEntry(EndpointRegistry &registry, RegisteredEndpoint entry);
 
 /// Removes an entry, during the grace period only at its end unless the entry is leaving. Returns
@@ -62,6 +67,9 @@
 /// Returns the endpoints that receive new work.
 std::vector<configuration::Endpoint> usableEndpoints(const EndpointRegistry &registry);
 
+/// Returns all entries, including those of endpoints that leave.
+std::vector<RegisteredEndpoint> registeredEndpoints(const EndpointRegistry &registry);
+
 /// Returns the time at which removeExpired must be called next, or nothing if no entry has expired.
 std::optional<EndpointRegistry::TimePoint> nextExpiry(const EndpointRegistry &registry);
 
--- a/include/mulberrywall/Router/StoreWatcher.h
+++ b/include/mulberrywall/Router/StoreWatcher.h
@@ -55,6 +55,8 @@
     /// Called when the store has confirmed that there was no newer configuration at the given time.
     std::function<void(support::BootClock::time_point)> configurationConfirmed;
     std::function<void(const std::vector<configuration::Endpoint> &)> endpointsChanged;
+    /// Called with all registered endpoints, including those that leave, when one of them has changed. May be empty.
+    std::function<void(std::vector<RegisteredEndpoint>)> registryChanged;
 };
 
 /// Watches the configuration and the endpoints in a store and reports their changes.
--- a/lib/Configuration/Validation.cpp
+++ b/lib/Configuration/Validation.cpp
@@ -5,6 +5,7 @@
 #include "mulberrywall/Support/Address.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <set>
 #include <string>
@@ -21,6 +22,8 @@
 {
 
 constexpr std::size_t keyHashLength = 64;
+/// Above any platform's size; the plan of a pool's endpoints takes time in proportion to their number.
+constexpr unsigned maximumScaledEndpoints = 10'000;
 
 leaf::error_id fail(const Locator &locate, const FieldPath &path, const std::string &problem)
 {
@@ -110,6 +113,24 @@
     return {};
 }
 
+Result<void> checkPools(const SiteConfiguration &configuration, const Locator &locate)
+{
+    for (const Pool &pool : configuration.pools) {
+        if (!pool.scaling) {
+            continue;
+        }
+        if (const std::string problem = describeScalingProblem(*pool.scaling); !problem.empty()) {
+            return fail(locate, {"pools", pool.id.value(), "scaling"}, problem);
+        }
+    }
+    return {};
+}
+
+bool isPrice(double price)
+{
+    return std::isfinite(price) && price > 0.0;
+}
+
 Result<void> checkEndpointPools(const SiteConfiguration &configuration, const Endpoint &endpoint, const Locator &locate)
 {
     const FieldPath path {"endpoints", endpoint.id.value(), "pools"};
@@ -149,6 +170,31 @@
 
 } // namespace
 
+std::string describeScalingProblem(const ScalingSpec &scaling)
+{
+    if (scaling.maximum == 0 || scaling.maximum > maximumScaledEndpoints) {
+        return "has a maximum outside 1 to " + std::to_string(maximumScaledEndpoints);
+    }
+    if (scaling.minimum > scaling.maximum) {
+        return "has a minimum above its maximum; lower the minimum";
+    }
+    if (scaling.bootTime.count() <= 0) {
+        return "has no boot time; set it to the time after which a new endpoint serves";
+    }
+    if (scaling.spotPrice && !isPrice(*scaling.spotPrice)) {
+        return "has a spot price that is not positive";
+    }
+    if (scaling.prices.empty()) {
+        return "has no prices; set one for each data centre in which endpoints may be ordered";
+    }
+    for (const auto &[dataCentre, price] : scaling.prices) {
+        if (!isPrice(price)) {
+            return "has a price for data centre \"" + dataCentre.value() + "\" that is not positive";
+        }
+    }
+    return {};
+}
+
 Result<void> validate(const SiteConfiguration &configuration, const Locator &locate)
 {
     if (const std::string problem = values::checkId(configuration.dataCentre.value()); !problem.empty()) {
@@ -160,6 +206,7 @@
     BOOST_LEAF_CHECK(checkIds(configuration.endpoints, "endpoints", locate));
     BOOST_LEAF_CHECK(checkClasses(configuration, locate));
     BOOST_LEAF_CHECK(checkOrganisations(configuration, locate));
+    BOOST_LEAF_CHECK(checkPools(configuration, locate));
     return checkEndpoints(configuration, locate);
 }
 
--- /dev/null
+++ b/lib/Policy/Autoscaling.cpp
@@ -0,0 +1,237 @@
+#include "mulberrywall/Policy/Autoscaling.h"
+
+#include "CapacityCells.h"
+#include "CapacityNeed.h"
+
+#include "mulberrywall/Policy/CapacityAllocation.h"
+
+#include <algorithm>
+
+namespace mulberrywall::policy
+{
+
+namespace
+{
+
+using Allocation = std::map<CapacityCell, unsigned>;
+
+std::map<support::DataCentreId, double> demandShares(const PoolDemand &demand)
+{
+    std::map<support::DataCentreId, double> shares;
+    double total = 0.0;
+    for (const auto &[dataCentre, rates] : demand.byDataCentre) {
+        // Plain services have no prompt tokens.
+        const double work = rates.acceptedPromptTokens + rates.refusedPromptTokens + rates.requestsStarted + rates.requestsRefused;
+        shares[dataCentre] = work;
+        total += work;
+    }
+    for (auto &[dataCentre, share] : shares) {
+        share = total > 0.0 ? share / total : 0.0;
+    }
+    return shares;
+}
+
+AllocationRequest makeAllocationRequest(
+    const PoolCapacityState &pool, const PoolCapacityInputs &inputs, const Requirement &requirement, const CapacityTuning &tuning, TimePoint now)
+{
+    const bool isShort = pool.figures.ready < requirement.afterLoss;
+    AllocationRequest request {.minimum = inputs.spec.minimum,
+        .maximum = inputs.spec.maximum,
+        .requiredAfterLoss = requirement.afterLoss,
+        .demandShares = demandShares(inputs.demand)};
+    for (const auto &[cell, cellState] : pool.cells) {
+        AllocationCell entry {.cell = cell,
+            .price = priceOf(inputs.spec, cell).value_or(0.0),
+            .serving = lastingEndpoints(cellState, now) + startingEndpoints(cellState, now),
+            .limit = inputs.spec.maximum};
+        if (isShort && isDoubtful(pool, cell.spot, tuning, now)) {
+            entry.serving = lastingEndpoints(cellState, now);
+            entry.limit = entry.serving;
+        } else if (now < cellState.unavailableUntil) {
+            entry.limit = std::min(entry.limit, entry.serving);
+        }
+        request.cells.push_back(std::move(entry));
+    }
+    request.required = requirement.total;
+    return request;
+}
+
+/// The orders of one pool, as they are collected.
+struct OrderList
+{
+    const PoolCapacityState &pool;
+    const PoolCapacityInputs &inputs;
+    const AllocationRequest &request;
+    const Allocation &allocation;
+    TimePoint now;
+    std::vector<CapacityOrder> orders;
+
+    [[nodiscard]] const CapacityCellState &cellState(const CapacityCell &cell) const
+    {
+        return pool.cells.at(cell);
+    }
+
+    void add(const CapacityCell &cell, unsigned desired)
+    {
+        orders.push_back({.pool = inputs.pool, .dataCentre = cell.dataCentre, .desired = desired, .spot = cell.spot});
+    }
+};
+
+/// Returns the cells by price.
+std::vector<AllocationCell> byPrice(const AllocationRequest &request)
+{
+    std::vector<AllocationCell> cells = request.cells;
+    std::stable_sort(cells.begin(), cells.end(), [](const auto &left, const auto &right) { return left.price < right.price; });
+    return cells;
+}
+
+/// Returns how many endpoints the platform has been told to run in the other cell of the data centre.
+unsigned orderedOfOtherKind(const OrderList &list, const CapacityCell &cell)
+{
+    const auto other = list.pool.cells.find({.dataCentre = cell.dataCentre, .spot = !cell.spot});
+    if (other == list.pool.cells.end()) {
+        return 0;
+    }
+    return std::max(other->second.ready, other->second.ordered ? other->second.ordered->desired : 0);
+}
+
+/// Withdraws the part of an order that had no effect, because it counts towards the maximum of the data centre.
+void releaseOtherKind(OrderList &list, const CapacityCell &cell)
+{
+    const CapacityCell other {.dataCentre = cell.dataCentre, .spot = !cell.spot};
+    const auto found = list.pool.cells.find(other);
+    if (found == list.pool.cells.end() || !found->second.ordered || !mayOrder(found->second, list.now)) {
+        return;
+    }
+    const unsigned expected = found->second.ready + startingEndpoints(found->second, list.now);
+    if (found->second.ordered->desired > expected) {
+        list.add(other, expected);
+    }
+}
+
+void addIncreases(OrderList &list)
+{
+    for (const AllocationCell &entry : byPrice(list.request)) {
+        const unsigned target = list.allocation.at(entry.cell);
+        if (target <= entry.serving || !mayOrder(list.cellState(entry.cell), list.now)) {
+            continue;
+        }
+        const unsigned other = orderedOfOtherKind(list, entry.cell);
+        const unsigned room = list.inputs.spec.maximum - std::min(list.inputs.spec.maximum, other);
+        if (target > room) {
+            releaseOtherKind(list, entry.cell);
+        }
+        if (std::min(target, room) > entry.serving) {
+            list.add(entry.cell, std::min(target, room));
+        }
+    }
+}
+
+/// The endpoints that serve, as decreases reduce them.
+struct Remaining
+{
+    std::map<support::DataCentreId, unsigned> byDataCentre;
+    unsigned total = 0;
+    unsigned required = 0;
+    unsigned requiredAfterLoss = 0;
+    /// Endpoints that may be removed in this step.
+    unsigned step = 0;
+};
+
+Remaining remainingOf(const OrderList &list, const Requirement &requirement, const CapacityTuning &tuning)
+{
+    Remaining remaining {.required = list.request.required, .requiredAfterLoss = requirement.afterLoss};
+    for (const auto &[cell, cellState] : list.pool.cells) {
+        const unsigned lasting = lastingEndpoints(cellState, list.now);
+        remaining.byDataCentre[cell.dataCentre] += lasting;
+        remaining.total += lasting;
+    }
+    remaining.step = std::max(1U, static_cast<unsigned>(remaining.total * tuning.decreaseShare));
+    return remaining;
+}
+
+/// Returns how many endpoints of the data centre can be removed so that the rest suffices, also after the loss of another one.
+unsigned removable(const Remaining &remaining, const support::DataCentreId &dataCentre)
+{
+    unsigned count = std::min(remaining.step, remaining.total - std::min(remaining.total, remaining.required));
+    for (const auto &[other, endpoints] : remaining.byDataCentre) {
+        if (other != dataCentre) {
+            const unsigned afterLoss = remaining.total - endpoints;
+            count = std::min(count, afterLoss - std::min(afterLoss, remaining.requiredAfterLoss));
+        }
+    }
+    return count;
+}
+
+bool isShortOf(const PoolCapacityState &pool, const CapacityCell &cell, const CapacityTuning &tuning, TimePoint now)
+{
+    return !cell.spot && pool.shortageAt && now - *pool.shortageAt < tuning.shortageHold;
+}
+
+void addDecreases(OrderList &list, const Requirement &requirement, const CapacityTuning &tuning)
+{
+    Remaining remaining = remainingOf(list, requirement, tuning);
+    std::vector<AllocationCell> cells = byPrice(list.request);
+    std::reverse(cells.begin(), cells.end());
+    for (const AllocationCell &entry : cells) {
+        const CapacityCellState &cellState = list.cellState(entry.cell);
+        const unsigned target = list.allocation.at(entry.cell);
+        const bool isBusy = !mayOrder(cellState, list.now) || startingEndpoints(cellState, list.now) > 0;
+        if (target >= entry.serving || isBusy || isShortOf(list.pool, entry.cell, tuning, list.now)) {
+            continue;
+        }
+        const unsigned count = std::min(entry.serving - target, removable(remaining, entry.cell.dataCentre));
+        if (count == 0) {
+            continue;
+        }
+        remaining.byDataCentre[entry.cell.dataCentre] -= count;
+        remaining.total -= count;
+        remaining.step -= count;
+        list.add(entry.cell, entry.serving - count);
+    }
+}
+
+std::vector<CapacityOrder> planPool(PoolCapacityState &pool, const PoolCapacityInputs &inputs, const CapacityTuning &tuning, TimePoint now)
+{
+    updateCells(pool, inputs, tuning, now);
+    const CapacityTotals totals = totalsOf(pool, inputs, tuning, now);
+    recordNeed(pool, inputs, totals, tuning, now);
+    const Requirement requirement = requirementOf(pool, inputs, totals, tuning, now);
+    const AllocationRequest request = makeAllocationRequest(pool, inputs, requirement, tuning, now);
+    const Allocation allocation = allocateCapacity(request, tuning);
+    pool.figures.desired = allocation;
+    OrderList list {.pool = pool, .inputs = inputs, .request = request, .allocation = allocation, .now = now, .orders = {}};
+    addIncreases(list);
+    if (mayDecrease(pool, tuning, now)) {
+        addDecreases(list, requirement, tuning);
+    }
+    return std::move(list.orders);
+}
+
+} // namespace
+
+std::vector<CapacityOrder> planCapacity(CapacityPlanState &state, const CapacityInputs &inputs, TimePoint now)
+{
+    std::erase_if(state.pools, [&](const auto &entry) {
+        return std::none_of(inputs.pools.begin(), inputs.pools.end(), [&](const PoolCapacityInputs &pool) { return pool.pool == entry.first; });
+    });
+    std::vector<CapacityOrder> orders;
+    for (const PoolCapacityInputs &pool : inputs.pools) {
+        std::vector<CapacityOrder> ofPool = planPool(state.pools[pool.pool], pool, state.tuning, now);
+        std::move(ofPool.begin(), ofPool.end(), std::back_inserter(orders));
+    }
+    const auto isIncrease = [&](const CapacityOrder &order) {
+        const auto &cell = state.pools.at(order.pool).cells.at({.dataCentre = order.dataCentre, .spot = order.spot});
+        return order.desired > cell.ready;
+    };
+    std::stable_partition(orders.begin(), orders.end(), isIncrease);
+    return orders;
+}
+
+const CapacityFigures *findCapacityFigures(const CapacityPlanState &state, const support::PoolId &pool)
+{
+    const auto found = state.pools.find(pool);
+    return found == state.pools.end() ? nullptr : &found->second.figures;
+}
+
+} // namespace mulberrywall::policy
--- /dev/null
+++ b/lib/Policy/CapacityNeed.cpp
@@ -0,0 +1,220 @@
+#include "CapacityNeed.h"
+
+#include "CapacityCells.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mulberrywall::policy
+{
+
+namespace
+{
+
+DemandRates totalDemand(const PoolDemand &demand)
+{
+    DemandRates sum;
+    for (const auto &[dataCentre, rates] : demand.byDataCentre) {
+        sum.acceptedPromptTokens += rates.acceptedPromptTokens;
+        sum.refusedPromptTokens += rates.refusedPromptTokens;
+        sum.outputTokens += rates.outputTokens;
+        sum.requestsStarted += rates.requestsStarted;
+        sum.requestsRefused += rates.requestsRefused;
+        sum.waiting += rates.waiting;
+    }
+    return sum;
+}
+
+/// Properties of one endpoint, on average.
+struct MeanEndpoint
+{
+    double prefillTokensPerSecond = 0.0;
+    double slots = 1.0;
+};
+
+MeanEndpoint meanEndpoint(const PoolCapacityInputs &inputs, const CapacityTuning &tuning)
+{
+    unsigned ready = 0;
+    unsigned slots = 0;
+    unsigned knownSpeeds = 0;
+    double speeds = 0.0;
+    for (const auto &[cell, group] : inputs.groups) {
+        ready += group.ready;
+        slots += group.slots;
+        knownSpeeds += group.knownSpeeds;
+        speeds += group.prefillTokensPerSecond;
+    }
+    MeanEndpoint mean {.prefillTokensPerSecond = tuning.defaultPrefillTokensPerSecond};
+    if (knownSpeeds > 0 && speeds > 0.0) {
+        mean.prefillTokensPerSecond = speeds / knownSpeeds;
+    }
+    if (ready > 0 && slots > 0) {
+        mean.slots = static_cast<double>(slots) / ready;
+    }
+    return mean;
+}
+
+/// Returns the utilisation at which waiting and endpoints cost least together, for endpoints of the given price relative to an
+/// on-demand endpoint.
+double bestUtilisation(double relativePrice, const CapacityTuning &tuning)
+{
+    const double best = 1.0 / (1.0 + std::sqrt(tuning.waitingWorth / relativePrice));
+    return std::clamp(best, tuning.minimumUtilisation, tuning.maximumUtilisation);
+}
+
+double refusedRatio(const DemandRates &demand)
+{
+    const double requests = demand.requestsStarted + demand.requestsRefused;
+    return requests > 0.0 ? demand.requestsRefused / requests : 0.0;
+}
+
+/// Returns the demand in endpoints that are busy all the time.
+double needOf(const PoolCapacityInputs &inputs, const CapacityTuning &tuning)
+{
+    const DemandRates demand = totalDemand(inputs.demand);
+    const MeanEndpoint endpoint = meanEndpoint(inputs, tuning);
+    const double prefill = (demand.acceptedPromptTokens + tuning.refusedShare * demand.refusedPromptTokens) / endpoint.prefillTokensPerSecond;
+    const double refusedPerStarted = demand.requestsStarted > 0.0 ? tuning.refusedShare * demand.requestsRefused / demand.requestsStarted : 0.0;
+    const double requests = (inputs.running + demand.waiting) * std::min(1.0 + refusedPerStarted, tuning.maximumBurst);
+    // Slots have a utilisation of their own; the need is later divided by that of the prefill.
+    const double slots = requests / endpoint.slots * (tuning.maximumUtilisation / tuning.slotUtilisation);
+    const double output = inputs.outputTokensPerSecond > 0.0 ? demand.outputTokens / inputs.outputTokensPerSecond : 0.0;
+    return std::max({prefill, slots, output});
+}
+
+void recordPressure(PoolCapacityState &pool, const PoolCapacityInputs &inputs, const CapacityTotals &totals, const CapacityTuning &tuning, TimePoint now)
+{
+    const bool isPressed = refusedRatio(totalDemand(inputs.demand)) > tuning.pressureRefusedShare || inputs.pendingPrefill > tuning.pressureBacklog;
+    // What is ordered may suffice, and what cannot be had is no error of the estimate.
+    const bool servesAsPlanned = totals.starting == 0 && totals.ready >= pool.figures.required;
+    if (!isPressed) {
+        pool.pressureSince.reset();
+    } else if (!pool.pressureSince || !servesAsPlanned) {
+        pool.pressureSince = now;
+    }
+    if (!pool.correctedAt) {
+        pool.correctedAt = now;
+    }
+    if (pool.pressureSince && now - *pool.pressureSince >= tuning.correctionInterval) {
+        pool.correction = std::min(pool.correction * tuning.correctionStep, tuning.maximumCorrection);
+        pool.pressureSince = now;
+        pool.correctedAt = now;
+    } else if (!isPressed && now - *pool.correctedAt >= tuning.correctionDecay) {
+        pool.correction = std::max(pool.correction / tuning.correctionStep, 1.0);
+        pool.correctedAt = now;
+    }
+}
+
+/// Returns the need to expect when the endpoints that are ordered now serve.
+double expectedNeed(const std::deque<PoolCapacityState::Need> &needs, const CapacityTuning &tuning, TimePoint now)
+{
+    if (needs.empty()) {
+        return 0.0;
+    }
+    const double latest = needs.back().endpoints;
+    double before = 0.0;
+    for (const auto &need : needs) {
+        before = need.at <= now - tuning.burstOnset ? std::max(before, need.endpoints) : before;
+    }
+    if (before == 0.0 || latest <= tuning.burstRatio * before) {
+        return latest;
+    }
+    const double rise = latest - needs[needs.size() - 2].endpoints;
+    return std::max(latest, std::min(latest + std::max(0.0, rise), tuning.maximumBurst * before));
+}
+
+double highestNeed(const std::deque<PoolCapacityState::Need> &needs)
+{
+    double highest = 0.0;
+    for (const auto &need : needs) {
+        highest = std::max(highest, need.endpoints);
+    }
+    return highest;
+}
+
+unsigned toCount(double endpoints)
+{
+    return static_cast<unsigned>(std::ceil(std::max(0.0, endpoints)));
+}
+
+/// Returns the total with which the loss of one of the data centres leaves enough, if the endpoints are spread evenly.
+double totalForLoss(double afterLoss, std::size_t dataCentres)
+{
+    return dataCentres < 2 ? 0.0 : afterLoss * static_cast<double>(dataCentres) / static_cast<double>(dataCentres - 1);
+}
+
+} // namespace
+
+CapacityTotals totalsOf(const PoolCapacityState &pool, const PoolCapacityInputs &inputs, const CapacityTuning &tuning, TimePoint now)
+{
+    CapacityTotals totals;
+    const bool spotIsDoubtful = isDoubtful(pool, true, tuning, now);
+    for (const auto &[cell, cellState] : pool.cells) {
+        totals.ready += lastingEndpoints(cellState, now);
+        totals.starting += startingEndpoints(cellState, now);
+        totals.servesSpot = totals.servesSpot || (cell.spot && cellState.ready > 0);
+        totals.mayOrderSpot = totals.mayOrderSpot || (cell.spot && !spotIsDoubtful && now >= cellState.unavailableUntil);
+    }
+    for (const auto &[cell, group] : inputs.groups) {
+        totals.fixed += pool.cells.contains(cell) ? 0 : group.ready;
+    }
+    return totals;
+}
+
+void recordNeed(PoolCapacityState &pool, const PoolCapacityInputs &inputs, const CapacityTotals &totals, const CapacityTuning &tuning, TimePoint now)
+{
+    if (!inputs.demand.isComplete) {
+        pool.demandKnownSince.reset();
+    } else if (!pool.demandKnownSince) {
+        pool.demandKnownSince = now;
+    }
+    pool.needs.push_back({.at = now, .endpoints = needOf(inputs, tuning)});
+    while (now - pool.needs.front().at > tuning.demandMemory) {
+        pool.needs.pop_front();
+    }
+    recordPressure(pool, inputs, totals, tuning, now);
+}
+
+Requirement requirementOf(PoolCapacityState &pool, const PoolCapacityInputs &inputs, const CapacityTotals &totals, const CapacityTuning &tuning, TimePoint now)
+{
+    const double need = std::max(highestNeed(pool.needs), expectedNeed(pool.needs, tuning, now)) * pool.correction;
+    const double spotPrice = inputs.spec.spotPrice.value_or(1.0);
+    const double utilisation = bestUtilisation(totals.mayOrderSpot ? spotPrice : 1.0, tuning);
+    const double lowestUtilisation = bestUtilisation(totals.mayOrderSpot || totals.servesSpot ? spotPrice : 1.0, tuning);
+    const double afterLoss = need / tuning.utilisationAfterLoss;
+    const double least = std::max(need / utilisation, totalForLoss(afterLoss, inputs.spec.prices.size()));
+    const bool isCrestKnown = pool.demandKnownSince && now - *pool.demandKnownSince >= tuning.demandMemory;
+    const double margin = (1.0 + tuning.surplusKept) * (isCrestKnown ? 1.0 : tuning.unseenCrest);
+    const double most = std::max(least, need / lowestUtilisation) * margin;
+    pool.figures.isDemandComplete = inputs.demand.isComplete;
+    pool.figures.latestNeed = pool.needs.back().endpoints;
+    pool.figures.plannedNeed = need;
+    pool.figures.utilisation = utilisation;
+    pool.figures.correction = pool.correction;
+    pool.figures.ready = totals.ready + totals.fixed;
+    pool.figures.starting = totals.starting;
+    const auto orderable = [&](double endpoints) {
+        return toCount(endpoints) - std::min(toCount(endpoints), totals.fixed);
+    };
+    const unsigned serving = totals.ready + totals.starting;
+    unsigned total = pool.required.value_or(serving);
+    if (!totals.mayOrderSpot) {
+        // A reserve of spot endpoints is not replaced by on-demand endpoints.
+        total = std::min(total, serving);
+    }
+    // The total stays as it is while it is neither too low nor much too high.
+    pool.required = std::clamp(total, orderable(least), orderable(most));
+    pool.figures.required = *pool.required;
+    pool.figures.requiredAfterLoss = orderable(afterLoss);
+    return {.total = *pool.required, .afterLoss = orderable(afterLoss)};
+}
+
+bool mayDecrease(const PoolCapacityState &pool, const CapacityTuning &tuning, TimePoint now)
+{
+    const bool isWindowKnown = pool.demandKnownSince && now - *pool.demandKnownSince >= tuning.demandWindow;
+    const bool isPressed = pool.pressureSince && pool.correction < tuning.maximumCorrection;
+    const bool isTooSoon = pool.decreasedAt && now - *pool.decreasedAt < tuning.decreaseInterval;
+    return isWindowKnown && !isPressed && !isTooSoon;
+}
+
+} // namespace mulberrywall::policy
--- a/lib/Router/EndpointRegistry.cpp
+++ b/lib/Router/EndpointRegistry.cpp
@@ -20,6 +20,7 @@
         registry.entries.emplace(id, std::move(entry));
         return true;
     }
+    found->second.leavesIn = entry.leavesIn;
     if (found->second == entry) {
         return false;
     }
@@ -67,6 +68,16 @@
     return result;
 }
 
+std::vector<RegisteredEndpoint> registeredEndpoints(const EndpointRegistry &registry)
+{
+    std::vector<RegisteredEndpoint> result;
+    result.reserve(registry.entries.size());
+    for (const auto &[id, entry] : registry.entries) {
+        result.push_back(entry);
+    }
+    return result;
+}
+
 std::optional<EndpointRegistry::TimePoint> nextExpiry(const EndpointRegistry &registry)
 {
     std::optional<EndpointRegistry::TimePoint> next;
--- a/lib/Router/StoreWatcher.cpp
+++ b/lib/Router/StoreWatcher.cpp
@@ -188,6 +188,9 @@
 
 void StoreWatcher::publishEndpoints()
 {
+    if (handlers_.registryChanged) {
+        handlers_.registryChanged(registeredEndpoints(registry_));
+    }
     std::vector<configuration::Endpoint> usable = usableEndpoints(registry_);
     if (usable == published_) {
         return;
--- a/unittests/Adapter/EndpointEntryTest.cpp
+++ b/unittests/Adapter/EndpointEntryTest.cpp
@@ -26,6 +26,19 @@
 
     const auto leaving = readEndpointEntry("i-1", R"({"service":"s1","address":"10.128.0.9:8080","zone":"west","slots":6,"state":"draining"})");
     EXPECT_TRUE(std::get<router::RegisteredEndpoint>(leaving).leaving);
+    EXPECT_FALSE(entry.spot);
+    EXPECT_FALSE(entry.leavesIn.has_value());
+}
+
+/// Guards against spot endpoints that are counted as on-demand endpoints, and against a notice that is not seen.
+TEST(EndpointEntry, ParsesSpotEndpointsAndTheirNotice)
+{
+    const auto read
+        = readEndpointEntry("i-1", R"({"service":"s1","address":"10.128.0.9:8080","zone":"west","slots":6,"state":"draining","spot":true,"leaves_ms":2500})");
+    const auto &entry = std::get<router::RegisteredEndpoint>(read);
+    EXPECT_TRUE(entry.leaving);
+    EXPECT_TRUE(entry.spot);
+    EXPECT_EQ(entry.leavesIn, std::chrono::milliseconds(2500));
 }
 
 /// Guards against an id from another writer that adds fields to the requests for its endpoint.
--- a/unittests/Adapter/OperatorDocumentTest.cpp
+++ b/unittests/Adapter/OperatorDocumentTest.cpp
@@ -85,6 +85,41 @@
     EXPECT_NE(configuration::findOrganisationByKeyHash(site, router::hashKey("k2")), nullptr);
 }
 
+static std::optional<configuration::ScalingSpec> readScaling(const std::string &scaling)
+{
+    const auto result = readOperatorDocument(R"({"version": 1, "services": [{"name": "s1", "engine": {}, "scaling": )" + scaling + "}]}", {});
+    const auto *site = std::get_if<SiteConfiguration>(&result);
+    EXPECT_NE(site, nullptr) << "the service must be served without scaling";
+    return site == nullptr || site->pools.size() != 1 ? std::nullopt : site->pools.front().scaling;
+}
+
+TEST(OperatorDocument, ReadsTheScalingOfAService)
+{
+    const auto scaling = readScaling(R"({"min":1,"max":40,"bootS":4.0,"spotPrice":0.22,"zonePrices":{"kochi-a":1.0,"kochi-b":0.8}})");
+    ASSERT_TRUE(scaling.has_value());
+    EXPECT_EQ(scaling->minimum, 1U);
+    EXPECT_EQ(scaling->maximum, 40U);
+    EXPECT_EQ(scaling->bootTime, std::chrono::seconds(4));
+    EXPECT_EQ(scaling->spotPrice, 0.22);
+    EXPECT_EQ(scaling->prices.at(support::DataCentreId("kochi-b")), 0.8);
+    EXPECT_FALSE(read().pools.front().scaling.has_value());
+}
+
+/// Guards against orders by limits or prices that were not understood, and against services that are not served for that reason.
+TEST(OperatorDocument, ServesServicesWhoseScalingCannotBeUsed)
+{
+    for (const char *scaling : {R"({})",
+             R"({"min":5,"max":4,"bootS":4,"zonePrices":{"a":1}})",
+             R"({"min":1,"max":-4,"bootS":4,"zonePrices":{"a":1}})",
+             R"({"min":1,"max":1e9,"bootS":4,"zonePrices":{"a":1}})",
+             R"({"min":1,"max":4,"bootS":0,"zonePrices":{"a":1}})",
+             R"({"min":1,"max":4,"bootS":4,"zonePrices":{}})",
+             R"({"min":1,"max":4,"bootS":4,"zonePrices":{"a":"1"}})",
+             R"({"min":1,"max":4,"bootS":4,"spotPrice":-1,"zonePrices":{"a":1}})"}) {
+        EXPECT_FALSE(readScaling(scaling).has_value()) << scaling;
+    }
+}
+
 TEST(OperatorDocument, RejectsInvalidDocuments)
 {
     const OperatorDocumentContext context;
--- a/unittests/Router/EndpointRegistryTest.cpp
+++ b/unittests/Router/EndpointRegistryTest.cpp
@@ -61,4 +61,16 @@
     EXPECT_TRUE(removeEntry(registry_, id_, now_));
 }
 
+/// Guards against a change of the endpoints with each heartbeat of an endpoint that has notice.
+TEST_F(EndpointRegistryTest, RemainingTimeOfALeavingEndpointIsNoChange)
+{
+    RegisteredEndpoint entry = makeEntry("i-1", true);
+    entry.leavesIn = milliseconds(3'000);
+    EXPECT_TRUE(recordEntry(registry_, entry));
+    entry.leavesIn = milliseconds(2'000);
+    EXPECT_FALSE(recordEntry(registry_, entry));
+    ASSERT_EQ(registeredEndpoints(registry_).size(), 1U);
+    EXPECT_EQ(registeredEndpoints(registry_).front().leavesIn, milliseconds(2'000));
+}
+
 } // namespace mulberrywall::router
