router: order endpoints while holding the duty

StoreWatcher reports all registered endpoints, including those that leave.

A plan orders nothing before the registry was read and while endpoints register by themselves: an order for the minimum or for the need of that moment would have removed the endpoints that were about to register. A deficit of up to 5% is not ordered. A half window of 1 ms was rounded to 0 and gave a demand of NaN; rates are now computed in the clock's unit.

--- a/include/mulberrywall/Policy/Autoscaling.h
+++ b/include/mulberrywall/Policy/Autoscaling.h
@@ -114,6 +114,11 @@
     };
 
     std::map<CapacityCell, CapacityCellState> cells;
+    /// Latest time at which endpoints registered that were not ordered, or the time of the first plan.
+    std::optional<TimePoint> grownAt;
+    /// Latest known properties of an endpoint, on average; 0 if unknown.
+    double prefillTokensPerSecond = 0.0;
+    double slots = 0.0;
     /// Needs within the demand memory.
     std::deque<Need> needs;
     /// Time since which the demand has been known without a gap.
--- a/include/mulberrywall/Policy/CapacityTuning.h
+++ b/include/mulberrywall/Policy/CapacityTuning.h
@@ -47,6 +47,11 @@
     std::chrono::milliseconds correctionDecay {20'000};
     /// Relative surplus that is kept, because the highest demand varies by a few percent from one window to the next.
     double surplusKept = 0.1;
+    /// Relative deficit that is tolerated. An endpoint that crashes and is started again is not worth an order.
+    double deficitTolerated = 0.05;
+    /// Nothing is ordered before the number of registered endpoints has not grown by itself for this long: an order for fewer than
+    /// are about to register would remove the others.
+    std::chrono::milliseconds settlingTime {2'000};
     /// Share of the ready endpoints that one decrease may remove, and the time between decreases. Prompts of the removed endpoints are
     /// prefilled again at others, which is seen in the demand after this time.
     double decreaseShare = 1.0 / 3.0;
--- a/include/mulberrywall/Router/StoreWatcher.h
+++ b/include/mulberrywall/Router/StoreWatcher.h
@@ -55,7 +55,8 @@
     /// Called when the store has confirmed that there was no newer configuration at the given time.
     std::function<void(support::BootClock::time_point)> configurationConfirmed;
     std::function<void(const std::vector<configuration::Endpoint> &)> endpointsChanged;
-    /// Called with all registered endpoints, including those that leave, when one of them has changed. May be empty.
+    /// Called with all registered endpoints, including those that leave, when one of them has changed or
+    /// the table was read whole. May be empty.
     std::function<void(std::vector<RegisteredEndpoint>)> registryChanged;
 };
 
@@ -88,6 +89,7 @@
     bool recordRow(const TableRow &row, EndpointRegistry::TimePoint now);
     bool removeMissing(const std::vector<TableRow> &rows, EndpointRegistry::TimePoint now);
     void publishEndpoints();
+    void publishRegistry();
     void armExpiryTimer();
 
     boost::asio::io_context &context_;
--- a/lib/Policy/Autoscaling.cpp
+++ b/lib/Policy/Autoscaling.cpp
@@ -109,13 +109,24 @@
     }
 }
 
-void addIncreases(OrderList &list)
+enum class IncreaseMode : std::uint8_t {
+    /// Orders what is needed, also if more was ordered before and did not come.
+    Exact,
+    /// Orders at least what was ordered or registered before, while the demand is not known well.
+    NeverBelowOrdered,
+};
+
+void addIncreases(OrderList &list, IncreaseMode mode)
 {
     for (const AllocationCell &entry : byPrice(list.request)) {
-        const unsigned target = list.allocation.at(entry.cell);
-        if (target <= entry.serving || !mayOrder(list.cellState(entry.cell), list.now)) {
+        const CapacityCellState &cellState = list.cellState(entry.cell);
+        unsigned target = list.allocation.at(entry.cell);
+        if (target <= entry.serving || !mayOrder(cellState, list.now)) {
             continue;
         }
+        if (mode == IncreaseMode::NeverBelowOrdered && cellState.ordered) {
+            target = std::max(target, cellState.ordered->desired);
+        }
         const unsigned other = orderedOfOtherKind(list, entry.cell);
         const unsigned room = list.inputs.spec.maximum - std::min(list.inputs.spec.maximum, other);
         if (target > room) {
@@ -201,7 +212,13 @@
     const Allocation allocation = allocateCapacity(request, tuning);
     pool.figures.desired = allocation;
     OrderList list {.pool = pool, .inputs = inputs, .request = request, .allocation = allocation, .now = now, .orders = {}};
-    addIncreases(list);
+    if (now - *pool.grownAt < tuning.settlingTime) {
+        return {};
+    }
+    const bool isKnown = isDemandKnown(pool, tuning, now);
+    if (isKnown || totals.ready + totals.starting < requirement.total) {
+        addIncreases(list, isKnown ? IncreaseMode::Exact : IncreaseMode::NeverBelowOrdered);
+    }
     if (mayDecrease(pool, tuning, now)) {
         addDecreases(list, requirement, tuning);
     }
--- a/lib/Policy/CapacityCells.cpp
+++ b/lib/Policy/CapacityCells.cpp
@@ -19,12 +19,13 @@
     cell.unavailableUntil = std::max(cell.unavailableUntil, now + pause);
 }
 
-static void updateCell(CapacityCellState &cell, bool spot, const CapacityGroup &group, const CapacityTuning &tuning, TimePoint now)
+/// Returns whether endpoints have registered that were not ordered.
+static bool updateCell(CapacityCellState &cell, bool spot, const CapacityGroup &group, const CapacityTuning &tuning, TimePoint now)
 {
     if (!cell.ordered) {
         cell.ordered = {.desired = group.ready};
         cell.ready = group.ready;
-        return;
+        return false;
     }
     OrderedNumber &ordered = *cell.ordered;
     const unsigned readyBefore = std::min(cell.ready, ordered.desired);
@@ -45,6 +46,11 @@
         cell.withoutEffectAt = now;
         pauseOrders(cell, pauseAfterRefusals(tuning, cell.refusals++), now);
     }
+    const bool hasGrown = isOverdue && group.ready > ordered.desired;
+    if (hasGrown) {
+        ordered.desired = group.ready;
+    }
+    return hasGrown;
 }
 
 std::optional<double> priceOf(const CapacitySpec &spec, const CapacityCell &cell)
@@ -58,6 +64,9 @@
 
 void updateCells(PoolCapacityState &pool, const PoolCapacityInputs &inputs, const CapacityTuning &tuning, TimePoint now)
 {
+    if (!pool.grownAt) {
+        pool.grownAt = now;
+    }
     for (const auto &[dataCentre, price] : inputs.spec.prices) {
         for (const bool spot : {false, true}) {
             const CapacityCell cell {.dataCentre = dataCentre, .spot = spot};
@@ -66,7 +75,9 @@
                 continue;
             }
             const auto group = inputs.groups.find(cell);
-            updateCell(pool.cells[cell], spot, group == inputs.groups.end() ? CapacityGroup() : group->second, tuning, now);
+            if (updateCell(pool.cells[cell], spot, group == inputs.groups.end() ? CapacityGroup() : group->second, tuning, now)) {
+                pool.grownAt = now;
+            }
         }
     }
     std::erase_if(pool.cells, [&](const auto &entry) { return !inputs.spec.prices.contains(entry.first.dataCentre); });
--- a/lib/Policy/CapacityNeed.cpp
+++ b/lib/Policy/CapacityNeed.cpp
@@ -25,14 +25,8 @@
     return sum;
 }
 
-/// Properties of one endpoint, on average.
-struct MeanEndpoint
-{
-    double prefillTokensPerSecond = 0.0;
-    double slots = 1.0;
-};
-
-MeanEndpoint meanEndpoint(const PoolCapacityInputs &inputs, const CapacityTuning &tuning)
+/// Records the mean properties of an endpoint, which remain known while none is ready.
+void recordMeanEndpoint(PoolCapacityState &pool, const PoolCapacityInputs &inputs)
 {
     unsigned ready = 0;
     unsigned slots = 0;
@@ -44,14 +38,12 @@
         knownSpeeds += group.knownSpeeds;
         speeds += group.prefillTokensPerSecond;
     }
-    MeanEndpoint mean {.prefillTokensPerSecond = tuning.defaultPrefillTokensPerSecond};
     if (knownSpeeds > 0 && speeds > 0.0) {
-        mean.prefillTokensPerSecond = speeds / knownSpeeds;
+        pool.prefillTokensPerSecond = speeds / knownSpeeds;
     }
     if (ready > 0 && slots > 0) {
-        mean.slots = static_cast<double>(slots) / ready;
+        pool.slots = static_cast<double>(slots) / ready;
     }
-    return mean;
 }
 
 /// Returns the utilisation at which waiting and endpoints cost least together, for endpoints of the given price relative to an
@@ -69,15 +61,15 @@
 }
 
 /// Returns the demand in endpoints that are busy all the time.
-double needOf(const PoolCapacityInputs &inputs, const CapacityTuning &tuning)
+double needOf(const PoolCapacityState &pool, const PoolCapacityInputs &inputs, const CapacityTuning &tuning)
 {
     const DemandRates demand = totalDemand(inputs.demand);
-    const MeanEndpoint endpoint = meanEndpoint(inputs, tuning);
-    const double prefill = (demand.acceptedPromptTokens + tuning.refusedShare * demand.refusedPromptTokens) / endpoint.prefillTokensPerSecond;
+    const double speed = pool.prefillTokensPerSecond > 0.0 ? pool.prefillTokensPerSecond : tuning.defaultPrefillTokensPerSecond;
+    const double prefill = (demand.acceptedPromptTokens + tuning.refusedShare * demand.refusedPromptTokens) / speed;
     const double refusedPerStarted = demand.requestsStarted > 0.0 ? tuning.refusedShare * demand.requestsRefused / demand.requestsStarted : 0.0;
     const double requests = (inputs.running + demand.waiting) * std::min(1.0 + refusedPerStarted, tuning.maximumBurst);
     // Slots have a utilisation of their own; the need is later divided by that of the prefill.
-    const double slots = requests / endpoint.slots * (tuning.maximumUtilisation / tuning.slotUtilisation);
+    const double slots = pool.slots > 0.0 ? requests / pool.slots * (tuning.maximumUtilisation / tuning.slotUtilisation) : 0.0;
     const double output = inputs.outputTokensPerSecond > 0.0 ? demand.outputTokens / inputs.outputTokensPerSecond : 0.0;
     return std::max({prefill, slots, output});
 }
@@ -168,7 +160,8 @@
     } else if (!pool.demandKnownSince) {
         pool.demandKnownSince = now;
     }
-    pool.needs.push_back({.at = now, .endpoints = needOf(inputs, tuning)});
+    recordMeanEndpoint(pool, inputs);
+    pool.needs.push_back({.at = now, .endpoints = needOf(pool, inputs, tuning)});
     while (now - pool.needs.front().at > tuning.demandMemory) {
         pool.needs.pop_front();
     }
@@ -197,24 +190,26 @@
         return toCount(endpoints) - std::min(toCount(endpoints), totals.fixed);
     };
     const unsigned serving = totals.ready + totals.starting;
-    unsigned total = pool.required.value_or(serving);
-    if (!totals.mayOrderSpot) {
-        // A reserve of spot endpoints is not replaced by on-demand endpoints.
-        total = std::min(total, serving);
-    }
-    // The total stays as it is while it is neither too low nor much too high.
-    pool.required = std::clamp(total, orderable(least), orderable(most));
+    const unsigned tolerated = orderable(least * (1.0 - tuning.deficitTolerated));
+    const unsigned before = pool.required.value_or(serving);
+    // The total stays as it is while it is neither too low nor much too high. What is lost of a reserve is not replaced.
+    const unsigned total = serving < tolerated ? std::max(before, orderable(least)) : std::min(before, serving);
+    pool.required = std::clamp(total, tolerated, orderable(most));
     pool.figures.required = *pool.required;
     pool.figures.requiredAfterLoss = orderable(afterLoss);
     return {.total = *pool.required, .afterLoss = orderable(afterLoss)};
 }
 
+bool isDemandKnown(const PoolCapacityState &pool, const CapacityTuning &tuning, TimePoint now)
+{
+    return pool.demandKnownSince && now - *pool.demandKnownSince >= tuning.demandWindow;
+}
+
 bool mayDecrease(const PoolCapacityState &pool, const CapacityTuning &tuning, TimePoint now)
 {
-    const bool isWindowKnown = pool.demandKnownSince && now - *pool.demandKnownSince >= tuning.demandWindow;
     const bool isPressed = pool.pressureSince && pool.correction < tuning.maximumCorrection;
     const bool isTooSoon = pool.decreasedAt && now - *pool.decreasedAt < tuning.decreaseInterval;
-    return isWindowKnown && !isPressed && !isTooSoon;
+    return isDemandKnown(pool, tuning, now) && !isPressed && !isTooSoon;
 }
 
 } // namespace mulberrywall::policy
--- a/lib/Policy/CapacityNeed.h
+++ b/lib/Policy/CapacityNeed.h
@@ -35,6 +35,9 @@
 [[nodiscard]] Requirement requirementOf(
     PoolCapacityState &pool, const PoolCapacityInputs &inputs, const CapacityTotals &totals, const CapacityTuning &tuning, TimePoint now);
 
+/// Whether the demand of all routers has been known for a whole window.
+[[nodiscard]] bool isDemandKnown(const PoolCapacityState &pool, const CapacityTuning &tuning, TimePoint now);
+
 /// Whether a decrease is justified by what is known of the demand.
 [[nodiscard]] bool mayDecrease(const PoolCapacityState &pool, const CapacityTuning &tuning, TimePoint now);
 
--- a/lib/Policy/DemandMeter.cpp
+++ b/lib/Policy/DemandMeter.cpp
@@ -71,8 +71,8 @@
     }
     const Sample &last = router.samples.back();
     // A router that was idle has sent no report for long, but its counters were the same until just before the window.
-    const auto time
-        = std::clamp<TimePoint::duration>(last.receivedAt - first->receivedAt, meter.options.window / 2, meter.options.window + meter.options.silence);
+    const auto time = std::clamp<TimePoint::duration>(
+        last.receivedAt - first->receivedAt, TimePoint::duration(meter.options.window) / 2, meter.options.window + meter.options.silence);
     return ratesBetween(countersOf(*first, pool), countersOf(last, pool), time);
 }
 
--- a/lib/Router/StoreWatcher.cpp
+++ b/lib/Router/StoreWatcher.cpp
@@ -183,14 +183,21 @@
     if (changed) {
         publishEndpoints();
     }
+    if (changed || kind == RowsKind::Snapshot) {
+        publishRegistry();
+    }
     armExpiryTimer();
 }
 
-void StoreWatcher::publishEndpoints()
+void StoreWatcher::publishRegistry()
 {
     if (handlers_.registryChanged) {
         handlers_.registryChanged(registeredEndpoints(registry_));
     }
+}
+
+void StoreWatcher::publishEndpoints()
+{
     std::vector<configuration::Endpoint> usable = usableEndpoints(registry_);
     if (usable == published_) {
         return;
@@ -212,6 +219,7 @@
         }
         if (removeExpired(self->registry_, std::chrono::steady_clock::now())) {
             self->publishEndpoints();
+            self->publishRegistry();
         }
         self->armExpiryTimer();
     });
--- a/unittests/Policy/AutoscalingTest.cpp
+++ b/unittests/Policy/AutoscalingTest.cpp
@@ -306,6 +306,20 @@
     EXPECT_LE(calls_, 2U) << "a successor has no reason for other numbers";
 }
 
+/// Guards against an order for the endpoints that are needed, while more than these are about to register; it would remove them.
+TEST_F(AutoscalingTest, OrdersNothingWhileEndpointsRegisterByThemselves)
+{
+    for (auto &[cell, supply] : supplies_) {
+        supply.ready = 0;
+    }
+    for (unsigned ready = 0; ready < 20; ready += 5) {
+        for (const auto &dataCentre : {a_, b_, c_}) {
+            supply(dataCentre, false).ready = ready;
+        }
+        EXPECT_TRUE(step(usualDemand).empty()) << ready;
+    }
+}
+
 /// Guards against a wait for the endpoints of a lost data centre before others are ordered.
 TEST_F(AutoscalingTest, ALostDataCentreIsReplacedByTheOthers)
 {
