policy: keep the limits of a data centre while orders of both kinds are under way

Orders of both kinds in one second, or a refused one beside an accepted one, could bring the sum for a data centre above its maximum or below its minimum, which the platform refuses. The numbers of the other kind now count as they may be, whatever becomes of its orders. Rejected orders are sent again after 1 s to 8 s.

--- a/include/mulberrywall/Policy/Autoscaling.h
+++ b/include/mulberrywall/Policy/Autoscaling.h
@@ -101,6 +101,8 @@
     unsigned refusals = 0;
     /// Latest time at which it was found that an order had no effect.
     std::optional<TimePoint> withoutEffectAt;
+    /// Orders without an answer, or rejected ones, since the latest accepted one.
+    unsigned rejections = 0;
     /// No order is sent again before.
     TimePoint retryAt = TimePoint::min();
 };
--- a/include/mulberrywall/Policy/CapacityTuning.h
+++ b/include/mulberrywall/Policy/CapacityTuning.h
@@ -71,8 +71,9 @@
     std::chrono::milliseconds doubtAfterNoEffect {30'000};
     /// Pause before spot endpoints are ordered again in a data centre where they were reclaimed.
     std::chrono::milliseconds reclaimPause {20'000};
-    /// Time before an order that got no answer or was rejected is sent again.
+    /// Time before an order that got no answer or was rejected is sent again; doubles with each further one.
     std::chrono::milliseconds retryPause {1'000};
+    std::chrono::milliseconds maximumRetryPause {8'000};
     /// On-demand endpoints are not reduced for this long after none was available, since they could not be replaced.
     std::chrono::milliseconds shortageHold {20'000};
 };
--- a/include/mulberrywall/Router/RouterService.h
+++ b/include/mulberrywall/Router/RouterService.h
@@ -98,6 +98,16 @@
     {
         return pools_;
     }
+    /// Valid as long as the service.
+    [[nodiscard]] support::MetricsRegistry &metrics()
+    {
+        return state_.metrics;
+    }
+    /// Returns the configuration in force, or nullptr before the first one.
+    [[nodiscard]] ConfigurationSnapshot configuration() const
+    {
+        return state_.configuration.current();
+    }
     [[nodiscard]] boost::asio::ip::tcp::endpoint callerEndpoint() const;
     [[nodiscard]] boost::asio::ip::tcp::endpoint adminEndpoint() const;
 
--- a/lib/Policy/Autoscaling.cpp
+++ b/lib/Policy/Autoscaling.cpp
@@ -71,6 +71,14 @@
         return pool.cells.at(cell);
     }
 
+    /// Returns the number that an order of this list sets, if there is one for the cell.
+    [[nodiscard]] std::optional<unsigned> planned(const CapacityCell &cell) const
+    {
+        const auto found = std::find_if(
+            orders.begin(), orders.end(), [&](const CapacityOrder &order) { return order.dataCentre == cell.dataCentre && order.spot == cell.spot; });
+        return found == orders.end() ? std::nullopt : std::optional(found->desired);
+    }
+
     void add(const CapacityCell &cell, unsigned desired)
     {
         orders.push_back({.pool = inputs.pool, .dataCentre = cell.dataCentre, .desired = desired, .spot = cell.spot});
@@ -85,14 +93,30 @@
     return cells;
 }
 
-/// Returns how many endpoints the platform has been told to run in the other cell of the data centre.
-unsigned orderedOfOtherKind(const OrderList &list, const CapacityCell &cell)
+/// The numbers between which the platform's one for the other kind in the data centre is, whatever becomes of the orders.
+struct OtherKind
+{
+    unsigned least = 0;
+    unsigned most = 0;
+};
+
+OtherKind otherKind(const OrderList &list, const CapacityCell &cell)
 {
-    const auto other = list.pool.cells.find({.dataCentre = cell.dataCentre, .spot = !cell.spot});
-    if (other == list.pool.cells.end()) {
-        return 0;
+    const auto found = list.pool.cells.find({.dataCentre = cell.dataCentre, .spot = !cell.spot});
+    if (found == list.pool.cells.end() || !found->second.ordered) {
+        return {};
     }
-    return std::max(other->second.ready, other->second.ordered ? other->second.ordered->desired : 0);
+    const CapacityCellState &other = found->second;
+    const unsigned ordered = other.ordered->desired;
+    const unsigned before = other.beforeSent ? other.beforeSent->desired : ordered;
+    const unsigned planned = list.planned(found->first).value_or(ordered);
+    return {.least = std::min({ordered, before, planned}), .most = std::max({other.ready, ordered, before, planned})};
+}
+
+/// Returns the number below which the data centre would not have its minimum.
+unsigned leastDesired(const OrderList &list, const CapacityCell &cell)
+{
+    return list.inputs.spec.minimum - std::min(list.inputs.spec.minimum, otherKind(list, cell).least);
 }
 
 /// Withdraws the part of an order that had no effect, because it counts towards the maximum of the data centre.
@@ -100,10 +124,10 @@
 {
     const CapacityCell other {.dataCentre = cell.dataCentre, .spot = !cell.spot};
     const auto found = list.pool.cells.find(other);
-    if (found == list.pool.cells.end() || !found->second.ordered || !mayOrder(found->second, list.now)) {
+    if (found == list.pool.cells.end() || !found->second.ordered || !mayOrder(found->second, list.now) || list.planned(other)) {
         return;
     }
-    const unsigned expected = found->second.ready + startingEndpoints(found->second, list.now);
+    const unsigned expected = std::max(found->second.ready + startingEndpoints(found->second, list.now), leastDesired(list, other));
     if (found->second.ordered->desired > expected) {
         list.add(other, expected);
     }
@@ -121,14 +145,14 @@
     for (const AllocationCell &entry : byPrice(list.request)) {
         const CapacityCellState &cellState = list.cellState(entry.cell);
         unsigned target = list.allocation.at(entry.cell);
-        if (target <= entry.serving || !mayOrder(cellState, list.now)) {
+        if (target <= entry.serving || !mayOrder(cellState, list.now) || list.planned(entry.cell)) {
             continue;
         }
         if (mode == IncreaseMode::NeverBelowOrdered && cellState.ordered) {
             target = std::max(target, cellState.ordered->desired);
         }
-        const unsigned other = orderedOfOtherKind(list, entry.cell);
-        const unsigned room = list.inputs.spec.maximum - std::min(list.inputs.spec.maximum, other);
+        target = std::max(target, leastDesired(list, entry.cell));
+        const unsigned room = list.inputs.spec.maximum - std::min(list.inputs.spec.maximum, otherKind(list, entry.cell).most);
         if (target > room) {
             releaseOtherKind(list, entry.cell);
         }
@@ -187,11 +211,12 @@
     for (const AllocationCell &entry : cells) {
         const CapacityCellState &cellState = list.cellState(entry.cell);
         const unsigned target = list.allocation.at(entry.cell);
-        const bool isBusy = !mayOrder(cellState, list.now) || startingEndpoints(cellState, list.now) > 0;
+        const bool isBusy = !mayOrder(cellState, list.now) || startingEndpoints(cellState, list.now) > 0 || list.planned(entry.cell);
         if (target >= entry.serving || isBusy || isShortOf(list.pool, entry.cell, tuning, list.now)) {
             continue;
         }
-        const unsigned count = std::min(entry.serving - target, removable(remaining, entry.cell.dataCentre));
+        const unsigned least = std::max(target, leastDesired(list, entry.cell));
+        const unsigned count = std::min(entry.serving - std::min(entry.serving, least), removable(remaining, entry.cell.dataCentre));
         if (count == 0) {
             continue;
         }
--- a/lib/Policy/CapacityCells.cpp
+++ b/lib/Policy/CapacityCells.cpp
@@ -5,13 +5,19 @@
 namespace mulberrywall::policy
 {
 
-static std::chrono::milliseconds pauseAfterRefusals(const CapacityTuning &tuning, unsigned refusals)
+/// Returns the pause after that many earlier failures.
+static std::chrono::milliseconds doubledPause(std::chrono::milliseconds first, unsigned failures, std::chrono::milliseconds maximum)
 {
-    std::chrono::milliseconds pause = tuning.unavailablePause;
-    for (unsigned index = 0; index < refusals && pause < tuning.maximumUnavailablePause; ++index) {
+    std::chrono::milliseconds pause = first;
+    for (unsigned index = 0; index < failures && pause < maximum; ++index) {
         pause *= 2;
     }
-    return std::min(pause, tuning.maximumUnavailablePause);
+    return std::min(pause, maximum);
+}
+
+static std::chrono::milliseconds pauseAfterRefusals(const CapacityTuning &tuning, unsigned refusals)
+{
+    return doubledPause(tuning.unavailablePause, refusals, tuning.maximumUnavailablePause);
 }
 
 static void pauseOrders(CapacityCellState &cell, std::chrono::milliseconds pause, TimePoint now)
@@ -144,6 +150,7 @@
     cell->beforeSent.reset();
     switch (result) {
     case CapacityOrderResult::Accepted:
+        cell->rejections = 0;
         return;
     case CapacityOrderResult::Unavailable:
         pauseOrders(*cell, pauseAfterRefusals(state.tuning, cell->refusals++), now);
@@ -157,7 +164,7 @@
     }
     // The number that is in force is not known after Unknown; the order is sent again, or the registry shows its effect.
     cell->ordered = before;
-    cell->retryAt = now + state.tuning.retryPause;
+    cell->retryAt = now + doubledPause(state.tuning.retryPause, cell->rejections++, state.tuning.maximumRetryPause);
 }
 
 } // namespace mulberrywall::policy
--- a/unittests/Policy/AutoscalingTest.cpp
+++ b/unittests/Policy/AutoscalingTest.cpp
@@ -4,6 +4,7 @@
 
 #include <cmath>
 #include <numbers>
+#include <random>
 
 using namespace std::chrono_literals;
 
@@ -335,6 +336,43 @@
     EXPECT_GE(readyIn(b_), 1U);
 }
 
+/// Guards against orders outside the limits, and against many calls, when orders fail and endpoints come and go at random.
+TEST_F(AutoscalingTest, KeepsTheLimitsWhateverHappens)
+{
+    std::mt19937 random(11); // NOLINT(cert-msc51-cpp): the days must be the same in each run
+    const auto happens = [&random](double probability) {
+        return std::bernoulli_distribution(probability)(random);
+    };
+    constexpr int days = 60;
+    constexpr int seconds = 90;
+    for (int day = 0; day < days && !HasFailure(); ++day) {
+        SCOPED_TRACE(day);
+        state_ = {};
+        spec_.maximum = day % 3 == 0 ? 12 : 40;
+        spec_.minimum = static_cast<unsigned>(day % 4);
+        for (auto &[cell, supply] : supplies_) {
+            const unsigned ready = cell.spot ? 0 : std::min(20U, spec_.maximum);
+            supply = {.ready = ready, .desired = ready};
+        }
+        double factor = 1.0;
+        step(usualDemand);
+        for (int second = 0; second < seconds; ++second) {
+            factor = happens(0.05) ? std::uniform_real_distribution(0.1, 4.0)(random) : factor;
+            for (auto &[cell, supply] : supplies_) {
+                supply.isUnavailable = happens(0.02) != supply.isUnavailable;
+                supply.isIneffective = happens(0.01) != supply.isIneffective;
+                const bool isReclaimed = cell.spot && happens(0.01);
+                supply.leaving = isReclaimed ? supply.ready : 0;
+                supply.ready = isReclaimed || (supply.ready > 0 && happens(0.02)) ? supply.ready - std::max(1U, supply.leaving) : supply.ready;
+                supply.booting = isReclaimed ? decltype(supply.booting)() : supply.booting;
+                supply.ready = std::min(supply.ready + (happens(0.05) ? 1 : 0), supply.desired);
+            }
+            EXPECT_LE(step(factor * usualDemand).size(), supplies_.size());
+        }
+    }
+    EXPECT_LE(calls_, days * seconds);
+}
+
 /// Guards against an order that is forgotten because its response was lost.
 TEST_F(AutoscalingTest, RepeatsAnOrderWithoutAResponse)
 {
