policy: forget the start with cold caches, order no reserve before the demand is known

At the start of the endpoints their prefix caches are cold and the demand after the cache is several times the later one. It was kept for 12 s, during which three times the needed endpoints were paid for, and spot endpoints were ordered for it.

--- a/lib/Policy/CapacityNeed.cpp
+++ b/lib/Policy/CapacityNeed.cpp
@@ -115,11 +115,22 @@
     return std::max(latest, std::min(latest + std::max(0.0, rise), tuning.maximumBurst * before));
 }
 
-double highestNeed(const std::deque<PoolCapacityState::Need> &needs)
+/// Returns the time over which the highest demand counts. What was asked for before the first window was known is left out again:
+/// prefix caches are cold at the start of the endpoints, so that they prefill several times as much.
+std::chrono::milliseconds demandMemory(const PoolCapacityState &pool, const CapacityTuning &tuning, TimePoint now)
+{
+    if (!pool.demandKnownSince) {
+        return tuning.demandMemory;
+    }
+    const auto known = std::chrono::floor<std::chrono::milliseconds>(now - *pool.demandKnownSince);
+    return std::clamp(known - tuning.demandWindow, tuning.demandWindow, tuning.demandMemory);
+}
+
+double highestNeed(const std::deque<PoolCapacityState::Need> &needs, TimePoint since)
 {
     double highest = 0.0;
     for (const auto &need : needs) {
-        highest = std::max(highest, need.endpoints);
+        highest = need.at >= since ? std::max(highest, need.endpoints) : highest;
     }
     return highest;
 }
@@ -170,14 +181,16 @@
 
 Requirement requirementOf(PoolCapacityState &pool, const PoolCapacityInputs &inputs, const CapacityTotals &totals, const CapacityTuning &tuning, TimePoint now)
 {
-    const double need = std::max(highestNeed(pool.needs), expectedNeed(pool.needs, tuning, now)) * pool.correction;
+    const std::chrono::milliseconds memory = demandMemory(pool, tuning, now);
+    const double need = std::max(highestNeed(pool.needs, now - memory), expectedNeed(pool.needs, tuning, now)) * pool.correction;
     const double spotPrice = inputs.spec.spotPrice.value_or(1.0);
-    const double utilisation = bestUtilisation(totals.mayOrderSpot ? spotPrice : 1.0, tuning);
+    // Before the demand is known, no reserve is ordered.
+    const bool isKnown = isDemandKnown(pool, tuning, now);
+    const double utilisation = isKnown ? bestUtilisation(totals.mayOrderSpot ? spotPrice : 1.0, tuning) : tuning.maximumUtilisation;
     const double lowestUtilisation = bestUtilisation(totals.mayOrderSpot || totals.servesSpot ? spotPrice : 1.0, tuning);
     const double afterLoss = need / tuning.utilisationAfterLoss;
-    const double least = std::max(need / utilisation, totalForLoss(afterLoss, inputs.spec.prices.size()));
-    const bool isCrestKnown = pool.demandKnownSince && now - *pool.demandKnownSince >= tuning.demandMemory;
-    const double margin = (1.0 + tuning.surplusKept) * (isCrestKnown ? 1.0 : tuning.unseenCrest);
+    const double least = std::max(need / utilisation, isKnown ? totalForLoss(afterLoss, inputs.spec.prices.size()) : 0.0);
+    const double margin = (1.0 + tuning.surplusKept) * (memory < tuning.demandMemory ? tuning.unseenCrest : 1.0);
     const double most = std::max(least, need / lowestUtilisation) * margin;
     pool.figures.isDemandComplete = inputs.demand.isComplete;
     pool.figures.latestNeed = pool.needs.back().endpoints;
--- a/unittests/Policy/AutoscalingTest.cpp
+++ b/unittests/Policy/AutoscalingTest.cpp
@@ -195,6 +195,21 @@
     EXPECT_LE(calls_, 12U);
 }
 
+/// Guards against a decrease that waits until the start with cold prefix caches is forgotten, and against orders for it.
+TEST_F(AutoscalingTest, ColdCachesAtTheStartCauseNoOrders)
+{
+    spec_.spotPrice.reset();
+    run(4, 3.0 * usualDemand);
+    EXPECT_EQ(calls_, 0U);
+    run(11);
+    EXPECT_LE(ready(), 30U);
+    const unsigned before = ready();
+    for (int second = 0; second < 20; ++second) {
+        step(usualDemand);
+        EXPECT_LE(ready(), before);
+    }
+}
+
 /// Guards against on-demand endpoints that are removed before the spot endpoints that replace them serve.
 TEST_F(AutoscalingTest, ReplacesOnDemandEndpointsBySpotEndpointsWhenTheseServe)
 {
