--- a/include/mulberrywall/Metering/Types.h
+++ b/include/mulberrywall/Metering/Types.h
@@ -32,6 +32,7 @@
 struct PoolDemand
 {
     support::PoolId pool;
+    /// Prompt tokens of accepted requests that their endpoints had to prefill.
     std::uint64_t promptTokensAccepted = 0;
     std::uint64_t promptTokensRefused = 0;
     std::uint64_t outputTokens = 0;
--- a/include/mulberrywall/Metering/UsageCounter.h
+++ b/include/mulberrywall/Metering/UsageCounter.h
@@ -39,8 +39,8 @@
     /// organisation are not counted.
     void recordStart(const support::OrganisationId &organisation);
     void recordStart(const support::OrganisationId &organisation, BootTime now);
-    /// Records that the first attempt of a request was sent to an endpoint.
-    void recordAccepted(const support::PoolId &pool, std::uint64_t promptTokens);
+    /// Records that the first attempt of a request was sent to an endpoint, which has to prefill the tokens.
+    void recordAccepted(const support::PoolId &pool, std::uint64_t prefillTokens);
     /// Records that a request was refused before its first attempt.
     void recordRefused(const support::PoolId &pool, std::uint64_t promptTokens);
     void recordOutput(const support::PoolId &pool, std::uint64_t tokens);
--- a/include/mulberrywall/Permits/Permit.h
+++ b/include/mulberrywall/Permits/Permit.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -55,6 +56,16 @@
     {
         return enginePriority_;
     }
+    /// Returns the estimated number of prompt tokens that the endpoint has to prefill; std::nullopt if the owner of the pool has not told it.
+    [[nodiscard]] std::optional<std::uint32_t> prefillTokens() const noexcept
+    {
+        return prefillTokens_;
+    }
+    /// Sets the estimate. Must be called before the permit is passed to its holder.
+    void setPrefillTokens(std::uint32_t tokens) noexcept
+    {
+        prefillTokens_ = tokens;
+    }
 
     /// Sets the handler of the owner's commands. Commands that were received before are passed to it during this call.
     /// Thread-safe.
@@ -71,6 +82,7 @@
 private:
     configuration::Endpoint endpoint_;
     std::uint8_t enginePriority_;
+    std::optional<std::uint32_t> prefillTokens_;
     OwnerCallbacks ownerCallbacks_;
     bool finished_ = false;
     std::uint64_t outputTokens_ = 0;
--- a/include/mulberrywall/Policy/Types.h
+++ b/include/mulberrywall/Policy/Types.h
@@ -64,6 +64,8 @@
     support::EndpointId endpoint;
     /// Priority for the engine; 0 is the most urgent.
     std::uint8_t enginePriority = 0;
+    /// Estimated number of prompt tokens that the endpoint has to prefill, without those that it has cached.
+    std::uint32_t prefillTokens = 0;
 };
 
 enum class RejectionReason : std::uint8_t {
--- a/lib/Metering/UsageCounter.cpp
+++ b/lib/Metering/UsageCounter.cpp
@@ -63,11 +63,11 @@
     change(found->second);
 }
 
-void UsageCounter::recordAccepted(const support::PoolId &pool, std::uint64_t promptTokens)
+void UsageCounter::recordAccepted(const support::PoolId &pool, std::uint64_t prefillTokens)
 {
-    changeDemand(pool, [promptTokens](PoolDemand &demand) {
+    changeDemand(pool, [prefillTokens](PoolDemand &demand) {
         ++demand.requestsStarted;
-        demand.promptTokensAccepted += promptTokens;
+        demand.promptTokensAccepted += prefillTokens;
     });
 }
 
--- a/lib/Permits/OwnedPool.cpp
+++ b/lib/Permits/OwnedPool.cpp
@@ -338,7 +338,9 @@
     for (const policy::Grant &grant : decisions.grants) {
         auto acquisition = pendingAcquisitions_.extract(grant.permit);
         if (!acquisition.empty()) {
-            notifications.push_back(makeAnswer(std::move(acquisition.mapped().handler), makePermit(grant.permit, grant.endpoint, grant.enginePriority)));
+            const auto permit = makePermit(grant.permit, grant.endpoint, grant.enginePriority);
+            permit->setPrefillTokens(grant.prefillTokens);
+            notifications.push_back(makeAnswer(std::move(acquisition.mapped().handler), permit));
         }
     }
     for (const policy::Rejection &rejection : decisions.rejections) {
--- a/lib/Policy/Scheduling.cpp
+++ b/lib/Policy/Scheduling.cpp
@@ -64,6 +64,7 @@
     decisions.grants.push_back({.permit = permit, .endpoint = endpoint.spec.id, .enginePriority = enginePriority(pool, request.tier, request.group)});
     const SchedulingGroup group = request.group;
     ActiveRequest &active = startRequest(pool, endpoint, std::move(request), now);
+    decisions.grants.back().prefillTokens = active.prefillTokens;
     chargeGrant(pool, active);
     if (group == SchedulingGroup::Long) {
         markLong(pool, active);
--- a/lib/Router/CallerSessionAttempts.cpp
+++ b/lib/Router/CallerSessionAttempts.cpp
@@ -106,6 +106,7 @@
             {"segments", segmentsForLog(*request_)},
             {"enginePriority", std::max(permit->enginePriority(), enginePriority_)}});
     const support::EndpointId endpoint = permit->endpoint().id;
+    const std::uint32_t prefillTokens = permit->prefillTokens().value_or(request_->promptTokens);
     const auto attempt = std::make_shared<Attempt>(exchange_->executor(), state_.dialect, std::move(options), std::move(permit));
     running_.push_back(attempt);
     // The time to first token of a hedged attempt is measured from the start of the first one, so that
@@ -116,7 +117,7 @@
     if (purpose == AttemptPurpose::First) {
         queueTime_ = std::chrono::duration_cast<std::chrono::milliseconds>(attemptStartedAt_ - startedAt_);
         if (state_.usage) {
-            state_.usage->recordAccepted(request_->pool, request_->promptTokens);
+            state_.usage->recordAccepted(request_->pool, prefillTokens);
         }
         armHedge();
     }
--- a/tools/mulberrywall-router/NodeProgram.cpp
+++ b/tools/mulberrywall-router/NodeProgram.cpp
@@ -1,6 +1,7 @@
 #include "NodeProgram.h"
 
 #include "LiveMembers.h"
+#include "NodeAutoscaling.h"
 #include "NodeDuties.h"
 #include "NodeMetering.h"
 #include "NodeSettingsWatcher.h"
@@ -157,18 +158,25 @@
     return options;
 }
 
-StoreWatcherHandlers makeStoreWatcherHandlers(RouterService &service, const std::shared_ptr<SegmentArchive> &segments)
+StoreWatcherHandlers makeStoreWatcherHandlers(
+    RouterService &service, const std::shared_ptr<SegmentArchive> &segments, const std::shared_ptr<NodeAutoscaling> &autoscaling)
 {
-    return {.configurationChanged =
-                [&service, segments](configuration::SiteConfiguration configuration) {
-                    service.configure(std::move(configuration));
-                    segments->recordLoaded();
-                },
+    StoreWatcherHandlers handlers {.configurationChanged =
+                                       [&service, segments](configuration::SiteConfiguration configuration) {
+                                           service.configure(std::move(configuration));
+                                           segments->recordLoaded();
+                                       },
         .configurationConfirmed = [&service](support::BootClock::time_point confirmedAt) { service.renewConfiguration(confirmedAt); },
         .endpointsChanged =
             [&service](const std::vector<configuration::Endpoint> &endpoints) {
                 service.setEndpoints(endpoints);
             }};
+    if (autoscaling) {
+        handlers.registryChanged = [autoscaling](std::vector<RegisteredEndpoint> endpoints) {
+            autoscaling->setEndpoints(std::move(endpoints));
+        };
+    }
+    return handlers;
 }
 
 /// Row key of the secret that all routers share.
@@ -234,6 +242,8 @@
     std::shared_ptr<LiveMembers> members;
     /// Null if no duty needs the counts of the routers.
     std::shared_ptr<NodeMetering> metering;
+    /// Null if the settings do not name its duty.
+    std::shared_ptr<NodeAutoscaling> autoscaling;
 };
 
 /// Returns the parts with a task for each duty, or std::nullopt if the settings name no duties.
@@ -251,6 +261,10 @@
     if (parts.metering && hasDuty(settings, meteringDuty)) {
         parts.duties.runner->addTask(parts.metering->makeTask());
     }
+    if (parts.metering && hasDuty(settings, autoscalingDuty)) {
+        parts.autoscaling = std::make_shared<NodeAutoscaling>(context, service, parts.duties, parts.metering, parts.members);
+        parts.duties.runner->addTask(parts.autoscaling->makeTask());
+    }
     return parts;
 }
 
@@ -302,6 +316,9 @@
 /// Starts to take part in the duties. A router without peers is the only candidate.
 void startDuties(const DutyParts &parts, const platform::NodeSettings &settings)
 {
+    if (parts.autoscaling) {
+        parts.autoscaling->start();
+    }
     parts.duties.runner->start();
     if (settings.firstPeerPort == 0) {
         parts.duties.runner->holder()->setMembers({{.instance = settings.instance, .dataCentre = settings.dataCentre}});
@@ -323,9 +340,11 @@
         RouterService service(workers.context(), std::move(options), program.policy);
         const auto client = std::make_shared<platform::StoreClient>(workers.context(), platform::StoreClientOptions {.address = settings.store});
         const auto segments = makeSegmentArchive(workers.context(), service, settings, client);
-        const auto storeWatcher = std::make_shared<StoreWatcher>(
-            workers.context(), makeStoreWatcherOptions(settings), makeStoreWatcherSources(client, settings), makeStoreWatcherHandlers(service, segments));
         const std::optional<DutyParts> duties = makeDutyParts(workers.context(), service, settings, usage);
+        const auto storeWatcher = std::make_shared<StoreWatcher>(workers.context(),
+            makeStoreWatcherOptions(settings),
+            makeStoreWatcherSources(client, settings),
+            makeStoreWatcherHandlers(service, segments, duties ? duties->autoscaling : nullptr));
         const auto settingsWatcher
             = std::make_shared<NodeSettingsWatcher>(workers.context(), nodeFile, settings, [client, duties, &service](const platform::NodeSettings &changed) {
                   client->setAddress(changed.store);
@@ -357,6 +376,9 @@
             startDuties(*duties, settings);
         }
         drained.get_future().wait();
+        if (duties && duties->autoscaling) {
+            duties->autoscaling->stop();
+        }
         if (duties && duties->metering) {
             duties->metering->stop();
         }
