--- a/unittests/Policy/AutoscalingTest.cpp
+++ b/unittests/Policy/AutoscalingTest.cpp
@@ -1,4 +1,5 @@
 #include "mulberrywall/Policy/Autoscaling.h"
+#include "mulberrywall/Policy/CapacityAllocation.h"
 
 #include <gtest/gtest.h>
 
@@ -351,6 +352,23 @@
     EXPECT_GE(readyIn(b_), 1U);
 }
 
+/// Guards against capacity far from the callers without need, and against dear capacity near them.
+TEST_F(AutoscalingTest, CapacityIsNearTheDemandUnlessThePriceDifferenceIsLarger)
+{
+    AllocationRequest request {.minimum = 1, .maximum = 40, .required = 12, .requiredAfterLoss = 4, .demandShares = {{a_, 0.75}, {b_, 0.25}}};
+    const auto allocate = [&](double priceOfB) {
+        request.cells = {{.cell = {.dataCentre = a_}, .price = 1.0, .limit = 40}, {.cell = {.dataCentre = b_}, .price = priceOfB, .limit = 40}};
+        return allocateCapacity(request, state_.tuning);
+    };
+    EXPECT_EQ(allocate(0.98).at({.dataCentre = a_}), 8U) << "all but a reserve for the loss of its data centre";
+    EXPECT_EQ(allocate(0.8).at({.dataCentre = b_}), 8U);
+    request.cells.front().serving = 2;
+    request.cells.front().limit = 2;
+    const auto limited = allocateCapacity(request, state_.tuning);
+    EXPECT_EQ(limited.at({.dataCentre = a_}), 2U);
+    EXPECT_EQ(limited.at({.dataCentre = b_}), 10U) << "the demand takes precedence over the reserve";
+}
+
 /// Guards against orders outside the limits, and against many calls, when orders fail and endpoints come and go at random.
 TEST_F(AutoscalingTest, KeepsTheLimitsWhateverHappens)
 {
