policy: short gaps in the demand delay decreases only

A few restarted routers made the demand incomplete for 2 s, after which the holder began anew: 5 s without a decrease and 17 s with an assumed crest. Gaps of up to 4 s now only suspend decreases.

--- a/include/mulberrywall/Policy/Autoscaling.h
+++ b/include/mulberrywall/Policy/Autoscaling.h
@@ -123,8 +123,10 @@
     double slots = 0.0;
     /// Needs within the demand memory.
     std::deque<Need> needs;
-    /// Time since which the demand has been known without a gap.
+    /// Time since which the demand has been known, apart from short gaps.
     std::optional<TimePoint> demandKnownSince;
+    /// Latest time at which it was known.
+    TimePoint demandKnownAt = TimePoint::min();
     double correction = 1.0;
     /// Latest change of the correction, or the latest time at which there was pressure.
     std::optional<TimePoint> correctedAt;
--- a/include/mulberrywall/Policy/CapacityTuning.h
+++ b/include/mulberrywall/Policy/CapacityTuning.h
@@ -27,6 +27,8 @@
     std::chrono::milliseconds demandMemory {12'000};
     /// Demand must be known for this long before a decrease.
     std::chrono::milliseconds demandWindow {5'000};
+    /// After a longer gap the demand must be known for a whole window again. Routers that are restarted are not known for 2 s.
+    std::chrono::milliseconds demandGap {4'000};
     /// Assumed ratio of the highest demand to that of the first window. In half of a wave with a swing of 27% the demand reaches
     /// at least 0.96 of its mean, and the crest is at 1.27.
     double unseenCrest = 1.3;
--- a/lib/Policy/CapacityNeed.cpp
+++ b/lib/Policy/CapacityNeed.cpp
@@ -166,10 +166,11 @@
 
 void recordNeed(PoolCapacityState &pool, const PoolCapacityInputs &inputs, const CapacityTotals &totals, const CapacityTuning &tuning, TimePoint now)
 {
-    if (!inputs.demand.isComplete) {
+    if (inputs.demand.isComplete) {
+        pool.demandKnownSince = pool.demandKnownSince.value_or(now);
+        pool.demandKnownAt = now;
+    } else if (pool.demandKnownSince && now - pool.demandKnownAt > tuning.demandGap) {
         pool.demandKnownSince.reset();
-    } else if (!pool.demandKnownSince) {
-        pool.demandKnownSince = now;
     }
     recordMeanEndpoint(pool, inputs);
     pool.needs.push_back({.at = now, .endpoints = needOf(pool, inputs, tuning)});
@@ -222,7 +223,7 @@
 {
     const bool isPressed = pool.pressureSince && pool.correction < tuning.maximumCorrection;
     const bool isTooSoon = pool.decreasedAt && now - *pool.decreasedAt < tuning.decreaseInterval;
-    return isDemandKnown(pool, tuning, now) && !isPressed && !isTooSoon;
+    return isDemandKnown(pool, tuning, now) && pool.figures.isDemandComplete && !isPressed && !isTooSoon;
 }
 
 } // namespace mulberrywall::policy
--- a/unittests/Policy/AutoscalingTest.cpp
+++ b/unittests/Policy/AutoscalingTest.cpp
@@ -369,6 +369,19 @@
     EXPECT_EQ(limited.at({.dataCentre = b_}), 10U) << "the demand takes precedence over the reserve";
 }
 
+/// Guards against a holder that decreases without the demand of restarted routers, and that forgets all it knew for their sake.
+TEST_F(AutoscalingTest, RestartedRoutersDelayDecreasesOnly)
+{
+    spec_.spotPrice.reset();
+    run(5);
+    isDemandComplete_ = false;
+    run(3);
+    EXPECT_EQ(ready(), 60U);
+    isDemandComplete_ = true;
+    run(1);
+    EXPECT_LT(ready(), 60U);
+}
+
 /// Guards against orders outside the limits, and against many calls, when orders fail and endpoints come and go at random.
 TEST_F(AutoscalingTest, KeepsTheLimitsWhateverHappens)
 {
