metering: wait for routers that counted in the window, also when the membership has removed them

A data centre that was cut off from the holder for 3 s, or a paused router, was missing in the report of the window, because the membership removes its routers at once or after some 2 s, and the window was then reported without them.

--- a/include/mulberrywall/Metering/ReportSchedule.h
+++ b/include/mulberrywall/Metering/ReportSchedule.h
@@ -36,8 +36,8 @@
 /// Returns the time at which the report of a window is due.
 [[nodiscard]] TrueTime dueTime(WindowNumber number, const ReportScheduleOptions &options);
 
-/// Decides which windows are reported now: in ascending order, each when all live routers have closed it or its time to wait
-/// is over. Without a highest decided window it starts with the first one that a router has counted.
+/// Decides which windows are reported now: in ascending order, each when no final counts are missing (see UsageLedger::routersNotClosed)
+/// or its time to wait is over. Without a highest decided window it starts with the first one that a router has counted.
 [[nodiscard]] WindowDecisions decideWindows(const UsageLedger &ledger,
     std::span<const support::InstanceId> liveRouters,
     std::optional<WindowNumber> highestDecided,
--- a/include/mulberrywall/Metering/UsageLedger.h
+++ b/include/mulberrywall/Metering/UsageLedger.h
@@ -47,8 +47,9 @@
     // Queries
     /// Returns what is known of the retained windows of a process, for its acknowledgement.
     [[nodiscard]] std::vector<WindowProgress> progress(const support::InstanceId &instance, std::uint64_t incarnation) const;
-    /// Returns those of the given routers that may still count requests in the window or whose final counts are missing.
-    [[nodiscard]] std::vector<support::InstanceId> routersNotClosed(WindowNumber window, std::span<const support::InstanceId> routers) const;
+    /// Returns the routers whose final counts of the window are missing: live ones, and others that have counted in it, which may be paused or
+    /// cut off for a short time only.
+    [[nodiscard]] std::vector<support::InstanceId> routersNotClosed(WindowNumber window, std::span<const support::InstanceId> liveRouters) const;
     /// Returns whether a router has counted in the window, even if it counted no request.
     [[nodiscard]] bool isCovered(WindowNumber window) const;
     /// Returns the earliest covered window that is retained.
--- a/lib/Metering/UsageLedger.cpp
+++ b/lib/Metering/UsageLedger.cpp
@@ -200,15 +200,22 @@
     return result;
 }
 
-std::vector<support::InstanceId> UsageLedger::routersNotClosed(WindowNumber window, std::span<const support::InstanceId> routers) const
+std::vector<support::InstanceId> UsageLedger::routersNotClosed(WindowNumber window, std::span<const support::InstanceId> liveRouters) const
 {
     std::vector<support::InstanceId> result;
-    for (const support::InstanceId &router : routers) {
+    for (const support::InstanceId &router : liveRouters) {
         const Process *process = latestProcess(router);
         if (process == nullptr || !isClosed(*process, window)) {
             result.push_back(router);
         }
     }
+    for (const auto &[router, processes] : routers_) {
+        const bool isMissing = std::any_of(
+            processes.begin(), processes.end(), [window](const Process &process) { return process.windows.contains(window) && !isClosed(process, window); });
+        if (isMissing && std::find(result.begin(), result.end(), router) == result.end()) {
+            result.push_back(router);
+        }
+    }
     return result;
 }
 
--- a/unittests/Metering/MeteringLoadTest.cpp
+++ b/unittests/Metering/MeteringLoadTest.cpp
@@ -94,6 +94,19 @@
     EXPECT_EQ(group.conflicts(), 0U);
 }
 
+// Guards against wrong counts of a window in which a data centre was cut off for less than the time that a report can wait.
+TEST(MeteringLoad, ShortPartitionLosesNoCounts)
+{
+    RouterGroup group({.exchangesClocks = false});
+    const WindowNumber first = group.openWindow();
+    group.run(12 * second);
+    group.setPartitioned(2, true);
+    group.run(3 * second);
+    group.setPartitioned(2, false);
+    group.run(20 * second);
+    expectReported(group, first, group.openWindow() - 3, 0.0);
+}
+
 // Guards against a report that is lost or assembled again when the holder is killed between storing and sending.
 TEST(MeteringLoad, HolderKilledBetweenStoringAndSending)
 {
--- a/unittests/Metering/UsageLedgerTest.cpp
+++ b/unittests/Metering/UsageLedgerTest.cpp
@@ -71,6 +71,16 @@
     EXPECT_EQ(ledger_.routersNotClosed(20, routers), routers) << "a new process of the router still counts";
 }
 
+// Guards against a report without the counts of a router that was cut off for a moment, which the membership has removed.
+TEST_F(UsageLedgerTest, RoutersThatCountedInTheWindowAreMissing)
+{
+    ledger_.record(message(1, counted(20, 5)), boot);
+    EXPECT_EQ(ledger_.routersNotClosed(20, {}), std::vector {instance});
+    EXPECT_TRUE(ledger_.routersNotClosed(21, {}).empty());
+    ledger_.record(message(1, counted(20, 6, true)), boot);
+    EXPECT_TRUE(ledger_.routersNotClosed(20, {}).empty());
+}
+
 // Guards against memory that grows with time or with what other routers send.
 TEST_F(UsageLedgerTest, DropsWindowsOutsideItsRange)
 {
--- a/unittests/Metering/UsageReporterTest.cpp
+++ b/unittests/Metering/UsageReporterTest.cpp
@@ -44,7 +44,7 @@
         reporter_ = std::make_shared<UsageReporter>(context_, std::move(dependencies), options);
     }
 
-    /// Counts one request and runs the reporter until the condition holds, for 10 s at most.
+    /// Runs the reporter, with the counts of this router, until the condition holds, for 10 s at most.
     bool runUntil(const std::function<bool()> &condition)
     {
         const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
