duties: a release does not replace stored values by older ones

A write under the lease that got no response, followed by a release, let the released row contain the values before that write, so that the next holder would have assembled an already stored usage window again. The row that the conflict returns is taken over now. The new test fails without the change.

--- a/lib/Duties/Lease.cpp
+++ b/lib/Duties/Lease.cpp
@@ -107,8 +107,10 @@
 }
 
 /// Handles a row that this process has written under its current fencing number, other than by its unconfirmed write.
-void onOwnRow(LeaseState &state, const LeaseOptions &options, std::uint64_t version, const LeaseTime &now)
+void onOwnRow(LeaseState &state, const LeaseOptions &options, std::uint64_t version, const LeaseRow &row, const LeaseTime &now)
 {
+    // An earlier write may have been applied although its outcome was unknown. Its values must not be replaced by older ones.
+    state.row = row;
     // A write that has not been applied yet is sent again. The lease is still measured from its first attempt, which may be applied later.
     const bool wasAwaited = state.unconfirmedWrite && std::exchange(state.unconfirmedWrite->needsRead, false);
     const bool hasNewVersion = std::exchange(state.rowVersion, version) != version;
@@ -129,7 +131,7 @@
     }
     const bool isOwnRow = (state.isHeld || state.isReleasing) && row.holder == state.self && row.fencing == state.fencing;
     if (isOwnRow) {
-        onOwnRow(state, options, stored.version, now);
+        onOwnRow(state, options, stored.version, row, now);
         return;
     }
     markLost(state);
--- a/unittests/Duties/LeaseTest.cpp
+++ b/unittests/Duties/LeaseTest.cpp
@@ -139,6 +139,24 @@
     EXPECT_FALSE(state_.isReleasing);
 }
 
+// Guards against a release that replaces the highest stored window by an older one, because the write that stored it got no response.
+TEST_F(LeaseTest, ReleaseKeepsTheValuesOfAnUnconfirmedWrite)
+{
+    find({.fencing = 4}, 7, 0);
+    takeOver(0);
+    LeaseStep renewal = nextStep(state_, options_, at(1'000));
+    renewal.row.values["usageWindow"] = 8;
+    onWrite(state_, options_, renewal.row, {.status = LeaseWriteStatus::Unknown}, at(1'000), at(1'900));
+    beginRelease(state_, at(1'900));
+    const LeaseStep refused = nextStep(state_, options_, at(1'900));
+    const StoredLease stored {.version = 101, .text = encodeLease(renewal.row)};
+    onWrite(state_, options_, refused.row, {.status = LeaseWriteStatus::Conflict, .current = stored}, at(1'900), at(1'950));
+    const LeaseStep release = nextStep(state_, options_, at(1'950));
+    EXPECT_EQ(release.expectedVersion, 101U);
+    EXPECT_EQ(release.row.holder, "");
+    EXPECT_EQ(release.row.values.at("usageWindow"), 8U);
+}
+
 } // namespace
 
 } // namespace mulberrywall::duties
