policy: keep endpoints that wait for callers, reserve only by spot endpoints

A correction for cold prefix caches kept twice the endpoints that were needed, and on-demand endpoints were ordered as a reserve.

--- a/include/mulberrywall/Policy/Autoscaling.h
+++ b/include/mulberrywall/Policy/Autoscaling.h
@@ -127,6 +127,8 @@
     std::optional<TimePoint> demandKnownSince;
     /// Latest time at which it was known.
     TimePoint demandKnownAt = TimePoint::min();
+    /// Time since which there has been no demand at all.
+    std::optional<TimePoint> idleSince;
     double correction = 1.0;
     /// Latest change of the correction, or the latest time at which there was pressure.
     std::optional<TimePoint> correctedAt;
--- a/include/mulberrywall/Policy/CapacityAllocation.h
+++ b/include/mulberrywall/Policy/CapacityAllocation.h
@@ -29,6 +29,8 @@
     unsigned minimum = 0;
     unsigned maximum = 0;
     unsigned required = 0;
+    /// The same without the reserve that is kept only because spot endpoints are cheap. On-demand endpoints are assigned up to this total.
+    unsigned requiredWithoutReserve = 0;
     /// Endpoints that must remain after the loss of any data centre.
     unsigned requiredAfterLoss = 0;
     /// Share of the demand that comes from the routers of a data centre.
@@ -36,7 +38,7 @@
 };
 
 /// Returns the number of endpoints by cell. Their sum is as required, or higher because of the minimum, or lower because no more can
-/// be had.
+/// be had, or only on-demand endpoints for a reserve.
 [[nodiscard]] std::map<CapacityCell, unsigned> allocateCapacity(const AllocationRequest &request, const CapacityTuning &tuning);
 
 } // namespace mulberrywall::policy
--- a/include/mulberrywall/Policy/CapacityTuning.h
+++ b/include/mulberrywall/Policy/CapacityTuning.h
@@ -27,6 +27,8 @@
     std::chrono::milliseconds demandMemory {12'000};
     /// Demand must be known for this long before a decrease.
     std::chrono::milliseconds demandWindow {5'000};
+    /// A pool without any demand counts as idle only after this long. Endpoints may be started some time before their callers.
+    std::chrono::milliseconds idleTime {120'000};
     /// After a longer gap the demand must be known for a whole window again. Routers that are restarted are not known for 2 s.
     std::chrono::milliseconds demandGap {4'000};
     /// Assumed ratio of the highest demand to that of the first window. In half of a wave with a swing of 27% the demand reaches
@@ -44,9 +46,10 @@
     std::chrono::milliseconds pressureBacklog {300};
     double correctionStep = 1.2;
     double maximumCorrection = 2.0;
-    std::chrono::milliseconds correctionInterval {2'000};
-    /// Time without pressure after which the correction decays by a step.
-    std::chrono::milliseconds correctionDecay {20'000};
+    /// Longer than the backlog of a short burst lasts.
+    std::chrono::milliseconds correctionInterval {4'000};
+    /// Time without pressure after which the correction decays by a step. A step that was wrong raises the cost for this long.
+    std::chrono::milliseconds correctionDecay {6'000};
     /// Relative surplus that is kept, because the highest demand varies by a few percent from one window to the next.
     double surplusKept = 0.1;
     /// Relative deficit that is tolerated. An endpoint that crashes and is started again is not worth an order.
--- a/lib/Policy/Autoscaling.cpp
+++ b/lib/Policy/Autoscaling.cpp
@@ -53,6 +53,7 @@
         request.cells.push_back(std::move(entry));
     }
     request.required = requirement.total;
+    request.requiredWithoutReserve = requirement.withoutReserve;
     return request;
 }
 
@@ -168,6 +169,8 @@
     std::map<support::DataCentreId, unsigned> byDataCentre;
     unsigned total = 0;
     unsigned required = 0;
+    /// The same for removals of on-demand endpoints, which may leave room for spot endpoints.
+    unsigned requiredWithoutReserve = 0;
     unsigned requiredAfterLoss = 0;
     /// Endpoints that may be removed in this step.
     unsigned step = 0;
@@ -175,7 +178,7 @@
 
 Remaining remainingOf(const OrderList &list, const Requirement &requirement, const CapacityTuning &tuning)
 {
-    Remaining remaining {.required = list.request.required, .requiredAfterLoss = requirement.afterLoss};
+    Remaining remaining {.required = list.request.required, .requiredWithoutReserve = requirement.withoutReserve, .requiredAfterLoss = requirement.afterLoss};
     for (const auto &[cell, cellState] : list.pool.cells) {
         const unsigned lasting = lastingEndpoints(cellState, list.now);
         remaining.byDataCentre[cell.dataCentre] += lasting;
@@ -185,12 +188,13 @@
     return remaining;
 }
 
-/// Returns how many endpoints of the data centre can be removed so that the rest suffices, also after the loss of another one.
-unsigned removable(const Remaining &remaining, const support::DataCentreId &dataCentre)
+/// Returns how many endpoints of the cell can be removed so that the rest suffices, also after the loss of another one.
+unsigned removable(const Remaining &remaining, const CapacityCell &cell)
 {
-    unsigned count = std::min(remaining.step, remaining.total - std::min(remaining.total, remaining.required));
+    const unsigned required = cell.spot ? remaining.required : remaining.requiredWithoutReserve;
+    unsigned count = std::min(remaining.step, remaining.total - std::min(remaining.total, required));
     for (const auto &[other, endpoints] : remaining.byDataCentre) {
-        if (other != dataCentre) {
+        if (other != cell.dataCentre) {
             const unsigned afterLoss = remaining.total - endpoints;
             count = std::min(count, afterLoss - std::min(afterLoss, remaining.requiredAfterLoss));
         }
@@ -216,7 +220,7 @@
             continue;
         }
         const unsigned least = std::max(target, leastDesired(list, entry.cell));
-        const unsigned count = std::min(entry.serving - std::min(entry.serving, least), removable(remaining, entry.cell.dataCentre));
+        const unsigned count = std::min(entry.serving - std::min(entry.serving, least), removable(remaining, entry.cell));
         if (count == 0) {
             continue;
         }
--- a/lib/Policy/CapacityAllocation.cpp
+++ b/lib/Policy/CapacityAllocation.cpp
@@ -68,6 +68,9 @@
         const AllocationCell *cheapest = nullptr;
         double cheapestPrice = 0.0;
         for (const AllocationCell &entry : request.cells) {
+            if (!entry.cell.spot && allocation.total >= request.requiredWithoutReserve) {
+                continue;
+            }
             if (allocation.byCell[entry.cell] >= entry.limit || allocation.byDataCentre[entry.cell.dataCentre] >= limitByDataCentre) {
                 continue;
             }
--- a/lib/Policy/CapacityNeed.cpp
+++ b/lib/Policy/CapacityNeed.cpp
@@ -76,7 +76,10 @@
 
 void recordPressure(PoolCapacityState &pool, const PoolCapacityInputs &inputs, const CapacityTotals &totals, const CapacityTuning &tuning, TimePoint now)
 {
-    const bool isPressed = refusedRatio(totalDemand(inputs.demand)) > tuning.pressureRefusedShare || inputs.pendingPrefill > tuning.pressureBacklog;
+    // At the start prefix caches are cold, which endpoints that begin with cold caches as well do not help.
+    const bool hasWarmCaches = pool.demandKnownSince && now - *pool.demandKnownSince >= 2 * tuning.demandWindow;
+    const bool isPressed
+        = hasWarmCaches && (refusedRatio(totalDemand(inputs.demand)) > tuning.pressureRefusedShare || inputs.pendingPrefill > tuning.pressureBacklog);
     // What is ordered may suffice, and what cannot be had is no error of the estimate.
     const bool servesAsPlanned = totals.starting == 0 && totals.ready >= pool.figures.required;
     if (!isPressed) {
@@ -97,6 +100,17 @@
     }
 }
 
+/// Returns whether the endpoints of the pool may have been started for callers who have not come yet, or who pause.
+bool isAwaitingCallers(PoolCapacityState &pool, double need, const CapacityTuning &tuning, TimePoint now)
+{
+    if (need > 0.0) {
+        pool.idleSince.reset();
+        return false;
+    }
+    pool.idleSince = pool.idleSince.value_or(now);
+    return now - *pool.idleSince < tuning.idleTime;
+}
+
 /// Returns the need to expect when the endpoints that are ordered now serve.
 double expectedNeed(const std::deque<PoolCapacityState::Need> &needs, const CapacityTuning &tuning, TimePoint now)
 {
@@ -166,14 +180,15 @@
 
 void recordNeed(PoolCapacityState &pool, const PoolCapacityInputs &inputs, const CapacityTotals &totals, const CapacityTuning &tuning, TimePoint now)
 {
-    if (inputs.demand.isComplete) {
+    recordMeanEndpoint(pool, inputs);
+    const double need = needOf(pool, inputs, tuning);
+    if (inputs.demand.isComplete && !isAwaitingCallers(pool, need, tuning, now)) {
         pool.demandKnownSince = pool.demandKnownSince.value_or(now);
         pool.demandKnownAt = now;
     } else if (pool.demandKnownSince && now - pool.demandKnownAt > tuning.demandGap) {
         pool.demandKnownSince.reset();
     }
-    recordMeanEndpoint(pool, inputs);
-    pool.needs.push_back({.at = now, .endpoints = needOf(pool, inputs, tuning)});
+    pool.needs.push_back({.at = now, .endpoints = need});
     while (now - pool.needs.front().at > tuning.demandMemory) {
         pool.needs.pop_front();
     }
@@ -211,7 +226,8 @@
     pool.required = std::clamp(total, tolerated, orderable(most));
     pool.figures.required = *pool.required;
     pool.figures.requiredAfterLoss = orderable(afterLoss);
-    return {.total = *pool.required, .afterLoss = orderable(afterLoss)};
+    const double withoutReserve = std::max(need / bestUtilisation(1.0, tuning), isKnown ? totalForLoss(afterLoss, inputs.spec.prices.size()) : 0.0);
+    return {.total = *pool.required, .withoutReserve = std::min(*pool.required, orderable(withoutReserve * margin)), .afterLoss = orderable(afterLoss)};
 }
 
 bool isDemandKnown(const PoolCapacityState &pool, const CapacityTuning &tuning, TimePoint now)
--- a/lib/Policy/CapacityNeed.h
+++ b/lib/Policy/CapacityNeed.h
@@ -27,6 +27,8 @@
 struct Requirement
 {
     unsigned total = 0;
+    /// The total without a reserve of cheap endpoints.
+    unsigned withoutReserve = 0;
     /// Endpoints that must remain after the loss of any data centre.
     unsigned afterLoss = 0;
 };
--- a/unittests/Policy/AutoscalingTest.cpp
+++ b/unittests/Policy/AutoscalingTest.cpp
@@ -196,6 +196,16 @@
     EXPECT_LE(calls_, 12U);
 }
 
+// Guards against endpoints that are removed because they were started some seconds before their callers.
+TEST_F(AutoscalingTest, WaitsForCallersAtTheStart)
+{
+    run(30, 0.0);
+    EXPECT_EQ(calls_, 0U);
+    EXPECT_EQ(ready(), 60U);
+    run(120, 0.0);
+    EXPECT_EQ(ready(), 3 * spec_.minimum) << "without any demand for minutes, the minimum remains";
+}
+
 /// Guards against a decrease that waits until the start with cold prefix caches is forgotten, and against orders for it.
 TEST_F(AutoscalingTest, ColdCachesAtTheStartCauseNoOrders)
 {
