policy: learn the prefill and decode speed of each engine

Customer F's engines differ in speed by a factor of over 2. Placement and admission used one prefill speed a pool, reduced by a factor from the latency between tokens, so that slow engines got as many prompts as fast ones; and a router among 60 measures the prefill of one prompt on an engine every half minute.

Each measured prefill is now reported with its running request, and the median of the samples of all routers counts (Policy/EngineSpeed). Summaries carry the median, the number of samples and 16 bits of the incarnation; inter-token latencies go the same way. Samples end with the incarnation of the endpoint. All fields are optional: earlier versions send zeros, which mean unknown. Switch: learnsEngineSpeeds.

--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -59,7 +59,10 @@
 /// A prompt prefix that an endpoint has cached.
 struct CachedPrefix
 {
+    /// Length of its last segment, or of the whole prefix if the segment before it is unknown.
     std::uint32_t tokens = 0;
+    /// Hash of the prefix without its last segment; 0 if there is none or it is unknown.
+    std::uint64_t parent = 0;
     TimePoint usedAt;
 };
 
@@ -79,6 +82,31 @@
     /// Streams of this router at the endpoint, and the subset whose prompts are short.
     StreamsByInterTokenTarget streams;
     StreamsByInterTokenTarget shortPromptStreams;
+    /// Tokens that this router's running requests hold besides their prefixes.
+    std::uint64_t heldTokens = 0;
+    /// The same over all routers, when a request was last placed there.
+    std::uint64_t heldTokensOfAll = 0;
+};
+
+/// Prefill speed of an endpoint as other routers have summed it up.
+struct ReportedSpeed
+{
+    double tokensPerSecond = 0.0;
+    std::uint32_t samples = 0;
+};
+
+/// Speed of an endpoint, measured by all routers; see recordPrefillSpeed.
+struct EngineSpeed
+{
+    /// Samples of this router and of those that report to it.
+    QuantileEstimate prefill {.probability = 0.5};
+    std::map<support::DataCentreId, ReportedSpeed> dataCentres;
+    std::optional<ReportedSpeed> allOthers;
+    /// Combination of the above in tokens per second; 0 if there are no samples.
+    double tokensPerSecond = 0.0;
+    double samples = 0.0;
+    /// Inter-token latency that other routers observed.
+    Average peerStepSeconds;
 };
 
 /// Pending prefill and running requests of an endpoint.
@@ -88,6 +116,8 @@
     unsigned running = 0;
     StreamsByInterTokenTarget streams;
     StreamsByInterTokenTarget shortPromptStreams;
+    /// Tokens that running requests hold in memory besides their prefixes.
+    std::uint64_t heldTokens = 0;
 };
 
 /// Load of another router, or the combined load of all others, on an endpoint.
@@ -95,6 +125,8 @@
 {
     EndpointLoad load;
     TimePoint reportedAt;
+    /// Prefill speeds of the reported requests, by which a repeated sample is recognised.
+    std::vector<std::uint32_t> speedSamples;
 };
 
 /// The loss of an endpoint.
@@ -123,6 +155,7 @@
     /// The endpoint has stated that it accepts no requests until then.
     TimePoint refusesUntil;
     SlowEndpointState slow;
+    EngineSpeed speed;
     /// Until then the endpoint accepts no requests besides the quarantined one that runs on it.
     TimePoint exclusiveUntil;
     std::optional<LoadReport> report;
@@ -168,6 +201,10 @@
     std::uint32_t prefillTokensAhead = 0;
     /// Prompt tokens that the endpoint still has to prefill; 0 from the first output on.
     std::uint32_t pendingPrefillTokens = 0;
+    /// Measured prefill speed; 0 if it was not measured.
+    std::uint32_t prefillTokensPerSecond = 0;
+    /// Tokens that the request holds in the endpoint's memory besides its prefix.
+    std::uint32_t heldTokens = 0;
     /// Inter-token target of the request's class; 0 if the request was not placed by its prompt.
     std::chrono::milliseconds interTokenTarget {0};
     bool hasShortPrompt = false;
--- a/include/mulberrywall/Policy/Tuning.h
+++ b/include/mulberrywall/Policy/Tuning.h
@@ -138,6 +138,14 @@
     /// Lifetime of a peer's report; peers send several reports within this time.
     std::chrono::milliseconds peerLifetime {1'500};
     double minimumRelativeSpeed = 0.1;
+    /// Uses the measured prefill speed of each engine instead of that of the pool.
+    bool learnsEngineSpeeds = true;
+    /// Samples for which the speed of the pool counts in that of an engine.
+    double poolSpeedSamples = 1.0;
+    /// Samples beyond this factor of the speed of the pool, either way, are due to a wrong view of the engine's cache or backlog.
+    double maximumSpeedFactor = 4.0;
+    /// Samples of other data centres count up to this number, so that the combined speed follows changes.
+    std::uint32_t maximumReportedSamples = 30;
     /// Pools up to this size are compared whole: so few routers share them that their loads are known.
     std::size_t maximumPoolComparedWhole = 24;
     /// In larger pools a prompt is compared on at least and at most this number of engines.
--- a/include/mulberrywall/Policy/Types.h
+++ b/include/mulberrywall/Policy/Types.h
@@ -31,6 +31,17 @@
 
 std::string_view toString(AttemptPurpose purpose);
 
+/// A part of a prompt's prefix that other requests may share.
+struct PrefixSegment
+{
+    /// Hash of the prefix up to and including this segment.
+    std::uint64_t hash = 0;
+    /// Length of the segment alone.
+    std::uint32_t tokens = 0;
+
+    friend bool operator==(const PrefixSegment &, const PrefixSegment &) = default;
+};
+
 /// Request for a permit to run on one endpoint of the pool.
 struct Submission
 {
@@ -45,6 +56,9 @@
     std::uint64_t spreadSeed = 0;
     /// Length in tokens of the prefix that prefixHash covers; std::nullopt if it is unknown.
     std::optional<std::uint32_t> prefixTokens;
+    /// The segments of which the prefix consists, in order; the hash of the last one is prefixHash. Empty if they are unknown,
+    /// which counts as one segment.
+    std::vector<PrefixSegment> prefixSegments;
     /// Hashes of the prompt's segments that other requests may share.
     std::vector<Fingerprint> segments;
     AttemptPurpose purpose = AttemptPurpose::First;
@@ -270,17 +284,18 @@
     support::Tier tier = 0;
     /// Inter-token latency that the request's class allows.
     std::chrono::milliseconds interTokenTarget {0};
+    /// Speed at which the endpoint prefilled this prompt; 0 if it was not measured.
+    std::uint32_t prefillTokensPerSecond = 0;
+    /// Mean inter-token latency of the sender's streams at the endpoint; 0 if it is unknown.
+    std::chrono::microseconds step {0};
+    /// Start of the endpoint that the measurements are of, see incarnationTag.
+    std::uint16_t incarnationTag = 0;
+    /// Tokens that the request holds in the endpoint's memory besides the prefix.
+    std::uint32_t heldTokens = 0;
 
     friend bool operator==(const PeerRequest &, const PeerRequest &) = default;
 };
 
-/// All requests that one other router runs in the pool.
-struct PeerReport
-{
-    support::InstanceId router;
-    std::vector<PeerRequest> requests;
-};
-
 /// Number of streams on one endpoint that have the same inter-token target.
 struct PeerStreams
 {
@@ -309,6 +324,15 @@
     std::vector<PeerPrefill> pendingPrefill;
     std::uint32_t running = 0;
     std::vector<PeerStreams> streams;
+    /// Median prefill speed and the number of samples, up to 65,535; 0 samples if it is unknown.
+    std::uint32_t prefillTokensPerSecond = 0;
+    std::uint16_t speedSamples = 0;
+    /// Start of the endpoint that the measurements are of, see incarnationTag.
+    std::uint16_t incarnationTag = 0;
+    /// Mean inter-token latency of a stream; 0 if it is unknown.
+    std::chrono::microseconds step {0};
+    /// Tokens that running requests hold in the endpoint's memory besides their prefixes.
+    std::uint32_t heldTokens = 0;
 
     friend bool operator==(const PeerEndpointLoad &, const PeerEndpointLoad &) = default;
 };
@@ -319,10 +343,21 @@
     support::EndpointId endpoint;
     std::uint64_t prefixHash = 0;
     std::uint32_t tokens = 0;
+    /// Hash of the prefix without its last segment if tokens counts only that segment; 0 if it counts the whole prefix.
+    std::uint64_t parent = 0;
 
     friend bool operator==(const PeerPrefix &, const PeerPrefix &) = default;
 };
 
+/// All requests that one other router runs in the pool.
+struct PeerReport
+{
+    support::InstanceId router;
+    std::vector<PeerRequest> requests;
+    /// Prefixes that endpoints have cached recently.
+    std::vector<PeerPrefix> prefixes;
+};
+
 /// A part of the endpoints by the hash of their ids: summaries of many endpoints are sent in several datagrams.
 struct EndpointPart
 {
@@ -387,6 +422,8 @@
     AdmissionMode admission = AdmissionMode::ByTarget;
     /// Number of priorities that the engines distinguish, from 1 to 256.
     unsigned enginePriorityLevels = 256;
+    /// Tokens that fit into the memory of each engine; 0 if unknown.
+    std::uint64_t engineMemoryTokens = 0;
     std::vector<ClassSpec> classes;
     std::vector<OrganisationSpec> organisations;
     Tuning tuning;
--- a/lib/Permits/LoadDatagram.cpp
+++ b/lib/Permits/LoadDatagram.cpp
@@ -96,6 +96,10 @@
             list[position].setUnreadTokens(request.pendingPrefillTokens);
             list[position].setTier(request.tier);
             list[position].setPauseTargetMs(static_cast<std::uint32_t>(request.interTokenTarget.count()));
+            list[position].setPrefillTokensPerSecond(request.prefillTokensPerSecond);
+            list[position].setStepMicros(static_cast<std::uint32_t>(request.step.count()));
+            list[position].setIncarnationTag(request.incarnationTag);
+            list[position].setHeldTokens(request.heldTokens);
         }
     }
 }
@@ -111,7 +115,11 @@
                 .prefixTokens = request.getSharedTokens(),
                 .pendingPrefillTokens = request.getUnreadTokens(),
                 .tier = request.getTier(),
-                .interTokenTarget = std::chrono::milliseconds(request.getPauseTargetMs())});
+                .interTokenTarget = std::chrono::milliseconds(request.getPauseTargetMs()),
+                .prefillTokensPerSecond = request.getPrefillTokensPerSecond(),
+                .step = std::chrono::microseconds(request.getStepMicros()),
+                .incarnationTag = request.getIncarnationTag(),
+                .heldTokens = request.getHeldTokens()});
         }
         report.emplace_back(support::PoolId(pool.getPool().cStr()), std::move(requests));
     }
@@ -136,6 +144,11 @@
     builder.setEndpoint(endpoint.endpoint.value());
     writePendingPrefill(builder, endpoint.pendingPrefill);
     builder.setRunning(endpoint.running);
+    builder.setPrefillTokensPerSecond(endpoint.prefillTokensPerSecond);
+    builder.setSpeedSamples(endpoint.speedSamples);
+    builder.setIncarnationTag(endpoint.incarnationTag);
+    builder.setStepMicros(static_cast<std::uint32_t>(endpoint.step.count()));
+    builder.setHeldTokens(endpoint.heldTokens);
     auto list = builder.initStreams(static_cast<unsigned>(endpoint.streams.size()));
     for (unsigned index = 0; index < list.size(); ++index) {
         list[index].setPauseTargetMs(static_cast<std::uint32_t>(endpoint.streams[index].interTokenTarget.count()));
@@ -146,7 +159,13 @@
 
 policy::PeerEndpointLoad read(load::EndpointLoad::Reader reader)
 {
-    policy::PeerEndpointLoad endpoint {.endpoint = support::EndpointId(reader.getEndpoint().cStr()), .running = reader.getRunning()};
+    policy::PeerEndpointLoad endpoint {.endpoint = support::EndpointId(reader.getEndpoint().cStr()),
+        .running = reader.getRunning(),
+        .prefillTokensPerSecond = reader.getPrefillTokensPerSecond(),
+        .speedSamples = reader.getSpeedSamples(),
+        .incarnationTag = reader.getIncarnationTag(),
+        .step = std::chrono::microseconds(reader.getStepMicros()),
+        .heldTokens = reader.getHeldTokens()};
     for (const auto prefill : reader.getPendingPrefill()) {
         endpoint.pendingPrefill.push_back({.tier = prefill.getTier(), .tokens = prefill.getTokens()});
     }
@@ -251,6 +270,7 @@
             prefixes[position].setEndpoint(load.prefixes[position].endpoint.value());
             prefixes[position].setHash(load.prefixes[position].prefixHash);
             prefixes[position].setTokens(load.prefixes[position].tokens);
+            prefixes[position].setParent(load.prefixes[position].parent);
         }
     }
 }
@@ -265,8 +285,10 @@
             load.endpoints.push_back(read(endpoint));
         }
         for (const auto prefix : pool.getPrefixes()) {
-            load.prefixes.push_back(
-                {.endpoint = support::EndpointId(prefix.getEndpoint().cStr()), .prefixHash = prefix.getHash(), .tokens = prefix.getTokens()});
+            load.prefixes.push_back({.endpoint = support::EndpointId(prefix.getEndpoint().cStr()),
+                .prefixHash = prefix.getHash(),
+                .tokens = prefix.getTokens(),
+                .parent = prefix.getParent()});
         }
         summary.pools.emplace_back(support::PoolId(pool.getPool().cStr()), std::move(load));
     }
--- a/lib/Permits/LoadReport.capnp
+++ b/lib/Permits/LoadReport.capnp
@@ -91,6 +91,8 @@
 struct PoolRequests {
   pool @0 :Text;
   requests @1 :List(RunningRequest);
+  # Prompt segments that endpoints have cached recently.
+  prefixes @2 :List(Prefix);
 }
 
 struct RunningRequest {
@@ -103,6 +105,14 @@
   pauseTargetMs @4 :UInt32;
   # Earlier versions send none, which counts as the highest tier.
   tier @5 :UInt8;
+  # Speed at which the endpoint prefilled this prompt; 0 if it was not measured.
+  prefillTokensPerSecond @6 :UInt32;
+  # Low bits of the start of the endpoint that the measurements are of.
+  incarnationTag @7 :UInt16;
+  # Tokens that the request holds in the memory of the endpoint besides the shared ones.
+  heldTokens @8 :UInt32;
+  # Mean time between two tokens of a stream at the endpoint, by the sender's streams; 0 if it is unknown.
+  stepMicros @9 :UInt32;
 }
 
 # Aggregated load of several routers in one pool.
@@ -120,6 +130,15 @@
   running @2 :UInt32;
   streams @3 :List(Streams);
   pendingPrefill @4 :List(TierPrefill);
+  # Median prefill speed by the number of samples; 0 samples if it is unknown.
+  prefillTokensPerSecond @5 :UInt32;
+  speedSamples @6 :UInt16;
+  # Low bits of the start of the endpoint that the measurements are of.
+  incarnationTag @7 :UInt16;
+  # Tokens that running requests hold in the memory of the endpoint besides the shared ones.
+  heldTokens @8 :UInt32;
+  # Mean time between two tokens of a stream; 0 if it is unknown.
+  stepMicros @9 :UInt32;
 }
 
 struct TierPrefill {
@@ -138,4 +157,6 @@
   endpoint @0 :Text;
   hash @1 :UInt64;
   tokens @2 :UInt32;
+  # Hash of the prefix without its last segment, if tokens counts only that segment; otherwise 0.
+  parent @3 :UInt64;
 }
--- a/lib/Policy/PeerLoads.cpp
+++ b/lib/Policy/PeerLoads.cpp
@@ -1,5 +1,6 @@
 #include "mulberrywall/Policy/PeerLoads.h"
 
+#include "mulberrywall/Policy/EngineSpeed.h"
 #include "mulberrywall/Policy/Prefill.h"
 #include "mulberrywall/Policy/PromptCache.h"
 #include "mulberrywall/Policy/Rendezvous.h"
@@ -34,6 +35,7 @@
     sum.running += load.running;
     addCounts(sum.streams, load.streams);
     addCounts(sum.shortPromptStreams, load.shortPromptStreams);
+    sum.heldTokens += load.heldTokens;
 }
 
 /// Subtracts down to zero, because the sum is older than the count if datagrams were lost.
@@ -59,6 +61,7 @@
     sum.running -= std::min(sum.running, load.running);
     subtractCounts(sum.streams, load.streams);
     subtractCounts(sum.shortPromptStreams, load.shortPromptStreams);
+    sum.heldTokens -= std::min(sum.heldTokens, load.heldTokens);
 }
 
 EndpointLoad ownLoad(const EndpointState &endpoint)
@@ -66,19 +69,25 @@
     return {.pendingPrefill = endpoint.prompts.pendingPrefill,
         .running = endpoint.running,
         .streams = endpoint.prompts.streams,
-        .shortPromptStreams = endpoint.prompts.shortPromptStreams};
+        .shortPromptStreams = endpoint.prompts.shortPromptStreams,
+        .heldTokens = endpoint.prompts.heldTokens};
 }
 
-void removePeer(Pool &pool, const support::InstanceId &peer)
+/// Removes the load of a peer. Returns what was recorded of it.
+std::map<const EndpointState *, PeerLoad> takePeer(Pool &pool, const support::InstanceId &peer)
 {
+    std::map<const EndpointState *, PeerLoad> result;
     for (auto &[id, endpoint] : pool.endpoints) {
-        endpoint.peers.erase(peer);
+        if (auto node = endpoint.peers.extract(peer)) {
+            result.emplace(&endpoint, std::move(node.mapped()));
+        }
     }
+    return result;
 }
 
 PeerEndpointLoad toPeerEndpointLoad(const support::EndpointId &endpoint, const EndpointLoad &load)
 {
-    PeerEndpointLoad result {.endpoint = endpoint, .running = load.running};
+    PeerEndpointLoad result {.endpoint = endpoint, .running = load.running, .heldTokens = static_cast<std::uint32_t>(load.heldTokens)};
     for (const auto &[tier, tokens] : load.pendingPrefill) {
         result.pendingPrefill.push_back({.tier = tier, .tokens = static_cast<std::uint32_t>(tokens)});
     }
@@ -93,7 +102,7 @@
 
 EndpointLoad fromPeerEndpointLoad(const PeerEndpointLoad &described)
 {
-    EndpointLoad load {.running = described.running};
+    EndpointLoad load {.running = described.running, .heldTokens = described.heldTokens};
     for (const PeerPrefill &prefill : described.pendingPrefill) {
         load.pendingPrefill[prefill.tier] += prefill.tokens;
     }
@@ -147,6 +156,7 @@
 static void addRequest(EndpointLoad &load, const Pool &pool, const EndpointState &endpoint, const PeerRequest &request)
 {
     ++load.running;
+    load.heldTokens += request.heldTokens;
     if (request.pendingPrefillTokens > 0) {
         load.pendingPrefill[request.tier] += request.pendingPrefillTokens;
     }
@@ -161,7 +171,7 @@
 
 void recordPeerRequests(Pool &pool, const PeerReport &report, TimePoint now)
 {
-    removePeer(pool, report.router);
+    const std::map<const EndpointState *, PeerLoad> previous = takePeer(pool, report.router);
     for (const PeerRequest &request : report.requests) {
         const auto found = pool.endpoints.find(request.endpoint);
         if (found == pool.endpoints.end()) {
@@ -171,6 +181,8 @@
         PeerLoad &peer = endpoint.peers[report.router];
         peer.reportedAt = now;
         recordPrefillDuration(pool, request.pendingPrefillTokens / prefillSpeed(pool, endpoint), now);
+        const auto before = previous.find(&endpoint);
+        recordPeerSpeed(pool, endpoint, request, peer, before == previous.end() ? nullptr : &before->second, now);
         addRequest(peer.load, pool, endpoint, request);
         recordPrefix(pool, endpoint, request.prefixHash, request.prefixTokens, now);
     }
@@ -212,6 +224,7 @@
         if (found == pool.endpoints.end()) {
             continue;
         }
+        recordReportedSpeed(pool, found->second, described, received.dataCentre, now);
         PeerLoad peer {.load = fromPeerEndpointLoad(described), .reportedAt = now};
         if (const auto ownLoad = own.find(described.endpoint); ownLoad != own.end()) {
             subtract(peer.load, ownLoad->second);
@@ -243,7 +256,11 @@
             .prefixTokens = request.submission.prefixTokens.value_or(0),
             .pendingPrefillTokens = request.pendingPrefillTokens,
             .tier = request.tier,
-            .interTokenTarget = request.interTokenTarget});
+            .interTokenTarget = request.interTokenTarget,
+            .prefillTokensPerSecond = request.prefillTokensPerSecond,
+            .step = reportedStep(pool, *request.endpoint, pool.now),
+            .incarnationTag = incarnationTag(*request.endpoint),
+            .heldTokens = request.heldTokens});
     }
     return result;
 }
@@ -261,6 +278,7 @@
         }
         if (sum.running > 0) {
             summary.endpoints.push_back(toPeerEndpointLoad(id, sum));
+            summarizeSpeed(pool, endpoint, scope, now, summary.endpoints.back());
         }
     }
     summary.prefixes = newPrefixes(pool, now);
--- a/lib/Policy/Prefill.cpp
+++ b/lib/Policy/Prefill.cpp
@@ -7,9 +7,16 @@
 
 double prefillSpeed(const Pool &pool, const EndpointState &endpoint)
 {
-    const double tokensPerSecond
-        = pool.prefillTokensPerSecond.samples > 0 ? pool.prefillTokensPerSecond.value : pool.options.tuning.placement.defaultPrefillTokensPerSecond;
-    return tokensPerSecond * std::clamp(endpoint.slow.relativeSpeed, pool.options.tuning.placement.minimumRelativeSpeed, 1.0);
+    const PlacementTuning &tuning = pool.options.tuning.placement;
+    const double ofPool = pool.prefillTokensPerSecond.samples > 0 ? pool.prefillTokensPerSecond.value : tuning.defaultPrefillTokensPerSecond;
+    const double byLatency = ofPool * std::clamp(endpoint.slow.relativeSpeed, tuning.minimumRelativeSpeed, 1.0);
+    const double samples = endpoint.speed.samples;
+    if (!tuning.learnsEngineSpeeds || samples == 0.0) {
+        return byLatency;
+    }
+    const double learned = (endpoint.speed.tokensPerSecond * samples + ofPool * tuning.poolSpeedSamples) / (samples + tuning.poolSpeedSamples);
+    // An engine that has just become slow is seen by its streams before its next prefill ends.
+    return endpoint.slow.health == EndpointHealth::Healthy ? learned : std::min(learned, byLatency);
 }
 
 std::uint64_t totalTokens(const TokensByTier &tokens)
--- a/lib/Policy/PromptPlacement.cpp
+++ b/lib/Policy/PromptPlacement.cpp
@@ -2,6 +2,7 @@
 
 #include "mulberrywall/Policy/CandidateOrder.h"
 #include "mulberrywall/Policy/EndpointSelection.h"
+#include "mulberrywall/Policy/EngineSpeed.h"
 #include "mulberrywall/Policy/PeerLoads.h"
 #include "mulberrywall/Policy/Prefill.h"
 #include "mulberrywall/Policy/PromptCache.h"
@@ -250,9 +251,12 @@
         return;
     }
     const double seconds = secondsBetween(request.startedAt, firstTokenAt);
-    if (seconds > 0.0) {
-        observe(pool.prefillTokensPerSecond, (request.prefillTokens + request.prefillTokensAhead) / seconds, now);
+    if (seconds <= 0.0) {
+        return;
     }
+    const double tokensPerSecond = (request.prefillTokens + request.prefillTokensAhead) / seconds;
+    recordOwnPrefillSpeed(pool, *request.endpoint, tokensPerSecond, now);
+    request.prefillTokensPerSecond = static_cast<std::uint32_t>(std::min(tokensPerSecond, 1e9));
 }
 
 } // namespace mulberrywall::policy
--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -3,6 +3,7 @@
 #include "mulberrywall/Policy/CrashQuarantine.h"
 #include "mulberrywall/Policy/EndpointRefusal.h"
 #include "mulberrywall/Policy/EndpointSelection.h"
+#include "mulberrywall/Policy/EngineSpeed.h"
 #include "mulberrywall/Policy/FailureBackoff.h"
 #include "mulberrywall/Policy/FairShare.h"
 #include "mulberrywall/Policy/Hedging.h"
@@ -224,6 +225,7 @@
         EndpointState &endpoint = pool.endpoints[spec.id];
         if (endpoint.spec.incarnation != spec.incarnation) {
             clearCachedPrefixes(endpoint);
+            forgetSpeed(endpoint);
             endpoint.backoff = {};
             endpoint.refusesUntil = {};
             endpoint.loss.reset();
--- a/unittests/Permits/LoadExchangeTest.cpp
+++ b/unittests/Permits/LoadExchangeTest.cpp
@@ -24,7 +24,15 @@
         .echoMs = 900,
         .store = {.freshness = {.configuration = TableFreshness {.version = 8, .lastChangeVersion = 5, .age = milliseconds(70)}}},
         .load = RouterLoadReport {{support::PoolId("p"),
-            {{.endpoint = support::EndpointId("e"), .prefixHash = 7, .prefixTokens = 13'000, .pendingPrefillTokens = 17'000, .tier = 4}}}}};
+            {{.endpoint = support::EndpointId("e"),
+                .prefixHash = 7,
+                .prefixTokens = 13'000,
+                .pendingPrefillTokens = 17'000,
+                .tier = 4,
+                .prefillTokensPerSecond = 62'400,
+                .step = std::chrono::microseconds(6'500),
+                .incarnationTag = 65'535,
+                .heldTokens = 4'000}}}}};
     const auto decoded = decodeLoadDatagram(encode(sent));
     ASSERT_TRUE(decoded.has_value());
     EXPECT_EQ(decoded->instance, sent.instance);
@@ -48,8 +56,13 @@
                     .endpoints = {{.endpoint = support::EndpointId("e"),
                         .pendingPrefill = {{.tier = 0, .tokens = 1'000}, {.tier = 5, .tokens = 16'000}},
                         .running = 2,
-                        .streams = {{.interTokenTarget = milliseconds(500), .streams = 2, .shortPromptStreams = 1}}}},
-                    .prefixes = {{.endpoint = support::EndpointId("e"), .prefixHash = 7, .tokens = 13'000}}}}}}};
+                        .streams = {{.interTokenTarget = milliseconds(500), .streams = 2, .shortPromptStreams = 1}},
+                        .prefillTokensPerSecond = 62'400,
+                        .speedSamples = 12,
+                        .incarnationTag = 3,
+                        .step = std::chrono::microseconds(6'500),
+                        .heldTokens = 9'000}},
+                    .prefixes = {{.endpoint = support::EndpointId("e"), .prefixHash = 7, .tokens = 13'000, .parent = 6}}}}}}};
     const auto decoded = decodeLoadDatagram(encode(sent));
     ASSERT_TRUE(decoded.has_value());
     EXPECT_EQ(decoded->store, sent.store);
