policy: weigh a cached prefix against the wait as one cost

One hash covered the whole shared prefix, so that prompts which share only their first segments saved nothing, and the cache of each engine was taken for 400,000 tokens whatever it has and runs.

A submission now carries the segments of its prefix by the hash of the chain up to each. The model of an engine's cache holds segments, evicts the least recently used first, deeper ones before those that they extend, and shrinks by the tokens that running requests of all routers hold. The memory comes from services[].engine.kvCapacity. Policy/PrefixCost adds up, in one unit, the wait behind pending prefill, the prefill of what is not cached or will be evicted, the wait for memory, and the prices of repeated prefill and of eviction. New segments go to other routers with the running requests and in summaries. Candidates are ordered by the tokens that they have cached. Switch: weighsPrefixCost.

--- a/fuzz/LoadDatagramFuzz.cpp
+++ b/fuzz/LoadDatagramFuzz.cpp
@@ -37,6 +37,10 @@
             addName(pool);
             std::for_each(requests.begin(), requests.end(), [&](const auto &request) { addName(request.endpoint); });
         }
+        for (const auto &[pool, prefixes] : datagram.newPrefixes) {
+            addName(pool);
+            std::for_each(prefixes.begin(), prefixes.end(), [&](const auto &prefix) { addName(prefix.endpoint); });
+        }
         return bytes > largeBytes;
     }
     for (const auto &[pool, summary] : std::get<permits::PeerLoadSummary>(datagram.load).pools) {
--- a/include/mulberrywall/Configuration/Model.h
+++ b/include/mulberrywall/Configuration/Model.h
@@ -110,6 +110,8 @@
     std::size_t queueLimit = 256;
     /// Number of priorities that the pool's engines distinguish, from 1 to 256.
     unsigned enginePriorityLevels = 256;
+    /// Tokens that fit into the memory of each engine of the pool; 0 if unknown.
+    std::uint64_t engineMemoryTokens = 0;
 
     friend bool operator==(const Pool &, const Pool &) = default;
 };
--- a/include/mulberrywall/Permits/LoadDatagram.h
+++ b/include/mulberrywall/Permits/LoadDatagram.h
@@ -17,6 +17,8 @@
 
 /// Running requests of one router, by pool.
 using RouterLoadReport = std::vector<std::pair<support::PoolId, std::vector<policy::PeerRequest>>>;
+/// Prefixes that requests of one router have caused endpoints to cache recently, by pool.
+using PrefixReport = std::vector<std::pair<support::PoolId, std::vector<policy::PeerPrefix>>>;
 /// Evidence about prompt segments on which endpoints crash, by pool.
 using SegmentReport = std::vector<std::pair<support::PoolId, std::vector<policy::SegmentEvidence>>>;
 
@@ -51,6 +53,8 @@
     /// Endpoints of all pools that were found lost recently.
     std::vector<policy::LostEndpoint> lost;
     SegmentReport segments;
+    /// Sent with the running requests; summaries have their own.
+    PrefixReport newPrefixes;
     std::variant<RouterLoadReport, PeerLoadSummary> load;
 };
 
--- a/include/mulberrywall/Permits/OwnedPool.h
+++ b/include/mulberrywall/Permits/OwnedPool.h
@@ -73,6 +73,8 @@
     // Queries
     /// Returns the requests that this router runs in the pool.
     [[nodiscard]] std::vector<policy::PeerRequest> runningRequests() const;
+    /// Returns the prefixes that these requests have caused endpoints to cache recently.
+    [[nodiscard]] std::vector<policy::PeerPrefix> newPrefixes() const;
     /// Returns the combined load of this router and its peers.
     [[nodiscard]] policy::PeerSummary summarizeLoad(policy::SummaryScope scope) const;
     /// Returns the endpoints that were found lost recently, from the given source or a closer one.
--- a/include/mulberrywall/Policy/PolicyFunctions.h
+++ b/include/mulberrywall/Policy/PolicyFunctions.h
@@ -56,6 +56,8 @@
     PoolSummary (*summarize)(const void *pool);
     /// Returns the running requests, to be reported to other routers.
     std::vector<PeerRequest> (*runningRequests)(const void *pool);
+    /// Returns the prefixes that requests of this router have caused endpoints to cache recently.
+    std::vector<PeerPrefix> (*newPrefixes)(const void *pool, TimePoint now);
     /// Returns the combined load of this router and its peers, to be sent to other routers.
     PeerSummary (*summarizeLoad)(const void *pool, SummaryScope scope, TimePoint now);
     /// Returns the endpoints that were found lost recently, from the given source or a closer one.
--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -321,6 +321,8 @@
 {
     PeerPrefix prefix;
     TimePoint recordedAt;
+    /// A request of this router has caused it.
+    bool isOwn = false;
 };
 
 /// State of one pool at its owner.
--- a/include/mulberrywall/Policy/Tuning.h
+++ b/include/mulberrywall/Policy/Tuning.h
@@ -131,8 +131,12 @@
     std::chrono::milliseconds delayOutsideReservedEndpoints {60};
     /// Long prompts are expected for this long after the latest one.
     std::chrono::milliseconds longestPrefillLifetime {10'000};
-    /// Assumed capacity of an engine's prefix cache in tokens.
-    std::uint64_t cacheCapacityTokens = 400'000;
+    /// Counts single segments of a prefix and the memory of the engines in the cost of a placement.
+    bool weighsPrefixCost = true;
+    /// Assumed memory of an engine in tokens if the configuration does not state it.
+    std::uint64_t engineMemoryTokens = 400'000;
+    /// Share of the evicted tokens that will probably be prefilled again.
+    double evictionWeight = 0.2;
     /// New prefixes are reported to peers for this long, in several summaries, because datagrams may be lost.
     std::chrono::milliseconds newPrefixLifetime {400};
     /// Lifetime of a peer's report; peers send several reports within this time.
--- a/include/mulberrywall/Router/CallerRequest.h
+++ b/include/mulberrywall/Router/CallerRequest.h
@@ -45,6 +45,8 @@
     /// Number of tokens in the prompt prefix that `prefixHash` covers; empty if the caller does not
     /// state it.
     std::optional<std::uint32_t> prefixTokens;
+    /// The segments of which this prefix consists, in order; empty if the caller does not state them.
+    std::vector<policy::PrefixSegment> prefixSegments;
     /// Ids of the prompt's segments that other requests may share, in order; empty if the caller does not state them.
     std::vector<std::string> sharedSegments;
     policy::TimePoint deadline = policy::TimePoint::max();
--- a/include/mulberrywall/Router/RouteTable.h
+++ b/include/mulberrywall/Router/RouteTable.h
@@ -47,6 +47,9 @@
 /// last one; 0 if the prompt has fewer than two segments.
 std::uint64_t promptPrefixHash(std::span<const PromptSegment> segments);
 
+/// Returns the segments of that prefix. The hash of the last one is promptPrefixHash.
+std::vector<policy::PrefixSegment> promptPrefixSegments(std::span<const PromptSegment> segments);
+
 /// Returns the ids of these segments, in order.
 std::vector<std::string> sharedSegmentIds(std::span<const PromptSegment> segments);
 
--- a/lib/Permits/LoadDatagram.cpp
+++ b/lib/Permits/LoadDatagram.cpp
@@ -81,10 +81,39 @@
     return result;
 }
 
-void write(load::LoadDatagram::Builder root, const RouterLoadReport &report)
+void write(capnp::List<load::Prefix>::Builder builder, std::span<const policy::PeerPrefix> prefixes)
 {
-    auto pools = root.initRequests(static_cast<unsigned>(report.size()));
-    for (unsigned index = 0; index < pools.size(); ++index) {
+    for (unsigned index = 0; index < builder.size(); ++index) {
+        builder[index].setEndpoint(prefixes[index].endpoint.value());
+        builder[index].setHash(prefixes[index].prefixHash);
+        builder[index].setTokens(prefixes[index].tokens);
+        builder[index].setParent(prefixes[index].parent);
+    }
+}
+
+std::vector<policy::PeerPrefix> read(capnp::List<load::Prefix>::Reader reader)
+{
+    std::vector<policy::PeerPrefix> prefixes;
+    for (const auto prefix : reader) {
+        prefixes.push_back({.endpoint = support::EndpointId(prefix.getEndpoint().cStr()),
+            .prefixHash = prefix.getHash(),
+            .tokens = prefix.getTokens(),
+            .parent = prefix.getParent()});
+    }
+    return prefixes;
+}
+
+/// Writes the requests, and the new prefixes as entries of their own after them.
+void write(load::LoadDatagram::Builder root, const RouterLoadReport &report, const PrefixReport &newPrefixes)
+{
+    const auto requestPools = static_cast<unsigned>(report.size());
+    auto pools = root.initRequests(requestPools + static_cast<unsigned>(newPrefixes.size()));
+    for (unsigned index = 0; index < newPrefixes.size(); ++index) {
+        const auto &[pool, prefixes] = newPrefixes[index];
+        pools[requestPools + index].setPool(pool.value());
+        write(pools[requestPools + index].initPrefixes(static_cast<unsigned>(prefixes.size())), prefixes);
+    }
+    for (unsigned index = 0; index < requestPools; ++index) {
         const auto &[pool, requests] = report[index];
         pools[index].setPool(pool.value());
         auto list = pools[index].initRequests(static_cast<unsigned>(requests.size()));
@@ -104,10 +133,24 @@
     }
 }
 
+PrefixReport readNewPrefixes(capnp::List<load::PoolRequests>::Reader pools)
+{
+    PrefixReport report;
+    for (const auto pool : pools) {
+        if (pool.getPrefixes().size() > 0) {
+            report.emplace_back(support::PoolId(pool.getPool().cStr()), read(pool.getPrefixes()));
+        }
+    }
+    return report;
+}
+
 RouterLoadReport readReport(capnp::List<load::PoolRequests>::Reader pools)
 {
     RouterLoadReport report;
     for (const auto pool : pools) {
+        if (pool.getRequests().size() == 0 && pool.getPrefixes().size() > 0) {
+            continue;
+        }
         std::vector<policy::PeerRequest> requests;
         for (const auto request : pool.getRequests()) {
             requests.push_back({.endpoint = support::EndpointId(request.getEndpoint().cStr()),
@@ -265,13 +308,7 @@
         for (unsigned position = 0; position < endpoints.size(); ++position) {
             write(endpoints[position], load.endpoints[position]);
         }
-        auto prefixes = pools[index].initPrefixes(static_cast<unsigned>(load.prefixes.size()));
-        for (unsigned position = 0; position < prefixes.size(); ++position) {
-            prefixes[position].setEndpoint(load.prefixes[position].endpoint.value());
-            prefixes[position].setHash(load.prefixes[position].prefixHash);
-            prefixes[position].setTokens(load.prefixes[position].tokens);
-            prefixes[position].setParent(load.prefixes[position].parent);
-        }
+        write(pools[index].initPrefixes(static_cast<unsigned>(load.prefixes.size())), load.prefixes);
     }
 }
 
@@ -284,12 +321,7 @@
         for (const auto endpoint : pool.getEndpoints()) {
             load.endpoints.push_back(read(endpoint));
         }
-        for (const auto prefix : pool.getPrefixes()) {
-            load.prefixes.push_back({.endpoint = support::EndpointId(prefix.getEndpoint().cStr()),
-                .prefixHash = prefix.getHash(),
-                .tokens = prefix.getTokens(),
-                .parent = prefix.getParent()});
-        }
+        load.prefixes = read(pool.getPrefixes());
         summary.pools.emplace_back(support::PoolId(pool.getPool().cStr()), std::move(load));
     }
     return summary;
@@ -309,6 +341,7 @@
     switch (root.which()) {
     case load::LoadDatagram::REQUESTS:
         datagram.load = readReport(root.getRequests());
+        datagram.newPrefixes = readNewPrefixes(root.getRequests());
         return datagram;
     case load::LoadDatagram::SUMMARIES:
         datagram.load = readSummary(root);
@@ -373,7 +406,11 @@
     write(root.initEndpointChanges(static_cast<unsigned>(changes.endpoints.size())), changes.endpoints);
     write(root.initLost(static_cast<unsigned>(datagram.lost.size())), datagram.lost);
     write(root.initSegments(static_cast<unsigned>(datagram.segments.size())), datagram.segments);
-    std::visit([&root](const auto &load) { write(root, load); }, datagram.load);
+    if (const auto *report = std::get_if<RouterLoadReport>(&datagram.load)) {
+        write(root, *report, datagram.newPrefixes);
+    } else {
+        write(root, std::get<PeerLoadSummary>(datagram.load));
+    }
     kj::VectorOutputStream stream;
     capnp::writePackedMessage(stream, message);
     const auto bytes = stream.getArray();
--- a/lib/Permits/LoadExchange.cpp
+++ b/lib/Permits/LoadExchange.cpp
@@ -131,6 +131,18 @@
         return result;
     }
 
+    [[nodiscard]] PrefixReport collectNewPrefixes() const
+    {
+        PrefixReport result;
+        for (const auto &[id, pool] : pools_.pools()) {
+            std::vector<policy::PeerPrefix> prefixes = pool->newPrefixes();
+            if (!prefixes.empty()) {
+                result.emplace_back(id, std::move(prefixes));
+            }
+        }
+        return result;
+    }
+
     void sendReportIfDue(const LoadRoutes &routes)
     {
         RouterLoadReport current = collectRunningRequests();
@@ -144,7 +156,8 @@
             sentReports_.pop_front();
         }
         sentReports_.push_back({.sentAtMs = makeStamp(support::BootClock::now()), .report = std::move(current)});
-        const Findings findings = collectFindings(policy::LossSource::Own);
+        Findings findings = collectFindings(policy::LossSource::Own);
+        findings.newPrefixes = collectNewPrefixes();
         for (const membership::Member &peer : routes.reportReceivers) {
             // Aggregators read changes at once; hundreds of routers that passed on the same ones would fill their links.
             const StoreChanges changes = routes.role == LoadRole::Direct ? changesFor(peer, options_.directChangeDelay) : StoreChanges();
@@ -199,6 +212,7 @@
     {
         std::vector<policy::LostEndpoint> lost;
         SegmentReport segments;
+        PrefixReport newPrefixes;
     };
 
     [[nodiscard]] Findings collectFindings(policy::LossSource farthestLoss) const
@@ -227,6 +241,7 @@
             .store = {.freshness = handlers_.storeFreshness(), .changes = changes},
             .lost = findings.lost,
             .segments = findings.segments,
+            .newPrefixes = findings.newPrefixes,
             .load = load};
         std::vector<std::uint8_t> bytes = encode(datagram);
         if (bytes.size() > maxPayloadBytes) {
@@ -271,7 +286,7 @@
         recordLostEndpoints(*datagram);
         recordSegmentEvidence(*datagram);
         if (const auto *report = std::get_if<RouterLoadReport>(&datagram->load)) {
-            recordReport(datagram->instance, *report);
+            recordReport(datagram->instance, *report, datagram->newPrefixes);
             return;
         }
         recordSummary(std::get<PeerLoadSummary>(datagram->load), datagram->echoMs);
@@ -297,10 +312,10 @@
         }
     }
 
-    void recordReport(const support::InstanceId &router, const RouterLoadReport &report)
+    void recordReport(const support::InstanceId &router, const RouterLoadReport &report, const PrefixReport &newPrefixes)
     {
         for (const auto &[id, pool] : pools_.pools()) {
-            pool->recordPeerRequests({.router = router, .requests = requestsIn(&report, id)});
+            pool->recordPeerRequests({.router = router, .requests = requestsIn(&report, id), .prefixes = prefixesIn(newPrefixes, id)});
         }
     }
 
@@ -323,6 +338,12 @@
         return found == report->end() ? std::vector<policy::PeerRequest>() : found->second;
     }
 
+    static std::vector<policy::PeerPrefix> prefixesIn(const PrefixReport &report, const support::PoolId &pool)
+    {
+        const auto found = std::find_if(report.begin(), report.end(), [&pool](const auto &entry) { return entry.first == pool; });
+        return found == report.end() ? std::vector<policy::PeerPrefix>() : found->second;
+    }
+
     /// Returns the latest report that was sent up to the given timestamp of this process, or nullptr.
     [[nodiscard]] const RouterLoadReport *reportSentUpTo(std::uint64_t stamp) const
     {
--- a/lib/Permits/OwnedPool.cpp
+++ b/lib/Permits/OwnedPool.cpp
@@ -283,6 +283,12 @@
     return functions_.runningRequests(pool_.get());
 }
 
+std::vector<policy::PeerPrefix> OwnedPool::newPrefixes() const
+{
+    const std::scoped_lock lock(mutex_);
+    return functions_.newPrefixes(pool_.get(), now());
+}
+
 policy::PoolSummary OwnedPool::summarize() const
 {
     const std::scoped_lock lock(mutex_);
@@ -444,7 +450,8 @@
 
 static policy::PoolOptions makePoolOptions(const configuration::SiteConfiguration &configuration, const configuration::Pool &pool)
 {
-    policy::PoolOptions options {.queueLimit = pool.queueLimit, .enginePriorityLevels = pool.enginePriorityLevels};
+    policy::PoolOptions options {
+        .queueLimit = pool.queueLimit, .enginePriorityLevels = pool.enginePriorityLevels, .engineMemoryTokens = pool.engineMemoryTokens};
     for (const configuration::RequestClass &requestClass : configuration.classes) {
         policy::ClassSpec spec {.id = requestClass.id,
             .tier = requestClass.tier,
--- a/lib/Policy/CandidateOrder.cpp
+++ b/lib/Policy/CandidateOrder.cpp
@@ -27,11 +27,11 @@
 {
     const std::uint64_t seed = orderSeed(pool, submission);
     const bool keepsPrefix = seed == submission.prefixHash;
-    std::vector<std::pair<std::pair<bool, std::uint64_t>, EndpointState *>> order;
+    std::vector<std::pair<std::pair<std::uint32_t, std::uint64_t>, EndpointState *>> order;
     order.reserve(candidates.size());
     for (EndpointState *endpoint : candidates) {
-        const bool isFirst = keepsPrefix && hasCachedPrefix(*endpoint, submission.prefixHash);
-        order.push_back({{!isFirst, rendezvousWeight(seed, endpoint->spec.id)}, endpoint});
+        const std::uint32_t missing = keepsPrefix ? prefillTokensFor(pool, *endpoint, submission, endpoint->prompts.heldTokensOfAll) : 0;
+        order.push_back({{missing, rendezvousWeight(seed, endpoint->spec.id)}, endpoint});
     }
     const std::size_t compared = maximumCompared(pool, candidates.size());
     std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(compared), order.end());
--- a/lib/Policy/PeerLoads.cpp
+++ b/lib/Policy/PeerLoads.cpp
@@ -169,9 +169,21 @@
     }
 }
 
+static void recordPeerPrefixes(Pool &pool, std::span<const PeerPrefix> prefixes, TimePoint now)
+{
+    for (const PeerPrefix &prefix : prefixes) {
+        const auto found = pool.endpoints.find(prefix.endpoint);
+        if (found != pool.endpoints.end()) {
+            recordPeerPrefix(pool, found->second, prefix, now);
+        }
+    }
+}
+
 void recordPeerRequests(Pool &pool, const PeerReport &report, TimePoint now)
 {
     const std::map<const EndpointState *, PeerLoad> previous = takePeer(pool, report.router);
+    // Segments come before the requests, which state only whole prefixes.
+    recordPeerPrefixes(pool, report.prefixes, now);
     for (const PeerRequest &request : report.requests) {
         const auto found = pool.endpoints.find(request.endpoint);
         if (found == pool.endpoints.end()) {
@@ -184,7 +196,7 @@
         const auto before = previous.find(&endpoint);
         recordPeerSpeed(pool, endpoint, request, peer, before == previous.end() ? nullptr : &before->second, now);
         addRequest(peer.load, pool, endpoint, request);
-        recordPrefix(pool, endpoint, request.prefixHash, request.prefixTokens, now);
+        recordPeerPrefix(pool, endpoint, {.endpoint = request.endpoint, .prefixHash = request.prefixHash, .tokens = request.prefixTokens}, now);
     }
 }
 
@@ -234,13 +246,9 @@
         } else {
             found->second.dataCentres[received.dataCentre] = std::move(peer);
         }
+        found->second.prompts.heldTokensOfAll = loadOf(pool, found->second, now).heldTokens;
     }
-    for (const PeerPrefix &prefix : received.summary.prefixes) {
-        const auto found = pool.endpoints.find(prefix.endpoint);
-        if (found != pool.endpoints.end()) {
-            recordPrefix(pool, found->second, prefix.prefixHash, prefix.tokens, now);
-        }
-    }
+    recordPeerPrefixes(pool, received.summary.prefixes, now);
     if (received.summary.longestPrefill.count() > 0) {
         recordPrefillDuration(pool, std::chrono::duration<double>(received.summary.longestPrefill).count(), now);
     }
--- a/lib/Policy/PromptPlacement.cpp
+++ b/lib/Policy/PromptPlacement.cpp
@@ -5,6 +5,7 @@
 #include "mulberrywall/Policy/EngineSpeed.h"
 #include "mulberrywall/Policy/PeerLoads.h"
 #include "mulberrywall/Policy/Prefill.h"
+#include "mulberrywall/Policy/PrefixCost.h"
 #include "mulberrywall/Policy/PromptCache.h"
 
 #include <algorithm>
@@ -87,13 +88,18 @@
 }
 
 /// Returns the penalty, in seconds of delay, for the inter-token targets that the placement makes streams miss.
-double interTokenDelaySeconds(
-    const Pool &pool, const EndpointState &endpoint, const Submission &submission, const EndpointLoad &backlog, bool isReserved, TimePoint now)
+double interTokenDelaySeconds(const Pool &pool,
+    const EndpointState &endpoint,
+    const Submission &submission,
+    const EndpointLoad &backlog,
+    const PrefixCostInputs &inputs,
+    bool isReserved,
+    TimePoint now)
 {
     const PlacementTuning &tuning = pool.options.tuning.placement;
-    const double speed = prefillSpeed(pool, endpoint);
-    const double own = prefillTokensFor(endpoint, submission) / speed;
-    const double waiting = static_cast<double>(totalTokens(backlog.pendingPrefill)) / speed;
+    const double ownTokens = inputs.promptTokens - inputs.cachedTokens;
+    const double own = ownTokens / inputs.tokensPerSecond;
+    const double waiting = static_cast<double>(totalTokens(backlog.pendingPrefill)) / inputs.tokensPerSecond;
     // Streams that miss their targets because of the pending prefill alone are no reason to avoid the endpoint.
     const unsigned missed = streamsMissingTarget(backlog.streams, waiting + own, tuning) - streamsMissingTarget(backlog.streams, waiting, tuning);
     double seconds = missed * std::chrono::duration<double>(tuning.delayPerMissedTarget).count();
@@ -102,57 +108,31 @@
     if (needsReserved && !isReserved) {
         seconds += std::chrono::duration<double>(tuning.delayOutsideReservedEndpoints).count();
     }
-    if (isReserved && isLongPrefill(pool, endpoint, prefillTokensFor(endpoint, submission))) {
+    if (isReserved && isLongPrefill(pool, endpoint, ownTokens)) {
         seconds += std::chrono::duration<double>(tuning.delayAtReservedEndpoint).count();
     }
     return seconds;
 }
 
-/// Returns the penalty, in seconds of delay, for prefilling the request's prefix again on an endpoint that lacks it.
-double repeatedPrefillSeconds(const Pool &pool, const EndpointState &endpoint, const Submission &submission)
-{
-    const PlacementTuning &tuning = pool.options.tuning.placement;
-    const double prefillSeconds = submission.prefixTokens.value_or(0) / prefillSpeed(pool, endpoint);
-    const ClassState *requestClass = findClass(pool, submission.requestClass);
-    if (requestClass == nullptr) {
-        return prefillSeconds;
-    }
-    const double target = std::chrono::duration<double>(requestClass->spec.firstTokenTarget).count();
-    return std::min(tuning.repeatedPrefillWeight * prefillSeconds, tuning.maximumTargetShare * target);
-}
-
 /// What the placement of one request considers besides the endpoints.
 struct PlacementContext
 {
     TimePoint now;
-    /// True if any endpoint has cached the request's prefix.
-    bool isCached = false;
+    /// The most tokens of the request's prefix that any endpoint has cached.
+    std::uint32_t cachedAnywhereTokens = 0;
     std::set<const EndpointState *> reserved;
 };
 
 } // namespace
 
-/// Returns the estimated time until the endpoint sends the first token of the request.
-static double firstTokenSeconds(const Pool &pool, const EndpointState &endpoint, const Submission &submission, const EndpointLoad &backlog)
-{
-    const ClassState *requestClass = findClass(pool, submission.requestClass);
-    const support::Tier tier = requestClass == nullptr ? pool.lowestTier : requestClass->spec.tier;
-    const double ahead = prefillTokensAhead(pool, endpoint, backlog.pendingPrefill, tier);
-    const double prefill = (ahead + prefillTokensFor(endpoint, submission)) / prefillSpeed(pool, endpoint);
-    const double batching = backlog.running * std::chrono::duration<double>(pool.options.tuning.placement.delayPerRunningRequest).count();
-    return prefill + batching;
-}
-
 /// Returns the estimated delay of the first token on the endpoint, with the penalties for what the placement costs others.
 static double placementSeconds(const Pool &pool, const EndpointState &endpoint, const Submission &submission, const PlacementContext &context)
 {
     const EndpointLoad backlog = loadOf(pool, endpoint, context.now);
-    double seconds = firstTokenSeconds(pool, endpoint, submission, backlog)
-        + interTokenDelaySeconds(pool, endpoint, submission, backlog, context.reserved.contains(&endpoint), context.now);
-    if (context.isCached && !hasCachedPrefix(endpoint, submission.prefixHash)) {
-        seconds += repeatedPrefillSeconds(pool, endpoint, submission);
-    }
-    return seconds;
+    PrefixCostInputs inputs = prefixCostInputs(pool, endpoint, submission, backlog, context.now);
+    inputs.cachedAnywhereTokens = context.cachedAnywhereTokens;
+    return prefixCost(inputs, pool.options.tuning.placement).total()
+        + interTokenDelaySeconds(pool, endpoint, submission, backlog, inputs, context.reserved.contains(&endpoint), context.now);
 }
 
 /// Returns the delay up to which an endpoint is chosen without comparing more.
@@ -165,9 +145,7 @@
 
 EndpointState *placePrompt(const Pool &pool, std::span<EndpointState *const> candidates, const Submission &submission, TimePoint now)
 {
-    const bool isCached
-        = std::any_of(pool.endpoints.begin(), pool.endpoints.end(), [&](const auto &entry) { return hasCachedPrefix(entry.second, submission.prefixHash); });
-    const PlacementContext context {.now = now, .isCached = isCached, .reserved = reservedEndpoints(pool, now)};
+    const PlacementContext context {.now = now, .cachedAnywhereTokens = cachedAnywhere(pool, submission), .reserved = reservedEndpoints(pool, now)};
     const std::size_t minimum = minimumCompared(pool, candidates.size());
     EndpointState *best = nullptr;
     double bestSeconds = std::numeric_limits<double>::max();
@@ -186,20 +164,33 @@
     return best;
 }
 
+/// Returns the tokens that the request will hold in the engine's memory besides its prefix.
+static std::uint32_t heldTokensOf(const Pool &pool, const Submission &submission)
+{
+    const LengthTuning &tuning = pool.options.tuning.length;
+    const double output = expectedRemainingTokens(lengthEstimate(pool.lengths, submission, tuning), 0, tuning);
+    const std::uint32_t prefix = std::min(submission.prefixTokens.value_or(0), submission.promptTokens);
+    return submission.promptTokens - prefix + static_cast<std::uint32_t>(output);
+}
+
 void recordPrefillStart(Pool &pool, ActiveRequest &request, TimePoint now)
 {
     EndpointState &endpoint = *request.endpoint;
-    request.prefillTokens = prefillTokensFor(endpoint, request.submission);
     const EndpointLoad backlog = loadOf(pool, endpoint, now);
+    request.prefillTokens = prefillTokensFor(pool, endpoint, request.submission, backlog.heldTokens);
     request.prefillTokensAhead = static_cast<std::uint32_t>(prefillTokensAhead(pool, endpoint, backlog.pendingPrefill, request.tier));
     request.pendingPrefillTokens = request.prefillTokens;
     if (request.pendingPrefillTokens > 0) {
         endpoint.prompts.pendingPrefill[request.tier] += request.pendingPrefillTokens;
     }
-    recordPrefix(pool, endpoint, request.submission.prefixHash, request.submission.prefixTokens.value_or(0), now);
     if (!request.submission.prefixTokens) {
+        recordPrefix(pool, endpoint, request.submission, now);
         return;
     }
+    request.heldTokens = heldTokensOf(pool, request.submission);
+    endpoint.prompts.heldTokens += request.heldTokens;
+    endpoint.prompts.heldTokensOfAll = backlog.heldTokens + request.heldTokens;
+    recordPrefix(pool, endpoint, request.submission, now);
     request.interTokenTarget = interTokenTargetOf(pool, request.submission);
     recordPrefillDuration(pool, request.prefillTokens / prefillSpeed(pool, endpoint), now);
     ++endpoint.prompts.streams[request.interTokenTarget];
@@ -237,6 +228,7 @@
     if (!request.submission.prefixTokens) {
         return;
     }
+    request.endpoint->prompts.heldTokens -= request.heldTokens;
     removeStream(request.endpoint->prompts.streams, request.interTokenTarget);
     if (request.hasShortPrompt) {
         removeStream(request.endpoint->prompts.shortPromptStreams, request.interTokenTarget);
--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -314,6 +314,11 @@
     return runningRequests(asPool(handle));
 }
 
+std::vector<PeerPrefix> listNewPrefixes(const void *handle, TimePoint now)
+{
+    return newOwnPrefixes(asPool(handle), now);
+}
+
 std::optional<TimePoint> nextWakeUp(const void *handle)
 {
     const Pool &pool = asPool(handle);
@@ -408,6 +413,7 @@
     .nextWakeUp = nextWakeUp,
     .summarize = summarize,
     .runningRequests = listRunningRequests,
+    .newPrefixes = listNewPrefixes,
     .summarizeLoad = summarizeLoadForPeers,
     .lostEndpoints = lostEndpoints,
     .segmentEvidence = segmentsToReport,
--- a/lib/Router/CallerSession.cpp
+++ b/lib/Router/CallerSession.cpp
@@ -214,6 +214,7 @@
             .promptTokens = request_->promptTokens,
             .spreadSeed = XXH3_64bits(request_->id.value().data(), request_->id.value().size()),
             .prefixTokens = request_->prefixTokens,
+            .prefixSegments = request_->prefixSegments,
             .segments = segmentFingerprints(*request_),
             .purpose = purpose,
             .excludedEndpoints = excludedEndpoints(purpose),
--- a/lib/Router/RouteTable.cpp
+++ b/lib/Router/RouteTable.cpp
@@ -56,14 +56,20 @@
 
 std::uint64_t promptPrefixHash(std::span<const PromptSegment> segments)
 {
-    if (segments.size() < 2) {
-        return 0;
-    }
+    const std::vector<policy::PrefixSegment> prefix = promptPrefixSegments(segments);
+    return prefix.empty() ? 0 : prefix.back().hash;
+}
+
+std::vector<policy::PrefixSegment> promptPrefixSegments(std::span<const PromptSegment> segments)
+{
+    std::vector<policy::PrefixSegment> result;
     std::uint64_t hash = 0;
     for (const PromptSegment &segment : sharedSegments(segments)) {
         hash = hashOf(segment.id, hash);
+        // The hash 0 stands for no prefix.
+        result.push_back({.hash = hash == 0 ? 1 : hash, .tokens = segment.tokens});
     }
-    return hash == 0 ? 1 : hash;
+    return result;
 }
 
 std::vector<std::string> sharedSegmentIds(std::span<const PromptSegment> segments)
@@ -163,6 +169,7 @@
     result.promptTokens = fields.promptTokens;
     if (pool->kind == configuration::PoolKind::ModelEngine) {
         result.prefixTokens = promptPrefixTokens(fields.promptSegments);
+        result.prefixSegments = promptPrefixSegments(fields.promptSegments);
         result.sharedSegments = sharedSegmentIds(fields.promptSegments);
     }
     result.deadline = deadlineOf(fields, *route, now);
--- a/test/Support/Naive/NaivePolicy.cpp
+++ b/test/Support/Naive/NaivePolicy.cpp
@@ -280,6 +280,11 @@
     return {};
 }
 
+std::vector<PeerPrefix> newPrefixes(const void * /*handle*/, TimePoint /*now*/)
+{
+    return {};
+}
+
 std::vector<PeerRequest> runningRequests(const void * /*handle*/)
 {
     return {};
@@ -336,6 +341,7 @@
     .nextWakeUp = nextWakeUp,
     .summarize = summarize,
     .runningRequests = runningRequests,
+    .newPrefixes = newPrefixes,
     .summarizeLoad = summarizeLoad,
     .lostEndpoints = lostEndpoints,
     .segmentEvidence = segmentEvidence,
--- a/unittests/Adapter/OperatorDocumentTest.cpp
+++ b/unittests/Adapter/OperatorDocumentTest.cpp
@@ -19,7 +19,7 @@
          "service": "s1", "attempts": 2, "resumable": true, "itlTargetMs": 800},
         {"name": "pay", "host": "h.example", "prefix": "/c/", "type": "unsafe", "timeoutMs": 4000, "sloMs": 300, "service": "s2", "public": true},
         {"name": "look", "host": "h.example", "prefix": "/d/", "type": "safe", "timeoutMs": 4000, "sloMs": 300, "service": "s2"}],
-    "services": [{"name": "s1", "engine": {"slots": 64}}, {"name": "s2", "maxConns": 100}],
+    "services": [{"name": "s1", "engine": {"slots": 64, "kvCapacity": 542153}}, {"name": "s2", "maxConns": 100}],
     "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
     "tenants": [{"name": "t1", "apiKeys": ["k1", "k2"], "priority": 0}, {"name": "t2", "apiKeys": []}]})";
 
@@ -52,6 +52,14 @@
     EXPECT_EQ(site.routes[0].timeout, std::chrono::milliseconds(8000));
 }
 
+TEST(OperatorDocument, ReadsTheMemoryOfEngines)
+{
+    const SiteConfiguration site = read();
+    ASSERT_EQ(site.pools.size(), 2U);
+    EXPECT_EQ(site.pools[0].engineMemoryTokens, 542'153U);
+    EXPECT_EQ(site.pools[1].engineMemoryTokens, 0U);
+}
+
 /// Guards against a second run of a stream that is not resumable: the document has no type for unsafe streams.
 TEST(OperatorDocument, OnlySafeRoutesAndResumableStreamsAreIdempotent)
 {
--- a/unittests/Permits/LoadExchangeTest.cpp
+++ b/unittests/Permits/LoadExchangeTest.cpp
@@ -43,6 +43,17 @@
     EXPECT_EQ(decoded->load, sent.load);
 }
 
+/// Guards against new prefixes that are lost, or that are taken for a pool without requests.
+TEST(LoadDatagramCodec, RoundTripsNewPrefixes)
+{
+    const LoadDatagram sent {.newPrefixes = {{support::PoolId("p"), {{.endpoint = support::EndpointId("e"), .prefixHash = 7, .tokens = 5'000, .parent = 6}}}},
+        .load = RouterLoadReport {{support::PoolId("p"), {{.endpoint = support::EndpointId("e"), .prefixHash = 7}}}}};
+    const auto decoded = decodeLoadDatagram(encode(sent));
+    ASSERT_TRUE(decoded.has_value());
+    EXPECT_EQ(decoded->newPrefixes, sent.newPrefixes);
+    EXPECT_EQ(decoded->load, sent.load);
+}
+
 TEST(LoadDatagramCodec, RoundTripsASummary)
 {
     const LoadDatagram sent {.instance = support::InstanceId("router-1"),
--- a/unittests/Router/RouteTableTest.cpp
+++ b/unittests/Router/RouteTableTest.cpp
@@ -106,4 +106,17 @@
     EXPECT_EQ(promptPrefixHash(std::span(first).first(1)), 0U);
 }
 
+/// Guards against segments that are known only as one prefix, so that prompts which share the first of them seem to share none.
+TEST_F(RouteTableTest, StatesEachSegmentOfThePrefix)
+{
+    const std::vector<PromptSegment> first {{.id = "system", .tokens = 800}, {.id = "subject", .tokens = 410}, {.id = "own-1", .tokens = 250}};
+    const std::vector<PromptSegment> other {{.id = "system", .tokens = 800}, {.id = "elsewhere", .tokens = 300}, {.id = "own-1", .tokens = 250}};
+    const std::vector<policy::PrefixSegment> prefix = promptPrefixSegments(first);
+    ASSERT_EQ(prefix.size(), 2U);
+    EXPECT_EQ(prefix.front(), promptPrefixSegments(other).front());
+    EXPECT_NE(prefix.back().hash, promptPrefixSegments(other).back().hash);
+    EXPECT_EQ(prefix.back().hash, promptPrefixHash(first));
+    EXPECT_EQ(prefix.back().tokens, 410U);
+}
+
 } // namespace mulberrywall::router
