policy: reject prompts that cannot start or end in time

Admission compared only the backlog with a share of the longest target: the request's own prefill, the speed, slots and memory of the engines, its output and its deadline did not count.

PrefillAdmission now predicts the earliest first token and end over the compared engines. A prompt is rejected at once, as not run, if its caller leaves before the first token (the longest of 2 s, 4 first-token targets and 8 inter-token targets) or its deadline passes before the end; Retry-After is the excess, spread over the callers. Waiting prompts whose callers leave are rejected too, and a prompt that is granted after its target is less urgent to the engine than those of its tier that can be in time. The slots that the requests of all routers occupy count in placement and prediction. The mean backlog of a large pool is weighted by speed. Switches: rejectsPredictedLate, countsSlotsOfAllRouters.

PrefillAdmissionTest: the five new tests fail with the switches off.

--- a/include/mulberrywall/Policy/PrefixCost.h
+++ b/include/mulberrywall/Policy/PrefixCost.h
@@ -2,6 +2,7 @@
 
 #include "mulberrywall/Policy/Pool.h"
 
+#include <algorithm>
 #include <cstdint>
 
 /// Cost of a prompt on an engine, which weighs a cached prefix against the wait.
@@ -23,7 +24,9 @@
     std::uint32_t cachedAnywhereTokens = 0;
     /// Pending tokens that the engine prefills before those of the prompt.
     double tokensAhead = 0.0;
+    /// Requests that run there, and those that it runs at once; 0 if that is unknown.
     unsigned runningRequests = 0;
+    unsigned slots = 0;
     /// Tokens that fit into the engine's memory; those that running requests hold, with the prefixes in use; all cached ones.
     std::uint64_t memoryTokens = 0;
     std::uint64_t heldTokens = 0;
@@ -41,6 +44,8 @@
     double wait = 0.0;
     double prefill = 0.0;
     double memory = 0.0;
+    /// Wait for a slot.
+    double slot = 0.0;
     /// Price of prefilling what another engine has cached.
     double repetition = 0.0;
     /// Price of evicting cached prefixes.
@@ -49,7 +54,7 @@
     /// Returns the expected time until the first token.
     [[nodiscard]] double firstToken() const
     {
-        return wait + prefill + memory;
+        return wait + prefill + std::max(memory, slot);
     }
     [[nodiscard]] double total() const
     {
--- a/include/mulberrywall/Policy/Tuning.h
+++ b/include/mulberrywall/Policy/Tuning.h
@@ -162,6 +162,15 @@
     double admittedWaitShare = 0.2;
     /// The same for the highest tier, as a share of the request's own target, if that is longer.
     double admittedWaitShareOfHighestTier = 0.8;
+    /// Rejects prompts whose predicted first token or end is later than their callers wait for, and lets those run first that can
+    /// still be in time.
+    bool rejectsPredictedLate = true;
+    /// A caller leaves after a gap of the longest of these: a fixed time, and multiples of the first-token and inter-token targets.
+    std::chrono::milliseconds shortestPatience {2'000};
+    unsigned patienceInFirstTokenTargets = 4;
+    unsigned patienceInInterTokenTargets = 8;
+    /// Counts the wait for a slot of an engine whose slots the requests of all routers occupy.
+    bool countsSlotsOfAllRouters = true;
     /// Shortest time after which a rejected prompt should be sent again; the prefill of one prompt takes about this long.
     std::chrono::milliseconds minimumRetryDelay {300};
     /// Requests with a shorter prefix are not kept on the engines that have cached it.
--- a/lib/Policy/PrefillAdmission.cpp
+++ b/lib/Policy/PrefillAdmission.cpp
@@ -2,12 +2,13 @@
 
 #include "mulberrywall/Policy/CandidateOrder.h"
 #include "mulberrywall/Policy/EndpointSelection.h"
+#include "mulberrywall/Policy/EngineSpeed.h"
+#include "mulberrywall/Policy/LengthEstimate.h"
 #include "mulberrywall/Policy/PeerLoads.h"
-#include "mulberrywall/Policy/Prefill.h"
+#include "mulberrywall/Policy/PrefixCost.h"
 #include "mulberrywall/Policy/RetrySpread.h"
 
 #include <algorithm>
-#include <limits>
 #include <vector>
 
 namespace mulberrywall::policy
@@ -29,25 +30,50 @@
     return result;
 }
 
-/// Returns the time for which the prompt probably waits for the prefill before it: the shortest backlog in a pool that is
-/// compared whole, and the mean of the compared engines in a larger one. Zero if no engine can be used now.
-Seconds expectedBacklog(Pool &pool, const Submission &submission, support::Tier tier, TimePoint now)
+/// What a prompt finds on the engines on which it is compared.
+struct Prediction
+{
+    /// Time for which it probably waits for the prefill before it: the shortest backlog in a pool that is compared whole, and the
+    /// mean of the compared engines, by their speed, in a larger one.
+    Seconds backlog {0.0};
+    /// Earliest first token, and earliest end, of any of the engines.
+    Seconds firstToken {0.0};
+    Seconds end {0.0};
+};
+
+/// Returns the time in which the engine sends the output of a request, if it is known how long that is.
+Seconds outputTime(const Pool &pool, const EndpointState &endpoint, const Submission &submission, TimePoint now)
+{
+    const LengthTuning &tuning = pool.options.tuning.length;
+    const LengthEstimate *estimate = lengthEstimate(pool.lengths, submission, tuning);
+    return estimate == nullptr ? Seconds::zero() : expectedRemainingTokens(estimate, 1, tuning) * stepTime(pool, endpoint, now);
+}
+
+/// Returns the prediction, or std::nullopt if no engine can be used now.
+std::optional<Prediction> predict(Pool &pool, const Submission &submission, TimePoint now)
 {
     const std::vector<EndpointState *> endpoints = usableEndpoints(pool, submission, now);
     if (endpoints.empty()) {
-        return Seconds::zero();
+        return std::nullopt;
     }
     const std::vector<EndpointState *> compared = comparedCandidates(pool, endpoints, submission);
-    double shortest = std::numeric_limits<double>::max();
-    double sum = 0.0;
+    constexpr Seconds unknown = Seconds::max();
+    Prediction result {.backlog = unknown, .firstToken = unknown, .end = unknown};
+    double tokensAhead = 0.0;
+    double tokensPerSecond = 0.0;
     for (const EndpointState *endpoint : compared) {
-        const EndpointLoad load = loadOf(pool, *endpoint, now);
-        const double seconds = prefillTokensAhead(pool, *endpoint, load.pendingPrefill, tier) / prefillSpeed(pool, *endpoint);
-        shortest = std::min(shortest, seconds);
-        sum += seconds;
+        const PrefixCostInputs inputs = prefixCostInputs(pool, *endpoint, submission, loadOf(pool, *endpoint, now), now);
+        const Seconds firstToken(prefixCost(inputs, pool.options.tuning.placement).firstToken());
+        result.backlog = std::min(result.backlog, Seconds(inputs.tokensAhead / inputs.tokensPerSecond));
+        result.firstToken = std::min(result.firstToken, firstToken);
+        result.end = std::min(result.end, firstToken + outputTime(pool, *endpoint, submission, now));
+        tokensAhead += inputs.tokensAhead;
+        tokensPerSecond += inputs.tokensPerSecond;
     }
-    const bool isWholePool = compared.size() == endpoints.size();
-    return Seconds(isWholePool ? shortest : sum / static_cast<double>(compared.size()));
+    if (compared.size() < endpoints.size()) {
+        result.backlog = Seconds(tokensAhead / tokensPerSecond);
+    }
+    return result;
 }
 
 /// Returns the backlog behind which a prompt of the class may wait.
@@ -66,8 +92,39 @@
     return spec.tier == highestTier ? std::max(byTier, tuning.admittedWaitShareOfHighestTier * Seconds(spec.firstTokenTarget)) : byTier;
 }
 
+/// Returns by how much the prediction exceeds what the caller waits for; not positive if it can be met.
+Seconds predictedLateness(const Pool &pool, const ClassSpec &spec, const Submission &submission, const Prediction &prediction, TimePoint now)
+{
+    const PlacementTuning &tuning = pool.options.tuning.placement;
+    if (!tuning.rejectsPredictedLate) {
+        return Seconds::zero();
+    }
+    const Seconds late = prediction.firstToken - Seconds(patience(spec, tuning));
+    if (submission.deadline == TimePoint::max()) {
+        return late;
+    }
+    return std::max(late, prediction.end - Seconds(submission.deadline - now));
+}
+
 } // namespace
 
+std::chrono::milliseconds patience(const ClassSpec &spec, const PlacementTuning &tuning)
+{
+    return std::max(
+        {tuning.shortestPatience, tuning.patienceInFirstTokenTargets * spec.firstTokenTarget, tuning.patienceInInterTokenTargets * spec.interTokenTarget});
+}
+
+bool isTooLateToStart(const Pool &pool, const WaitingRequest &request, TimePoint now)
+{
+    const PlacementTuning &tuning = pool.options.tuning.placement;
+    const ClassState *requestClass = findClass(pool, request.submission.requestClass);
+    const bool isFirst = request.submission.purpose == AttemptPurpose::First && !request.submission.wasQueued;
+    if (!tuning.rejectsPredictedLate || !isFirst || !request.submission.prefixTokens || requestClass == nullptr) {
+        return false;
+    }
+    return now - request.submittedAt > patience(requestClass->spec, tuning);
+}
+
 std::optional<std::chrono::milliseconds> rejectForPrefillBacklog(Pool &pool, const Submission &submission, TimePoint now)
 {
     const ClassState *requestClass = findClass(pool, submission.requestClass);
@@ -78,7 +135,12 @@
     TimePoint &admittedAt = pool.promptAdmittedAt[tier];
     // Every tier is served now and then, however long the backlog of the higher ones is.
     const bool isOverdue = now - admittedAt > requestClass->spec.maximumWait;
-    const Seconds excess = isOverdue ? Seconds::zero() : expectedBacklog(pool, submission, tier, now) - longestAdmittedWait(pool, requestClass->spec);
+    const std::optional<Prediction> prediction = isOverdue ? std::nullopt : predict(pool, submission, now);
+    Seconds excess = Seconds::zero();
+    if (prediction) {
+        const Seconds lateness = predictedLateness(pool, requestClass->spec, submission, *prediction, now);
+        excess = std::max(lateness, prediction->backlog - longestAdmittedWait(pool, requestClass->spec));
+    }
     if (excess > Seconds::zero()) {
         return spreadRetryDelay(std::max(excess, Seconds(pool.options.tuning.placement.minimumRetryDelay)), submission.spreadSeed);
     }
--- a/lib/Policy/PrefixCost.cpp
+++ b/lib/Policy/PrefixCost.cpp
@@ -28,6 +28,15 @@
     return inputs.holdSeconds * std::min(1.0, missing / static_cast<double>(inputs.heldTokens));
 }
 
+/// Returns the time until one of the slots is free, if the running requests end at equal intervals.
+double slotWait(const PrefixCostInputs &inputs)
+{
+    if (inputs.slots == 0 || inputs.runningRequests < inputs.slots) {
+        return 0.0;
+    }
+    return inputs.holdSeconds * (inputs.runningRequests - inputs.slots + 1) / inputs.slots;
+}
+
 double repetitionPrice(const PrefixCostInputs &inputs, const PlacementTuning &tuning)
 {
     const double seconds = difference(inputs.cachedAnywhereTokens, inputs.cachedTokens) / inputs.tokensPerSecond;
@@ -54,6 +63,9 @@
         cost.memory = memoryWait(inputs, needed);
         cost.eviction = evictionPrice(inputs, needed, tuning);
     }
+    if (tuning.countsSlotsOfAllRouters) {
+        cost.slot = slotWait(inputs);
+    }
     return cost;
 }
 
@@ -66,6 +78,7 @@
         .promptTokens = submission.promptTokens,
         .tokensAhead = prefillTokensAhead(pool, endpoint, load.pendingPrefill, tier),
         .runningRequests = load.running,
+        .slots = endpoint.spec.maximumConcurrency,
         .memoryTokens = engineMemory(pool),
         .heldTokens = load.heldTokens,
         .allPrefixTokens = endpoint.prompts.cachedTokens,
--- a/lib/Policy/Scheduling.cpp
+++ b/lib/Policy/Scheduling.cpp
@@ -1,11 +1,18 @@
 #include "mulberrywall/Policy/Scheduling.h"
 
 #include "mulberrywall/Policy/ActiveRequests.h"
+#include "mulberrywall/Policy/Admission.h"
 #include "mulberrywall/Policy/CrashQuarantine.h"
 #include "mulberrywall/Policy/EndpointSelection.h"
 #include "mulberrywall/Policy/FairShare.h"
 #include "mulberrywall/Policy/LongRequests.h"
 #include "mulberrywall/Policy/MinimumShare.h"
+#include "mulberrywall/Policy/PrefillAdmission.h"
+#include "mulberrywall/Policy/RetrySpread.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace mulberrywall::policy
 {
@@ -30,6 +37,32 @@
     }
 }
 
+/// Rejects prompts whose callers leave before the first token, so that others get their slots.
+void rejectTooLate(Pool &pool, TimePoint now, Decisions &decisions)
+{
+    std::vector<std::pair<PermitId, std::uint64_t>> late;
+    for (const auto &[permit, request] : pool.queue.requests) {
+        if (isTooLateToStart(pool, request, now)) {
+            late.emplace_back(permit, request.submission.spreadSeed);
+        }
+    }
+    std::sort(late.begin(), late.end());
+    for (const auto &[permit, spreadSeed] : late) {
+        removeWaiting(pool.queue, permit);
+        const std::chrono::milliseconds retryAfter = spreadRetryDelay(retryDelay(pool, now), spreadSeed);
+        decisions.rejections.push_back({.permit = permit, .reason = RejectionReason::TargetUnreachable, .retryAfter = retryAfter});
+    }
+}
+
+/// Returns the group by which engines order the request: one whose target has passed gives way to those of its tier that can be
+/// in time.
+SchedulingGroup priorityGroup(const Pool &pool, const WaitingRequest &request, TimePoint now)
+{
+    const bool mayGiveWay = request.group == SchedulingGroup::Normal && request.submission.prefixTokens.has_value();
+    const bool isLate = pool.options.tuning.placement.rejectsPredictedLate && now > request.targetAt;
+    return mayGiveWay && isLate ? SchedulingGroup::Long : request.group;
+}
+
 const WaitingRequest *regularCandidate(const Pool &pool, const BlockedRequests &blocked)
 {
     for (const auto &[tier, queue] : pool.queue.tiers) {
@@ -61,7 +94,8 @@
 {
     const PermitId permit = candidate.request->submission.permit;
     WaitingRequest request = *removeWaiting(pool.queue, permit);
-    decisions.grants.push_back({.permit = permit, .endpoint = endpoint.spec.id, .enginePriority = enginePriority(pool, request.tier, request.group)});
+    decisions.grants.push_back(
+        {.permit = permit, .endpoint = endpoint.spec.id, .enginePriority = enginePriority(pool, request.tier, priorityGroup(pool, request, now))});
     const SchedulingGroup group = request.group;
     ActiveRequest &active = startRequest(pool, endpoint, std::move(request), now);
     chargeGrant(pool, active);
@@ -93,6 +127,7 @@
 void schedule(Pool &pool, TimePoint now, Decisions &decisions)
 {
     rejectExpired(pool, now, decisions);
+    rejectTooLate(pool, now, decisions);
     cancelUnusedIsolation(pool, now);
     if (pool.queue.requests.empty()) {
         return;
--- a/unittests/Policy/PrefillAdmissionTest.cpp
+++ b/unittests/Policy/PrefillAdmissionTest.cpp
@@ -172,4 +172,115 @@
     EXPECT_GE(admitted, 3U) << "once in the 10 s of the maximum wait";
 }
 
+/// Guards against engines that prefill for callers who leave before the first token, which a long first-token target or a
+/// highest tier would admit by the backlog alone.
+TEST_F(PrefillAdmissionTest, RejectsWhatStartsAfterItsCallerLeaves)
+{
+    PoolOptions options;
+    ClassSpec urgent = tierClass(0);
+    urgent.firstTokenTarget = milliseconds(500);
+    ClassSpec patient = tierClass(2);
+    patient.firstTokenTarget = milliseconds(60'000);
+    options.classes = {urgent, patient};
+    start(options, {endpointSpec("engine-0", 64)});
+    // 2.5 s of prefill of the highest tier; a caller of that class leaves after 2 s.
+    functions.recordPeerSummary(pool.get(),
+        {.summary = {.endpoints = {{.endpoint = support::EndpointId("engine-0"), .pendingPrefill = {{.tokens = 125'000}}, .running = 8}}}},
+        startTime);
+    // The first prompt of a tier is always admitted.
+    ask(0, milliseconds(0));
+    ask(2, milliseconds(0));
+    EXPECT_EQ(ask(0, milliseconds(1)).rejections.size(), 1U) << "callers of the class leave after 2 s";
+    EXPECT_EQ(ask(2, milliseconds(1)).grants.size(), 1U) << "callers of the class wait for minutes";
+}
+
+/// Guards against prompts that are prefilled although they cannot end by their deadlines.
+TEST_F(PrefillAdmissionTest, RejectsWhatCannotEndByItsDeadline)
+{
+    PoolOptions options;
+    options.classes = {tierClass(0)};
+    options.tuning.length.minimumSamples = 1;
+    start(options, {endpointSpec("engine-0", 64)});
+    Submission first = submissionOf(1'000, "tier0");
+    first.prefixTokens = 0;
+    first.promptTokens = 100;
+    submit(first, milliseconds(0));
+    progress(1'000, 1, milliseconds(10));
+    progress(1'000, 99, milliseconds(990));
+    complete(1'000, milliseconds(1'000), {.outputTokens = 100});
+    for (const auto &[timeLeft, isAdmitted] : {std::pair(milliseconds(700), false), std::pair(milliseconds(2'000), true)}) {
+        Submission submission = first;
+        submission.permit += static_cast<PermitId>(timeLeft.count());
+        submission.deadline = at(milliseconds(1'100) + timeLeft);
+        EXPECT_EQ(submit(submission, milliseconds(1'100)).grants.size(), isAdmitted ? 1U : 0U) << timeLeft.count() << " ms for 100 tokens of 10 ms each";
+    }
+}
+
+/// Guards against an engine that seems idle because the requests of other routers in all of its slots are past their prefill.
+TEST_F(PrefillAdmissionTest, CountsTheSlotsOfAllRouters)
+{
+    PoolOptions options;
+    options.classes = {tierClass(0)};
+    options.classes.front().firstTokenTarget = milliseconds(100);
+    start(options, {endpointSpec("engine-0", 4), endpointSpec("engine-1", 4)});
+    Submission earlier = submissionOf(1'000, "tier0");
+    earlier.prefixTokens = 0;
+    submit(earlier, milliseconds(0));
+    complete(1'000, milliseconds(4'000), {.outputTokens = 10});
+    const auto running = [](const std::string &name, std::uint32_t count) {
+        return PeerEndpointLoad {.endpoint = support::EndpointId(name), .running = count};
+    };
+    functions.recordPeerSummary(pool.get(), {.summary = {.endpoints = {running("engine-0", 4), running("engine-1", 3)}}}, at(milliseconds(4'000)));
+    const Decisions decisions = ask(0, milliseconds(4'000));
+    ASSERT_EQ(decisions.grants.size(), 1U);
+    EXPECT_EQ(decisions.grants.front().endpoint.value(), "engine-1") << "a slot of the other one is free after about a second";
+    functions.recordPeerSummary(pool.get(), {.summary = {.endpoints = {running("engine-0", 7), running("engine-1", 8)}}}, at(milliseconds(4'100)));
+    EXPECT_EQ(ask(0, milliseconds(4'100)).rejections.size(), 1U) << "four slots become free in 4 s, and the caller leaves after 2 s";
+}
+
+/// Guards against prompts that wait in the router until their callers have left, and then take a slot from others.
+TEST_F(PrefillAdmissionTest, RejectsWaitingPromptsWhoseCallersLeave)
+{
+    PoolOptions options {.admission = AdmissionMode::ByQueueLimit};
+    options.classes = {tierClass(0)};
+    options.classes.front().firstTokenTarget = milliseconds(500);
+    start(options, {endpointSpec("engine-0", 1)});
+    Submission running = submissionOf(1'000, "tier0");
+    running.prefixTokens = 0;
+    submit(running, milliseconds(0));
+    Submission waiting = running;
+    waiting.permit = 1'001;
+    submit(waiting, milliseconds(0));
+    Submission recent = running;
+    recent.permit = 1'002;
+    submit(recent, milliseconds(1'500));
+    const Decisions decisions = complete(1'000, milliseconds(2'100), {.outputTokens = 1});
+    ASSERT_EQ(decisions.rejections.size(), 1U);
+    EXPECT_EQ(decisions.rejections.front().permit, 1'001U);
+    EXPECT_GT(decisions.rejections.front().retryAfter, milliseconds(0));
+    ASSERT_EQ(decisions.grants.size(), 1U);
+    EXPECT_EQ(decisions.grants.front().permit, 1'002U);
+}
+
+/// Guards against a prompt that is late already and goes before one of its tier that could be in time, when engines choose.
+TEST_F(PrefillAdmissionTest, LatePromptsAreLessUrgentForTheEngine)
+{
+    PoolOptions options {.admission = AdmissionMode::ByQueueLimit};
+    options.classes = {tierClass(0), tierClass(1)};
+    options.classes.front().firstTokenTarget = milliseconds(500);
+    start(options, {endpointSpec("engine-0", 1)});
+    Submission submission = submissionOf(1'000, "tier0");
+    submission.prefixTokens = 0;
+    const Decisions inTime = submit(submission, milliseconds(0));
+    submission.permit = 1'001;
+    submit(submission, milliseconds(0));
+    const Decisions late = complete(1'000, milliseconds(900), {.outputTokens = 1});
+    ASSERT_EQ(late.grants.size(), 1U);
+    EXPECT_GT(late.grants.front().enginePriority, inTime.grants.front().enginePriority);
+    submission = submissionOf(1'002, "tier1");
+    submission.prefixTokens = 0;
+    submit(submission, milliseconds(900));
+    EXPECT_LT(late.grants.front().enginePriority, complete(1'001, milliseconds(950), {.outputTokens = 1}).grants.at(0).enginePriority);
+}
+
 } // namespace mulberrywall::policy
