policy: gather short streams in large pools and bound the prefill beside them

Such a stream lasts about as long as a report of other routers is old, and streams were spread over all 140 engines, so that long prompts could not avoid them; and the first engine with an acceptable delay was taken although another one would have made no stream miss its target.

In pools that are not compared whole, streams with short prompts come to the reserved engines first, of which there is one for four of them, at least eight. An engine on which a prompt makes a stream miss its target, by that target and the speed of the engine (Policy/StreamProtection), is not taken before all candidates are compared. Both are prices: no engine is closed to any class. Pools that are compared whole are as before. Switch: protectsStreams.

--- a/include/mulberrywall/Policy/CandidateOrder.h
+++ b/include/mulberrywall/Policy/CandidateOrder.h
@@ -17,6 +17,9 @@
 /// Returns the candidates on which the prompt is compared at most, in the order of the comparison.
 std::vector<EndpointState *> comparedCandidates(const Pool &pool, std::span<EndpointState *const> candidates, const Submission &submission);
 
+/// Returns the first candidates in the rendezvous order of the seed; all routers get the same ones.
+std::vector<EndpointState *> firstByRendezvous(std::span<EndpointState *const> candidates, std::uint64_t seed, std::size_t count);
+
 /// Returns the number of candidates to compare at least before an acceptable one is chosen.
 std::size_t minimumCompared(const Pool &pool, std::size_t candidates);
 
--- a/include/mulberrywall/Policy/Tuning.h
+++ b/include/mulberrywall/Policy/Tuning.h
@@ -118,6 +118,15 @@
     /// Penalty for each stream that a placement makes miss its inter-token target. A prompt is rather delayed by up to this
     /// time, or prefilled again on another engine.
     std::chrono::milliseconds delayPerMissedTarget {400};
+    /// Gathers streams with short prompts in large pools, and compares more engines before one is chosen where a stream misses its
+    /// target.
+    bool protectsStreams = true;
+    /// In pools that are not compared whole, streams with short prompts gather on few engines, which are the same for all routers:
+    /// one for this number of such streams, but at least the minimum. Loads of other routers are about as old as such a stream is
+    /// long, so that long prompts can avoid only engines which always have some. These engines are the reserved ones.
+    unsigned streamsPerGatheringEndpoint = 4;
+    std::size_t minimumGatheringEndpoints = 8;
+    std::size_t comparedGatheringEndpoints = 8;
     /// Number of streams with short inter-token targets for which one engine is reserved.
     unsigned streamsPerReservedEndpoint = 12;
     /// Upper limit on the reserved share of the pool, and the minimum pool size for a reservation.
--- a/lib/Policy/CandidateOrder.cpp
+++ b/lib/Policy/CandidateOrder.cpp
@@ -43,6 +43,22 @@
     return result;
 }
 
+std::vector<EndpointState *> firstByRendezvous(std::span<EndpointState *const> candidates, std::uint64_t seed, std::size_t count)
+{
+    std::vector<std::pair<std::uint64_t, EndpointState *>> order;
+    order.reserve(candidates.size());
+    for (EndpointState *endpoint : candidates) {
+        order.emplace_back(rendezvousWeight(seed, endpoint->spec.id), endpoint);
+    }
+    const std::size_t first = std::min(count, order.size());
+    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(first), order.end());
+    std::vector<EndpointState *> result;
+    for (const auto &[weight, endpoint] : std::span(order).first(first)) {
+        result.push_back(endpoint);
+    }
+    return result;
+}
+
 std::size_t minimumCompared(const Pool &pool, std::size_t candidates)
 {
     const PlacementTuning &tuning = pool.options.tuning.placement;
--- a/lib/Policy/PromptPlacement.cpp
+++ b/lib/Policy/PromptPlacement.cpp
@@ -7,8 +7,10 @@
 #include "mulberrywall/Policy/Prefill.h"
 #include "mulberrywall/Policy/PrefixCost.h"
 #include "mulberrywall/Policy/PromptCache.h"
+#include "mulberrywall/Policy/StreamProtection.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <set>
 #include <utility>
@@ -26,18 +28,6 @@
     return requestClass == nullptr ? std::chrono::milliseconds(0) : requestClass->spec.interTokenTarget;
 }
 
-/// Returns the number of streams that would miss their inter-token targets if the engine prefilled for the given time.
-unsigned streamsMissingTarget(const StreamsByInterTokenTarget &streams, double prefillSeconds, const PlacementTuning &tuning)
-{
-    unsigned count = 0;
-    for (const auto &[interTokenTarget, number] : streams) {
-        if (prefillSeconds > tuning.interTokenTargetShare * std::chrono::duration<double>(interTokenTarget).count()) {
-            count += number;
-        }
-    }
-    return count;
-}
-
 /// Returns whether the prefill of recent long prompts could make a stream with the given target miss it.
 bool needsReservedEndpoint(const Pool &pool, std::chrono::milliseconds interTokenTarget, TimePoint now)
 {
@@ -61,6 +51,24 @@
     return count;
 }
 
+/// Returns whether streams with short prompts gather on few engines of the pool.
+bool gathersStreams(const Pool &pool, std::size_t candidates)
+{
+    const PlacementTuning &tuning = pool.options.tuning.placement;
+    return tuning.protectsStreams && candidates > tuning.maximumPoolComparedWhole;
+}
+
+/// Returns the number of engines to reserve for streams with short prompts.
+std::size_t reservedCount(const Pool &pool, std::size_t candidates, TimePoint now)
+{
+    const PlacementTuning &tuning = pool.options.tuning.placement;
+    const auto most = static_cast<std::size_t>(tuning.maximumReservedPoolShare * static_cast<double>(candidates));
+    const std::size_t streams = streamsNeedingReservedEndpoint(pool, now);
+    const std::size_t needed = gathersStreams(pool, candidates) ? std::max(tuning.minimumGatheringEndpoints, 1 + streams / tuning.streamsPerGatheringEndpoint)
+                                                                : 1 + streams / tuning.streamsPerReservedEndpoint;
+    return std::min(needed, most);
+}
+
 /// Selects the engines reserved for streams with short prompts and short inter-token targets; long prompts avoid them.
 ///
 /// All routers rank the engines by the same hash. They reserve nearly the same number of engines, because each counts the
@@ -78,17 +86,23 @@
         return {};
     }
     std::sort(order.begin(), order.end());
-    const auto most = static_cast<std::size_t>(tuning.maximumReservedPoolShare * static_cast<double>(order.size()));
-    const std::size_t needed = 1 + streamsNeedingReservedEndpoint(pool, now) / tuning.streamsPerReservedEndpoint;
     std::set<const EndpointState *> result;
-    for (const auto &[hash, endpoint] : std::span(order).first(std::min(needed, most))) {
+    for (const auto &[hash, endpoint] : std::span(order).first(reservedCount(pool, order.size(), now))) {
         result.insert(endpoint);
     }
     return result;
 }
 
-/// Returns the penalty, in seconds of delay, for the inter-token targets that the placement makes streams miss.
-double interTokenDelaySeconds(const Pool &pool,
+/// Delay of a placement, in seconds.
+struct PlacementDelay
+{
+    double seconds = 0.0;
+    /// Streams miss their inter-token targets because of it.
+    bool interruptsStreams = false;
+};
+
+/// Returns the penalty for the inter-token targets that the placement makes streams miss.
+PlacementDelay interTokenDelay(const Pool &pool,
     const EndpointState &endpoint,
     const Submission &submission,
     const EndpointLoad &backlog,
@@ -98,11 +112,9 @@
 {
     const PlacementTuning &tuning = pool.options.tuning.placement;
     const double ownTokens = inputs.promptTokens - inputs.cachedTokens;
-    const double own = ownTokens / inputs.tokensPerSecond;
-    const double waiting = static_cast<double>(totalTokens(backlog.pendingPrefill)) / inputs.tokensPerSecond;
-    // Streams that miss their targets because of the pending prefill alone are no reason to avoid the endpoint.
-    const unsigned missed = streamsMissingTarget(backlog.streams, waiting + own, tuning) - streamsMissingTarget(backlog.streams, waiting, tuning);
-    double seconds = missed * std::chrono::duration<double>(tuning.delayPerMissedTarget).count();
+    const double pending = static_cast<double>(totalTokens(backlog.pendingPrefill)) / inputs.tokensPerSecond;
+    const unsigned late = streamsMadeLate(backlog.streams, pending, ownTokens / inputs.tokensPerSecond, tuning);
+    double seconds = late * std::chrono::duration<double>(tuning.delayPerMissedTarget).count();
     const bool isShort = !isLongPrefill(pool, endpoint, submission.prefixTokens.value_or(0));
     const bool needsReserved = isShort && needsReservedEndpoint(pool, interTokenTargetOf(pool, submission), now);
     if (needsReserved && !isReserved) {
@@ -111,7 +123,7 @@
     if (isReserved && isLongPrefill(pool, endpoint, ownTokens)) {
         seconds += std::chrono::duration<double>(tuning.delayAtReservedEndpoint).count();
     }
-    return seconds;
+    return {.seconds = seconds, .interruptsStreams = late > 0};
 }
 
 /// What the placement of one request considers besides the endpoints.
@@ -126,21 +138,45 @@
 } // namespace
 
 /// Returns the estimated delay of the first token on the endpoint, with the penalties for what the placement costs others.
-static double placementSeconds(const Pool &pool, const EndpointState &endpoint, const Submission &submission, const PlacementContext &context)
+static PlacementDelay placementDelay(const Pool &pool, const EndpointState &endpoint, const Submission &submission, const PlacementContext &context)
 {
     const EndpointLoad backlog = loadOf(pool, endpoint, context.now);
     PrefixCostInputs inputs = prefixCostInputs(pool, endpoint, submission, backlog, context.now);
     inputs.cachedAnywhereTokens = context.cachedAnywhereTokens;
-    return prefixCost(inputs, pool.options.tuning.placement).total()
-        + interTokenDelaySeconds(pool, endpoint, submission, backlog, inputs, context.reserved.contains(&endpoint), context.now);
+    PlacementDelay delay = interTokenDelay(pool, endpoint, submission, backlog, inputs, context.reserved.contains(&endpoint), context.now);
+    delay.seconds += prefixCost(inputs, pool.options.tuning.placement).total();
+    return delay;
 }
 
-/// Returns the delay up to which an endpoint is chosen without comparing more.
-static double acceptableSeconds(const Pool &pool, const Submission &submission)
+/// Returns whether an endpoint with the delay is chosen without comparing more.
+static bool isAcceptable(const Pool &pool, const Submission &submission, const PlacementDelay &delay)
 {
+    if (pool.options.tuning.placement.protectsStreams && delay.interruptsStreams) {
+        return false;
+    }
     const ClassState *requestClass = findClass(pool, submission.requestClass);
     const auto target = requestClass == nullptr ? std::chrono::milliseconds(0) : requestClass->spec.firstTokenTarget;
-    return pool.options.tuning.placement.acceptableTargetShare * std::chrono::duration<double>(target).count();
+    return delay.seconds <= pool.options.tuning.placement.acceptableTargetShare * std::chrono::duration<double>(target).count();
+}
+
+/// Returns the candidates in the order of the comparison: streams with short prompts come first to reserved engines of a large
+/// pool, in an order that differs from request to request.
+static std::vector<EndpointState *> placementOrder(
+    const Pool &pool, std::span<EndpointState *const> candidates, const Submission &submission, const PlacementContext &context)
+{
+    const PlacementTuning &tuning = pool.options.tuning.placement;
+    std::vector<EndpointState *> compared = comparedCandidates(pool, candidates, submission);
+    const bool hasShortPrompt = submission.prefixTokens.value_or(0) < tuning.minimumPrefixToKeepTokens;
+    const bool gathers = hasShortPrompt && gathersStreams(pool, candidates.size());
+    if (!gathers || !needsReservedEndpoint(pool, interTokenTargetOf(pool, submission), context.now)) {
+        return compared;
+    }
+    std::vector<EndpointState *> reserved;
+    std::copy_if(
+        candidates.begin(), candidates.end(), std::back_inserter(reserved), [&](EndpointState *endpoint) { return context.reserved.contains(endpoint); });
+    std::vector<EndpointState *> order = firstByRendezvous(reserved, submission.spreadSeed, tuning.comparedGatheringEndpoints);
+    order.insert(order.end(), compared.begin(), compared.end());
+    return order;
 }
 
 EndpointState *placePrompt(const Pool &pool, std::span<EndpointState *const> candidates, const Submission &submission, TimePoint now)
@@ -148,17 +184,17 @@
     const PlacementContext context {.now = now, .cachedAnywhereTokens = cachedAnywhere(pool, submission), .reserved = reservedEndpoints(pool, now)};
     const std::size_t minimum = minimumCompared(pool, candidates.size());
     EndpointState *best = nullptr;
-    double bestSeconds = std::numeric_limits<double>::max();
+    PlacementDelay bestDelay {.seconds = std::numeric_limits<double>::max()};
     std::size_t compared = 0;
-    for (EndpointState *endpoint : comparedCandidates(pool, candidates, submission)) {
-        if (compared >= minimum && bestSeconds <= acceptableSeconds(pool, submission)) {
+    for (EndpointState *endpoint : placementOrder(pool, candidates, submission, context)) {
+        if (compared >= minimum && isAcceptable(pool, submission, bestDelay)) {
             break;
         }
         ++compared;
-        const double seconds = placementSeconds(pool, *endpoint, submission, context);
-        if (seconds < bestSeconds) {
+        const PlacementDelay delay = placementDelay(pool, *endpoint, submission, context);
+        if (delay.seconds < bestDelay.seconds) {
             best = endpoint;
-            bestSeconds = seconds;
+            bestDelay = delay;
         }
     }
     return best;
--- a/unittests/Policy/EngineFleet.cpp
+++ b/unittests/Policy/EngineFleet.cpp
@@ -11,6 +11,17 @@
 static constexpr milliseconds reportInterval {200};
 static constexpr milliseconds step {10};
 
+std::vector<PromptClass> promptsOfCustomerF()
+{
+    const auto spec = [](const std::string &name, support::Tier tier, int firstTokenMs, int interTokenMs) {
+        return ClassSpec {
+            .id = support::ClassId(name), .tier = tier, .firstTokenTarget = milliseconds(firstTokenMs), .interTokenTarget = milliseconds(interTokenMs)};
+    };
+    return {{.spec = spec("long", 2, 2'000, 800), .sharedTokens = 13'300, .ownTokens = 3'720, .outputTokens = 30, .requestsPerSecond = 147, .subjects = 700},
+        {.spec = spec("medium", 1, 800, 300), .sharedTokens = 6'300, .ownTokens = 2'890, .outputTokens = 13, .requestsPerSecond = 92, .subjects = 400},
+        {.spec = spec("short", 0, 500, 200), .sharedTokens = 350, .ownTokens = 1'110, .outputTokens = 43, .requestsPerSecond = 77, .subjects = 40}};
+}
+
 static std::uint64_t nextRandom(std::uint64_t &state)
 {
     state ^= state << 13U;
@@ -79,12 +90,24 @@
     }
 }
 
+/// Removes the streams whose targets the prefill has made them miss, each of which counts once.
+void EngineFleet::countInterrupted(Engine &engine, milliseconds now)
+{
+    std::erase_if(engine.streams, [&](const auto &entry) {
+        const ClassSpec &spec = entry.second.requestClass->spec;
+        const bool isInterrupted = now - std::max(engine.busySince, entry.second.firstTokenAt) > spec.interTokenTarget;
+        counts_[spec.id.value()].interrupted += isInterrupted ? 1 : 0;
+        return isInterrupted;
+    });
+}
+
 void EngineFleet::startNext(std::size_t number, milliseconds now)
 {
     Engine &engine = engines_[number];
     if (engine.isBusy || engine.waiting.empty()) {
         return;
     }
+    engine.busySince = now > engine.idleSince ? now : engine.busySince;
     const Prompt prompt = engine.waiting.begin()->second;
     engine.waiting.erase(engine.waiting.begin());
     const bool isCached = !engine.cached.insert(prompt.submission.prefixHash).second;
@@ -94,6 +117,9 @@
     engine.isBusy = true;
     at(firstTokenAt, [this, number, prompt, firstTokenAt] {
         engines_[number].isBusy = false;
+        engines_[number].idleSince = firstTokenAt;
+        countInterrupted(engines_[number], firstTokenAt);
+        engines_[number].streams[prompt.submission.permit] = {.firstTokenAt = firstTokenAt, .requestClass = prompt.requestClass};
         PromptCounts &counts = counts_[prompt.requestClass->spec.id.value()];
         ++counts.started;
         counts.late += firstTokenAt - prompt.askedAt > prompt.requestClass->spec.firstTokenTarget ? 1 : 0;
@@ -101,7 +127,8 @@
             functions_.recordProgress(routers_[prompt.router].get(), prompt.submission.permit, {.outputTokens = 1}, policy::at(firstTokenAt)),
             firstTokenAt);
         const milliseconds endAt = firstTokenAt + step * prompt.requestClass->outputTokens;
-        at(endAt, [this, prompt, endAt] {
+        at(endAt, [this, number, prompt, endAt] {
+            engines_[number].streams.erase(prompt.submission.permit);
             const Completion completion {.outputTokens = prompt.requestClass->outputTokens};
             handle(prompt.router, functions_.complete(routers_[prompt.router].get(), prompt.submission.permit, completion, policy::at(endAt)), endAt);
         });
--- a/unittests/Policy/EngineFleet.h
+++ b/unittests/Policy/EngineFleet.h
@@ -24,6 +24,9 @@
     unsigned subjects = 1;
 };
 
+/// Returns the classes of prompts of customer F in the work plan.
+std::vector<PromptClass> promptsOfCustomerF();
+
 /// What became of the requests of one class.
 struct PromptCounts
 {
@@ -31,6 +34,8 @@
     unsigned rejected = 0;
     unsigned started = 0;
     unsigned late = 0;
+    /// Streams that an engine's prefill interrupted for longer than the inter-token target.
+    unsigned interrupted = 0;
 };
 
 /// Engines that prefill one prompt after another, by urgency, at speeds of their own, and routers that place prompts on them by
@@ -61,6 +66,11 @@
         Submission submission;
         std::chrono::milliseconds askedAt {0};
     };
+    struct Stream
+    {
+        std::chrono::milliseconds firstTokenAt {0};
+        const PromptClass *requestClass = nullptr;
+    };
     struct Engine
     {
         double tokensPerMs = 0.0;
@@ -68,10 +78,15 @@
         std::set<std::uint64_t> cached;
         std::multimap<support::Tier, Prompt> waiting;
         bool isBusy = false;
+        /// Start of the prefill that the engine does without a pause.
+        std::chrono::milliseconds busySince {0};
+        std::chrono::milliseconds idleSince {-1};
+        std::map<PermitId, Stream> streams;
     };
 
     void ask(std::chrono::milliseconds now);
     void handle(unsigned router, const Decisions &decisions, std::chrono::milliseconds now);
+    void countInterrupted(Engine &engine, std::chrono::milliseconds now);
     void startNext(std::size_t engine, std::chrono::milliseconds now);
     void exchangeReports(std::chrono::milliseconds now);
     void at(std::chrono::milliseconds time, std::function<void()> action);
--- a/unittests/Policy/UnevenEnginesTest.cpp
+++ b/unittests/Policy/UnevenEnginesTest.cpp
@@ -11,18 +11,6 @@
 
 using std::chrono::milliseconds;
 
-/// The prompts of customer F in the work plan.
-static std::vector<PromptClass> promptsOfCustomerF()
-{
-    const auto spec = [](const std::string &name, support::Tier tier, int firstTokenMs, int interTokenMs) {
-        return ClassSpec {
-            .id = support::ClassId(name), .tier = tier, .firstTokenTarget = milliseconds(firstTokenMs), .interTokenTarget = milliseconds(interTokenMs)};
-    };
-    return {{.spec = spec("long", 2, 2'000, 800), .sharedTokens = 13'300, .ownTokens = 3'720, .outputTokens = 30, .requestsPerSecond = 147, .subjects = 700},
-        {.spec = spec("medium", 1, 800, 300), .sharedTokens = 6'300, .ownTokens = 2'890, .outputTokens = 13, .requestsPerSecond = 92, .subjects = 400},
-        {.spec = spec("short", 0, 500, 200), .sharedTokens = 350, .ownTokens = 1'110, .outputTokens = 43, .requestsPerSecond = 77, .subjects = 40}};
-}
-
 class UnevenEnginesTest : public PolicyFixture
 {
 protected:
