http: write no request to a connection that is known to be dead

The sessions answer 503 wherever the verdict is NotRun; these requests were written to pooled connections whose endpoint was gone or cut off, from which moment they count as possibly run.

A pooled connection is checked again immediately before the write and replaced if the peer has closed it: on a tenth of a core the write may come long after the connection was taken. When a peer acknowledges nothing or does not answer a connection request, its other idle connections are closed, so that the next requests fail while connecting and are retried elsewhere or answered with 503. A request whose bytes went into a cut link still gets 502 or 504, because nothing proves that it was not read.

PooledCallTest: the first test fails without the check.

--- a/include/mulberrywall/Http/ConnectionPool.h
+++ b/include/mulberrywall/Http/ConnectionPool.h
@@ -37,6 +37,9 @@
     /// Adds an idle connection. If the peer sent no Keep-Alive timeout, the connection is kept for the default idle time.
     void put(const boost::asio::ip::tcp::endpoint &peer, boost::asio::ip::tcp::socket socket, std::optional<std::chrono::seconds> keepAliveTimeout);
 
+    /// Closes the idle connections to a peer that has turned out to be unreachable.
+    void discard(const boost::asio::ip::tcp::endpoint &peer);
+
 private:
     struct IdleConnection
     {
@@ -51,4 +54,8 @@
     std::map<boost::asio::ip::tcp::endpoint, std::vector<IdleConnection>> idle_;
 };
 
+/// Returns true if the peer has neither closed the connection nor sent data on it. Data on an idle connection belongs to
+/// no request: the peer has sent more than one response, or an error before closing.
+bool isIdleAndOpen(boost::asio::ip::tcp::socket &socket);
+
 } // namespace mulberrywall::http
--- a/lib/Http/ClientCall.cpp
+++ b/lib/Http/ClientCall.cpp
@@ -93,8 +93,7 @@
             asio::post(stream_.get_executor(), [self = shared_from_this()] { self->onConnect({}); });
             return;
         }
-        stream_.expires_after(options_.connectTimeout);
-        stream_.async_connect(options_.peer, [self = shared_from_this()](const error_code &error) { self->onConnect(error); });
+        openConnection();
     }
 
     void readMore() override
@@ -147,6 +146,12 @@
     }
 
 private:
+    void openConnection()
+    {
+        stream_.expires_after(options_.connectTimeout);
+        stream_.async_connect(options_.peer, [self = shared_from_this()](const error_code &error) { self->onConnect(error); });
+    }
+
     void resetParser()
     {
         parser_.emplace();
@@ -165,6 +170,14 @@
             end(error);
             return;
         }
+        // On a busy machine the peer may have closed the connection since it was taken from the pool. Nothing is written to it then,
+        // because the request would have to count as possibly run.
+        if (reused_ && !isIdleAndOpen(stream_.socket())) {
+            reused_ = false;
+            stream_.close();
+            openConnection();
+            return;
+        }
         stage_ = ClientCallStage::NothingWritten;
         error_code ignored;
         if (!reused_) {
@@ -269,11 +282,22 @@
     {
         assert(!ended_ && "a call ends once");
         ended_ = true;
+        if (options_.pool && isUnreachable(error)) {
+            options_.pool->discard(options_.peer);
+        }
         recycleOrClose();
         const ClientCallHandlers handlers = std::exchange(handlers_, {});
         handlers.onEnd({.error = error, .stage = stage_});
     }
 
+    /// Returns whether the peer acknowledges nothing, so that requests on other connections to it would be lost as well. A request
+    /// that cannot connect certainly has not run.
+    [[nodiscard]] bool isUnreachable(const error_code &error) const
+    {
+        const bool isConnectTimeout = stage_ == ClientCallStage::Connecting && error == beast::error::timeout;
+        return isConnectTimeout || error == asio::error::timed_out || error == asio::error::host_unreachable || error == asio::error::network_unreachable;
+    }
+
     /// Returns the connection to the pool if it can be reused, and closes it otherwise. Bytes that follow the response
     /// belong to no request, so that a connection with such bytes must not be reused.
     void recycleOrClose()
--- a/lib/Http/ConnectionPool.cpp
+++ b/lib/Http/ConnectionPool.cpp
@@ -18,9 +18,7 @@
 {
 }
 
-/// Returns true if the peer has neither closed the connection nor sent data on it. Data on an idle connection belongs to
-/// no request: the peer has sent more than one response, or an error before closing.
-static bool isIdleAndOpen(tcp::socket &socket)
+bool isIdleAndOpen(tcp::socket &socket)
 {
     std::array<char, 1> byte {};
     error_code error;
@@ -88,6 +86,12 @@
     connections.push_back({.socket = std::move(socket), .usableUntil = std::chrono::steady_clock::now() + idleTime});
 }
 
+void ConnectionPool::discard(const tcp::endpoint &peer)
+{
+    const std::scoped_lock lock(mutex_);
+    idle_.erase(peer);
+}
+
 void ConnectionPool::closeExpired()
 {
     const auto now = std::chrono::steady_clock::now();
--- a/unittests/Http/ClientCallTest.cpp
+++ b/unittests/Http/ClientCallTest.cpp
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <future>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -84,6 +85,92 @@
     support::WorkerPool pool_ {2};
 };
 
+/// Calls on one thread that share a pool of connections.
+class PooledCallTest : public testing::Test
+{
+protected:
+    static constexpr std::string_view response = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+    /// Starts a call; its result is stored when it ends.
+    std::shared_ptr<ClientCall> start(std::optional<ClientCallResult> &result)
+    {
+        const ClientCallOptions options {.peer = acceptor_.local_endpoint(), .connectTimeout = std::chrono::milliseconds(100), .pool = connections_};
+        return ClientCall::start(context_.get_executor(), options, Request(Verb::post, "/", 11), {.onEnd = [&result](const ClientCallResult &ended) {
+            result = ended;
+        }});
+    }
+
+    /// Runs the client until the call has sent its request, and answers it.
+    void answer(tcp::socket &socket, const std::optional<ClientCallResult> &result)
+    {
+        std::string request;
+        while (request.find("\r\n\r\n") == std::string::npos) {
+            context_.poll();
+            context_.restart();
+            if (socket.available() > 0) {
+                asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
+            }
+        }
+        asio::write(socket, asio::buffer(response));
+        while (!result) {
+            context_.run_one();
+        }
+    }
+
+    asio::io_context context_;
+    tcp::acceptor acceptor_ {context_, {asio::ip::address_v4::loopback(), 0}};
+    std::shared_ptr<ConnectionPool> connections_ = std::make_shared<ConnectionPool>();
+};
+
+// Guards against a request that counts as possibly run because it was written to a connection that the endpoint had closed after it
+// was taken from the pool.
+TEST_F(PooledCallTest, WritesNothingToAConnectionThatWasClosedMeanwhile)
+{
+    std::optional<ClientCallResult> first;
+    const auto firstCall = start(first);
+    tcp::socket socket = acceptor_.accept();
+    answer(socket, first);
+    ASSERT_EQ(first->stage, ClientCallStage::ResponseComplete);
+
+    std::optional<ClientCallResult> second;
+    const auto secondCall = start(second);
+    ASSERT_TRUE(secondCall->isReused());
+    socket.close();
+    while (secondCall->isReused() && !second) {
+        context_.run_one();
+    }
+    ASSERT_FALSE(second.has_value());
+    tcp::socket reconnected = acceptor_.accept();
+    answer(reconnected, second);
+    EXPECT_FALSE(second->error) << second->error.message();
+    EXPECT_EQ(second->stage, ClientCallStage::ResponseComplete);
+}
+
+// Guards against requests that are lost one after another on idle connections to an endpoint that is known to be unreachable.
+TEST_F(PooledCallTest, DiscardsIdleConnectionsToAnUnreachablePeer)
+{
+    std::optional<ClientCallResult> first;
+    const auto firstCall = start(first);
+    tcp::socket socket = acceptor_.accept();
+    answer(socket, first);
+    std::optional<ClientCallResult> second;
+    const auto secondCall = start(second);
+    ASSERT_TRUE(secondCall->isReused());
+    // With its queue full the endpoint answers no further connection request.
+    acceptor_.listen(0);
+    tcp::socket queued(context_);
+    queued.connect(acceptor_.local_endpoint());
+    std::optional<ClientCallResult> third;
+    const auto thirdCall = start(third);
+    answer(socket, second);
+    while (!third) {
+        context_.run_one();
+    }
+    EXPECT_EQ(third->stage, ClientCallStage::Connecting);
+    std::optional<ClientCallResult> fourth;
+    EXPECT_FALSE(start(fourth)->isReused());
+}
+
 // Guards against a call that waits for a body because the response to HEAD contains its length.
 TEST_F(ClientCallTest, ReadsResponseToHead)
 {
--- a/unittests/Policy/PrefixCostTest.cpp
+++ b/unittests/Policy/PrefixCostTest.cpp
@@ -47,7 +47,7 @@
     /// Runs the request to its end. Returns its endpoint.
     std::string run(const Submission &submission, milliseconds time)
     {
-        const std::string endpoint = place(submission, time);
+        std::string endpoint = place(submission, time);
         progress(submission.permit, 1, time + milliseconds(1 + submission.promptTokens / 50));
         complete(submission.permit, time + milliseconds(2 + submission.promptTokens / 50), {.outputTokens = 1});
         return endpoint;
