policy: share what a tier is admitted among its organisations

Under overload a prompt was rejected by the backlog alone. An organisation at eight times its usual rate fills the backlog that all organisations of its tier share, and the others were rejected as often as it.

Policy/DemandShare keeps, for each tier, what organisations ask for and are admitted over some seconds. What is admitted is divided by weight, and what an organisation does not ask for is left to the others; one that asks for more may wait behind less backlog. Each router sees a random part of all requests, so that its own requests show the shares. Without rejections, and between organisations that ask for the same, nothing changes. Switch: sharesAdmission.

An earlier form that compared recent with usual shares had no effect, because eight-fold demand becomes usual within seconds of a cold start.

--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -229,6 +229,18 @@
     double current = 0.0;
 };
 
+/// Prompt tokens for which an organisation asks, and those that are admitted, as sums that decay with
+/// PlacementTuning::demandAveraging.
+struct PromptDemand
+{
+    double askedTokens = 0.0;
+    double admittedTokens = 0.0;
+    TimePoint updatedAt;
+};
+
+/// Demand by organisation within a tier.
+using DemandByOrganisation = std::map<support::OrganisationId, PromptDemand>;
+
 /// Use of a tier's minimum share.
 struct MinimumShareUse
 {
@@ -354,6 +366,7 @@
     LongestPrefill longestPrefill;
     /// Time of the latest prompt of each tier that was admitted.
     std::map<support::Tier, TimePoint> promptAdmittedAt;
+    std::map<support::Tier, DemandByOrganisation> promptDemand;
     /// Oldest first; entries past PlacementTuning::newPrefixLifetime are dropped.
     std::deque<NewPrefix> newPrefixes;
     /// Time from grant to completion over all classes.
--- a/include/mulberrywall/Policy/Tuning.h
+++ b/include/mulberrywall/Policy/Tuning.h
@@ -174,6 +174,10 @@
     /// Rejects prompts whose predicted first token or end is later than their callers wait for, and lets those run first that can
     /// still be in time.
     bool rejectsPredictedLate = true;
+    /// Lets an organisation wait behind less backlog by as much as its prompts exceed its fair share of what its tier is admitted.
+    bool sharesAdmission = true;
+    /// Time constant of what organisations ask for and are admitted.
+    std::chrono::milliseconds demandAveraging {3'000};
     /// A caller leaves after a gap of the longest of these: a fixed time, and multiples of the first-token and inter-token targets.
     std::chrono::milliseconds shortestPatience {2'000};
     unsigned patienceInFirstTokenTargets = 4;
--- a/lib/Policy/PrefillAdmission.cpp
+++ b/lib/Policy/PrefillAdmission.cpp
@@ -1,6 +1,7 @@
 #include "mulberrywall/Policy/PrefillAdmission.h"
 
 #include "mulberrywall/Policy/CandidateOrder.h"
+#include "mulberrywall/Policy/DemandShare.h"
 #include "mulberrywall/Policy/EndpointSelection.h"
 #include "mulberrywall/Policy/EngineSpeed.h"
 #include "mulberrywall/Policy/LengthEstimate.h"
@@ -139,12 +140,15 @@
     Seconds excess = Seconds::zero();
     if (prediction) {
         const Seconds lateness = predictedLateness(pool, requestClass->spec, submission, *prediction, now);
-        excess = std::max(lateness, prediction->backlog - longestAdmittedWait(pool, requestClass->spec));
+        const Seconds admittedWait = waitShare(pool, submission.organisation, tier, now) * longestAdmittedWait(pool, requestClass->spec);
+        excess = std::max(lateness, prediction->backlog - admittedWait);
     }
     if (excess > Seconds::zero()) {
+        recordDemand(pool, submission, tier, PromptAnswer::Rejected, now);
         return spreadRetryDelay(std::max(excess, Seconds(pool.options.tuning.placement.minimumRetryDelay)), submission.spreadSeed);
     }
     admittedAt = now;
+    recordDemand(pool, submission, tier, PromptAnswer::Admitted, now);
     return std::nullopt;
 }
 
--- a/unittests/Policy/PrefillAdmissionTest.cpp
+++ b/unittests/Policy/PrefillAdmissionTest.cpp
@@ -38,6 +38,7 @@
     Decisions ask(support::Tier tier, milliseconds time)
     {
         Submission submission = submissionOf(nextPermit_++, "tier" + std::to_string(tier));
+        submission.organisation = support::OrganisationId(organisation_);
         submission.prefixHash = submission.permit;
         submission.prefixTokens = 13'000;
         submission.promptTokens = 17'000;
@@ -72,6 +73,7 @@
     }
 
     PermitId nextPermit_ = 1;
+    std::string organisation_ = "org";
     std::map<std::string, milliseconds> freeAt_;
     std::multimap<milliseconds, Prefill> prefills_;
     std::map<support::Tier, Counts> counts_;
@@ -95,6 +97,32 @@
     EXPECT_GT(admitted, 0.9 * 20.0 * 4 / 0.34) << "the engines are kept busy";
 }
 
+/// Guards against an organisation at eight times its rate that crowds out the others of its tier. Ten organisations ask for 0.9 of
+/// what the engines prefill, and then one of them for eight times as much: 1.5 times what the engines prefill in all.
+TEST_F(PrefillAdmissionTest, OneOrganisationDoesNotCrowdOutTheOthers)
+{
+    startEngines(8);
+    Counts bursting;
+    Counts others;
+    unsigned index = 0;
+    const milliseconds burstStart {10'000};
+    for (milliseconds time {0}; time < milliseconds(30'000); time += milliseconds(time < burstStart ? 47 : 28)) {
+        finishUntil(time);
+        ++index;
+        const unsigned requests = time < burstStart ? 10 : 17;
+        const bool isOfFirst = index * 7 % requests < requests - 9;
+        organisation_ = isOfFirst ? "first" : "other-" + std::to_string(index % 9);
+        const Decisions decisions = ask(2, time);
+        if (time >= burstStart) {
+            Counts &counts = isOfFirst ? bursting : others;
+            ++counts.asked;
+            counts.rejected += static_cast<unsigned>(decisions.rejections.size());
+        }
+    }
+    EXPECT_LE(others.rejected, others.asked / 10);
+    EXPECT_GE(bursting.asked - bursting.rejected, others.asked / 9) << "it still gets what each other one asks for";
+}
+
 /// Guards against streams that end too late on hundreds of engines that prefill without a pause, because a few idle engines make
 /// the overload invisible.
 TEST_F(PrefillAdmissionTest, FewIdleEnginesDoNotHideTheOverload)
