--- a/include/mulberrywall/Policy/Tuning.h
+++ b/include/mulberrywall/Policy/Tuning.h
@@ -118,6 +118,15 @@
     /// Penalty for each stream that a placement makes miss its inter-token target. A prompt is rather delayed by up to this
     /// time, or prefilled again on another engine.
     std::chrono::milliseconds delayPerMissedTarget {400};
+    /// Gathers streams with short prompts in large pools, and compares more engines before one is chosen where a stream misses its
+    /// target.
+    bool protectsStreams = true;
+    /// In pools that are not compared whole, streams with short prompts gather on few engines, which are the same for all routers:
+    /// one for this number of such streams, but at least the minimum. Loads of other routers are about as old as such a stream is
+    /// long, so that long prompts can avoid only engines which always have some. These engines are the reserved ones.
+    unsigned streamsPerGatheringEndpoint = 4;
+    std::size_t minimumGatheringEndpoints = 8;
+    std::size_t comparedGatheringEndpoints = 8;
     /// Number of streams with short inter-token targets for which one engine is reserved.
     unsigned streamsPerReservedEndpoint = 12;
     /// Upper limit on the reserved share of the pool, and the minimum pool size for a reservation.
@@ -131,13 +140,25 @@
     std::chrono::milliseconds delayOutsideReservedEndpoints {60};
     /// Long prompts are expected for this long after the latest one.
     std::chrono::milliseconds longestPrefillLifetime {10'000};
-    /// Assumed capacity of an engine's prefix cache in tokens.
-    std::uint64_t cacheCapacityTokens = 400'000;
+    /// Counts single segments of a prefix and the memory of the engines in the cost of a placement.
+    bool weighsPrefixCost = true;
+    /// Assumed memory of an engine in tokens if the configuration does not state it.
+    std::uint64_t engineMemoryTokens = 400'000;
+    /// Share of the evicted tokens that will probably be prefilled again.
+    double evictionWeight = 0.2;
     /// New prefixes are reported to peers for this long, in several summaries, because datagrams may be lost.
     std::chrono::milliseconds newPrefixLifetime {400};
     /// Lifetime of a peer's report; peers send several reports within this time.
     std::chrono::milliseconds peerLifetime {1'500};
     double minimumRelativeSpeed = 0.1;
+    /// Uses the measured prefill speed of each engine instead of that of the pool.
+    bool learnsEngineSpeeds = true;
+    /// Samples for which the speed of the pool counts in that of an engine.
+    double poolSpeedSamples = 1.0;
+    /// Samples beyond this factor of the speed of the pool, either way, are due to a wrong view of the engine's cache or backlog.
+    double maximumSpeedFactor = 4.0;
+    /// Samples of other data centres count up to this number, so that the combined speed follows changes.
+    std::uint32_t maximumReportedSamples = 30;
     /// Pools up to this size are compared whole: so few routers share them that their loads are known.
     std::size_t maximumPoolComparedWhole = 24;
     /// In larger pools a prompt is compared on at least and at most this number of engines.
@@ -150,6 +171,19 @@
     double admittedWaitShare = 0.2;
     /// The same for the highest tier, as a share of the request's own target, if that is longer.
     double admittedWaitShareOfHighestTier = 0.8;
+    /// Rejects prompts whose predicted first token or end is later than their callers wait for, and lets those run first that can
+    /// still be in time.
+    bool rejectsPredictedLate = true;
+    /// Lets an organisation wait behind less backlog by as much as its prompts exceed its fair share of what its tier is admitted.
+    bool sharesAdmission = true;
+    /// Time constant of what organisations ask for and are admitted.
+    std::chrono::milliseconds demandAveraging {3'000};
+    /// A caller leaves after a gap of the longest of these: a fixed time, and multiples of the first-token and inter-token targets.
+    std::chrono::milliseconds shortestPatience {2'000};
+    unsigned patienceInFirstTokenTargets = 4;
+    unsigned patienceInInterTokenTargets = 8;
+    /// Counts the wait for a slot of an engine whose slots the requests of all routers occupy.
+    bool countsSlotsOfAllRouters = true;
     /// Shortest time after which a rejected prompt should be sent again; the prefill of one prompt takes about this long.
     std::chrono::milliseconds minimumRetryDelay {300};
     /// Requests with a shorter prefix are not kept on the engines that have cached it.
--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -3,6 +3,7 @@
 #include "mulberrywall/Policy/CrashQuarantine.h"
 #include "mulberrywall/Policy/EndpointRefusal.h"
 #include "mulberrywall/Policy/EndpointSelection.h"
+#include "mulberrywall/Policy/EngineSpeed.h"
 #include "mulberrywall/Policy/FailureBackoff.h"
 #include "mulberrywall/Policy/FairShare.h"
 #include "mulberrywall/Policy/Hedging.h"
@@ -224,6 +225,7 @@
         EndpointState &endpoint = pool.endpoints[spec.id];
         if (endpoint.spec.incarnation != spec.incarnation) {
             clearCachedPrefixes(endpoint);
+            forgetSpeed(endpoint);
             endpoint.backoff = {};
             endpoint.refusesUntil = {};
             endpoint.loss.reset();
@@ -312,6 +314,11 @@
     return runningRequests(asPool(handle));
 }
 
+std::vector<PeerPrefix> listNewPrefixes(const void *handle, TimePoint now)
+{
+    return newOwnPrefixes(asPool(handle), now);
+}
+
 std::optional<TimePoint> nextWakeUp(const void *handle)
 {
     const Pool &pool = asPool(handle);
@@ -406,6 +413,7 @@
     .nextWakeUp = nextWakeUp,
     .summarize = summarize,
     .runningRequests = listRunningRequests,
+    .newPrefixes = listNewPrefixes,
     .summarizeLoad = summarizeLoadForPeers,
     .lostEndpoints = lostEndpoints,
     .segmentEvidence = segmentsToReport,
