--- a/include/mulberrywall/Http/ClientCall.h
+++ b/include/mulberrywall/Http/ClientCall.h
@@ -32,9 +32,12 @@
     /// Pool from which an idle connection is taken, and to which the connection returns after a complete response. If null,
     /// the call opens a new connection and closes it at the end.
     std::shared_ptr<ConnectionPool> pool;
-    /// Maximum time that sent bytes may remain unacknowledged by the peer before the connection fails (TCP_USER_TIMEOUT). 0
-    /// selects the system's default, which takes minutes to detect a peer that has lost power.
+    /// Maximum time without an acknowledgement from the peer while there are unacknowledged bytes. A peer that reads slowly or not at
+    /// all is not affected, since its system answers. 0 selects the system's default, which takes minutes to detect a peer that has lost
+    /// power.
     std::chrono::milliseconds unacknowledgedTimeout {0};
+    /// Body of the request, instead of the one that the request has. The call drops its reference once the body was written.
+    BodyPtr body;
 };
 
 /// Limit on the body of a response about the state of an instance or an endpoint.
--- a/include/mulberrywall/Http/Message.h
+++ b/include/mulberrywall/Http/Message.h
@@ -6,6 +6,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <chrono>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -14,6 +15,8 @@
 
 using Request = boost::beast::http::request<boost::beast::http::string_body>;
 using Response = boost::beast::http::response<boost::beast::http::string_body>;
+/// A body that several owners share without copying it.
+using BodyPtr = std::shared_ptr<const std::string>;
 using RequestHeader = boost::beast::http::request_header<>;
 using ResponseHeader = boost::beast::http::response_header<>;
 using Status = boost::beast::http::status;
--- a/include/mulberrywall/Router/AdminPages.h
+++ b/include/mulberrywall/Router/AdminPages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mulberrywall/Http/Message.h"
+#include "mulberrywall/Http/Server.h"
 #include "mulberrywall/Permits/OwnedPool.h"
 #include "mulberrywall/Router/PermitPeerGroup.h"
 #include "mulberrywall/Router/RouterState.h"
@@ -15,6 +16,7 @@
 {
     RouterState &state;
     const permits::PoolTable &pools;
+    const http::Server &callerServer;
     /// Null if this router has no peers.
     PermitPeerGroup *peers = nullptr;
     const support::InstanceId &instance;
--- a/include/mulberrywall/Router/Attempt.h
+++ b/include/mulberrywall/Router/Attempt.h
@@ -30,6 +30,8 @@
     std::chrono::milliseconds responseTimeout {120'000};
     /// Maximum size of a response body that is not streamed.
     std::size_t maxResponseBytes = http::defaultMaxResponseBytes;
+    /// Body of the request; null if it has none.
+    http::BodyPtr body;
     /// Bounds the bytes of all responses that are being received; null means no bound.
     std::shared_ptr<support::MemoryBudget> responseMemory;
     /// Number of the attempt for the request, starting at 1.
@@ -83,6 +85,8 @@
     std::function<void(AttemptResult)> onEnd;
     /// Called when a response header arrives in which the endpoint states something about itself.
     std::function<void(const EndpointStatement &)> onStatement;
+    /// Called when the header of the endpoint's response to this request has arrived. May be empty.
+    std::function<void()> onResponseStarted;
     /// Called when the owner of the permit sends a command. The handler is responsible for cancelling
     /// the attempt.
     std::function<void(const permits::OwnerCommand &)> onOwnerCommand;
--- a/include/mulberrywall/Router/CallerRequest.h
+++ b/include/mulberrywall/Router/CallerRequest.h
@@ -54,16 +54,16 @@
     /// support.
     bool isResumable = false;
     RetryAllowance retryAllowance;
-    /// Request for the endpoint, without the fields that depend on the attempt.
+    /// Request for the endpoint, without its body and without the fields that depend on the attempt.
     http::Request upstream;
 };
 
 /// Returns the key from the Authorization field, or an empty string if the field is missing or has
 /// another scheme than "Bearer".
-std::string_view bearerKey(const http::Request &request);
+std::string_view bearerKey(const http::RequestHeader &request);
 
 /// Returns the organisation of the bearer key, or a problem that never contains the key.
-std::variant<configuration::Organisation, http::Problem> authorize(const http::Request &request, const configuration::SiteConfiguration &configuration);
+std::variant<configuration::Organisation, http::Problem> authorize(const http::RequestHeader &request, const configuration::SiteConfiguration &configuration);
 
 /// Validates key, class, pool and body of a request to a model or a plain service.
 ///
@@ -71,12 +71,16 @@
 std::variant<CallerRequest, http::Problem> parseCallerRequest(
     const http::Request &request, const configuration::SiteConfiguration &configuration, policy::TimePoint now);
 
+/// Returns the problem of a request that is rejected whatever its body is, or nothing.
+std::optional<http::Problem> checkCallerHeader(
+    const http::RequestHeader &request, const configuration::SiteConfiguration &configuration, policy::TimePoint now);
+
 /// Parses a timeout from 1 ms to 24 hours, in milliseconds. Returns nothing if the text is not such a
 /// number.
 std::optional<std::chrono::milliseconds> parseTimeout(std::string_view text);
 
 /// Returns a hash of organisation, target and body, by which a resent request is recognised.
-policy::Fingerprint fingerprintOf(const CallerRequest &request);
+policy::Fingerprint fingerprintOf(const CallerRequest &request, std::string_view body);
 
 /// Returns hashes of the segments that other requests may share, by which these are recognised.
 std::vector<policy::Fingerprint> segmentFingerprints(const CallerRequest &request);
--- a/include/mulberrywall/Router/CallerSession.h
+++ b/include/mulberrywall/Router/CallerSession.h
@@ -82,6 +82,8 @@
     /// Returns the milliseconds from the arrival of the request to its first token, or -1 if no token
     /// was delivered.
     [[nodiscard]] std::int64_t timeToFirstTokenMs() const;
+    /// Drops the body if no further attempt can follow the one whose response has started.
+    void releaseBodyIfUnneeded(const AttemptPtr &attempt);
     void onStatement(const support::EndpointId &endpoint, const EndpointStatement &statement);
     void onOwnerCommand(const permits::OwnerCommand &command);
     void onAttemptEnd(const AttemptPtr &attempt, AttemptResult attemptResult);
@@ -108,6 +110,8 @@
     RouterState &state_;
     http::ServerExchangePtr exchange_;
     std::shared_ptr<const CallerRequest> request_;
+    /// Body of the request; null once it cannot be needed again.
+    http::BodyPtr body_;
     ConcurrencySlot concurrencySlot_;
     boost::asio::steady_timer deadlineTimer_;
     boost::asio::steady_timer hedgeTimer_;
--- a/include/mulberrywall/Router/Dialect.h
+++ b/include/mulberrywall/Router/Dialect.h
@@ -74,8 +74,12 @@
     /// Parses and validates a caller's request; all problems have the verdict NotRun.
     std::variant<CallerRequest, http::Problem> (*parseRequest)(
         const http::Request &request, const configuration::SiteConfiguration &configuration, policy::TimePoint now);
+    /// Returns the problem of a request that is rejected whatever its body is, or nothing.
+    std::optional<http::Problem> (*checkHeader)(
+        const http::RequestHeader &request, const configuration::SiteConfiguration &configuration, policy::TimePoint now);
     /// Returns the response to a request for the router itself, or nothing for any other request.
     std::optional<http::Response> (*answerLocally)(const http::Request &request, const configuration::SiteConfiguration &configuration);
+    /// Returns the request without its body.
     http::Request (*makeAttemptRequest)(const CallerRequest &request, const AttemptParameters &parameters);
     /// Returns what the endpoint states about itself, whichever request the response belongs to.
     EndpointStatement (*readStatement)(const http::ResponseHeader &responseHeader);
--- a/include/mulberrywall/Router/ReservationGuard.h
+++ b/include/mulberrywall/Router/ReservationGuard.h
@@ -15,7 +15,7 @@
 
 /// Builds the reservation from hashes of the key and the request. Its attempt id is the request id,
 /// which differs each time that a caller sends the same request.
-backingservices::ReservationRequest makeReservationRequest(const CallerRequest &request);
+backingservices::ReservationRequest makeReservationRequest(const CallerRequest &request, std::string_view body);
 
 /// Returns the verdict to report to a caller whose request was not dispatched.
 support::Verdict verdictOf(backingservices::ReservationOutcome outcome);
--- a/include/mulberrywall/Router/RouterService.h
+++ b/include/mulberrywall/Router/RouterService.h
@@ -5,10 +5,12 @@
 #include "mulberrywall/Http/Server.h"
 #include "mulberrywall/Permits/OwnedPool.h"
 #include "mulberrywall/Policy/PolicyFunctions.h"
+#include "mulberrywall/Router/AdminPages.h"
 #include "mulberrywall/Router/ConfigurationWatcher.h"
 #include "mulberrywall/Router/EndpointDirectory.h"
 #include "mulberrywall/Router/EndpointWatcher.h"
 #include "mulberrywall/Router/PermitPeerGroup.h"
+#include "mulberrywall/Router/ResourceLimits.h"
 #include "mulberrywall/Router/RouterState.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -67,6 +69,9 @@
     std::chrono::milliseconds drainLimit {0};
 };
 
+/// Applies bounds that are derived from the limits of the instance; bounds of 0 change nothing.
+void applyResourceLimits(RouterServiceOptions &options, const ResourceLimits &limits);
+
 /// The components of a router process except its command line: listeners, pools, watchers and the drain
 /// at shutdown.
 class RouterService
@@ -103,6 +108,13 @@
 
 private:
     void handleCaller(const http::ServerExchangePtr &exchange);
+    /// Returns the response to a request that is rejected before its body is read.
+    [[nodiscard]] std::optional<http::Response> checkCallerHeader(const http::RequestHeader &request);
+    [[nodiscard]] http::ServerOptions makeCallerServerOptions();
+    [[nodiscard]] http::ServerOptions makeAdminServerOptions(http::ServerOptions options);
+    [[nodiscard]] AdminContext adminContext();
+    [[nodiscard]] http::Response makeNotReadyResponse(const std::string &reason);
+    [[nodiscard]] http::Response makeRejection(const http::Problem &problem, std::uint64_t revision);
     void handleAdmin(const http::ServerExchangePtr &exchange);
     /// Returns the reason why requests cannot be served now, or an empty string if they can.
     [[nodiscard]] std::string unavailabilityReason(const ConfigurationSnapshot &configuration) const;
--- a/include/mulberrywall/Router/RouterState.h
+++ b/include/mulberrywall/Router/RouterState.h
@@ -39,6 +39,8 @@
     /// Maximum size of a response body that is not streamed. The router buffers it, so that an endpoint that sends without
     /// end must not exhaust the instance's memory.
     std::size_t maxResponseBytes = http::defaultMaxResponseBytes;
+    /// Bound on the bytes that are held for callers and endpoints; 0 means that only the responses which are being received are bounded.
+    std::size_t maxHeldBytes = 0;
     /// Maximum size of all responses that are being received. Above it the largest ones fail.
     std::size_t maxResponseMemoryBytes = std::size_t {512} * 1024 * 1024;
     /// Maximum number of attempts for one request, including the first.
@@ -78,7 +80,10 @@
     std::shared_ptr<http::ConnectionPool> connections = options.reusesConnections ? std::make_shared<http::ConnectionPool>() : nullptr;
     HedgeDelays hedgeDelays;
     OrganisationLimits organisationLimits;
-    std::shared_ptr<support::MemoryBudget> responseMemory = std::make_shared<support::MemoryBudget>(options.maxResponseMemoryBytes);
+    std::shared_ptr<support::MemoryBudget> responseMemory = std::make_shared<support::MemoryBudget>(
+        options.maxHeldBytes == 0 ? options.maxResponseMemoryBytes : options.maxHeldBytes, options.maxResponseMemoryBytes);
+    /// Account of what connections of callers hold; null if it has no bound.
+    std::shared_ptr<support::MemoryBudget> callerMemory = options.maxHeldBytes == 0 ? nullptr : responseMemory;
     SessionRegistry sessions;
     std::atomic<std::size_t> activeRequests {0};
     /// True from the start of the shutdown. The router then reports that it is not ready; running
--- a/lib/Http/ClientCall.cpp
+++ b/lib/Http/ClientCall.cpp
@@ -3,6 +3,7 @@
 #include "TransferCoding.h"
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
@@ -11,12 +12,13 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
 #include <cassert>
-#include <cerrno>
 #include <charconv>
 #include <optional>
 #include <utility>
@@ -41,13 +43,35 @@
 /// Limit on interim responses (1xx) before the final one.
 constexpr unsigned maxInterimResponses = 8;
 
-error_code setUnacknowledgedTimeout(asio::ip::tcp::socket &socket, std::chrono::milliseconds timeout)
+/// The state of a connection is checked this often within the timeout for unacknowledged bytes.
+constexpr int lossChecksPerTimeout = 3;
+/// A peer whose receive window is closed answers probes. One probe may be lost.
+constexpr unsigned unansweredProbes = 2;
+
+enum class PeerState : std::uint8_t {
+    AllAcknowledged,
+    Reachable,
+    Lost,
+};
+
+/// Returns whether the peer acknowledges what was sent. A peer that reads nothing closes its receive window, but its system still answers
+/// the probes of the window. TCP_USER_TIMEOUT does not make this distinction.
+PeerState peerStateOf(asio::ip::tcp::socket &socket, std::chrono::milliseconds timeout)
 {
-    const int milliseconds = static_cast<int>(timeout.count());
-    if (::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds)) != 0) {
-        return {errno, boost::system::system_category()};
+    int unacknowledgedBytes = 0;
+    tcp_info info {};
+    socklen_t size = sizeof(info);
+    const int descriptor = socket.native_handle();
+    if (::ioctl(descriptor, SIOCOUTQ, &unacknowledgedBytes) != 0 || ::getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+        // The other timeouts of the call remain.
+        return PeerState::AllAcknowledged;
     }
-    return {};
+    if (unacknowledgedBytes == 0) {
+        return PeerState::AllAcknowledged;
+    }
+    const bool isSilent = std::chrono::milliseconds(info.tcpi_last_ack_recv) >= timeout;
+    const bool isUnanswered = info.tcpi_retransmits > 0 || info.tcpi_probes >= unansweredProbes;
+    return isSilent && isUnanswered ? PeerState::Lost : PeerState::Reachable;
 }
 
 /// Returns the timeout of a Keep-Alive field such as "timeout=5, max=100". Returns nothing if the field or its timeout
@@ -69,15 +93,66 @@
     return std::chrono::seconds(seconds);
 }
 
+/// A body of a request that is shared with other owners.
+struct SharedBody
+{
+    using value_type = BodyPtr;
+
+    static std::uint64_t size(const value_type &body)
+    {
+        return body ? body->size() : 0;
+    }
+
+    class writer
+    {
+    public:
+        using const_buffers_type = asio::const_buffer;
+
+        template <bool isRequest, typename Fields>
+        writer(const beast::http::header<isRequest, Fields> &, const value_type &body)
+            : body_(body)
+        {
+        }
+
+        // NOLINTNEXTLINE(readability-convert-member-functions-to-static): Beast prescribes the signature.
+        void init(error_code &error)
+        {
+            error = {};
+        }
+
+        boost::optional<std::pair<const_buffers_type, bool>> get(error_code &error)
+        {
+            error = {};
+            return {{body_ ? asio::buffer(*body_) : const_buffers_type(), false}};
+        }
+
+    private:
+        BodyPtr body_;
+    };
+};
+
+/// Returns the request with a body that can be shared. A body in `options` replaces that of the request.
+beast::http::request<SharedBody> shareBody(Request request, const ClientCallOptions &options)
+{
+    BodyPtr body = options.body;
+    if (!body && !request.body().empty()) {
+        body = std::make_shared<const std::string>(std::move(request.body()));
+    }
+    return beast::http::request<SharedBody>(std::move(request.base()), std::move(body));
+}
+
 class SocketCall final : public ClientCall, public std::enable_shared_from_this<SocketCall>
 {
 public:
     SocketCall(const asio::any_io_executor &executor, const ClientCallOptions &options, Request request, ClientCallHandlers handlers)
         : options_(options),
           stream_(executor),
-          request_(std::move(request)),
+          lossTimer_(executor),
+          request_(shareBody(std::move(request), options)),
           handlers_(std::move(handlers))
     {
+        // The request has its own reference, which it drops earlier.
+        options_.body = nullptr;
         resetParser();
     }
 
@@ -132,6 +207,8 @@
     void cancel() override
     {
         cancelled_ = true;
+        lossTimer_.cancel();
+        request_.body() = nullptr;
         handlers_ = {};
         stream_.close();
     }
@@ -169,11 +246,9 @@
         error_code ignored;
         if (!reused_) {
             stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
-            if (options_.unacknowledgedTimeout.count() > 0) {
-                // If the option cannot be set, the header timeout still ends the call.
-                ignored = setUnacknowledgedTimeout(stream_.socket(), options_.unacknowledgedTimeout);
-            }
         }
+        watchedSince_ = std::chrono::steady_clock::now();
+        watchForLoss();
         request_.prepare_payload();
         stream_.expires_after(options_.headerTimeout);
         beast::http::async_write(
@@ -195,9 +270,48 @@
         // After a partial write the endpoint may already have responded, for example with a refusal of a large body. The
         // rest of the body was not sent, so that the connection cannot be reused for another request.
         writeError_ = error;
+        // The caller of the call keeps the body as long as it can be needed again.
+        request_.body() = nullptr;
         readHeader();
     }
 
+    /// Ends the call if the peer does not acknowledge what was sent. Checks until everything is acknowledged.
+    void watchForLoss()
+    {
+        if (options_.unacknowledgedTimeout.count() == 0) {
+            return;
+        }
+        lossTimer_.expires_after(options_.unacknowledgedTimeout / lossChecksPerTimeout);
+        lossTimer_.async_wait([weak = weak_from_this()](const error_code &error) {
+            const auto self = weak.lock();
+            if (!error && self && !self->cancelled_ && !self->ended_) {
+                self->checkForLoss();
+            }
+        });
+    }
+
+    void checkForLoss()
+    {
+        const auto watchedFor = std::chrono::steady_clock::now() - watchedSince_;
+        // The last acknowledgement on a reused connection may be older than the request.
+        const bool mayBeSilent = watchedFor >= options_.unacknowledgedTimeout;
+        switch (peerStateOf(stream_.socket(), mayBeSilent ? options_.unacknowledgedTimeout : std::chrono::milliseconds::max())) {
+        case PeerState::AllAcknowledged:
+            // A write that is not complete continues; it must be watched on.
+            if (stage_ == ClientCallStage::NothingWritten) {
+                watchForLoss();
+            }
+            return;
+        case PeerState::Reachable:
+            watchForLoss();
+            return;
+        case PeerState::Lost:
+            isLost_ = true;
+            stream_.cancel();
+            return;
+        }
+    }
+
     void readHeader()
     {
         skippingResponse_ = false;
@@ -269,9 +383,10 @@
     {
         assert(!ended_ && "a call ends once");
         ended_ = true;
+        lossTimer_.cancel();
         recycleOrClose();
         const ClientCallHandlers handlers = std::exchange(handlers_, {});
-        handlers.onEnd({.error = error, .stage = stage_});
+        handlers.onEnd({.error = isLost_ ? error_code(asio::error::timed_out) : error, .stage = stage_});
     }
 
     /// Returns the connection to the pool if it can be reused, and closes it otherwise. Bytes that follow the response
@@ -289,7 +404,9 @@
 
     ClientCallOptions options_;
     beast::tcp_stream stream_;
-    Request request_;
+    /// Checks whether the peer still acknowledges what was sent.
+    asio::steady_timer lossTimer_;
+    beast::http::request<SharedBody> request_;
     ClientCallHandlers handlers_;
     beast::flat_buffer buffer_ {maxUnparsedBytes};
     std::optional<beast::http::response_parser<beast::http::buffer_body>> parser_;
@@ -297,10 +414,12 @@
     ClientCallStage stage_ = ClientCallStage::Connecting;
     /// Error that ended the write of the request before its last byte.
     error_code writeError_;
+    std::chrono::steady_clock::time_point watchedSince_;
     unsigned interimResponses_ = 0;
     bool reused_ = false;
     bool skippingResponse_ = false;
     bool cancelled_ = false;
+    bool isLost_ = false;
     bool ended_ = false;
 };
 
--- a/lib/Http/RequestProblems.cpp
+++ b/lib/Http/RequestProblems.cpp
@@ -12,8 +12,13 @@
 
 namespace beast = boost::beast;
 
-std::optional<Problem> problemForReadError(const boost::system::error_code &error, const RequestLimits &limits)
+std::optional<Problem> problemForReadError(const boost::system::error_code &error, const RequestLimits &limits, bool hasTooManyFields)
 {
+    if (error == beast::http::error::header_limit && hasTooManyFields) {
+        return Problem {.status = Status::request_header_fields_too_large,
+            .title = "too many header fields",
+            .detail = "the request has more than " + std::to_string(limits.maxHeaderFields) + " header fields; send fewer fields"};
+    }
     if (error == beast::http::error::header_limit) {
         return Problem {.status = Status::request_header_fields_too_large,
             .title = "request header too large",
@@ -27,8 +32,8 @@
     if (error == beast::error::timeout) {
         return Problem {.status = Status::request_timeout,
             .title = "request timed out",
-            .detail = "the header did not arrive within " + std::to_string(limits.headerTimeout.count()) + " ms, or the body within "
-                + std::to_string(limits.bodyTimeout.count()) + " ms after it; send the request faster"};
+            .detail = "the header did not arrive within " + std::to_string(limits.headerTimeout.count()) + " ms, or the next 16 KiB of the body within "
+                + std::to_string(limits.bodyTimeout.count()) + " ms; send the request faster"};
     }
     if (error.category() == make_error_code(beast::http::error::bad_method).category() && error != beast::http::error::end_of_stream
         && error != beast::http::error::partial_message) {
@@ -37,6 +42,45 @@
     return std::nullopt;
 }
 
+RejectionCause causeOf(Status status)
+{
+    switch (status) {
+    case Status::request_header_fields_too_large:
+        return RejectionCause::HeaderTooLarge;
+    case Status::payload_too_large:
+        return RejectionCause::BodyTooLarge;
+    case Status::request_timeout:
+        return RejectionCause::TooSlow;
+    default:
+        return RejectionCause::Malformed;
+    }
+}
+
+std::string_view toString(RejectionCause cause)
+{
+    switch (cause) {
+    case RejectionCause::Malformed:
+        return "malformed";
+    case RejectionCause::HeaderTooLarge:
+        return "header too large";
+    case RejectionCause::BodyTooLarge:
+        return "body too large";
+    case RejectionCause::TooSlow:
+        return "too slow";
+    case RejectionCause::Memory:
+        return "memory";
+    case RejectionCause::MemoryReclaimed:
+        return "memory reclaimed";
+    case RejectionCause::ConnectionLimit:
+        return "connection limit";
+    case RejectionCause::BeforeBody:
+        return "before body";
+    case RejectionCause::ResponseNotRead:
+        return "response not read";
+    }
+    return "unknown";
+}
+
 static constexpr unsigned http11 = 11;
 
 static Problem makeFramingProblem(Status status, std::string detail)
--- a/lib/Http/Server.cpp
+++ b/lib/Http/Server.cpp
@@ -1,6 +1,9 @@
 #include "mulberrywall/Http/Server.h"
 
 #include "RequestProblems.h"
+#include "RequestReader.h"
+#include "ResponseWriter.h"
+#include "ServerState.h"
 
 #include "mulberrywall/Support/Log.h"
 #include "mulberrywall/Support/LogExceptions.h"
@@ -9,16 +12,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/error.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/serializer.hpp>
-#include <boost/beast/http/write.hpp>
 
 #include <algorithm>
 #include <array>
@@ -43,36 +38,40 @@
 constexpr std::chrono::milliseconds lingerTimeout {200};
 /// Pause after a connection could not be accepted; other connections end meanwhile and free their descriptors.
 constexpr std::chrono::milliseconds acceptPause {50};
-/// Size of the read buffer beyond the limit on the request header.
-constexpr std::size_t readAheadBytes = 64 * 1024;
+/// Accounted for each connection: its objects, the read buffer and the fields of an ordinary request.
+constexpr std::size_t connectionBytes = std::size_t {8} * 1024;
+/// A body that is rejected before it was read is received and dropped up to this size, so that the connection can be kept.
+constexpr std::size_t maxDiscardedBodyBytes = std::size_t {64} * 1024;
+/// Smaller responses are covered by connectionBytes.
+constexpr std::size_t minimumAccountedResponseBytes = std::size_t {4} * 1024;
+/// Time after which a caller that was rejected because of the bound on memory may send its request again.
+constexpr std::chrono::milliseconds memoryRetryAfter {1'000};
+
+enum class ConnectionAdmission : std::uint8_t {
+    Accepted,
+    /// The request gets status 503, and the connection is closed.
+    Rejected,
+};
 
-struct ServerSharedState
+/// A body with its part of the account of memory.
+struct HeldBody
 {
-    ServerOptions options;
-    RequestHandler handler;
-    /// Guards limits. No other mutex is locked while it is held.
-    mutable std::mutex limitsMutex;
-    RequestLimits limits;
-    std::atomic<bool> keepAliveDisabled {false};
-    std::atomic<std::size_t> connections {0};
-    std::atomic<std::size_t> activeExchanges {0};
-    std::atomic<bool> stopping {false};
-
-    [[nodiscard]] RequestLimits currentLimits() const
-    {
-        const std::scoped_lock lock(limitsMutex);
-        return limits;
-    }
+    std::string text;
+    std::unique_ptr<support::MemoryBudget::Share> share;
 };
 
-class Connection;
+} // namespace
+
+namespace
+{
 
 class ConnectionExchange final : public ServerExchange
 {
 public:
-    ConnectionExchange(std::shared_ptr<Connection> connection, Request request)
+    ConnectionExchange(std::shared_ptr<Connection> connection, Request request, std::unique_ptr<support::MemoryBudget::Share> bodyShare)
         : connection_(std::move(connection)),
-          request_(std::move(request))
+          request_(std::move(request)),
+          bodyShare_(std::move(bodyShare))
     {
     }
     ConnectionExchange(const ConnectionExchange &) = delete;
@@ -85,6 +84,12 @@
     {
         return request_;
     }
+    BodyPtr takeBody() override
+    {
+        const auto held = std::make_shared<HeldBody>(HeldBody {.text = std::move(request_.body()), .share = std::move(bodyShare_)});
+        request_.body().clear();
+        return {held, &held->text};
+    }
     [[nodiscard]] asio::any_io_executor executor() const override;
     void respond(Response response) override;
     void startStream(ResponseHeader responseHeader, WriteHandler handler) override;
@@ -96,18 +101,24 @@
 private:
     std::shared_ptr<Connection> connection_;
     Request request_;
+    /// Null once the body was taken, or if it is too small to be accounted for.
+    std::unique_ptr<support::MemoryBudget::Share> bodyShare_;
     bool ended_ = false;
 };
 
+} // namespace
+
 class Connection final : public std::enable_shared_from_this<Connection>
 {
 public:
-    Connection(tcp::socket socket, std::shared_ptr<ServerSharedState> shared)
+    Connection(tcp::socket socket, std::shared_ptr<ServerSharedState> shared, ConnectionAdmission admission)
         : stream_(std::move(socket)),
-          readTimer_(stream_.get_executor()),
           shared_(std::move(shared)),
-          isAboveLimit_(++shared_->connections > shared_->options.maxConnections)
+          reader_(stream_, shared_->options.memory),
+          writer_(stream_, shared_->options.writeTimeout),
+          isAboveLimit_(admission == ConnectionAdmission::Rejected)
     {
+        ++shared_->connections;
     }
     Connection(const Connection &) = delete;
     Connection &operator=(const Connection &) = delete;
@@ -116,34 +127,31 @@
     ~Connection()
     {
         endExchange();
+        shared_->waiting.remove(waitingEntry_);
         --shared_->connections;
     }
 
-    [[nodiscard]] asio::any_io_executor executor()
+    /// Serves the requests of the connection. Must be called once.
+    void start()
     {
-        return stream_.get_executor();
+        reader_.setOwner(weak_from_this());
+        writer_.setOwner(weak_from_this());
+        openShare();
+        readRequest();
     }
 
-    void readRequest()
+    /// Closes the connection if it waits for bytes of its caller.
+    void closeIfWaiting()
     {
-        limits_ = shared_->currentLimits();
-        parser_.emplace();
-        parser_->header_limit(static_cast<std::uint32_t>(limits_.maxHeaderBytes));
-        parser_->body_limit(limits_.maxBodyBytes);
-        // Without this limit a chunk header that never ends is buffered whole. Bytes of the next request may be buffered already.
-        buffer_.max_size(std::max(limits_.maxHeaderBytes + readAheadBytes, buffer_.size()));
-        if (buffer_.size() > 0) {
-            readHeader();
-            return;
+        if (phase_ != WaitingConnections::Phase::Running) {
+            shared_->count(RejectionCause::ConnectionLimit);
+            close();
         }
-        startReadTimer(limits_.idleTimeout);
-        stream_.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code &error) {
-            if (error) {
-                self->close();
-                return;
-            }
-            self->readHeader();
-        });
+    }
+
+    [[nodiscard]] asio::any_io_executor executor()
+    {
+        return stream_.get_executor();
     }
 
     void respond(Response response)
@@ -158,46 +166,42 @@
         } else {
             response.prepare_payload();
         }
-        auto message = std::make_shared<Response>(std::move(response));
-        stream_.expires_after(shared_->options.writeTimeout);
-        beast::http::async_write(stream_, *message, [self = shared_from_this(), message](const error_code &error, std::size_t) { self->onResponseEnd(error); });
+        holdResponse(response.body().capacity());
+        writer_.writeResponse(
+            std::move(response), [this] { recordProgress(); }, [this](const error_code &error) { onResponseEnd(error); });
     }
 
     void startStream(ResponseHeader responseHeader, ServerExchange::WriteHandler handler)
     {
         keepAlive_ = mayKeepAlive();
-        auto message = std::make_shared<beast::http::response<beast::http::empty_body>>(std::move(responseHeader));
-        message->version(11);
-        message->chunked(true);
-        message->keep_alive(keepAlive_);
-        auto serializer = std::make_shared<beast::http::response_serializer<beast::http::empty_body>>(*message);
-        stream_.expires_after(shared_->options.writeTimeout);
-        beast::http::async_write_header(stream_,
-            *serializer,
-            [self = shared_from_this(), message, serializer, handler = std::move(handler)](const error_code &error, std::size_t) { handler(error); });
+        responseHeader.version(11);
+        auto message = beast::http::response<beast::http::empty_body>(std::move(responseHeader));
+        message.chunked(true);
+        message.keep_alive(keepAlive_);
+        writer_.writeHeader(std::move(message.base()), std::move(handler));
     }
 
     void writeChunk(std::string data, ServerExchange::WriteHandler handler)
     {
-        auto body = std::make_shared<std::string>(std::move(data));
-        stream_.expires_after(shared_->options.writeTimeout);
-        asio::async_write(stream_,
-            beast::http::make_chunk(asio::buffer(*body)),
-            [self = shared_from_this(), body, handler = std::move(handler)](const error_code &error, std::size_t) { handler(error); });
+        holdResponse(data.capacity());
+        writer_.writeChunk(std::move(data), [this, handler = std::move(handler)](const error_code &error) {
+            countTimeout(error);
+            endHold();
+            handler(error);
+        });
     }
 
     void finishStream()
     {
         callerDisconnectHandler_ = nullptr;
-        stream_.expires_after(shared_->options.writeTimeout);
-        asio::async_write(
-            stream_, beast::http::make_chunk_last(), [self = shared_from_this()](const error_code &error, std::size_t) { self->onResponseEnd(error); });
+        writer_.writeLastChunk([this](const error_code &error) { onResponseEnd(error); });
     }
 
     void close()
     {
         endExchange();
         callerDisconnectHandler_ = nullptr;
+        share_ = nullptr;
         stream_.close();
     }
 
@@ -208,72 +212,212 @@
     }
 
 private:
-    void readHeader()
+    using ReadHandler = void (Connection::*)(const ReadResult &);
+
+    /// Returns a handler for the reader, whose operations keep the connection alive.
+    RequestReader::Handler bind(ReadHandler handler)
     {
-        startReadTimer(limits_.headerTimeout);
-        beast::http::async_read_header(
-            stream_, buffer_, *parser_, [self = shared_from_this()](const error_code &error, std::size_t) { self->onHeader(error); });
+        return [this, handler](const ReadResult &result) {
+            (this->*handler)(result);
+        };
     }
 
-    void onHeader(const error_code &error)
+    /// Returns a handler that calls the function on the strand. It may be called by any thread.
+    support::MemoryBudget::ReclaimHandler makeReclaimHandler(void (Connection::*function)())
     {
-        if (!error) {
-            if (const auto problem = problemForFraming(parser_->get().base())) {
-                readTimer_.cancel();
-                rejectAndClose(*problem, "no usable framing of the body");
-                return;
-            }
+        return [weak = weak_from_this(), executor = stream_.get_executor(), function] {
+            asio::post(executor, [weak, function] {
+                if (const auto self = weak.lock()) {
+                    (self.get()->*function)();
+                }
+            });
+        };
+    }
+
+    void setPhase(WaitingConnections::Phase phase)
+    {
+        phase_ = phase;
+        shared_->waiting.set(waitingEntry_, phase, weak_from_this());
+    }
+
+    void readRequest()
+    {
+        limits_ = shared_->currentLimits();
+        earlyResponse_.reset();
+        reader_.reset(limits_);
+        if (reader_.hasBytes()) {
+            readHeader();
+            return;
         }
-        if (error || parser_->is_done()) {
-            onRequest(error);
+        setPhase(WaitingConnections::Phase::Idle);
+        reader_.waitForBytes(bind(&Connection::onFirstBytes));
+    }
+
+    void onFirstBytes(const ReadResult &result)
+    {
+        if (result.failure != ReadFailure::None) {
+            close();
             return;
         }
-        readBody();
+        readHeader();
     }
 
-    void readBody()
+    void readHeader()
     {
-        startReadTimer(limits_.bodyTimeout);
-        beast::http::async_read(stream_, buffer_, *parser_, [self = shared_from_this()](const error_code &error, std::size_t) { self->onRequest(error); });
+        setPhase(WaitingConnections::Phase::Receiving);
+        reader_.readHeader(bind(&Connection::onHeader));
     }
 
-    /// Starts the timeout for reading. It cancels the read operation, whereas the stream's own timeout would close the
-    /// socket, so that no error response could be sent.
-    void startReadTimer(std::chrono::milliseconds timeout)
+    void onHeader(const ReadResult &result)
     {
-        stream_.expires_never();
-        readTimedOut_ = false;
-        readTimer_.expires_after(timeout);
-        readTimer_.async_wait([weak = weak_from_this()](const error_code &error) {
-            const auto self = weak.lock();
-            if (error || !self) {
+        if (result.failure != ReadFailure::None) {
+            onReadFailure(result);
+            return;
+        }
+        if (const auto problem = problemForFraming(reader_.parser().get().base())) {
+            shared_->count(RejectionCause::Malformed);
+            rejectAndClose(*problem, "no usable framing of the body");
+            return;
+        }
+        error_code error;
+        if (reader_.parseReceivedBody(error) || error) {
+            onRequest({.failure = error ? ReadFailure::Error : ReadFailure::None, .error = error});
+            return;
+        }
+        if (isAboveLimit_) {
+            rejectAboveConnectionLimit();
+            return;
+        }
+        checkHeaderAndReadBody();
+    }
+
+    void checkHeaderAndReadBody()
+    {
+        if (shared_->options.checkHeader) {
+            earlyResponse_ = shared_->options.checkHeader(reader_.parser().get().base());
+        }
+        if (earlyResponse_) {
+            shared_->count(RejectionCause::BeforeBody);
+            const auto length = reader_.parser().content_length();
+            if (!length || *length > maxDiscardedBodyBytes) {
+                requestKeepAlive_ = false;
+                startResponse(std::move(*earlyResponse_));
                 return;
             }
-            self->readTimedOut_ = true;
-            self->stream_.cancel();
-        });
+            reader_.parser().discardBody();
+        }
+        reader_.readBody(
+            [this] { setPhase(WaitingConnections::Phase::Receiving); }, makeReclaimHandler(&Connection::reclaimBody), bind(&Connection::onRequest));
     }
 
-    void onRequest(const error_code &error)
+    void reclaimBody()
     {
-        readTimer_.cancel();
-        if (error) {
-            onReadError(readTimedOut_ ? error_code(beast::error::timeout) : error);
+        reader_.reclaimBody();
+    }
+
+    void onRequest(const ReadResult &result)
+    {
+        if (result.failure != ReadFailure::None) {
+            onReadFailure(result);
             return;
         }
-        requestKeepAlive_ = parser_->keep_alive();
-        isHeadRequest_ = parser_->get().method() == Verb::head;
-        isExchangeActive_ = true;
-        ++shared_->activeExchanges;
+        requestKeepAlive_ = reader_.parser().keep_alive();
         if (isAboveLimit_) {
             rejectAboveConnectionLimit();
             return;
         }
-        if (const auto problem = problemForRequest(parser_->get())) {
-            respond(makeProblemResponse(*problem));
+        if (earlyResponse_) {
+            startResponse(std::move(*earlyResponse_));
+            return;
+        }
+        if (const auto problem = problemForRequest(reader_.parser().get())) {
+            shared_->count(RejectionCause::Malformed);
+            startResponse(makeProblemResponse(*problem));
             return;
         }
-        shared_->handler(std::make_shared<ConnectionExchange>(shared_from_this(), parser_->release()));
+        beginExchange();
+        auto bodyShare = reader_.releaseBodyShare();
+        shared_->handler(std::make_shared<ConnectionExchange>(shared_from_this(), reader_.parser().release(), std::move(bodyShare)));
+    }
+
+    void beginExchange()
+    {
+        isHeadRequest_ = reader_.parser().is_header_done() && reader_.parser().get().method() == Verb::head;
+        isExchangeActive_ = true;
+        ++shared_->activeExchanges;
+        setPhase(WaitingConnections::Phase::Running);
+        if (share_) {
+            share_->pin();
+        }
+    }
+
+    /// Responds to a request that is not passed to the handler.
+    void startResponse(Response response)
+    {
+        beginExchange();
+        reader_.releaseBodyShare();
+        // An assignment would keep the allocated bytes.
+        std::string().swap(reader_.parser().get().body());
+        respond(std::move(response));
+    }
+
+    /// Accounts for a response, or a part of it, that is being written.
+    void holdResponse(std::size_t bytes)
+    {
+        if (!share_ || bytes < minimumAccountedResponseBytes) {
+            return;
+        }
+        holdsResponse_ = true;
+        share_->unpin();
+        share_->resize(connectionBytes + bytes);
+    }
+
+    /// Ends the account of a response, or a part of it, that was written.
+    void endHold()
+    {
+        if (std::exchange(holdsResponse_, false) && share_) {
+            share_->pin();
+            share_->resize(connectionBytes);
+        }
+    }
+
+    void recordProgress()
+    {
+        if (share_) {
+            share_->recordProgress();
+        }
+    }
+
+    void openShare()
+    {
+        if (shared_->options.memory) {
+            share_ = shared_->options.memory->open(makeReclaimHandler(&Connection::closeToReclaim));
+            share_->resize(connectionBytes);
+        }
+    }
+
+    void closeToReclaim()
+    {
+        if (phase_ == WaitingConnections::Phase::Running && !holdsResponse_) {
+            // A request was passed on before this call arrived.
+            openShare();
+            share_->pin();
+            return;
+        }
+        support::log(support::Severity::Warning, "closed a connection that held most and moved least at the bound on memory");
+        shared_->count(RejectionCause::MemoryReclaimed);
+        const std::function<void()> callerGone = std::exchange(callerDisconnectHandler_, nullptr);
+        close();
+        if (callerGone) {
+            callerGone();
+        }
+    }
+
+    void countTimeout(const error_code &error)
+    {
+        if (error == beast::error::timeout) {
+            shared_->count(RejectionCause::ResponseNotRead);
+        }
     }
 
     [[nodiscard]] bool mayKeepAlive() const
@@ -283,11 +427,9 @@
 
     void rejectAboveConnectionLimit()
     {
-        support::log(support::Severity::Warning,
-            "rejected a request above the connection limit; raise the limit or add instances",
-            {{"limit", shared_->options.maxConnections}});
+        shared_->count(RejectionCause::ConnectionLimit);
         requestKeepAlive_ = false;
-        respond(makeProblemResponse({.status = Status::service_unavailable,
+        startResponse(makeProblemResponse({.status = Status::service_unavailable,
             .title = "too many connections",
             .detail = "this instance has reached its limit of " + std::to_string(shared_->options.maxConnections) + " connections; try another instance"}));
     }
@@ -299,37 +441,71 @@
         }
     }
 
-    void onReadError(const error_code &error)
+    void onReadFailure(const ReadResult &result)
     {
         // An idle connection that times out or is closed between requests is not an error.
-        if (!parser_->got_some()) {
+        if (!reader_.parser().got_some()) {
             close();
             return;
         }
-        const std::optional<Problem> problem = problemForReadError(error, limits_);
+        switch (result.failure) {
+        case ReadFailure::None:
+            return;
+        case ReadFailure::NoMemory:
+            shared_->count(RejectionCause::Memory);
+            rejectForMemory(Status::service_unavailable, "this instance has no memory for a body of this size now; send the request again later");
+            return;
+        case ReadFailure::Reclaimed:
+            shared_->count(RejectionCause::MemoryReclaimed);
+            rejectForMemory(Status::request_timeout, "the body arrived more slowly than others while memory was short; send the request again faster");
+            return;
+        case ReadFailure::TimedOut:
+            rejectReadError(beast::error::timeout);
+            return;
+        case ReadFailure::Error:
+            rejectReadError(result.error);
+            return;
+        }
+    }
+
+    void rejectReadError(const error_code &error)
+    {
+        const std::optional<Problem> problem = problemForReadError(error, limits_, reader_.parser().hasTooManyFields());
         if (!problem) {
             close();
             return;
         }
+        shared_->count(causeOf(problem->status));
         rejectAndClose(*problem, error.message());
     }
 
+    void rejectForMemory(Status status, std::string detail)
+    {
+        requestKeepAlive_ = false;
+        const Problem problem {.status = status, .title = "memory is short", .detail = std::move(detail)};
+        startResponse(makeRetryLaterResponse(problem, memoryRetryAfter));
+    }
+
     /// Responds to a request that was not read to its end, and closes the connection after the response.
     void rejectAndClose(const Problem &problem, std::string_view reason)
     {
         support::log(support::Severity::Warning, "rejected a request that could not be read", {{"reason", reason}});
         requestKeepAlive_ = false;
-        isHeadRequest_ = parser_->is_header_done() && parser_->get().method() == Verb::head;
-        respond(makeProblemResponse(problem));
+        startResponse(makeProblemResponse(problem));
     }
 
     void onResponseEnd(const error_code &error)
     {
         endExchange();
+        countTimeout(error);
         if (error) {
             close();
             return;
         }
+        endHold();
+        if (share_) {
+            share_->unpin();
+        }
         if (!keepAlive_ || shared_->stopping) {
             lingerThenClose();
             return;
@@ -344,18 +520,7 @@
         error_code ignored;
         stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
         stream_.expires_after(lingerTimeout);
-        discardInput();
-    }
-
-    void discardInput()
-    {
-        stream_.async_read_some(asio::buffer(discardBuffer_), [self = shared_from_this()](const error_code &error, std::size_t) {
-            if (error) {
-                self->close();
-                return;
-            }
-            self->discardInput();
-        });
+        reader_.discardInput([this](const ReadResult &) { close(); });
     }
 
     void waitForCallerDisconnect()
@@ -387,20 +552,24 @@
     }
 
     beast::tcp_stream stream_;
-    asio::steady_timer readTimer_;
     std::shared_ptr<ServerSharedState> shared_;
     /// Limits that apply to the request that is being read.
     RequestLimits limits_;
-    beast::flat_buffer buffer_;
-    std::optional<beast::http::request_parser<beast::http::string_body>> parser_;
+    RequestReader reader_;
+    ResponseWriter writer_;
+    WaitingConnections::Phase phase_ = WaitingConnections::Phase::Idle;
+    WaitingConnections::Entry waitingEntry_;
+    /// Account of the connection without the body of its request; null if there is no bound.
+    std::unique_ptr<support::MemoryBudget::Share> share_;
+    /// Response to the request whose body is being discarded.
+    std::optional<Response> earlyResponse_;
     std::function<void()> callerDisconnectHandler_;
-    std::array<char, 4096> discardBuffer_ {};
-    bool readTimedOut_ = false;
     bool keepAlive_ = true;
     bool requestKeepAlive_ = true;
     bool isHeadRequest_ = false;
     bool isAboveLimit_ = false;
     bool isExchangeActive_ = false;
+    bool holdsResponse_ = false;
 };
 
 ConnectionExchange::~ConnectionExchange()
@@ -448,6 +617,9 @@
     connection_->watchForCallerDisconnect(std::move(handler));
 }
 
+namespace
+{
+
 class ListeningServer final : public Server
 {
 public:
@@ -503,6 +675,11 @@
         return shared_->activeExchanges;
     }
 
+    [[nodiscard]] std::uint64_t rejections(RejectionCause cause) const override
+    {
+        return shared_->rejections.at(static_cast<std::size_t>(cause));
+    }
+
 private:
     void accept()
     {
@@ -552,18 +729,43 @@
 
     void serve(tcp::socket socket)
     {
-        if (shared_->connections >= 2 * shared_->options.maxConnections) {
-            support::log(support::Severity::Warning,
-                "closed a connection at twice the connection limit; raise the limit or add instances",
-                {{"limit", shared_->options.maxConnections}});
+        const bool hasRoom = shared_->connections < shared_->options.maxConnections || makeRoomForConnection();
+        logConnectionLimit();
+        if (shared_->connections >= shared_->options.maxConnections + shared_->options.maxExcessConnections) {
+            shared_->count(RejectionCause::ConnectionLimit);
             return;
         }
         error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
         // The check for a closed connection must not block: a readiness event can refer to data that was already read.
         socket.non_blocking(true, ignored);
-        auto connection = std::make_shared<Connection>(std::move(socket), shared_);
-        asio::dispatch(connection->executor(), [connection] { connection->readRequest(); });
+        auto connection = std::make_shared<Connection>(std::move(socket), shared_, hasRoom ? ConnectionAdmission::Accepted : ConnectionAdmission::Rejected);
+        asio::dispatch(connection->executor(), [connection] { connection->start(); });
+    }
+
+    /// Closes the connection that has waited for its caller for the longest time. Returns whether there is one.
+    bool makeRoomForConnection()
+    {
+        const std::shared_ptr<Connection> longest = shared_->waiting.takeLongest();
+        if (!longest) {
+            return false;
+        }
+        asio::dispatch(longest->executor(), [longest] { longest->closeIfWaiting(); });
+        return true;
+    }
+
+    /// Logs when the limit on connections begins and ends to act.
+    void logConnectionLimit()
+    {
+        const std::size_t limit = shared_->options.maxConnections;
+        if (shared_->connections >= limit && !shared_->connectionLimitActs.exchange(true)) {
+            support::log(support::Severity::Warning,
+                "the limit on connections takes effect; idle ones are closed, further ones rejected; raise the limit or add instances",
+                {{"limit", limit}});
+        }
+        if (shared_->connections <= limit / 2 && shared_->connectionLimitActs.exchange(false)) {
+            support::log(support::Severity::Info, "the limit on connections no longer takes effect", {{"limit", limit}});
+        }
     }
 
     asio::io_context &context_;
--- a/lib/Router/AdminPages.cpp
+++ b/lib/Router/AdminPages.cpp
@@ -137,6 +137,22 @@
     }
 }
 
+/// Sets the metrics of the server for callers and of the account of memory.
+static void collectCallerMetrics(const AdminContext &admin)
+{
+    support::MetricsRegistry &metrics = admin.state.metrics;
+    const support::MemoryBudget &memory = *admin.state.responseMemory;
+    metrics.setGauge("mulberrywall_held_bytes", static_cast<double>(memory.heldBytes()));
+    metrics.setGauge("mulberrywall_held_bytes_limit", static_cast<double>(memory.limitBytes()));
+    metrics.setGauge("mulberrywall_memory_reclaims", static_cast<double>(memory.reclaims()));
+    metrics.setGauge("mulberrywall_caller_connections", static_cast<double>(admin.callerServer.connectionCount()));
+    for (std::size_t index = 0; index < http::rejectionCauses; ++index) {
+        const auto cause = static_cast<http::RejectionCause>(index);
+        metrics.setGauge(
+            "mulberrywall_caller_rejections", static_cast<double>(admin.callerServer.rejections(cause)), {{"reason", std::string(http::toString(cause))}});
+    }
+}
+
 http::Response answerAdminRequest(const AdminContext &admin, const http::Request &request)
 {
     const std::string_view path = http::pathOf({request.target().data(), request.target().size()});
@@ -155,6 +171,7 @@
     if (path == "/metrics") {
         admin.state.metrics.setGauge("mulberrywall_log_lines_dropped", static_cast<double>(support::droppedLogLines()));
         collectPoolMetrics(admin);
+        collectCallerMetrics(admin);
         http::Response response = http::makeJsonResponse(http::Status::ok, admin.state.metrics.renderPrometheus());
         response.set(http::Field::content_type, "text/plain; version=0.0.4");
         return response;
--- a/lib/Router/Attempt.cpp
+++ b/lib/Router/Attempt.cpp
@@ -68,7 +68,8 @@
         .headerTimeout = stream ? options_.stallTimeout : options_.responseTimeout,
         .idleTimeout = options_.stallTimeout,
         .pool = options_.connections,
-        .unacknowledgedTimeout = options_.unacknowledgedTimeout};
+        .unacknowledgedTimeout = options_.unacknowledgedTimeout,
+        .body = std::move(options_.body)};
     if (!stream) {
         callOptions.maxResponseBytes = options_.maxResponseBytes;
     }
@@ -186,6 +187,9 @@
         return;
     }
     responseStarted_ = true;
+    if (handlers_->onResponseStarted) {
+        handlers_->onResponseStarted();
+    }
     streaming_ = request_->responseMode == ResponseMode::Stream && responseHeader.result() == http::Status::ok;
     response_ = http::Response(dialect_.makeCallerHeader(*request_, responseHeader));
     readMore();
@@ -240,13 +244,15 @@
         return;
     }
     if (!memory_) {
-        memory_ = options_.responseMemory->open([weak = weak_from_this(), executor = executor_] {
-            boost::asio::post(executor, [weak] {
-                if (const auto self = weak.lock()) {
-                    self->onMemoryReclaimed();
-                }
-            });
-        });
+        memory_ = options_.responseMemory->open(
+            [weak = weak_from_this(), executor = executor_] {
+                boost::asio::post(executor, [weak] {
+                    if (const auto self = weak.lock()) {
+                        self->onMemoryReclaimed();
+                    }
+                });
+            },
+            support::MemoryBudget::Holding::FromEndpoint);
     }
     memory_->resize(bytes);
 }
@@ -258,8 +264,8 @@
     }
     std::exchange(call_, nullptr)->cancel();
     requestCancellation();
-    end({.reason
-        = "the responses that are being received exceed " + std::to_string(options_.responseMemory->limitBytes()) + " bytes, and this is the largest of them"});
+    end({.reason = "the responses that are being received exceed " + std::to_string(options_.responseMemory->endpointLimitBytes())
+            + " bytes, and this is the largest of them"});
 }
 
 /// Returns the result if the chunk ends the attempt, or nothing if the stream continues.
--- a/lib/Router/CallerRequest.cpp
+++ b/lib/Router/CallerRequest.cpp
@@ -44,14 +44,14 @@
     return text;
 }
 
-std::string_view bearerKey(const http::Request &request)
+std::string_view bearerKey(const http::RequestHeader &request)
 {
     constexpr std::string_view scheme = "Bearer ";
     const std::string_view value = http::fieldValue(request, "Authorization");
     return value.starts_with(scheme) ? value.substr(scheme.size()) : std::string_view();
 }
 
-std::variant<configuration::Organisation, http::Problem> authorize(const http::Request &request, const configuration::SiteConfiguration &configuration)
+std::variant<configuration::Organisation, http::Problem> authorize(const http::RequestHeader &request, const configuration::SiteConfiguration &configuration)
 {
     const std::string_view key = bearerKey(request);
     if (key.empty()) {
@@ -66,7 +66,7 @@
 }
 
 static std::variant<configuration::RequestClass, http::Problem> chooseClass(
-    const http::Request &request, const configuration::SiteConfiguration &configuration, const configuration::Organisation &organisation)
+    const http::RequestHeader &request, const configuration::SiteConfiguration &configuration, const configuration::Organisation &organisation)
 {
     const std::string_view name = http::fieldValue(request, http::header::requestClass);
     if (name.empty() && organisation.allowedClasses.empty()) {
@@ -98,7 +98,7 @@
     return std::chrono::milliseconds(milliseconds);
 }
 
-static std::variant<policy::TimePoint, http::Problem> chooseDeadline(const http::Request &request, policy::TimePoint now)
+static std::variant<policy::TimePoint, http::Problem> chooseDeadline(const http::RequestHeader &request, policy::TimePoint now)
 {
     const std::string_view text = http::fieldValue(request, http::header::timeoutMs);
     if (text.empty()) {
@@ -176,7 +176,7 @@
     return std::nullopt;
 }
 
-static void copyUpstream(const http::Request &request, std::string_view target, CallerRequest &result)
+static void copyUpstream(const http::RequestHeader &request, std::string_view target, CallerRequest &result)
 {
     result.upstream = http::Request(request.method(), target, 11);
     const std::string_view contentType = http::fieldValue(request, "Content-Type");
@@ -184,20 +184,13 @@
         result.upstream.set(http::Field::content_type, contentType);
     }
     result.upstream.set(http::header::requestId, result.id.value());
-    result.upstream.body() = request.body();
 }
 
-static std::optional<http::Problem> readTarget(const http::Request &request, const configuration::SiteConfiguration &configuration, CallerRequest &result)
+static std::optional<http::Problem> readServiceTarget(
+    const http::RequestHeader &request, const configuration::SiteConfiguration &configuration, CallerRequest &result)
 {
     const std::string_view target(request.target().data(), request.target().size());
     const std::string_view path = http::pathOf(target);
-    if (path == "/v1/chat/completions" || path == "/v1/completions") {
-        if (request.method() != http::Verb::post) {
-            return makeProblem(http::Status::method_not_allowed, "method not allowed", "use POST for completions");
-        }
-        copyUpstream(request, path, result);
-        return readModelBody(request, configuration, result);
-    }
     if (path.starts_with(servicePathPrefix)) {
         const std::string_view rest = target.substr(servicePathPrefix.size());
         const std::size_t end = rest.find_first_of("/?");
@@ -213,13 +206,27 @@
     return makeProblem(http::Status::not_found, "unknown path", "use /v1/chat/completions, /v1/completions, /v1/models or /services/<name>/");
 }
 
-policy::Fingerprint fingerprintOf(const CallerRequest &request)
+static std::optional<http::Problem> readTarget(const http::Request &request, const configuration::SiteConfiguration &configuration, CallerRequest &result)
+{
+    const std::string_view target(request.target().data(), request.target().size());
+    const std::string_view path = http::pathOf(target);
+    if (path == "/v1/chat/completions" || path == "/v1/completions") {
+        if (request.method() != http::Verb::post) {
+            return makeProblem(http::Status::method_not_allowed, "method not allowed", "use POST for completions");
+        }
+        copyUpstream(request, path, result);
+        return readModelBody(request, configuration, result);
+    }
+    return readServiceTarget(request, configuration, result);
+}
+
+policy::Fingerprint fingerprintOf(const CallerRequest &request, std::string_view body)
 {
     const std::string &organisation = request.organisation.id.value();
     std::uint64_t seed = XXH3_64bits(organisation.data(), organisation.size());
     const auto target = request.upstream.target();
     seed = XXH3_64bits_withSeed(target.data(), target.size(), seed);
-    return XXH3_64bits_withSeed(request.upstream.body().data(), request.upstream.body().size(), seed);
+    return XXH3_64bits_withSeed(body.data(), body.size(), seed);
 }
 
 std::vector<policy::Fingerprint> segmentFingerprints(const CallerRequest &request)
@@ -265,8 +272,34 @@
     }
     result.deadline = std::get<policy::TimePoint>(deadline);
     result.idempotencyKey = std::string(http::fieldValue(request, http::header::idempotencyKey));
-    result.fingerprint = fingerprintOf(result);
+    result.fingerprint = fingerprintOf(result, request.body());
     return result;
 }
 
+std::optional<http::Problem> checkCallerHeader(const http::RequestHeader &request, const configuration::SiteConfiguration &configuration, policy::TimePoint now)
+{
+    const auto organisation = authorize(request, configuration);
+    if (const auto *problem = std::get_if<http::Problem>(&organisation)) {
+        return *problem;
+    }
+    const std::string_view target(request.target().data(), request.target().size());
+    const bool isCompletion = http::pathOf(target) == "/v1/chat/completions" || http::pathOf(target) == "/v1/completions";
+    if (isCompletion && request.method() != http::Verb::post) {
+        return makeProblem(http::Status::method_not_allowed, "method not allowed", "use POST for completions");
+    }
+    CallerRequest ignored;
+    if (!isCompletion) {
+        if (auto problem = readServiceTarget(request, configuration, ignored)) {
+            return problem;
+        }
+    }
+    const auto requestClass = chooseClass(request, configuration, std::get<configuration::Organisation>(organisation));
+    if (const auto *problem = std::get_if<http::Problem>(&requestClass)) {
+        return *problem;
+    }
+    const auto deadline = chooseDeadline(request, now);
+    const auto *problem = std::get_if<http::Problem>(&deadline);
+    return problem == nullptr ? std::nullopt : std::optional(*problem);
+}
+
 } // namespace mulberrywall::router
--- a/lib/Router/CallerSession.cpp
+++ b/lib/Router/CallerSession.cpp
@@ -18,6 +18,7 @@
     : state_(state),
       exchange_(std::move(exchange)),
       request_(std::make_shared<const CallerRequest>(std::move(request))),
+      body_(exchange_->takeBody()),
       concurrencySlot_(std::move(concurrencySlot)),
       deadlineTimer_(exchange_->executor()),
       hedgeTimer_(exchange_->executor()),
@@ -68,7 +69,7 @@
             .detail = "this router has no table service for idempotency keys; start it with --platform, or send the request without a key"});
         return;
     }
-    reservation_ = std::make_unique<ReservationGuard>(state_.keyReservations, makeReservationRequest(*request_));
+    reservation_ = std::make_unique<ReservationGuard>(state_.keyReservations, makeReservationRequest(*request_, *body_));
     reservation_->reserve([self = shared_from_this()](const backingservices::ReservationResult &result) {
         boost::asio::dispatch(self->exchange_->executor(), [self, result] { self->onReservationResult(result); });
     });
@@ -280,6 +281,7 @@
     }
     cancelAttempts();
     ended_ = true;
+    body_ = nullptr;
     verdict_ = Verdict::Completed;
     recordEnd(completedResult);
     if (!attemptResult.response) {
@@ -297,6 +299,7 @@
 void CallerSession::failWith(http::Response response)
 {
     ended_ = true;
+    body_ = nullptr;
     recordEnd("failed");
     state_.dialect.addOutcome(response, *request_, verdict_);
     exchange_->respond(std::move(response));
@@ -305,6 +308,7 @@
 void CallerSession::fail(http::Problem problem, std::chrono::milliseconds retryAfter)
 {
     ended_ = true;
+    body_ = nullptr;
     problem.requestId = request_->id.value();
     recordEnd("failed");
     if (relay_->isStarted()) {
--- a/lib/Router/CallerSessionAttempts.cpp
+++ b/lib/Router/CallerSessionAttempts.cpp
@@ -85,6 +85,7 @@
         .stallTimeout = state_.options.stallTimeout,
         .responseTimeout = state_.options.responseTimeout,
         .maxResponseBytes = state_.options.maxResponseBytes,
+        .body = body_,
         .responseMemory = state_.responseMemory,
         .number = attempts_,
         .resumeFrom = deliveredTokens_,
@@ -122,12 +123,21 @@
         {.onEvents = [self, attempt](const std::vector<StreamEvent> &events) { self->onEvents(attempt, events); },
             .onEnd = [self, attempt](AttemptResult attemptResult) { self->onAttemptEnd(attempt, std::move(attemptResult)); },
             .onStatement = [self, endpoint](const EndpointStatement &statement) { self->onStatement(endpoint, statement); },
+            .onResponseStarted = [self, attempt] { self->releaseBodyIfUnneeded(attempt); },
             .onOwnerCommand =
                 [self](const permits::OwnerCommand &command) {
                     self->onOwnerCommand(command);
                 }});
 }
 
+void CallerSession::releaseBodyIfUnneeded(const AttemptPtr &attempt)
+{
+    const bool mayRunAgain = request_->requestClass.idempotency == configuration::Idempotency::Idempotent || canResume(attempt);
+    if (!mayRunAgain) {
+        body_ = nullptr;
+    }
+}
+
 void CallerSession::onStatement(const support::EndpointId &endpoint, const EndpointStatement &statement)
 {
     if (statement.leaving) {
--- a/lib/Router/ProductDialect.cpp
+++ b/lib/Router/ProductDialect.cpp
@@ -33,6 +33,16 @@
     return problem != nullptr ? http::makeProblemResponse(*problem) : http::makeJsonResponse(http::Status::ok, renderModels(configuration));
 }
 
+static std::optional<http::Problem> checkHeader(
+    const http::RequestHeader &request, const configuration::SiteConfiguration &configuration, policy::TimePoint now)
+{
+    // Such requests are answered by the router itself, without a limit on their method.
+    if (http::pathOf({request.target().data(), request.target().size()}) == "/v1/models") {
+        return std::nullopt;
+    }
+    return checkCallerHeader(request, configuration, now);
+}
+
 static http::Request makeAttemptRequest(const CallerRequest &request, const AttemptParameters &parameters)
 {
     http::Request upstream = request.upstream;
@@ -126,6 +136,7 @@
 const Dialect &productDialect()
 {
     static constexpr Dialect dialect {.parseRequest = parseCallerRequest,
+        .checkHeader = checkHeader,
         .answerLocally = answerModels,
         .makeAttemptRequest = makeAttemptRequest,
         .readStatement = readStatement,
--- a/lib/Router/ReservationGuard.cpp
+++ b/lib/Router/ReservationGuard.cpp
@@ -19,12 +19,13 @@
     return request.requestClass.idempotency == configuration::Idempotency::NonIdempotent && !request.idempotencyKey.empty();
 }
 
-backingservices::ReservationRequest makeReservationRequest(const CallerRequest &request)
+backingservices::ReservationRequest makeReservationRequest(const CallerRequest &request, std::string_view body)
 {
     std::string contents(request.upstream.method_string());
     contents += ' ' + request.pool.value() + ' ';
     contents += request.upstream.target();
-    contents += '\n' + request.upstream.body();
+    contents += '\n';
+    contents += body;
     return {
         .organisation = request.organisation.id, .keyHash = hashKey(request.idempotencyKey), .attemptId = request.id.value(), .bodyHash = hashKey(contents)};
 }
--- a/lib/Router/RouterProgram.cpp
+++ b/lib/Router/RouterProgram.cpp
@@ -4,6 +4,7 @@
 #include "mulberrywall/Router/RouterService.h"
 #include "mulberrywall/Support/Address.h"
 #include "mulberrywall/Support/Error.h"
+#include "mulberrywall/Support/Heap.h"
 #include "mulberrywall/Support/Log.h"
 #include "mulberrywall/Support/Settings.h"
 #include "mulberrywall/Support/WorkerPool.h"
@@ -27,6 +28,8 @@
 /// sends no data before a response that is not streamed is complete.
 constexpr int responseStallFactor = 4;
 
+constexpr std::size_t bytesPerMegabyte = 1'000'000;
+
 struct RouterSettings
 {
     std::string programName;
@@ -47,6 +50,8 @@
     unsigned drainGraceMs = 0;
     unsigned drainLimitMs = 0;
     std::size_t maxConnections = 4096;
+    std::size_t memoryMb = 0;
+    std::size_t maxFds = 0;
     unsigned workers = 4;
     std::size_t maxBodyBytes = 4 * 1024 * 1024;
     unsigned readTimeoutMs = 30'000;
@@ -98,6 +103,10 @@
     support::addSetting(app, "--drain-limit-ms", settings.drainLimitMs, "longest time that running requests get at shutdown, in ms; 0 means no limit")
         ->check(CLI::Range(0, 86'400'000));
     support::addSetting(app, "--max-connections", settings.maxConnections, "open connections of callers")->check(CLI::Range(1, 1'000'000));
+    support::addSetting(app, "--memory-mb", settings.memoryMb, "memory of the process, from which its bounds are derived, in MB; 0 means no bounds")
+        ->check(CLI::Range(0, 1'000'000));
+    support::addSetting(app, "--max-fds", settings.maxFds, "descriptors of the process, from which --max-connections is lowered; 0 means no such limit")
+        ->check(CLI::Range(0, 1'000'000));
     support::addSetting(app, "--operator-key", settings.operatorKey, "key for the admin listener; if empty, the listener accepts every request");
     support::addSetting(app, "--workers", settings.workers, "worker threads")->check(CLI::Range(1, 64));
     support::addSetting(app, "--max-body-bytes", settings.maxBodyBytes, "largest request body")->check(CLI::PositiveNumber);
@@ -188,6 +197,8 @@
     const std::chrono::milliseconds readTimeout(settings.readTimeoutMs);
     options.callerServer.limits = {.maxBodyBytes = settings.maxBodyBytes, .idleTimeout = readTimeout, .headerTimeout = readTimeout, .bodyTimeout = readTimeout};
     options.callerServer.maxConnections = settings.maxConnections;
+    options.callerServer.maxExcessConnections = settings.maxConnections;
+    applyResourceLimits(options, deriveResourceLimits(settings.memoryMb * bytesPerMegabyte, settings.maxFds));
     options.drainGrace = std::chrono::milliseconds(settings.drainGraceMs);
     options.drainLimit = std::chrono::milliseconds(settings.drainLimitMs);
     options.adminServer.listen = toTcpEndpoint(settings.adminListen);
@@ -232,6 +243,7 @@
 
 int serve(const RouterSettings &settings, const RouterProgram &program, std::optional<configuration::SiteConfiguration> site)
 {
+    support::returnFreedMemory();
     support::initializeLog({.processName = settings.programName, .instance = settings.instance});
     support::WorkerPool workers(settings.workers);
     std::promise<void> drained;
--- a/lib/Router/RouterService.cpp
+++ b/lib/Router/RouterService.cpp
@@ -29,6 +29,11 @@
 /// another router.
 static constexpr std::chrono::milliseconds notReadyRetryAfter {500};
 
+/// Largest body of a request of an operator.
+static constexpr std::size_t maxAdminBodyBytes = std::size_t {64} * 1024;
+/// The only page that takes a body.
+static constexpr std::string_view drainPath = "/v1/drain";
+
 static std::shared_ptr<backingservices::ReservationBatch> makeKeyReservations(
     boost::asio::io_context &context, const std::optional<backingservices::BackingServiceOptions> &platform)
 {
@@ -61,20 +66,60 @@
           .permits = peers_ ? peers_->source() : permits::makeLocalPermitSource(pools_),
           .keyReservations = makeKeyReservations(context, options_.platform),
           .endpoints = endpoints_},
-      callerServer_(http::Server::create(context, options_.callerServer, [this](const http::ServerExchangePtr &exchange) { handleCaller(exchange); })),
-      adminServer_(http::Server::create(context, options_.adminServer, [this](const http::ServerExchangePtr &exchange) { handleAdmin(exchange); })),
+      callerServer_(http::Server::create(context, makeCallerServerOptions(), [this](const http::ServerExchangePtr &exchange) { handleCaller(exchange); })),
+      adminServer_(http::Server::create(
+          context, makeAdminServerOptions(options_.adminServer), [this](const http::ServerExchangePtr &exchange) { handleAdmin(exchange); })),
       metricsServer_(makeMetricsServer()),
       endpointWatcher_(std::make_shared<EndpointWatcher>(context, makeEndpointWatcherOptions(peers_), state_.configuration, pools_, endpoints_)),
       drainTimer_(context)
 {
 }
 
+void applyResourceLimits(RouterServiceOptions &options, const ResourceLimits &limits)
+{
+    if (limits.heldBytes > 0) {
+        options.router.maxHeldBytes = limits.heldBytes;
+        options.router.maxResponseMemoryBytes = limits.responseBytes;
+    }
+    if (limits.callerConnections > 0) {
+        options.callerServer.maxConnections = std::min(options.callerServer.maxConnections, limits.callerConnections);
+        options.callerServer.maxExcessConnections = std::min(options.callerServer.maxExcessConnections, limits.excessConnections);
+    }
+}
+
+http::ServerOptions RouterService::makeCallerServerOptions()
+{
+    http::ServerOptions options = options_.callerServer;
+    options.memory = state_.callerMemory;
+    options.checkHeader = [this](const http::RequestHeader &request) {
+        return checkCallerHeader(request);
+    };
+    return options;
+}
+
+http::ServerOptions RouterService::makeAdminServerOptions(http::ServerOptions options)
+{
+    options.memory = state_.callerMemory;
+    options.limits.maxBodyBytes = maxAdminBodyBytes;
+    options.maxConnections = maxAdminConnections;
+    options.maxExcessConnections = maxAdminConnections / 2;
+    options.checkHeader = [this](const http::RequestHeader &request) -> std::optional<http::Response> {
+        const std::string_view path = http::pathOf({request.target().data(), request.target().size()});
+        if (path == drainPath) {
+            return std::nullopt;
+        }
+        return answerAdminRequest(adminContext(), http::Request(request));
+    };
+    return options;
+}
+
 std::shared_ptr<http::Server> RouterService::makeMetricsServer()
 {
     if (!options_.metricsListen) {
         return nullptr;
     }
-    return http::Server::create(context_, {.listen = *options_.metricsListen}, [this](const http::ServerExchangePtr &exchange) { handleAdmin(exchange); });
+    return http::Server::create(
+        context_, makeAdminServerOptions({.listen = *options_.metricsListen}), [this](const http::ServerExchangePtr &exchange) { handleAdmin(exchange); });
 }
 
 std::shared_ptr<PermitPeerGroup> RouterService::makePermitPeerGroup()
@@ -372,18 +417,45 @@
     return {};
 }
 
+http::Response RouterService::makeNotReadyResponse(const std::string &reason)
+{
+    constexpr std::int64_t unconfirmed = -1;
+    const auto leaseAge = state_.lease.age(support::BootClock::now());
+    support::log(support::Severity::Warning,
+        "request rejected; the router is not ready",
+        {{"reason", reason}, {"leaseAgeMs", leaseAge ? std::int64_t {leaseAge->count()} : unconfirmed}});
+    state_.metrics.increment("mulberrywall_rejected_total", {{"reason", "not ready"}});
+    return state_.dialect.makeProblemResponse(
+        {.status = http::Status::service_unavailable, .title = "not ready", .detail = reason + "; try another instance"}, notReadyRetryAfter);
+}
+
+http::Response RouterService::makeRejection(const http::Problem &problem, std::uint64_t revision)
+{
+    support::log(support::Severity::Info,
+        "request rejected",
+        {{"request", problem.requestId}, {"reason", problem.title}, {"status", static_cast<unsigned>(problem.status)}, {"revision", revision}});
+    state_.metrics.increment("mulberrywall_rejected_total", {{"reason", problem.title}});
+    return state_.dialect.makeProblemResponse(problem, {});
+}
+
+std::optional<http::Response> RouterService::checkCallerHeader(const http::RequestHeader &request)
+{
+    const ConfigurationSnapshot configuration = state_.configuration.current();
+    if (const std::string reason = unavailabilityReason(configuration); !reason.empty()) {
+        return makeNotReadyResponse(reason);
+    }
+    const auto problem = state_.dialect.checkHeader(request, *configuration, std::chrono::steady_clock::now());
+    if (!problem) {
+        return std::nullopt;
+    }
+    return makeRejection(*problem, configuration->revision);
+}
+
 void RouterService::handleCaller(const http::ServerExchangePtr &exchange)
 {
     const ConfigurationSnapshot configuration = state_.configuration.current();
     if (const std::string reason = unavailabilityReason(configuration); !reason.empty()) {
-        constexpr std::int64_t unconfirmed = -1;
-        const auto leaseAge = state_.lease.age(support::BootClock::now());
-        support::log(support::Severity::Warning,
-            "request rejected; the router is not ready",
-            {{"reason", reason}, {"leaseAgeMs", leaseAge ? std::int64_t {leaseAge->count()} : unconfirmed}});
-        state_.metrics.increment("mulberrywall_rejected_total", {{"reason", "not ready"}});
-        exchange->respond(state_.dialect.makeProblemResponse(
-            {.status = http::Status::service_unavailable, .title = "not ready", .detail = reason + "; try another instance"}, notReadyRetryAfter));
+        exchange->respond(makeNotReadyResponse(reason));
         return;
     }
     const http::Request &request = exchange->request();
@@ -393,14 +465,7 @@
     }
     auto parsed = state_.dialect.parseRequest(request, *configuration, std::chrono::steady_clock::now());
     if (const auto *problem = std::get_if<http::Problem>(&parsed)) {
-        support::log(support::Severity::Info,
-            "request rejected",
-            {{"request", problem->requestId},
-                {"reason", problem->title},
-                {"status", static_cast<unsigned>(problem->status)},
-                {"revision", configuration->revision}});
-        state_.metrics.increment("mulberrywall_rejected_total", {{"reason", problem->title}});
-        exchange->respond(state_.dialect.makeProblemResponse(*problem, {}));
+        exchange->respond(makeRejection(*problem, configuration->revision));
         return;
     }
     auto callerRequest = std::get<CallerRequest>(std::move(parsed));
@@ -415,15 +480,20 @@
     std::make_shared<CallerSession>(state_, exchange, std::move(callerRequest), std::get<ConcurrencySlot>(std::move(admission)))->start();
 }
 
+AdminContext RouterService::adminContext()
+{
+    return {.state = state_,
+        .pools = pools_,
+        .callerServer = *callerServer_,
+        .peers = peers_.get(),
+        .instance = options_.instance,
+        .dataCentre = options_.dataCentre,
+        .operatorKey = options_.operatorKey};
+}
+
 void RouterService::handleAdmin(const http::ServerExchangePtr &exchange)
 {
-    exchange->respond(answerAdminRequest({.state = state_,
-                                             .pools = pools_,
-                                             .peers = peers_.get(),
-                                             .instance = options_.instance,
-                                             .dataCentre = options_.dataCentre,
-                                             .operatorKey = options_.operatorKey},
-        exchange->request()));
+    exchange->respond(answerAdminRequest(adminContext(), exchange->request()));
 }
 
 } // namespace mulberrywall::router
--- a/tools/mulberrywall-router/NodeProgram.cpp
+++ b/tools/mulberrywall-router/NodeProgram.cpp
@@ -12,6 +12,7 @@
 #include "mulberrywall/Router/RouterService.h"
 #include "mulberrywall/Router/SegmentArchive.h"
 #include "mulberrywall/Router/StoreWatcher.h"
+#include "mulberrywall/Support/Heap.h"
 #include "mulberrywall/Support/Log.h"
 #include "mulberrywall/Support/Settings.h"
 #include "mulberrywall/Support/WorkerPool.h"
@@ -49,10 +50,6 @@
 /// A twentieth of the memory of the smallest instances; several endpoints in trouble may send without end at the same time.
 constexpr std::size_t maxResponseBytes = std::size_t {8} * 1024 * 1024;
 
-/// Share of the instance's memory for the responses that are being received. The others hold the requests, and responses while they are
-/// written to callers.
-constexpr double responseMemoryShare = 0.25;
-
 /// Minimum number of routers among which the retry slack is divided; used until more routers are known, because the users'
 /// platform does not report their number.
 constexpr std::size_t minimumRouters = 10;
@@ -105,9 +102,7 @@
         .retryBurst = retryBurstPerRouter(settings.retries.slack, minimumRouters),
         .configurationLifetime = configurationLifetime(settings),
         .chargeResumesToRetryBudget = true};
-    if (settings.memoryLimit > 0) {
-        options.router.maxResponseMemoryBytes = static_cast<std::size_t>(static_cast<double>(settings.memoryLimit) * responseMemoryShare);
-    }
+    applyResourceLimits(options, deriveResourceLimits(settings.memoryLimit, settings.descriptorLimit));
     options.dialect = &platform::dialect();
     options.endpointReports = EndpointReports::None;
     options.drainGrace = scale(settings.terminationGrace, drainGraceShare);
@@ -259,6 +254,7 @@
 
 int serve(const platform::NodeSettings &settings, const RouterProgram &program, const std::string &nodeFile, std::uint16_t metricsPort)
 {
+    support::returnFreedMemory();
     support::initializeLog({.processName = program.name,
         .instance = settings.instance.value(),
         .output = support::LogOutput::StandardOutput,
--- a/unittests/Adapter/NodeSettingsTest.cpp
+++ b/unittests/Adapter/NodeSettingsTest.cpp
@@ -34,6 +34,7 @@
     EXPECT_EQ(settings.changeDelayLimit, std::chrono::seconds(3)) << "the shorter of both limits";
     EXPECT_DOUBLE_EQ(settings.processorCores, 0.25);
     EXPECT_EQ(settings.memoryLimit, 260'000'000U);
+    EXPECT_EQ(settings.descriptorLimit, 4100U);
     EXPECT_DOUBLE_EQ(settings.retries.ratio, 0.25);
     EXPECT_DOUBLE_EQ(settings.retries.slack, 54.0);
 }
--- a/unittests/Adapter/PlatformPathTest.cpp
+++ b/unittests/Adapter/PlatformPathTest.cpp
@@ -139,6 +139,33 @@
     EXPECT_EQ(response.body, event(1) + event(2) + event(3) + event(4) + event(5));
 }
 
+/// Guards against a body that is altered or missing in an attempt, although all attempts share one copy that is released early.
+TEST_F(PlatformPathTest, EveryAttemptHasTheWholeBody)
+{
+    addEndpoint(refuse);
+    addEndpoint([](const http::ServerExchangePtr &exchange) { answer(exchange, http::Status::ok, exchange->request().body()); });
+    start();
+    const std::string body = std::string(300'000, 'x') + "end";
+    for (unsigned index = 0; index < 4; ++index) {
+        http::Request request(http::Verb::post, index % 2 == 0 ? "/unsafe/" : "/safe/", 11);
+        request.set("Host", "h");
+        request.set("Mulberrywall-Request-Id", "r" + std::to_string(index));
+        request.body() = body;
+        std::promise<http::BufferedResponse> promise;
+        http::fetch(
+            boost::asio::make_strand(workers_.context()), {.peer = service_->callerEndpoint()}, std::move(request), [&](http::BufferedResponse response) {
+                promise.set_value(std::move(response));
+            });
+        EXPECT_TRUE(promise.get_future().get().body == body) << index;
+    }
+    for (const auto &server : servers_) {
+        EXPECT_FALSE(server->requests().empty());
+        for (const http::Request &received : server->requests()) {
+            EXPECT_TRUE(received.body() == body);
+        }
+    }
+}
+
 /// Guards against a second run of an unsafe request whose response was lost, and against a response to the caller that
 /// states that the request has not run.
 TEST_F(PlatformPathTest, UnsafeRequestIsNotRetriedAfterLostResponse)
--- a/unittests/Http/ClientCallTest.cpp
+++ b/unittests/Http/ClientCallTest.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
@@ -123,6 +124,32 @@
     EXPECT_EQ(response.status, Status::ok);
 }
 
+// Guards against a slow endpoint that is taken for a lost one: while it reads nothing, its receive window is closed and sent bytes stay
+// unacknowledged, but its system answers.
+TEST_F(ClientCallTest, EndpointThatPausesReadingKeepsItsConnection)
+{
+    constexpr std::chrono::milliseconds unacknowledgedTimeout {300};
+    constexpr std::chrono::milliseconds pause {2'800};
+    constexpr std::size_t bodyBytes = std::size_t {16} * 1024 * 1024;
+    tcp::acceptor acceptor(pool_.context(), {asio::ip::address_v4::loopback(), 0});
+    std::promise<BufferedResponse> promise;
+    fetch(asio::make_strand(pool_.context()),
+        {.peer = acceptor.local_endpoint(), .unacknowledgedTimeout = unacknowledgedTimeout, .body = std::make_shared<const std::string>(bodyBytes, 'x')},
+        Request(Verb::post, "/", 11),
+        [&promise](BufferedResponse response) { promise.set_value(std::move(response)); });
+    tcp::socket socket = acceptor.accept();
+    asio::steady_timer timer(pool_.context(), pause);
+    timer.wait();
+    std::string request;
+    asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
+    const std::size_t headerBytes = request.find("\r\n\r\n") + 4;
+    asio::read(socket, asio::dynamic_buffer(request), asio::transfer_exactly(headerBytes + bodyBytes - request.size()));
+    asio::write(socket, asio::buffer(std::string_view("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")));
+    const BufferedResponse response = promise.get_future().get();
+    EXPECT_FALSE(response.result.error) << response.result.error.message();
+    EXPECT_EQ(response.body, "done");
+}
+
 // Guards against a response that is lost because the endpoint closed the connection before it had read the whole request.
 TEST_F(ClientCallTest, ResponseWithLengthIsCompleteDespiteAReset)
 {
--- a/unittests/Http/ServerTest.cpp
+++ b/unittests/Http/ServerTest.cpp
@@ -97,6 +97,17 @@
     EXPECT_NE(answer.find("408 Request Timeout"), std::string::npos) << answer;
 }
 
+// Guards against many short fields, which take a multiple of their size in memory.
+TEST_F(ServerTest, RejectsTooManyFields)
+{
+    std::string fields;
+    for (unsigned number = 0; number < RequestLimits().maxHeaderFields; ++number) {
+        fields += "a:b\r\n";
+    }
+    EXPECT_TRUE(sendRaw("GET / HTTP/1.1\r\nConnection: close\r\n" + fields + "\r\n").starts_with("HTTP/1.1 431"));
+    EXPECT_TRUE(sendRaw("GET / HTTP/1.1\r\n" + fields + "\r\n").starts_with("HTTP/1.1 200"));
+}
+
 // Guards against a chunk header without end, of which the server buffered whatever the caller sent until the timeout.
 TEST_F(ServerTest, RejectsChunkHeaderWithoutEnd)
 {
