--- a/fuzz/CallerRequestFuzz.cpp
+++ b/fuzz/CallerRequestFuzz.cpp
@@ -77,6 +77,9 @@
     require(accepted.requestClass.id.value() == "fast", "the class of an accepted request is allowed for its organisation");
     require(configuration::findPool(site, accepted.pool) != nullptr, "the pool of an accepted request exists");
     require(accepted.deadline > policy::TimePoint {}, "the deadline of an accepted request is in the future");
-    checkUpstream(accepted.upstream);
+    // The body is sent from the copy that the server holds.
+    http::Request upstream = accepted.upstream;
+    upstream.body() = request->body();
+    checkUpstream(std::move(upstream));
     return 0;
 }
--- a/lib/Http/RequestParser.h
+++ b/lib/Http/RequestParser.h
@@ -31,6 +31,11 @@
     {
         return bodyBytes_;
     }
+    /// Returns the memory of the fields.
+    [[nodiscard]] std::size_t fieldMemory() const noexcept
+    {
+        return fieldMemory_;
+    }
     /// From now on the bytes of the body are not stored.
     void discardBody() noexcept
     {
@@ -42,6 +47,9 @@
     }
 
 private:
+    /// Memory of a field besides its text.
+    static constexpr std::size_t fieldOverheadBytes = 80;
+
     using Text = boost::beast::string_view;
 
     void on_field_impl(Field name, Text nameText, Text value, boost::system::error_code &error) override
@@ -51,6 +59,7 @@
             error = boost::beast::http::error::header_limit;
             return;
         }
+        fieldMemory_ += nameText.size() + value.size() + fieldOverheadBytes;
         get().insert(name, nameText, value);
     }
 
@@ -80,6 +89,7 @@
 
     std::size_t maxFields_;
     std::size_t fields_ = 0;
+    std::size_t fieldMemory_ = 0;
     std::size_t bodyBytes_ = 0;
     bool discards_ = false;
 };
--- a/lib/Http/RequestReader.cpp
+++ b/lib/Http/RequestReader.cpp
@@ -92,9 +92,16 @@
     }
 }
 
-void RequestReader::readHeader(Handler handler)
+std::size_t RequestReader::headerMemory() const
+{
+    const std::size_t bytes = parser_->fieldMemory() + buffer_.size();
+    return bytes > headerReadBytes ? bytes : 0;
+}
+
+void RequestReader::readHeader(std::function<void()> onGrowth, Handler handler)
 {
     handler_ = std::move(handler);
+    onProgress_ = std::move(onGrowth);
     startTimer(limits_.headerTimeout);
     continueHeader();
 }
@@ -107,6 +114,9 @@
         finishWithError(error);
         return;
     }
+    if (buffer_.size() >= headerReadBytes) {
+        onProgress_();
+    }
     startRead(headerReadBytes, &RequestReader::onHeaderBytes);
 }
 
--- a/lib/Http/RequestReader.h
+++ b/lib/Http/RequestReader.h
@@ -56,7 +56,10 @@
     }
     /// Waits for the first byte.
     void waitForBytes(Handler handler);
-    void readHeader(Handler handler);
+    /// Reads the header. `onGrowth` is called when it takes more memory than an ordinary one.
+    void readHeader(std::function<void()> onGrowth, Handler handler);
+    /// Returns the memory that the header takes beyond that of an ordinary one.
+    [[nodiscard]] std::size_t headerMemory() const;
     /// Parses the received bytes of the body. Returns whether the request is complete.
     bool parseReceivedBody(boost::system::error_code &error);
     /// Reads the rest of the body. `onProgress` is called when a notable number of bytes was received.
--- a/lib/Http/Server.cpp
+++ b/lib/Http/Server.cpp
@@ -40,6 +40,8 @@
 constexpr std::chrono::milliseconds acceptPause {50};
 /// Accounted for each connection: its objects, the read buffer and the fields of an ordinary request.
 constexpr std::size_t connectionBytes = std::size_t {8} * 1024;
+/// Accounted in addition while a request runs: its session, its attempt and the buffers of the connection to the endpoint.
+constexpr std::size_t runningRequestBytes = std::size_t {24} * 1024;
 /// A body that is rejected before it was read is received and dropped up to this size, so that the connection can be kept.
 constexpr std::size_t maxDiscardedBodyBytes = std::size_t {64} * 1024;
 /// Smaller responses are covered by connectionBytes.
@@ -60,11 +62,6 @@
     std::unique_ptr<support::MemoryBudget::Share> share;
 };
 
-} // namespace
-
-namespace
-{
-
 class ConnectionExchange final : public ServerExchange
 {
 public:
@@ -265,7 +262,7 @@
     void readHeader()
     {
         setPhase(WaitingConnections::Phase::Receiving);
-        reader_.readHeader(bind(&Connection::onHeader));
+        reader_.readHeader([this] { setHeldBytes(reader_.headerMemory()); }, bind(&Connection::onHeader));
     }
 
     void onHeader(const ReadResult &result)
@@ -279,6 +276,7 @@
             rejectAndClose(*problem, "no usable framing of the body");
             return;
         }
+        setHeldBytes(reader_.headerMemory());
         error_code error;
         if (reader_.parseReceivedBody(error) || error) {
             onRequest({.failure = error ? ReadFailure::Error : ReadFailure::None, .error = error});
@@ -336,6 +334,7 @@
             return;
         }
         beginExchange();
+        setHeldBytes(runningRequestBytes + reader_.headerMemory());
         auto bodyShare = reader_.releaseBodyShare();
         shared_->handler(std::make_shared<ConnectionExchange>(shared_from_this(), reader_.parser().release(), std::move(bodyShare)));
     }
@@ -369,7 +368,7 @@
         }
         holdsResponse_ = true;
         share_->unpin();
-        share_->resize(connectionBytes + bytes);
+        share_->resize(connectionBytes + heldBytes_ + bytes);
     }
 
     /// Ends the account of a response, or a part of it, that was written.
@@ -377,7 +376,15 @@
     {
         if (std::exchange(holdsResponse_, false) && share_) {
             share_->pin();
-            share_->resize(connectionBytes);
+            share_->resize(connectionBytes + heldBytes_);
+        }
+    }
+
+    /// Sets the bytes that are accounted for besides connectionBytes and the response.
+    void setHeldBytes(std::size_t bytes)
+    {
+        if (share_ && std::exchange(heldBytes_, bytes) != bytes) {
+            share_->resize(connectionBytes + bytes);
         }
     }
 
@@ -402,6 +409,7 @@
             // A request was passed on before this call arrived.
             openShare();
             share_->pin();
+            share_->resize(connectionBytes + heldBytes_);
             return;
         }
         support::log(support::Severity::Warning, "closed a connection that held most and moved least at the bound on memory");
@@ -503,6 +511,7 @@
             return;
         }
         endHold();
+        setHeldBytes(0);
         if (share_) {
             share_->unpin();
         }
@@ -570,6 +579,8 @@
     bool isAboveLimit_ = false;
     bool isExchangeActive_ = false;
     bool holdsResponse_ = false;
+    /// Bytes accounted for besides connectionBytes and the response.
+    std::size_t heldBytes_ = 0;
 };
 
 ConnectionExchange::~ConnectionExchange()
