--- a/lib/Http/ClientCall.cpp
+++ b/lib/Http/ClientCall.cpp
@@ -103,6 +103,7 @@
         return body ? body->size() : 0;
     }
 
+    // NOLINTNEXTLINE(readability-identifier-naming): Beast prescribes the name.
     class writer
     {
     public:
