--- a/tools/mulberrywall-router/NodeProgram.cpp
+++ b/tools/mulberrywall-router/NodeProgram.cpp
@@ -16,6 +16,7 @@
 #include "mulberrywall/Router/RouterService.h"
 #include "mulberrywall/Router/SegmentArchive.h"
 #include "mulberrywall/Router/StoreWatcher.h"
+#include "mulberrywall/Support/Heap.h"
 #include "mulberrywall/Support/Log.h"
 #include "mulberrywall/Support/Settings.h"
 #include "mulberrywall/Support/WorkerPool.h"
@@ -54,10 +55,6 @@
 /// A twentieth of the memory of the smallest instances; several endpoints in trouble may send without end at the same time.
 constexpr std::size_t maxResponseBytes = std::size_t {8} * 1024 * 1024;
 
-/// Share of the instance's memory for the responses that are being received. The others hold the requests, and responses while they are
-/// written to callers.
-constexpr double responseMemoryShare = 0.25;
-
 /// Minimum number of routers among which the retry slack is divided; used until more routers are known, because the users'
 /// platform does not report their number.
 constexpr std::size_t minimumRouters = 10;
@@ -110,9 +107,7 @@
         .retryBurst = retryBurstPerRouter(settings.retries.slack, minimumRouters),
         .configurationLifetime = configurationLifetime(settings),
         .chargeResumesToRetryBudget = true};
-    if (settings.memoryLimit > 0) {
-        options.router.maxResponseMemoryBytes = static_cast<std::size_t>(static_cast<double>(settings.memoryLimit) * responseMemoryShare);
-    }
+    applyResourceLimits(options, deriveResourceLimits(settings.memoryLimit, settings.descriptorLimit));
     options.dialect = &platform::dialect();
     options.endpointReports = EndpointReports::None;
     options.drainGrace = scale(settings.terminationGrace, drainGraceShare);
@@ -327,6 +322,7 @@
 
 int serve(const platform::NodeSettings &settings, const RouterProgram &program, const std::string &nodeFile, std::uint16_t metricsPort)
 {
+    support::returnFreedMemory();
     support::initializeLog({.processName = program.name,
         .instance = settings.instance.value(),
         .output = support::LogOutput::StandardOutput,
