--- a/include/mulberrywall/Router/Attempt.h
+++ b/include/mulberrywall/Router/Attempt.h
@@ -84,7 +84,7 @@
     std::function<void(const std::vector<StreamEvent> &)> onEvents;
     std::function<void(AttemptResult)> onEnd;
     /// Called when the header of a response arrives that is not streamed and no server error.
-    std::function<void()> onResponseStarted;
+    std::function<void()> onBufferedResponse;
     /// Called when a response header arrives in which the endpoint states something about itself.
     std::function<void(const EndpointStatement &)> onStatement;
     /// Called when the header of the endpoint's response to this request has arrived. May be empty.
--- a/lib/Router/Attempt.cpp
+++ b/lib/Router/Attempt.cpp
@@ -187,14 +187,14 @@
         return;
     }
     responseStarted_ = true;
-    if (handlers_->onResponseStarted) {
-        handlers_->onResponseStarted();
+    const auto handlers = handlers_;
+    if (handlers->onResponseStarted) {
+        handlers->onResponseStarted();
     }
     streaming_ = request_->responseMode == ResponseMode::Stream && responseHeader.result() == http::Status::ok;
     response_ = http::Response(dialect_.makeCallerHeader(*request_, responseHeader));
-    const auto handlers = handlers_;
-    if (request_->responseMode == ResponseMode::Buffered && responseHeader.result_int() < firstServerError && handlers->onResponseStarted) {
-        handlers->onResponseStarted();
+    if (request_->responseMode == ResponseMode::Buffered && responseHeader.result_int() < firstServerError && handlers->onBufferedResponse) {
+        handlers->onBufferedResponse();
     }
     readMore();
 }
--- a/lib/Router/CallerSessionAttempts.cpp
+++ b/lib/Router/CallerSessionAttempts.cpp
@@ -126,7 +126,7 @@
     attempt->start(request_,
         {.onEvents = [self, attempt](const std::vector<StreamEvent> &events) { self->onEvents(attempt, events); },
             .onEnd = [self, attempt](AttemptResult attemptResult) { self->onAttemptEnd(attempt, std::move(attemptResult)); },
-            .onResponseStarted = [self] { self->recordUsage(); },
+            .onBufferedResponse = [self] { self->recordUsage(); },
             .onStatement = [self, endpoint](const EndpointStatement &statement) { self->onStatement(endpoint, statement); },
             .onResponseStarted = [self, attempt] { self->releaseBodyIfUnneeded(attempt); },
             .onOwnerCommand =
