--- a/unittests/Policy/AutoscalingTest.cpp
+++ b/unittests/Policy/AutoscalingTest.cpp
@@ -365,7 +365,8 @@
 /// Guards against capacity far from the callers without need, and against dear capacity near them.
 TEST_F(AutoscalingTest, CapacityIsNearTheDemandUnlessThePriceDifferenceIsLarger)
 {
-    AllocationRequest request {.minimum = 1, .maximum = 40, .required = 12, .requiredWithoutReserve = 12, .requiredAfterLoss = 4, .demandShares = {{a_, 0.75}, {b_, 0.25}}};
+    AllocationRequest request {
+        .minimum = 1, .maximum = 40, .required = 12, .requiredWithoutReserve = 12, .requiredAfterLoss = 4, .demandShares = {{a_, 0.75}, {b_, 0.25}}};
     const auto allocate = [&](double priceOfB) {
         request.cells = {{.cell = {.dataCentre = a_}, .price = 1.0, .limit = 40}, {.cell = {.dataCentre = b_}, .price = priceOfB, .limit = 40}};
         return allocateCapacity(request, state_.tuning);
