--- a/unittests/Policy/PrefillAdmissionTest.cpp
+++ b/unittests/Policy/PrefillAdmissionTest.cpp
@@ -77,6 +77,25 @@
     std::map<std::string, milliseconds> freeAt_;
     std::multimap<milliseconds, Prefill> prefills_;
     std::map<support::Tier, Counts> counts_;
+
+    /// Starts a pool of one engine with 2.5 s of pending prefill of the highest tier, whose callers leave after 2 s, and a class of the
+    /// lowest tier with the given first-token target.
+    void startWithBacklog(milliseconds patientTarget)
+    {
+        PoolOptions options;
+        ClassSpec urgent = tierClass(0);
+        urgent.firstTokenTarget = milliseconds(500);
+        ClassSpec patient = tierClass(2);
+        patient.firstTokenTarget = patientTarget;
+        options.classes = {urgent, patient};
+        start(options, {endpointSpec("engine-0", 64)});
+        functions.recordPeerSummary(pool.get(),
+            {.summary = {.endpoints = {{.endpoint = support::EndpointId("engine-0"), .pendingPrefill = {{.tokens = 125'000}}, .running = 8}}}},
+            startTime);
+        // The first prompt of a tier is always admitted.
+        ask(0, milliseconds(0));
+        ask(2, milliseconds(0));
+    }
 };
 
 /// Guards against a backlog that grows until nothing is served in time. Twenty seconds of 1.5 times what the engines can prefill;
@@ -204,41 +223,15 @@
 /// highest tier would admit by the backlog alone.
 TEST_F(PrefillAdmissionTest, RejectsWhatStartsAfterItsCallerLeaves)
 {
-    PoolOptions options;
-    ClassSpec urgent = tierClass(0);
-    urgent.firstTokenTarget = milliseconds(500);
-    ClassSpec patient = tierClass(2);
-    patient.firstTokenTarget = milliseconds(8'000);
-    options.classes = {urgent, patient};
-    start(options, {endpointSpec("engine-0", 64)});
-    // 2.5 s of prefill of the highest tier; a caller of that class leaves after 2 s.
-    functions.recordPeerSummary(pool.get(),
-        {.summary = {.endpoints = {{.endpoint = support::EndpointId("engine-0"), .pendingPrefill = {{.tokens = 125'000}}, .running = 8}}}},
-        startTime);
-    // The first prompt of a tier is always admitted.
-    ask(0, milliseconds(0));
-    ask(2, milliseconds(0));
+    startWithBacklog(milliseconds(8'000));
     EXPECT_EQ(ask(0, milliseconds(1)).rejections.size(), 1U) << "callers of the class leave after 2 s";
     EXPECT_EQ(ask(2, milliseconds(1)).rejections.size(), 1U) << "the lowest tier may wait for 1.6 s";
 }
 
-// Guards against the rejection of a prompt whose caller is less patient than those of a lower tier, which are admitted (TIER).
+/// Guards against the rejection of a prompt whose caller is less patient than those of a lower tier, which are admitted.
 TEST_F(PrefillAdmissionTest, RejectsNoTierForItsPatienceWhileALowerOneIsAdmitted)
 {
-    PoolOptions options;
-    ClassSpec urgent = tierClass(0);
-    urgent.firstTokenTarget = milliseconds(500);
-    ClassSpec patient = tierClass(2);
-    patient.firstTokenTarget = milliseconds(60'000);
-    options.classes = {urgent, patient};
-    start(options, {endpointSpec("engine-0", 64)});
-    // 2.5 s of prefill of the highest tier; a caller of that class leaves after 2 s.
-    functions.recordPeerSummary(pool.get(),
-        {.summary = {.endpoints = {{.endpoint = support::EndpointId("engine-0"), .pendingPrefill = {{.tokens = 125'000}}, .running = 8}}}},
-        startTime);
-    // The first prompt of a tier is always admitted.
-    ask(0, milliseconds(0));
-    ask(2, milliseconds(0));
+    startWithBacklog(milliseconds(60'000));
     EXPECT_EQ(ask(0, milliseconds(1)).grants.size(), 1U) << "although callers of the class leave after 2 s";
     EXPECT_EQ(ask(2, milliseconds(1)).grants.size(), 1U) << "callers of the class wait for minutes";
 }
