--- a/tools/mulberrywall-router/NodeAutoscaling.cpp
+++ b/tools/mulberrywall-router/NodeAutoscaling.cpp
@@ -74,7 +74,7 @@
     RouterService &service,
     const NodeDuties &duties,
     std::shared_ptr<const NodeMetering> metering,
-    std::shared_ptr<const LiveMembers> members)
+    const std::shared_ptr<const LiveMembers> &members)
     : strand_(boost::asio::make_strand(context)),
       timer_(strand_),
       metering_(std::move(metering)),
--- a/tools/mulberrywall-router/NodeAutoscaling.h
+++ b/tools/mulberrywall-router/NodeAutoscaling.h
@@ -23,7 +23,7 @@
         RouterService &service,
         const NodeDuties &duties,
         std::shared_ptr<const NodeMetering> metering,
-        std::shared_ptr<const LiveMembers> members);
+        const std::shared_ptr<const LiveMembers> &members);
 
     // Commands
     /// Begins to collect the demand of the routers.
