policy: order the minimum of a service before its first callers

The change that keeps endpoints which wait for their callers also ordered nothing while fewer than the minimum were registered; the three tests of CapacityControllerTest found it.

--- a/lib/Policy/Autoscaling.cpp
+++ b/lib/Policy/Autoscaling.cpp
@@ -245,7 +245,8 @@
         return {};
     }
     const bool isKnown = isDemandKnown(pool, tuning, now);
-    if (isKnown || totals.ready + totals.starting < requirement.total) {
+    const std::size_t minimum = std::max<std::size_t>(requirement.total, inputs.spec.minimum * inputs.spec.prices.size());
+    if (isKnown || totals.ready + totals.starting < minimum) {
         addIncreases(list, isKnown ? IncreaseMode::Exact : IncreaseMode::NeverBelowOrdered);
     }
     if (mayDecrease(pool, tuning, now)) {
