policy: compare prompts on engines that hold their whole prefix first

Cause: engines were compared in the order of the tokens that they lack. The prompts of the middle tier share four first segments, so that all were compared on the few engines that hold these, found a long backlog there and were rejected, while other engines were free for the lowest tier.

--- a/lib/Policy/CandidateOrder.cpp
+++ b/lib/Policy/CandidateOrder.cpp
@@ -27,11 +27,12 @@
 {
     const std::uint64_t seed = orderSeed(pool, submission);
     const bool keepsPrefix = seed == submission.prefixHash;
-    std::vector<std::pair<std::pair<std::uint32_t, std::uint64_t>, EndpointState *>> order;
+    std::vector<std::pair<std::pair<bool, std::uint64_t>, EndpointState *>> order;
     order.reserve(candidates.size());
     for (EndpointState *endpoint : candidates) {
-        const std::uint32_t missing = keepsPrefix ? prefillTokensFor(pool, *endpoint, submission, endpoint->prompts.heldTokensOfAll) : 0;
-        order.push_back({{missing, rendezvousWeight(seed, endpoint->spec.id)}, endpoint});
+        // A part of the prefix does not count: all prompts that share a first segment would be compared on the few engines that have it.
+        const bool isMissing = keepsPrefix && cachedPrefixTokens(*endpoint, submission) < submission.prefixTokens.value_or(0);
+        order.push_back({{isMissing, rendezvousWeight(seed, endpoint->spec.id)}, endpoint});
     }
     const std::size_t compared = maximumCompared(pool, candidates.size());
     std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(compared), order.end());
