--- a/include/mulberrywall/Policy/CandidateOrder.h
+++ b/include/mulberrywall/Policy/CandidateOrder.h
@@ -9,7 +9,7 @@
 ///
 /// The loads that routers report to each other are some hundred milliseconds old. If every router compared all engines, all
 /// of them would choose the one that seemed the least loaded, until the next report, and leave others idle. Each prompt is
-/// therefore compared on few engines: first on those that have cached the most of its prefix, then in the rendezvous order of the
+/// therefore compared on few engines: first on those that have cached its whole prefix, then in the rendezvous order of the
 /// prefix, so that routers which have not heard of each other agree on the engine of a new prefix.
 namespace mulberrywall::policy
 {
--- a/unittests/Policy/PrefixCostTest.cpp
+++ b/unittests/Policy/PrefixCostTest.cpp
@@ -78,6 +78,25 @@
     EXPECT_EQ(pendingPrefill(), 6'000U) << "the second document and the own tokens";
 }
 
+/// Guards against prompts that are compared only on the few engines of a large pool that hold their first segment, and rejected for the
+/// backlog there while all others are idle.
+TEST_F(PrefixCostTest, SharedFirstSegmentDoesNotNarrowTheCandidates)
+{
+    constexpr unsigned engines = 100;
+    constexpr unsigned holders = 16;
+    startEngines(engines);
+    PeerSummary summary;
+    for (unsigned index = 0; index < holders; ++index) {
+        const support::EndpointId holder("engine-" + std::to_string(index));
+        summary.endpoints.push_back({.endpoint = holder, .pendingPrefill = {{.tokens = 100'000}}, .running = 1});
+        summary.prefixes.push_back({.endpoint = holder, .prefixHash = instructions.hash, .tokens = instructions.tokens});
+    }
+    functions.recordPeerSummary(pool.get(), {.summary = summary}, startTime);
+    // The first prompt of a tier is always admitted.
+    place(promptOf({instructions, firstDocument}));
+    EXPECT_NE(place(promptOf({instructions, secondDocument}), milliseconds(1)), "none");
+}
+
 /// Guards against segments that other routers do not hear of, since a running request states only the whole prefix.
 TEST_F(PrefixCostTest, SegmentsAreReportedToOtherRouters)
 {
