duties, router, policy: one place for what stood twice, and no dead inputs

Behaviour is unchanged.

- Lease: both kinds of writes handle a conflict in one function.
- Attempt: one event for the header of a response, with its status.
There were two at the same place, one for metering and one for the release of the body.
- Autoscaling: nothing filled the output speed of endpoints, so that its term was always 0; it is gone.
The total for the loss of a data centre is computed once.
- Metering: the offset of the exchange's port and the interval of its datagrams stand once, in UsageExchange.h.
NodeMetering checked again whether the duty is named, although only its task makes it the holder.

--- a/include/mulberrywall/Metering/UsageExchange.h
+++ b/include/mulberrywall/Metering/UsageExchange.h
@@ -25,16 +25,21 @@
     boost::asio::ip::udp::endpoint address;
 };
 
+/// Number of ports before that of the usage exchange: those of the membership and of the load exchange.
+inline constexpr std::uint16_t usagePortOffset = 2;
+
 /// Returns the usage exchange of a member whose ports follow each other: membership, load exchange, usage exchange.
 [[nodiscard]] UsagePeer usagePeerOf(const membership::Member &member);
 
 struct UsageExchangeOptions
 {
+    static constexpr std::chrono::milliseconds defaultInterval {400};
+
     boost::asio::ip::udp::endpoint listen;
     /// Key of the authentication tag of each datagram; must be the same on all routers.
     std::string secret;
     /// Interval at which a candidate is sent what it has not acknowledged. What a router has counted within it is lost if it is killed.
-    std::chrono::milliseconds interval {400};
+    std::chrono::milliseconds interval = defaultInterval;
     /// Maximum payload of a datagram without the authentication tag, below the MTU of all links.
     std::size_t maxDatagramBytes = 1'200;
 };
--- a/include/mulberrywall/Policy/Autoscaling.h
+++ b/include/mulberrywall/Policy/Autoscaling.h
@@ -51,8 +51,6 @@
     double running = 0.0;
     /// Mean time for which a ready endpoint would prefill what it has.
     std::chrono::milliseconds pendingPrefill {0};
-    /// Output tokens per second of one endpoint with all slots in use; 0 if unknown.
-    double outputTokensPerSecond = 0.0;
 };
 
 struct CapacityInputs
--- a/include/mulberrywall/Router/Attempt.h
+++ b/include/mulberrywall/Router/Attempt.h
@@ -21,6 +21,9 @@
 namespace mulberrywall::router
 {
 
+/// First HTTP status by which an endpoint reports an error of its own.
+inline constexpr unsigned firstServerError = 500;
+
 struct AttemptOptions
 {
     std::chrono::milliseconds connectTimeout {1'000};
@@ -83,12 +86,10 @@
     /// Called with at least one event. Nothing more is read until Attempt::readMore is called.
     std::function<void(const std::vector<StreamEvent> &)> onEvents;
     std::function<void(AttemptResult)> onEnd;
-    /// Called when the header of a response arrives that is not streamed and no server error.
-    std::function<void()> onBufferedResponse;
     /// Called when a response header arrives in which the endpoint states something about itself.
     std::function<void(const EndpointStatement &)> onStatement;
-    /// Called when the header of the endpoint's response to this request has arrived. May be empty.
-    std::function<void()> onResponseStarted;
+    /// Called with the status when the header of the endpoint's response to this request has arrived. May be empty.
+    std::function<void(unsigned)> onResponseStarted;
     /// Called when the owner of the permit sends a command. The handler is responsible for cancelling
     /// the attempt.
     std::function<void(const permits::OwnerCommand &)> onOwnerCommand;
--- a/include/mulberrywall/Router/CallerSession.h
+++ b/include/mulberrywall/Router/CallerSession.h
@@ -86,6 +86,7 @@
     /// was delivered.
     [[nodiscard]] std::int64_t timeToFirstTokenMs() const;
     /// Drops the body if no further attempt can follow the one whose response has started.
+    void onResponseStarted(const AttemptPtr &attempt, unsigned status);
     void releaseBodyIfUnneeded(const AttemptPtr &attempt);
     void onStatement(const support::EndpointId &endpoint, const EndpointStatement &statement);
     void onOwnerCommand(const permits::OwnerCommand &command);
--- a/lib/Duties/Lease.cpp
+++ b/lib/Duties/Lease.cpp
@@ -138,6 +138,16 @@
     observe(state, options, stored.version, row, now.monotonic);
 }
 
+void onConflict(LeaseState &state, const LeaseOptions &options, const LeaseWriteResult &result, const LeaseTime &now)
+{
+    if (result.current) {
+        onStoredRow(state, options, *result.current, now);
+        return;
+    }
+    markLost(state);
+    state.nextAccessAt = now.monotonic + options.retryInterval;
+}
+
 void onReleaseWritten(LeaseState &state, const LeaseOptions &options, const LeaseRow &row, const LeaseWriteResult &result, const LeaseTime &now)
 {
     switch (result.status) {
@@ -152,12 +162,7 @@
         state.nextAccessAt = now.monotonic + options.retryInterval;
         return;
     case LeaseWriteStatus::Conflict:
-        if (result.current) {
-            onStoredRow(state, options, *result.current, now);
-            return;
-        }
-        markLost(state);
-        state.nextAccessAt = now.monotonic + options.retryInterval;
+        onConflict(state, options, result, now);
         return;
     }
 }
@@ -300,12 +305,7 @@
         state.nextAccessAt = now.monotonic;
         return;
     case LeaseWriteStatus::Conflict:
-        if (result.current) {
-            onStoredRow(state, options, *result.current, now);
-            return;
-        }
-        markLost(state);
-        state.nextAccessAt = now.monotonic + options.retryInterval;
+        onConflict(state, options, result, now);
         return;
     }
 }
--- a/lib/Metering/UsageExchange.cpp
+++ b/lib/Metering/UsageExchange.cpp
@@ -24,9 +24,8 @@
 
 UsagePeer usagePeerOf(const membership::Member &member)
 {
-    constexpr std::uint16_t portsBefore = 2;
     const auto address = membership::toUdpEndpoint(member.address);
-    return {.instance = member.instance, .address = {address.address(), static_cast<std::uint16_t>(address.port() + portsBefore)}};
+    return {.instance = member.instance, .address = {address.address(), static_cast<std::uint16_t>(address.port() + usagePortOffset)}};
 }
 
 namespace
--- a/lib/Policy/CapacityNeed.cpp
+++ b/lib/Policy/CapacityNeed.cpp
@@ -17,7 +17,6 @@
     for (const auto &[dataCentre, rates] : demand.byDataCentre) {
         sum.acceptedPromptTokens += rates.acceptedPromptTokens;
         sum.refusedPromptTokens += rates.refusedPromptTokens;
-        sum.outputTokens += rates.outputTokens;
         sum.requestsStarted += rates.requestsStarted;
         sum.requestsRefused += rates.requestsRefused;
         sum.waiting += rates.waiting;
@@ -70,8 +69,7 @@
     const double requests = (inputs.running + demand.waiting) * std::min(1.0 + refusedPerStarted, tuning.maximumBurst);
     // Slots have a utilisation of their own; the need is later divided by that of the prefill.
     const double slots = pool.slots > 0.0 ? requests / pool.slots * (tuning.maximumUtilisation / tuning.slotUtilisation) : 0.0;
-    const double output = inputs.outputTokensPerSecond > 0.0 ? demand.outputTokens / inputs.outputTokensPerSecond : 0.0;
-    return std::max({prefill, slots, output});
+    return std::max(prefill, slots);
 }
 
 void recordPressure(PoolCapacityState &pool, const PoolCapacityInputs &inputs, const CapacityTotals &totals, const CapacityTuning &tuning, TimePoint now)
@@ -205,7 +203,8 @@
     const double utilisation = isKnown ? bestUtilisation(totals.mayOrderSpot ? spotPrice : 1.0, tuning) : tuning.maximumUtilisation;
     const double lowestUtilisation = bestUtilisation(totals.mayOrderSpot || totals.servesSpot ? spotPrice : 1.0, tuning);
     const double afterLoss = need / tuning.utilisationAfterLoss;
-    const double least = std::max(need / utilisation, isKnown ? totalForLoss(afterLoss, inputs.spec.prices.size()) : 0.0);
+    const double forLoss = isKnown ? totalForLoss(afterLoss, inputs.spec.prices.size()) : 0.0;
+    const double least = std::max(need / utilisation, forLoss);
     const double margin = (1.0 + tuning.surplusKept) * (memory < tuning.demandMemory ? tuning.unseenCrest : 1.0);
     const double most = std::max(least, need / lowestUtilisation) * margin;
     pool.figures.isDemandComplete = inputs.demand.isComplete;
@@ -226,7 +225,7 @@
     pool.required = std::clamp(total, tolerated, orderable(most));
     pool.figures.required = *pool.required;
     pool.figures.requiredAfterLoss = orderable(afterLoss);
-    const double withoutReserve = std::max(need / bestUtilisation(1.0, tuning), isKnown ? totalForLoss(afterLoss, inputs.spec.prices.size()) : 0.0);
+    const double withoutReserve = std::max(need / bestUtilisation(1.0, tuning), forLoss);
     return {.total = *pool.required, .withoutReserve = std::min(*pool.required, orderable(withoutReserve * margin)), .afterLoss = orderable(afterLoss)};
 }
 
--- a/lib/Router/Attempt.cpp
+++ b/lib/Router/Attempt.cpp
@@ -17,7 +17,6 @@
 
 /// A cancellation only saves the endpoint work, so it must not occupy resources for long.
 static constexpr std::chrono::milliseconds cancellationTimeout {1'000};
-static constexpr unsigned firstServerError = 500;
 /// An endpoint that sends more bytes without the end of an event does not send events.
 static constexpr std::size_t maxEventBytes = 1024 * 1024;
 /// A late response of an earlier request precedes the own one, and few can be late on one connection.
@@ -189,13 +188,10 @@
     responseStarted_ = true;
     const auto handlers = handlers_;
     if (handlers->onResponseStarted) {
-        handlers->onResponseStarted();
+        handlers->onResponseStarted(responseHeader.result_int());
     }
     streaming_ = request_->responseMode == ResponseMode::Stream && responseHeader.result() == http::Status::ok;
     response_ = http::Response(dialect_.makeCallerHeader(*request_, responseHeader));
-    if (request_->responseMode == ResponseMode::Buffered && responseHeader.result_int() < firstServerError && handlers->onBufferedResponse) {
-        handlers->onBufferedResponse();
-    }
     readMore();
 }
 
--- a/lib/Router/CallerSessionAttempts.cpp
+++ b/lib/Router/CallerSessionAttempts.cpp
@@ -126,15 +126,23 @@
     attempt->start(request_,
         {.onEvents = [self, attempt](const std::vector<StreamEvent> &events) { self->onEvents(attempt, events); },
             .onEnd = [self, attempt](AttemptResult attemptResult) { self->onAttemptEnd(attempt, std::move(attemptResult)); },
-            .onBufferedResponse = [self] { self->recordUsage(); },
             .onStatement = [self, endpoint](const EndpointStatement &statement) { self->onStatement(endpoint, statement); },
-            .onResponseStarted = [self, attempt] { self->releaseBodyIfUnneeded(attempt); },
+            .onResponseStarted = [self, attempt](unsigned status) { self->onResponseStarted(attempt, status); },
             .onOwnerCommand =
                 [self](const permits::OwnerCommand &command) {
                     self->onOwnerCommand(command);
                 }});
 }
 
+void CallerSession::onResponseStarted(const AttemptPtr &attempt, unsigned status)
+{
+    // A stream has begun to run with its first token.
+    if (request_->responseMode == ResponseMode::Buffered && status < firstServerError) {
+        recordUsage();
+    }
+    releaseBodyIfUnneeded(attempt);
+}
+
 void CallerSession::releaseBodyIfUnneeded(const AttemptPtr &attempt)
 {
     const bool mayRunAgain = request_->requestClass.idempotency == configuration::Idempotency::Idempotent || canResume(attempt);
--- a/tools/mulberrywall-router/NodeAutoscaling.cpp
+++ b/tools/mulberrywall-router/NodeAutoscaling.cpp
@@ -11,7 +11,7 @@
 {
 
 /// Interval at which routers send their demand.
-constexpr std::chrono::milliseconds demandInterval {400};
+constexpr std::chrono::milliseconds demandInterval = metering::UsageExchangeOptions::defaultInterval;
 
 policy::DemandReport toDemandReport(const metering::RouterDemand &demand)
 {
--- a/tools/mulberrywall-router/NodeMetering.cpp
+++ b/tools/mulberrywall-router/NodeMetering.cpp
@@ -19,9 +19,6 @@
 /// Name of the value in the lease row that holds the highest window whose report was stored.
 constexpr std::string_view highestWindowName = "usageWindow";
 
-/// The usage exchange has the port after those of the membership and the load exchange.
-constexpr std::uint16_t usagePortOffset = 2;
-
 duties::DutyWrite toDutyWrite(const metering::StoreBatch &batch)
 {
     duties::DutyWrite write;
@@ -145,7 +142,7 @@
 metering::MeteringOptions NodeMetering::makeOptions(const std::string &secret) const
 {
     metering::MeteringOptions options;
-    options.exchange.listen = {settings_.callerListen.address(), static_cast<std::uint16_t>(settings_.firstPeerPort + usagePortOffset)};
+    options.exchange.listen = {settings_.callerListen.address(), static_cast<std::uint16_t>(settings_.firstPeerPort + metering::usagePortOffset)};
     options.exchange.secret = secret;
     options.reporter.queue.schedule.window = settings_.dutyBounds.usageWindow;
     options.reporter.queue.schedule.late = settings_.dutyBounds.usageLateness;
@@ -168,7 +165,7 @@
         auto started = metering::startMetering(context_, counter_, makeOptions(secret), makeDependencies());
         const std::scoped_lock lock(mutex_);
         metering_ = std::move(started);
-        if (isHolder_ && hasDuty(settings_, meteringDuty)) {
+        if (isHolder_) {
             metering_->becomeHolder();
         }
     } catch (const boost::system::system_error &error) {
