router: parse a request and check its header by the same function

checkCallerHeader repeated what parseCallerRequest does up to the body, with the paths and the method of completions written twice. Behaviour is unchanged; the order of the checks too.

--- a/lib/Router/CallerRequest.cpp
+++ b/lib/Router/CallerRequest.cpp
@@ -148,10 +148,10 @@
     return names;
 }
 
-static std::optional<http::Problem> readModelBody(const http::Request &request, const configuration::SiteConfiguration &configuration, CallerRequest &result)
+static std::optional<http::Problem> readModelBody(std::string_view text, const configuration::SiteConfiguration &configuration, CallerRequest &result)
 {
     json::error_code error;
-    const json::value document = json::parse(request.body(), error);
+    const json::value document = json::parse({text.data(), text.size()}, error);
     if (error || !document.is_object()) {
         return makeProblem(http::Status::bad_request, "malformed body", "the body is not a JSON object: " + error.message());
     }
@@ -186,11 +186,19 @@
     result.upstream.set(http::header::requestId, result.id.value());
 }
 
-static std::optional<http::Problem> readServiceTarget(
-    const http::RequestHeader &request, const configuration::SiteConfiguration &configuration, CallerRequest &result)
+/// Reads the target, and the body of a completion if it has been received.
+static std::optional<http::Problem> readTarget(
+    const http::RequestHeader &request, std::optional<std::string_view> body, const configuration::SiteConfiguration &configuration, CallerRequest &result)
 {
     const std::string_view target(request.target().data(), request.target().size());
     const std::string_view path = http::pathOf(target);
+    if (path == "/v1/chat/completions" || path == "/v1/completions") {
+        if (request.method() != http::Verb::post) {
+            return makeProblem(http::Status::method_not_allowed, "method not allowed", "use POST for completions");
+        }
+        copyUpstream(request, path, result);
+        return body ? readModelBody(*body, configuration, result) : std::nullopt;
+    }
     if (path.starts_with(servicePathPrefix)) {
         const std::string_view rest = target.substr(servicePathPrefix.size());
         const std::size_t end = rest.find_first_of("/?");
@@ -206,20 +214,6 @@
     return makeProblem(http::Status::not_found, "unknown path", "use /v1/chat/completions, /v1/completions, /v1/models or /services/<name>/");
 }
 
-static std::optional<http::Problem> readTarget(const http::Request &request, const configuration::SiteConfiguration &configuration, CallerRequest &result)
-{
-    const std::string_view target(request.target().data(), request.target().size());
-    const std::string_view path = http::pathOf(target);
-    if (path == "/v1/chat/completions" || path == "/v1/completions") {
-        if (request.method() != http::Verb::post) {
-            return makeProblem(http::Status::method_not_allowed, "method not allowed", "use POST for completions");
-        }
-        copyUpstream(request, path, result);
-        return readModelBody(request, configuration, result);
-    }
-    return readServiceTarget(request, configuration, result);
-}
-
 policy::Fingerprint fingerprintOf(const CallerRequest &request, std::string_view body)
 {
     const std::string &organisation = request.organisation.id.value();
@@ -249,15 +243,16 @@
     return segments.size() > maxLoggedSegments ? text + ",..." : text;
 }
 
-std::variant<CallerRequest, http::Problem> parseCallerRequest(
-    const http::Request &request, const configuration::SiteConfiguration &configuration, policy::TimePoint now)
+/// Parses a request whose body may not have been received yet.
+static std::variant<CallerRequest, http::Problem> parse(
+    const http::RequestHeader &request, std::optional<std::string_view> body, const configuration::SiteConfiguration &configuration, policy::TimePoint now)
 {
     auto organisation = authorize(request, configuration);
     if (auto *problem = std::get_if<http::Problem>(&organisation)) {
         return std::move(*problem);
     }
     CallerRequest result {.id = support::RequestId(support::makeRandomId()), .organisation = std::get<configuration::Organisation>(std::move(organisation))};
-    if (auto problem = readTarget(request, configuration, result)) {
+    if (auto problem = readTarget(request, body, configuration, result)) {
         return std::move(*problem);
     }
     auto requestClass = chooseClass(request, configuration, result.organisation);
@@ -272,33 +267,22 @@
     }
     result.deadline = std::get<policy::TimePoint>(deadline);
     result.idempotencyKey = std::string(http::fieldValue(request, http::header::idempotencyKey));
-    result.fingerprint = fingerprintOf(result, request.body());
+    if (body) {
+        result.fingerprint = fingerprintOf(result, *body);
+    }
     return result;
 }
 
+std::variant<CallerRequest, http::Problem> parseCallerRequest(
+    const http::Request &request, const configuration::SiteConfiguration &configuration, policy::TimePoint now)
+{
+    return parse(request, request.body(), configuration, now);
+}
+
 std::optional<http::Problem> checkCallerHeader(const http::RequestHeader &request, const configuration::SiteConfiguration &configuration, policy::TimePoint now)
 {
-    const auto organisation = authorize(request, configuration);
-    if (const auto *problem = std::get_if<http::Problem>(&organisation)) {
-        return *problem;
-    }
-    const std::string_view target(request.target().data(), request.target().size());
-    const bool isCompletion = http::pathOf(target) == "/v1/chat/completions" || http::pathOf(target) == "/v1/completions";
-    if (isCompletion && request.method() != http::Verb::post) {
-        return makeProblem(http::Status::method_not_allowed, "method not allowed", "use POST for completions");
-    }
-    CallerRequest ignored;
-    if (!isCompletion) {
-        if (auto problem = readServiceTarget(request, configuration, ignored)) {
-            return problem;
-        }
-    }
-    const auto requestClass = chooseClass(request, configuration, std::get<configuration::Organisation>(organisation));
-    if (const auto *problem = std::get_if<http::Problem>(&requestClass)) {
-        return *problem;
-    }
-    const auto deadline = chooseDeadline(request, now);
-    const auto *problem = std::get_if<http::Problem>(&deadline);
+    const auto result = parse(request, std::nullopt, configuration, now);
+    const auto *problem = std::get_if<http::Problem>(&result);
     return problem == nullptr ? std::nullopt : std::optional(*problem);
 }
 
