policy: comments of the number of endpoints give the reason, not one load

Comments named the period and the swing of one deployment's demand. They say now what the constants guard against; unseenCrest is unobservedPeakFactor.

--- a/include/mulberrywall/Policy/Autoscaling.h
+++ b/include/mulberrywall/Policy/Autoscaling.h
@@ -13,8 +13,8 @@
 
 /// Number of endpoints by data centre and kind.
 ///
-/// Addresses days that begin with three times as many endpoints as needed, demand that swings by 27% with a period of 11 s, bursts
-/// of 2.8 times, spot endpoints that are reclaimed by data centre, and platforms that have no endpoints to give. docs/design/autoscaling.md
+/// Addresses pools that begin with several times the endpoints that they need, demand that swings within seconds, bursts of several times
+/// the demand, spot endpoints that are reclaimed by data centre, and platforms that have no endpoints to give. docs/design/autoscaling.md
 /// has the reasons.
 namespace mulberrywall::policy
 {
--- a/include/mulberrywall/Policy/CapacityTuning.h
+++ b/include/mulberrywall/Policy/CapacityTuning.h
@@ -23,7 +23,7 @@
     double defaultPrefillTokensPerSecond = 35'000.0;
     /// Share of the refused requests that counts as demand. Some of the others are sent again and counted twice.
     double refusedShare = 0.7;
-    /// The highest demand within this time counts. A wave of demand with a period of 11 s then causes no orders.
+    /// The highest demand within this time counts, so that demand which rises and falls within it causes no orders.
     std::chrono::milliseconds demandMemory {12'000};
     /// Demand must be known for this long before a decrease.
     std::chrono::milliseconds demandWindow {5'000};
@@ -31,10 +31,9 @@
     std::chrono::milliseconds idleTime {120'000};
     /// After a longer gap the demand must be known for a whole window again. Routers that are restarted are not known for 2 s.
     std::chrono::milliseconds demandGap {4'000};
-    /// Assumed ratio of the highest demand to that of the first window. In half of a wave with a swing of 27% the demand reaches
-    /// at least 0.96 of its mean, and the crest is at 1.27.
-    double unseenCrest = 1.3;
-    /// A rise above this multiple of the highest demand before is a burst and not a wave; the rise is expected to go on.
+    /// Assumed ratio of the highest demand to that of the first window, which may not contain the peak of a swing.
+    double unobservedPeakFactor = 1.3;
+    /// A rise above this multiple of the highest demand before is a burst and not a swing; the rise is expected to go on.
     double burstRatio = 1.3;
     /// Upper limit on the expected demand, as a multiple of the demand before the burst.
     double maximumBurst = 2.8;
--- a/include/mulberrywall/Policy/EngineSpeed.h
+++ b/include/mulberrywall/Policy/EngineSpeed.h
@@ -7,7 +7,7 @@
 
 /// Prefill and decode speed of each engine, for pools whose engines differ in speed by a factor of two or more.
 ///
-/// A router among 60 that share 140 engines measures the prefill of one prompt on an engine every half minute. Routers
+/// One of many routers that share many engines rarely measures the prefill of a prompt on any one of them. Routers
 /// therefore report each measured prefill to each other with the request that gave it, and the median of all samples counts.
 /// The speed of the pool stands in until an engine has samples, and the samples of an engine end with its incarnation.
 namespace mulberrywall::policy
--- a/lib/Policy/CapacityNeed.cpp
+++ b/lib/Policy/CapacityNeed.cpp
@@ -205,7 +205,7 @@
     const double afterLoss = need / tuning.utilisationAfterLoss;
     const double forLoss = isKnown ? totalForLoss(afterLoss, inputs.spec.prices.size()) : 0.0;
     const double least = std::max(need / utilisation, forLoss);
-    const double margin = (1.0 + tuning.surplusKept) * (memory < tuning.demandMemory ? tuning.unseenCrest : 1.0);
+    const double margin = (1.0 + tuning.surplusKept) * (memory < tuning.demandMemory ? tuning.unobservedPeakFactor : 1.0);
     const double most = std::max(least, need / lowestUtilisation) * margin;
     pool.figures.isDemandComplete = inputs.demand.isComplete;
     pool.figures.latestNeed = pool.needs.back().endpoints;
