--- a/review/standins-2/Kit.h
+++ b/review/standins-2/Kit.h
@@ -7,6 +7,7 @@
 #include <boost/json/serialize.hpp>
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/prctl.h>
@@ -956,15 +957,19 @@
         arguments.push_back(nullptr);
         const std::string variable = "MULBERRYWALL_NODE_FILE=" + settingsFile_;
         std::vector<char *> environment {const_cast<char *>(variable.c_str()), nullptr};
+        const int log = ::open(logFile_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
         process_ = ::fork();
         if (process_ == 0) {
+            // Other threads may have held locks, so that only system calls are made here.
             ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-            if (std::freopen(logFile_.c_str(), "a", stdout) == nullptr || std::freopen(logFile_.c_str(), "a", stderr) == nullptr) {
-                ::_exit(126);
-            }
+            // Ignored signals would be inherited.
+            ::signal(SIGPIPE, SIG_DFL);
+            ::dup2(log, STDOUT_FILENO);
+            ::dup2(log, STDERR_FILENO);
             ::execve(arguments.front(), arguments.data(), environment.data());
             ::_exit(127);
         }
+        ::close(log);
         record().write("started " + options_.name + ", process " + std::to_string(process_));
     }
 
