--- a/review/standins-2/LastTenant.cpp
+++ b/review/standins-2/LastTenant.cpp
@@ -21,11 +21,11 @@
 std::atomic<unsigned> runsWithRemovedKey {0};
 std::atomic<unsigned> runsWithUnknownKey {0};
 
-json::object makeDocumentWith(std::uint64_t version, json::array tenants)
+json::object makeDocumentWith(std::uint64_t version, const json::array &tenants)
 {
     json::object document = makeDocument(
         version, {{.name = "balance", .type = "safe", .service = "ledger", .attempts = 2}, {.name = "book", .type = "unsafe", .service = "ledger"}});
-    document["tenants"] = std::move(tenants);
+    document["tenants"] = tenants;
     return document;
 }
 
--- a/review/standins-2/ManyRoutes.cpp
+++ b/review/standins-2/ManyRoutes.cpp
@@ -110,8 +110,9 @@
     }
 
 private:
-    Answer send(Request request, unsigned tenant) const
+    [[nodiscard]] Answer send(const Request &original, unsigned tenant) const
     {
+        Request request = original;
         for (auto &[name, value] : request.headers) {
             value = name == "Authorization" ? "Bearer " + keyOf(tenant) : value;
         }
