http: a status that no response has ends the call

Seen by callers: an endpoint in trouble answered with status 000. Where the body of that answer, or what came behind it, read like an answer, the caller got 200 with it; a resumed stream went on with it and ended as if complete. Statuses from 600 to 999 were passed on. A commit to the store counted as applied, and a call of a duty as executed or refused, in the same way.

Cause: ClientCall skipped each response below 200 as an interim one and read on in the body of the broken one. It skipped 101 too, behind which the connection carries no HTTP; no request of the router offers that.

Change: a status outside 100 to 599, or 101, ends the call with bad_status when the head has been read. Every HTTP client of the product is a ClientCall: calls, streams, resumes, probes, cancellations, the store, the duties, orders, mulberrywall-ctl. The request counts as possibly run, so that only requests that may be repeated go to another endpoint, at most as often as their route allows.

--- a/lib/Http/ClientCall.cpp
+++ b/lib/Http/ClientCall.cpp
@@ -43,7 +43,10 @@
 /// Limit on received bytes that are not parsed yet. Without it, a chunk header that never ends is buffered whole; it has to
 /// exceed the limit on the response header.
 constexpr std::size_t maxUnparsedBytes = 64 * 1024;
+constexpr unsigned firstStatus = 100;
+constexpr unsigned switchingProtocols = 101;
 constexpr unsigned firstFinalStatus = 200;
+constexpr unsigned lastStatus = 599;
 /// Limit on interim responses (1xx) before the final one.
 constexpr unsigned maxInterimResponses = 8;
 
@@ -130,6 +133,12 @@
     return std::chrono::seconds(seconds);
 }
 
+/// Returns whether a response can have the status. No request offers another protocol, so that none can have switched to it.
+bool isResponseStatus(unsigned status)
+{
+    return status >= firstStatus && status <= lastStatus && status != switchingProtocols;
+}
+
 /// A body of a request that is shared with other owners.
 struct SharedBody
 {
@@ -398,7 +407,12 @@
             return;
         }
         // As a number, because Beast knows only some of the statuses.
-        if (parser_->get().result_int() < firstFinalStatus) {
+        const unsigned status = parser_->get().result_int();
+        if (!isResponseStatus(status)) {
+            end(beast::http::error::bad_status);
+            return;
+        }
+        if (status < firstFinalStatus) {
             skipInterimResponse();
             return;
         }
--- a/unittests/Adapter/BrokenStreamTest.cpp
+++ b/unittests/Adapter/BrokenStreamTest.cpp
@@ -1,10 +1,7 @@
-#include "EndpointBytes.h"
+#include "CallerBytes.h"
 #include "RawEndpoint.h"
 #include "RouterTestBase.h"
 
-#include <boost/asio/read.hpp>
-#include <boost/beast/http/write.hpp>
-
 #include <gtest/gtest.h>
 
 #include <atomic>
@@ -19,18 +16,9 @@
 class BrokenStreamTest : public RouterTestBase
 {
 protected:
-    void addRoute(const std::string &prefix, configuration::Idempotency idempotency, bool streams)
-    {
-        configuration::Route &route = platform::addRoute(site_, prefix, idempotency);
-        route.streams = streams;
-        route.resumable = streams && idempotency == configuration::Idempotency::Idempotent;
-    }
-
     void start()
     {
-        addRoute("/resumable/", configuration::Idempotency::Idempotent, true);
-        addRoute("/stream/", configuration::Idempotency::NonIdempotent, true);
-        addRoute("/call/", configuration::Idempotency::NonIdempotent, false);
+        addRoutes();
         startRouter();
     }
 
@@ -40,22 +28,6 @@
         return sendRequest(workers_, *service_, target, "r1");
     }
 
-    /// Sends a request and returns all bytes of the connection up to its end: an HTTP client shows none that follow an error.
-    std::string sendAndReadBytes(const std::string &target, const std::string &id = "r1")
-    {
-        http::Request request = makeCallerRequest(target, id);
-        request.keep_alive(false);
-        request.prepare_payload();
-        boost::asio::io_context context;
-        boost::asio::ip::tcp::socket socket(context);
-        socket.connect(service_->callerEndpoint());
-        boost::beast::http::write(socket, request);
-        std::string bytes;
-        boost::system::error_code error;
-        boost::asio::read(socket, boost::asio::dynamic_buffer(bytes), error);
-        return bytes;
-    }
-
     /// Sends a request to an endpoint that answers it with the given bytes.
     http::BufferedResponse sendToRawEndpoint(const std::string &target, const std::string &bytes, AfterWrite then)
     {
@@ -68,8 +40,6 @@
     std::unique_ptr<RawEndpoint> rawEndpoint_;
 };
 
-static const std::string firstEvents = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
-
 /// Header of a response with neither a length nor chunks.
 static const std::string headWithoutLength = confirmedHead("r1");
 
--- a/unittests/Adapter/ControlClientTest.cpp
+++ b/unittests/Adapter/ControlClientTest.cpp
@@ -1,3 +1,5 @@
+#include "RawEndpoint.h"
+
 #include "platform/ControlClient.h"
 
 #include "mulberrywall/Http/Server.h"
@@ -64,6 +66,7 @@
     }
 
     support::WorkerPool workers_ {2};
+    std::vector<std::unique_ptr<RawEndpoint>> apis_;
 };
 
 /// Guards against calls without the holder or the fence, and against a report that differs from the stored bytes.
@@ -118,4 +121,20 @@
     }
 }
 
+/// Guards against a call that counts as executed or refused because of the bytes behind a head that is none.
+TEST_F(ControlClientTest, BrokenResponseProvesNothing)
+{
+    for (const std::string status : {"200 OK", "429 Too Many Requests"}) {
+        const std::string whole = "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n";
+        for (const std::string &bytes : {"HTTP/1.1 000 Failed\r\n\r\n" + whole, "HTTP/1.1 101 Switching Protocols\r\n\r\n" + whole}) {
+            apis_.push_back(std::make_unique<RawEndpoint>(
+                workers_, [bytes](const std::string &) { return std::vector<Write> {{.bytes = bytes, .then = AfterWrite::Close}}; }));
+            const auto client = makeClient({boost::asio::ip::address_v4::loopback(), apis_.back()->port()}, std::chrono::seconds(10));
+            const ControlResult result = reportUsage(*client, permissionFor(5, std::chrono::seconds(10))).get();
+            EXPECT_EQ(result.status, ControlStatus::Unknown) << bytes;
+            EXPECT_EQ(result.reach, ControlReach::Unanswered) << bytes;
+        }
+    }
+}
+
 } // namespace mulberrywall::platform
--- a/unittests/Adapter/StoreClientTest.cpp
+++ b/unittests/Adapter/StoreClientTest.cpp
@@ -1,3 +1,5 @@
+#include "RawEndpoint.h"
+
 #include "platform/StoreClient.h"
 
 #include "mulberrywall/Http/Server.h"
@@ -215,4 +217,28 @@
     EXPECT_EQ(requestBodies_[1], R"({"expectRev":[],"writes":[],"deletes":[{"table":"t","part":"","key":"k"}]})");
 }
 
+/// Guards against a commit that counts as applied, and rows that count as read, because of the bytes behind a head that is none.
+TEST(BrokenStoreResponse, ProvesNothing)
+{
+    support::WorkerPool workers(2);
+    std::vector<std::unique_ptr<RawEndpoint>> stores;
+    const std::string body = R"({"rows":[],"ver":31})";
+    const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    for (const std::string &bytes :
+        {"HTTP/1.1 000 Failed\r\nContent-Length: " + std::to_string(whole.size()) + "\r\n\r\n" + whole, "HTTP/1.1 101 Switching Protocols\r\n\r\n" + whole}) {
+        stores.push_back(
+            std::make_unique<RawEndpoint>(workers, [bytes](const std::string &) { return std::vector<Write> {{.bytes = bytes, .then = AfterWrite::Close}}; }));
+        const auto client = std::make_shared<StoreClient>(workers.context(),
+            StoreClientOptions {.address = {boost::asio::ip::address_v4::loopback(), stores.back()->port()}, .responseTimeout = std::chrono::seconds(5)});
+        std::promise<TransactionResult> commit;
+        client->commit({.table = "t", .writes = {{.key = "k", .value = "v"}}}, [&commit](TransactionResult result) { commit.set_value(std::move(result)); });
+        EXPECT_EQ(commit.get_future().get().status, TransactionStatus::Unknown) << bytes;
+        std::promise<TableResult> rows;
+        client->readTable("t", [&rows](TableResult result) { rows.set_value(std::move(result)); });
+        EXPECT_EQ(rows.get_future().get().status, TableStatus::Unavailable) << bytes;
+    }
+    workers.stop();
+    workers.join();
+}
+
 } // namespace mulberrywall::platform
--- a/unittests/Http/ClientCallTest.cpp
+++ b/unittests/Http/ClientCallTest.cpp
@@ -190,6 +190,18 @@
     EXPECT_EQ(response.body, "done");
 }
 
+// Guards against a status that HTTP does not have, or that ends HTTP on the connection, and that is skipped like the status of an interim
+// response: what follows it, also the body of the broken response, was then taken for the response.
+TEST_F(ClientCallTest, RejectsStatusesOfNoResponse)
+{
+    for (const std::string status : {"000", "001", "099", "101", "600", "999"}) {
+        const BufferedResponse response
+            = fetchRaw(Verb::get, "HTTP/1.1 " + status + " X\r\nContent-Length: 42\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+        EXPECT_EQ(response.result.error, beast::http::error::bad_status) << status << ' ' << response.result.error.message();
+        EXPECT_EQ(response.result.stage, ClientCallStage::RequestWritten) << status;
+    }
+}
+
 // Guards against a response whose body is passed on as whole although its transfer coding was not decoded.
 TEST_F(ClientCallTest, RejectsUnknownTransferCoding)
 {
