http: a header line that begins with a blank ends the call

Seen by callers: an endpoint in trouble put a blank or a tab before the name of a field. The caller got 200, with that line as a part of the field before it ("Mulberrywall-Server-Seal: seal X-Broken: 1"). Where the line was the one that frames the body, the caller got another body: the bytes behind the stated length, or the chunk sizes as text. A resumed stream went on with such a body. The store and the control API were believed in the same way.

Cause: Beast's parser takes such a line for the folded rest of the line before and joins both. All other blanks and control bytes in or behind a name it rejects; the tests now say so for each byte in front of, within and behind a name.

Change: ResponseParser rejects a field whose line goes on behind its end. Field names are parts of the buffer from which the parser is fed, so that the end of the line can be looked up there while Beast passes the field. HTTP lets a gateway answer 502 for such lines or replace them by blanks; the latter hides a field.

The request counts as possibly run; /safe/ and /resumable/ routes get the answer of the other endpoint, byte for byte.

--- a/lib/Http/ClientCall.cpp
+++ b/lib/Http/ClientCall.cpp
@@ -1,5 +1,6 @@
 #include "mulberrywall/Http/ClientCall.h"
 
+#include "ResponseParser.h"
 #include "TransferCoding.h"
 
 #include "mulberrywall/Support/Log.h"
@@ -8,9 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -278,7 +277,7 @@
 
     void resetParser()
     {
-        parser_.emplace();
+        parser_.emplace(buffer_);
         parser_->header_limit(maxResponseHeaderBytes);
         parser_->body_limit(options_.maxResponseBytes);
         // The response to HEAD may contain the length of a body although no body follows.
@@ -504,7 +503,7 @@
     beast::http::request<SharedBody> request_;
     ClientCallHandlers handlers_;
     beast::flat_buffer buffer_ {maxUnparsedBytes};
-    std::optional<beast::http::response_parser<beast::http::buffer_body>> parser_;
+    std::optional<ResponseParser> parser_;
     std::array<char, bodyBufferBytes> bodyBuffer_ {};
     ClientCallStage stage_ = ClientCallStage::Connecting;
     /// Error that ended the write of the request before its last byte.
--- a/unittests/Adapter/BrokenHeadTest.cpp
+++ b/unittests/Adapter/BrokenHeadTest.cpp
@@ -36,8 +36,21 @@
     return {.name = name, .bytes = "HTTP/1.1 " + status + "\r\n" + lengthField(wholeAnswer()) + "\r\n" + wholeAnswer(), .error = "bad status"};
 }
 
+/// Returns an answer that is whole except for one more line in its head.
+static BrokenHead withLine(const std::string &name, const std::string &line)
+{
+    return {.name = name, .bytes = confirmedHead("r1", line + "\r\n" + lengthField(firstEvents)) + firstEvents, .error = "bad field"};
+}
+
+/// Returns an answer whose body ends elsewhere if the line that frames it is not read as a field.
+static BrokenHead framedBy(const std::string &name, const std::string &line, const std::string &body)
+{
+    return {.name = name, .bytes = confirmedHead("r1", line + "\r\n") + body, .error = "bad field"};
+}
+
 static std::vector<BrokenHead> brokenHeads()
 {
+    const std::string chunks = "22\r\n" + firstEvents + "\r\n0\r\n\r\n";
     return {withStatus("Status000", "000 Failed"),
         withStatus("Status001", "001 Failed"),
         withStatus("Status099", "099 Failed"),
@@ -45,7 +58,26 @@
         withStatus("Status999", "999 Failed"),
         beforeAnAnswer("Status000BeforeAnAnswer", "000 Failed"),
         beforeAnAnswer("Status099BeforeAnAnswer", "099 Failed"),
-        beforeAnAnswer("SwitchingProtocolsBeforeAnAnswer", "101 Switching Protocols")};
+        beforeAnAnswer("SwitchingProtocolsBeforeAnAnswer", "101 Switching Protocols"),
+        withLine("BlankInName", "X Broken: 1"),
+        withLine("BlankBeforeColon", "X-Broken : 1"),
+        withLine("BlankBeforeName", " X-Broken: 1"),
+        withLine("TabBeforeName", "\tX-Broken: 1"),
+        withLine("TabInName", "X-\tBroken: 1"),
+        withLine("NulInName", std::string("X-\0Broken: 1", 12)),
+        withLine("ControlByteInName", "X-\001Broken: 1"),
+        withLine("DeleteByteInName", "X-Broken\x7f: 1"),
+        withLine("LineBreakInName", "X-\nBroken: 1"),
+        withLine("NoName", ": 1"),
+        withLine("BlankBeforeNameAfterAnEmptyValue", "X-Empty:\r\n X-Broken: 1"),
+        framedBy("BlankBeforeLength", " Content-Length: 34", firstEvents + "id: 3\ndata: of nobody\n\n"),
+        framedBy("TabBeforeLength", "\tContent-Length: 34", firstEvents + "id: 3\ndata: of nobody\n\n"),
+        framedBy("BlankBeforeCoding", " Transfer-Encoding: chunked", chunks),
+        framedBy("BlankInCoding", "Transfer-Encoding : chunked", chunks),
+        {.name = "BlankBeforeFirstName", .bytes = "HTTP/1.1 200 OK\r\n X-Broken: 1\r\n" + wholeAnswer().substr(17), .error = "bad field"},
+        {.name = "BlankBeforeNameInInterimResponse",
+            .bytes = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n X-Broken: 1\r\n\r\n" + wholeAnswer(),
+            .error = "bad field"}};
 }
 
 /// A router with two endpoints that use one list of answers together, of which the last one repeats.
@@ -80,6 +112,10 @@
     }
 };
 
+class BrokenTrailerTest : public BrokenAnswerTest, public testing::WithParamInterface<std::string>
+{
+};
+
 /// Guards against a head that is none and reaches the caller as an answer, or with a body that is not the endpoint's; and against a
 /// request that runs again although it may have run.
 TEST_P(BrokenHeadTest, IsNoAnswer)
@@ -111,6 +147,21 @@
     EXPECT_EQ(attempts_, 2U);
 }
 
+/// Guards against a broken field behind the last chunk of an answer that is passed on as complete all the same.
+TEST_P(BrokenTrailerTest, EndsNoAnswer)
+{
+    const std::string chunks = "22\r\n" + firstEvents + "\r\n0\r\n" + GetParam() + "\r\n\r\n";
+    const Write answer {.bytes = confirmedHead("r1", "Transfer-Encoding: chunked\r\n") + chunks, .then = AfterWrite::Close};
+    start({answer});
+    EXPECT_EQ(sendAndReadBytes("/call/"), failureBytes("the connection broke: bad field"));
+    start({answer});
+    EXPECT_EQ(sendAndReadBytes("/stream/"), streamBytes());
+    EXPECT_EQ(attempts_, 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Lines, BrokenTrailerTest, testing::Values(" X-Broken: 1", "X Broken: 1", "X-Trailer: 1\r\n X-Broken: 1", "X-Trailer: 1\r\n\tX-Broken: 1"));
+
 INSTANTIATE_TEST_SUITE_P(Heads, BrokenHeadTest, testing::ValuesIn(brokenHeads()), [](const auto &info) { return info.param.name; });
 
 } // namespace mulberrywall::platform
--- a/unittests/Adapter/ControlClientTest.cpp
+++ b/unittests/Adapter/ControlClientTest.cpp
@@ -126,7 +126,10 @@
 {
     for (const std::string status : {"200 OK", "429 Too Many Requests"}) {
         const std::string whole = "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n";
-        for (const std::string &bytes : {"HTTP/1.1 000 Failed\r\n\r\n" + whole, "HTTP/1.1 101 Switching Protocols\r\n\r\n" + whole}) {
+        for (const std::string &bytes : {"HTTP/1.1 000 Failed\r\n\r\n" + whole,
+                 "HTTP/1.1 101 Switching Protocols\r\n\r\n" + whole,
+                 "HTTP/1.1 " + status + "\r\nA: 1\r\n Content-Length: 99\r\n\r\n",
+                 "HTTP/1.1 " + status + "\r\nA 1: 1\r\n\r\n"}) {
             apis_.push_back(std::make_unique<RawEndpoint>(
                 workers_, [bytes](const std::string &) { return std::vector<Write> {{.bytes = bytes, .then = AfterWrite::Close}}; }));
             const auto client = makeClient({boost::asio::ip::address_v4::loopback(), apis_.back()->port()}, std::chrono::seconds(10));
--- a/unittests/Adapter/StoreClientTest.cpp
+++ b/unittests/Adapter/StoreClientTest.cpp
@@ -224,8 +224,10 @@
     std::vector<std::unique_ptr<RawEndpoint>> stores;
     const std::string body = R"({"rows":[],"ver":31})";
     const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-    for (const std::string &bytes :
-        {"HTTP/1.1 000 Failed\r\nContent-Length: " + std::to_string(whole.size()) + "\r\n\r\n" + whole, "HTTP/1.1 101 Switching Protocols\r\n\r\n" + whole}) {
+    for (const std::string &bytes : {"HTTP/1.1 000 Failed\r\nContent-Length: " + std::to_string(whole.size()) + "\r\n\r\n" + whole,
+             "HTTP/1.1 101 Switching Protocols\r\n\r\n" + whole,
+             "HTTP/1.1 200 OK\r\nA: 1\r\n Content-Length: 99\r\n\r\n" + body,
+             "HTTP/1.1 200 OK\r\nA 1: 1\r\n\r\n" + body}) {
         stores.push_back(
             std::make_unique<RawEndpoint>(workers, [bytes](const std::string &) { return std::vector<Write> {{.bytes = bytes, .then = AfterWrite::Close}}; }));
         const auto client = std::make_shared<StoreClient>(workers.context(),
--- a/unittests/Http/ClientCallTest.cpp
+++ b/unittests/Http/ClientCallTest.cpp
@@ -48,14 +48,22 @@
         return response;
     }
 
-    /// Sends a request with the client under test to an endpoint that answers with the given bytes and ends its connection.
-    BufferedResponse fetchRaw(Verb method, std::string_view answer)
+    /// Sends a request with the client under test to an endpoint that answers with the given bytes, in writes of the given size, and ends
+    /// its connection.
+    BufferedResponse fetchRaw(Verb method, std::string_view answer, std::size_t writeBytes = std::string_view::npos)
     {
         tcp::acceptor acceptor(pool_.context(), {asio::ip::address_v4::loopback(), 0});
         std::future<BufferedResponse> response = startFetch(acceptor.local_endpoint(), Request(method, "/", 11));
         tcp::socket socket = acceptor.accept();
-        asio::write(socket, asio::buffer(answer));
-        socket.shutdown(tcp::socket::shutdown_send);
+        socket.set_option(tcp::no_delay(true));
+        // The client may end its connection before it has received everything.
+        boost::system::error_code ignored;
+        while (!answer.empty()) {
+            const std::string_view next = answer.substr(0, writeBytes);
+            asio::write(socket, asio::buffer(next), ignored);
+            answer.remove_prefix(next.size());
+        }
+        socket.shutdown(tcp::socket::shutdown_send, ignored);
         return response.get();
     }
 
@@ -202,6 +210,44 @@
     }
 }
 
+// Guards against a header that is read although one of its lines is no field.
+TEST_F(ClientCallTest, RejectsEachByteThatNoFieldNameHas)
+{
+    constexpr std::string_view others = "!#$%&'*+-.^_`|~";
+    for (int byte = 0; byte <= 255; ++byte) {
+        const char character = static_cast<char>(byte);
+        const bool isAlphanumeric = (byte >= '0' && byte <= '9') || (byte >= 'A' && byte <= 'Z') || (byte >= 'a' && byte <= 'z');
+        const bool isValid = isAlphanumeric || (byte != 0 && others.find(character) != std::string_view::npos);
+        for (const std::string &name : {std::string(1, character) + "X", "X" + std::string(1, character) + "X", "X" + std::string(1, character)}) {
+            if (byte == ':' && name.front() == 'X') {
+                continue;
+            }
+            const BufferedResponse response = fetchRaw(Verb::get, "HTTP/1.1 200 OK\r\nA: 1\r\n" + name + ": 1\r\nContent-Length: 4\r\n\r\ndone");
+            EXPECT_EQ(!response.result.error, isValid) << byte << ' ' << response.result.error.message();
+            EXPECT_EQ(response.result.stage, isValid ? ClientCallStage::ResponseComplete : ClientCallStage::RequestWritten) << byte;
+        }
+    }
+}
+
+// Guards against a line that begins with a blank and is read as a part of the line before it, so that a field which frames the body or
+// confirms the response is missed or changed.
+TEST_F(ClientCallTest, RejectsFoldedLines)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nA: 1\r\n";
+    const std::string chunks = "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n";
+    for (const std::string &answer : {head + " Content-Length: 4\r\n\r\ndone",
+             head + "\tContent-Length: 4\r\n\r\ndone",
+             head + "B:\r\n \r\n\tb\r\nContent-Length: 4\r\n\r\ndone",
+             head + "Content-Length: 4\r\n \r\n\r\ndone",
+             head + chunks + "B: 1\r\n b\r\n\r\n"}) {
+        for (const std::size_t writeBytes : {answer.size(), std::size_t {1}}) {
+            const BufferedResponse response = fetchRaw(Verb::get, answer, writeBytes);
+            EXPECT_EQ(response.result.error, beast::http::error::bad_field) << answer << response.result.error.message();
+            EXPECT_NE(response.result.stage, ClientCallStage::ResponseComplete) << answer;
+        }
+    }
+}
+
 // Guards against a response whose body is passed on as whole although its transfer coding was not decoded.
 TEST_F(ClientCallTest, RejectsUnknownTransferCoding)
 {
