http: an end of stream before the request has arrived ends no answer

Seen by callers: an endpoint answered a long upload at once with a 200 without a length, sent a part and its process ended. The caller got the part as the complete answer, or its stream with a last chunk.

Cause: the system of a process that has read what had arrived closes the connection in order (FIN) and resets it when more of the upload arrives. If the router's write had already succeeded into its send buffer, the end of stream was read before the reset and ended the answer.

An endpoint that ends an answer without a length in order although it doesn't want the rest of the body now counts as broken too: 502, may have run; the two can't be told apart.

--- a/lib/Http/ClientCall.cpp
+++ b/lib/Http/ClientCall.cpp
@@ -91,6 +91,13 @@
         && size >= offsetof(tcp_info, tcpi_rtt) && info.tcpi_state == TCP_ESTABLISHED;
 }
 
+/// Returns whether the peer has not received all that was written, as far as the system tells.
+bool hasUnacknowledgedBytes(asio::ip::tcp::socket &socket)
+{
+    int unacknowledgedBytes = 0;
+    return ::ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledgedBytes) == 0 && unacknowledgedBytes > 0;
+}
+
 /// Lets the system end the connection if sent bytes are not acknowledged for that long, also if the peer only does not read.
 void setUserTimeout(asio::ip::tcp::socket &socket, std::chrono::milliseconds timeout)
 {
@@ -227,9 +234,8 @@
                 readHeader();
                 return;
             }
-            if (writeError_ && parser_->need_eof()) {
-                // The failed write has consumed the error of the socket, so that the end of the stream may hide a reset.
-                end(writeError_);
+            if (const error_code error = errorAtEndOfConnection()) {
+                end(error);
                 return;
             }
             stage_ = ClientCallStage::ResponseComplete;
@@ -459,6 +465,21 @@
         readMore();
     }
 
+    /// Returns why a response is incomplete although it seems to end with its connection, or no error. An end of the stream proves nothing
+    /// before the peer has received the whole request.
+    [[nodiscard]] error_code errorAtEndOfConnection()
+    {
+        if (!parser_->need_eof()) {
+            return {};
+        }
+        if (writeError_) {
+            // The failed write has consumed the error of the socket, so that the end of the stream may hide a reset.
+            return writeError_;
+        }
+        // The system of a process that has ended closes the connection in order, and resets it when the rest of the request arrives.
+        return hasUnacknowledgedBytes(stream_.socket()) ? error_code(asio::error::connection_reset) : error_code();
+    }
+
     void end(const error_code &error)
     {
         assert(!ended_ && "a call ends once");
--- a/unittests/Http/ClientCallTest.cpp
+++ b/unittests/Http/ClientCallTest.cpp
@@ -48,7 +48,7 @@
         return response;
     }
 
-    /// Sends a request with the client under test to an endpoint that answers with the given bytes, in writes of the given size, and ends
+    /// Sends a request with the client under test to an endpoint that reads it, answers with the given bytes, in writes of the given size, and ends
     /// its connection.
     BufferedResponse fetchRaw(Verb method, std::string_view answer, std::size_t writeBytes = std::string_view::npos)
     {
@@ -56,6 +56,8 @@
         std::future<BufferedResponse> response = startFetch(acceptor.local_endpoint(), Request(method, "/", 11));
         tcp::socket socket = acceptor.accept();
         socket.set_option(tcp::no_delay(true));
+        std::string request;
+        asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
         // The client may end its connection before it has received everything.
         boost::system::error_code ignored;
         while (!answer.empty()) {
@@ -316,6 +318,27 @@
     EXPECT_EQ(response.body, "whole");
 }
 
+// Guards against the same for a long request, the end of which the endpoint has just received.
+TEST_F(ClientCallTest, ResponseWithoutLengthIsCompleteAfterALongRequest)
+{
+    constexpr std::size_t bodyBytes = std::size_t {4} * 1024 * 1024;
+    tcp::acceptor acceptor(pool_.context(), {asio::ip::address_v4::loopback(), 0});
+    for (unsigned run = 0; run < 20; ++run) {
+        Request request(Verb::post, "/", 11);
+        request.body().assign(bodyBytes, 'x');
+        std::future<BufferedResponse> future = startFetch(acceptor.local_endpoint(), std::move(request));
+        tcp::socket socket = acceptor.accept();
+        std::string received;
+        const std::size_t headerBytes = asio::read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n");
+        asio::read(socket, asio::dynamic_buffer(received), asio::transfer_exactly(headerBytes + bodyBytes - received.size()));
+        asio::write(socket, asio::buffer(std::string_view("HTTP/1.1 200 OK\r\n\r\nwhole")));
+        socket.close();
+        const BufferedResponse response = future.get();
+        EXPECT_FALSE(response.result.error) << response.result.error.message();
+        EXPECT_EQ(response.body, "whole");
+    }
+}
+
 } // namespace
 
 } // namespace mulberrywall::http
