router: an endpoint whose answer cannot be read has not crashed

Seen by callers of the product's own interface: none of it in service; found while looking for clients that read broken answers. An engine in trouble that answered its probe with such a head counted as crashed, and with it the request that ran there. By reading: after two such requests the caller is told that its request crashed endpoints and to change it, which is not true. Where the probe was answered well, the text said that the connection broke, which it had not.

Cause: EndpointProbe took each error but a timeout for a crash; Attempt probed after each error of a call.

Change: an error of the HTTP parser, except an end of the connection within a message, shows that the process runs.

--- a/include/mulberrywall/Http/ClientCall.h
+++ b/include/mulberrywall/Http/ClientCall.h
@@ -78,6 +78,10 @@
     ClientCallStage stage = ClientCallStage::Connecting;
 };
 
+/// Returns whether a call ended because the peer sent bytes that are no response or more than the limits allow. Unlike after an error of
+/// the connection, the peer's process was running then.
+[[nodiscard]] bool isMalformedResponse(const boost::system::error_code &error);
+
 struct ClientCallHandlers
 {
     /// Called for each response header; the call then waits for ClientCall::readMore or skipResponse. If empty, the call
--- a/include/mulberrywall/Router/EndpointProbe.h
+++ b/include/mulberrywall/Router/EndpointProbe.h
@@ -12,7 +12,7 @@
 {
 
 enum class ProbeResult : std::uint8_t {
-    /// The endpoint accepts connections.
+    /// The endpoint accepts connections. What it answers does not matter.
     Alive,
     /// The endpoint's instance responds, but the connection fails, for example because no process
     /// listens.
@@ -23,7 +23,7 @@
 
 /// Checks whether an endpoint whose connection broke has crashed.
 ///
-/// A model engine must respond to a request for its state. For a plain service the probe only connects,
+/// A model engine must send something in response to a request for its state. For a plain service the probe only connects,
 /// because a plain service executes every request. The handler is called once on the executor, after
 /// 300 ms at the latest.
 void probeEndpoint(const boost::asio::any_io_executor &executor,
--- a/lib/Http/ClientCall.cpp
+++ b/lib/Http/ClientCall.cpp
@@ -540,6 +540,12 @@
 
 } // namespace
 
+bool isMalformedResponse(const error_code &error)
+{
+    const bool isCutOff = error == beast::http::error::end_of_stream || error == beast::http::error::partial_message;
+    return error.category() == beast::http::make_error_code(beast::http::error::bad_status).category() && !isCutOff;
+}
+
 std::shared_ptr<ClientCall> ClientCall::start(
     const asio::any_io_executor &executor, const ClientCallOptions &options, Request request, ClientCallHandlers handlers)
 {
--- a/lib/Router/EndpointProbe.cpp
+++ b/lib/Router/EndpointProbe.cpp
@@ -17,7 +17,7 @@
 
 static ProbeResult probeResultOf(const boost::system::error_code &error)
 {
-    if (!error) {
+    if (!error || http::isMalformedResponse(error)) {
         return ProbeResult::Alive;
     }
     const bool silent
--- a/unittests/Adapter/BrokenHeadTest.cpp
+++ b/unittests/Adapter/BrokenHeadTest.cpp
@@ -2,10 +2,13 @@
 #include "RawEndpoint.h"
 #include "RouterTestBase.h"
 
+#include "mulberrywall/Router/EndpointProbe.h"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <atomic>
+#include <future>
 #include <ostream>
 
 namespace mulberrywall::platform
@@ -122,7 +125,7 @@
 {
     for (const auto &[target, attempts] : {std::pair("/call/", 1U), std::pair("/stream/", 1U), std::pair("/safe/", 2U), std::pair("/resumable/", 2U)}) {
         start({broken()});
-        EXPECT_EQ(sendAndReadBytes(target), failureBytes("the connection broke: " + GetParam().error)) << target;
+        EXPECT_EQ(sendAndReadBytes(target), failureBytes("the endpoint sent bytes that are no response: " + GetParam().error)) << target;
         EXPECT_EQ(attempts_, attempts) << target;
     }
 }
@@ -147,13 +150,26 @@
     EXPECT_EQ(attempts_, 2U);
 }
 
+/// Guards against an engine that counts as crashed because it answers its probe with such a head: its requests would be quarantined, and
+/// their callers be told to change them.
+TEST_P(BrokenHeadTest, IsNoCrash)
+{
+    start({broken()});
+    std::promise<router::ProbeResult> promise;
+    router::probeEndpoint(workers_.context().get_executor(),
+        {boost::asio::ip::address_v4::loopback(), endpoints_.front()->port()},
+        configuration::PoolKind::ModelEngine,
+        [&promise](router::ProbeResult result) { promise.set_value(result); });
+    EXPECT_EQ(promise.get_future().get(), router::ProbeResult::Alive);
+}
+
 /// Guards against a broken field behind the last chunk of an answer that is passed on as complete all the same.
 TEST_P(BrokenTrailerTest, EndsNoAnswer)
 {
     const std::string chunks = "22\r\n" + firstEvents + "\r\n0\r\n" + GetParam() + "\r\n\r\n";
     const Write answer {.bytes = confirmedHead("r1", "Transfer-Encoding: chunked\r\n") + chunks, .then = AfterWrite::Close};
     start({answer});
-    EXPECT_EQ(sendAndReadBytes("/call/"), failureBytes("the connection broke: bad field"));
+    EXPECT_EQ(sendAndReadBytes("/call/"), failureBytes("the endpoint sent bytes that are no response: bad field"));
     start({answer});
     EXPECT_EQ(sendAndReadBytes("/stream/"), streamBytes());
     EXPECT_EQ(attempts_, 1U);
