router: probe again after an answer that cannot be read

Change: Attempt probes as before; an endpoint that sent such bytes may be about to crash.

AdapterTests 237 of 237, HttpTests 26 of 26, RouterTests 113 of 113 (arm64).

--- a/lib/Router/Attempt.cpp
+++ b/lib/Router/Attempt.cpp
@@ -344,11 +344,6 @@
         return;
     case http::ClientCallStage::RequestWritten:
     case http::ClientCallStage::HeaderReceived:
-        if (http::isMalformedResponse(result.error)) {
-            requestCancellation();
-            end({.reason = "the endpoint sent bytes that are no response: " + result.error.message()});
-            return;
-        }
         if (result.error != boost::beast::error::timeout) {
             onConnectionBroken(result.error);
             return;
