fuzz: calls that libFuzzer's alarm interrupts go on

Cause: libFuzzer raises SIGALRM every (timeout / 2 + 1) s, here 6 s, without SA_RESTART. A run that lasts longer, as beside load, may be in a blocking connect, write or read then, which ends with EINTR. The target took that for a fault of the server.

Change: both targets with sockets add SA_RESTART to the alarm.

--- a/fuzz/HttpServerFuzz.cpp
+++ b/fuzz/HttpServerFuzz.cpp
@@ -1,3 +1,4 @@
+#include "Alarm.h"
 #include "Require.h"
 
 #include "mulberrywall/Http/Server.h"
@@ -74,6 +75,7 @@
 // NOLINTNEXTLINE(readability-identifier-naming): libFuzzer prescribes the name.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
+    fuzz::restartCallsAfterAlarm();
     // Never destroyed, since its thread runs until the process ends.
     static const EchoServer &server = *new EchoServer;
     boost::asio::io_context context;
--- a/fuzz/PeerConnectionFuzz.cpp
+++ b/fuzz/PeerConnectionFuzz.cpp
@@ -1,3 +1,4 @@
+#include "Alarm.h"
 #include "Require.h"
 
 #include "mulberrywall/Permits/PeerRpc.h"
@@ -40,6 +41,7 @@
 // NOLINTNEXTLINE(readability-identifier-naming): libFuzzer prescribes the name.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
+    fuzz::restartCallsAfterAlarm();
     static support::WorkerPool workers(1);
     static const std::shared_ptr<PeerRpc> router = startRouter(workers.context());
     boost::asio::io_context context;
