http: an early answer of an endpoint that goes on reading is complete

Seen by callers since: an endpoint answered a long upload early without a length, ended its answer in order and went on reading the upload. Such an endpoint is sound; its caller got 502, or a stream without its end.

Cause: took bytes that were not acknowledged yet for a broken connection.

Change: while the request is not acknowledged, the call waits up to 1 s for a reset (SO_ERROR). The system of a process that ended resets the connection when more of the request arrives; that of a sound endpoint acknowledges it. Without a reset the answer is complete as before. Nothing waits if the request was received.

--- a/lib/Http/ClientCall.cpp
+++ b/lib/Http/ClientCall.cpp
@@ -49,6 +49,10 @@
 /// Limit on interim responses (1xx) before the final one.
 constexpr unsigned maxInterimResponses = 8;
 
+/// Longest wait for the reset of a connection whose peer ended the stream before it had received the whole request. The system of a process
+/// that has ended sends it when the rest of the request arrives, and again when that is retransmitted.
+constexpr std::chrono::milliseconds resetWait {1'000};
+constexpr std::chrono::milliseconds resetCheckInterval {5};
 /// The state of a connection is checked this often within the timeout for unacknowledged bytes.
 constexpr int lossChecksPerTimeout = 3;
 /// A peer whose receive window is closed answers probes. One probe may be lost.
@@ -98,6 +102,15 @@
     return ::ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledgedBytes) == 0 && unacknowledgedBytes > 0;
 }
 
+/// Takes the error of the socket that no operation has returned, such as a reset behind the end of the stream.
+error_code takePendingError(asio::ip::tcp::socket &socket)
+{
+    int value = 0;
+    socklen_t size = sizeof(value);
+    const bool isKnown = ::getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &value, &size) == 0;
+    return {isKnown ? value : 0, boost::system::system_category()};
+}
+
 /// Lets the system end the connection if sent bytes are not acknowledged for that long, also if the peer only does not read.
 void setUserTimeout(asio::ip::tcp::socket &socket, std::chrono::milliseconds timeout)
 {
@@ -201,6 +214,7 @@
         : options_(options),
           stream_(executor),
           lossTimer_(executor),
+          resetTimer_(executor),
           request_(shareBody(std::move(request), options)),
           handlers_(std::move(handlers))
     {
@@ -234,12 +248,7 @@
                 readHeader();
                 return;
             }
-            if (const error_code error = errorAtEndOfConnection()) {
-                end(error);
-                return;
-            }
-            stage_ = ClientCallStage::ResponseComplete;
-            end({});
+            endResponse();
             return;
         }
         parser_->get().body().data = bodyBuffer_.data();
@@ -259,6 +268,7 @@
     {
         cancelled_ = true;
         lossTimer_.cancel();
+        resetTimer_.cancel();
         request_.body() = nullptr;
         handlers_ = {};
         stream_.close();
@@ -465,19 +475,52 @@
         readMore();
     }
 
-    /// Returns why a response is incomplete although it seems to end with its connection, or no error. An end of the stream proves nothing
-    /// before the peer has received the whole request.
-    [[nodiscard]] error_code errorAtEndOfConnection()
+    /// Ends the call after the last byte of the response. An end of the stream proves nothing after a failed write or before the peer has
+    /// received the whole request.
+    void endResponse()
     {
-        if (!parser_->need_eof()) {
-            return {};
-        }
-        if (writeError_) {
+        if (parser_->need_eof() && writeError_) {
             // The failed write has consumed the error of the socket, so that the end of the stream may hide a reset.
-            return writeError_;
+            end(writeError_);
+            return;
+        }
+        if (parser_->need_eof() && hasUnacknowledgedBytes(stream_.socket())) {
+            resetDeadline_ = std::chrono::steady_clock::now() + resetWait;
+            waitForReset();
+            return;
+        }
+        complete();
+    }
+
+    void complete()
+    {
+        stage_ = ClientCallStage::ResponseComplete;
+        end({});
+    }
+
+    /// Tells a peer that has ended its response, and goes on reading the request, from one whose process has ended: the system of the latter
+    /// closes the connection in order too, and resets it when the rest of the request arrives.
+    void waitForReset()
+    {
+        resetTimer_.expires_after(resetCheckInterval);
+        resetTimer_.async_wait([self = shared_from_this()](const error_code &error) {
+            if (!error && !self->cancelled_) {
+                self->checkForReset();
+            }
+        });
+    }
+
+    void checkForReset()
+    {
+        if (const error_code error = takePendingError(stream_.socket())) {
+            end(error);
+            return;
+        }
+        if (hasUnacknowledgedBytes(stream_.socket()) && std::chrono::steady_clock::now() < resetDeadline_) {
+            waitForReset();
+            return;
         }
-        // The system of a process that has ended closes the connection in order, and resets it when the rest of the request arrives.
-        return hasUnacknowledgedBytes(stream_.socket()) ? error_code(asio::error::connection_reset) : error_code();
+        complete();
     }
 
     void end(const error_code &error)
@@ -521,6 +564,8 @@
     beast::tcp_stream stream_;
     /// Checks whether the peer still acknowledges what was sent.
     asio::steady_timer lossTimer_;
+    asio::steady_timer resetTimer_;
+    std::chrono::steady_clock::time_point resetDeadline_;
     beast::http::request<SharedBody> request_;
     ClientCallHandlers handlers_;
     beast::flat_buffer buffer_ {maxUnparsedBytes};
