--- a/lib/Http/ClientCall.cpp
+++ b/lib/Http/ClientCall.cpp
@@ -1,10 +1,9 @@
 #include "mulberrywall/Http/ClientCall.h"
 
+#include "PeerState.h"
 #include "ResponseParser.h"
 #include "TransferCoding.h"
 
-#include "mulberrywall/Support/Log.h"
-
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -13,14 +12,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <linux/sockios.h>
-#include <netinet/tcp.h>
-#include <sys/ioctl.h>
-#include <sys/socket.h>
-
 #include <array>
 #include <cassert>
-#include <cerrno>
 #include <charconv>
 #include <cstddef>
 #include <optional>
@@ -55,83 +48,6 @@
 constexpr std::chrono::milliseconds resetCheckInterval {5};
 /// The state of a connection is checked this often within the timeout for unacknowledged bytes.
 constexpr int lossChecksPerTimeout = 3;
-/// A peer whose receive window is closed answers probes. One probe may be lost.
-constexpr unsigned unansweredProbes = 2;
-
-enum class PeerState : std::uint8_t {
-    AllAcknowledged,
-    Reachable,
-    Lost,
-};
-
-/// Returns whether the peer acknowledges what was sent. A peer that reads nothing closes its receive window, but its system still answers
-/// the probes of the window. TCP_USER_TIMEOUT does not make this distinction.
-PeerState peerStateOf(asio::ip::tcp::socket &socket, std::chrono::milliseconds timeout)
-{
-    int unacknowledgedBytes = 0;
-    tcp_info info {};
-    socklen_t size = sizeof(info);
-    const int descriptor = socket.native_handle();
-    if (::ioctl(descriptor, SIOCOUTQ, &unacknowledgedBytes) != 0 || ::getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
-        // The other timeouts of the call remain.
-        return PeerState::AllAcknowledged;
-    }
-    if (unacknowledgedBytes == 0) {
-        return PeerState::AllAcknowledged;
-    }
-    const bool isSilent = std::chrono::milliseconds(info.tcpi_last_ack_recv) >= timeout;
-    const bool isUnanswered = info.tcpi_retransmits > 0 || info.tcpi_probes >= unansweredProbes;
-    return isSilent && isUnanswered ? PeerState::Lost : PeerState::Reachable;
-}
-
-/// Returns whether the system tells what peerStateOf needs to know.
-bool tellsPeerState(asio::ip::tcp::socket &socket)
-{
-    int unacknowledgedBytes = 0;
-    tcp_info info {};
-    socklen_t size = sizeof(info);
-    const int descriptor = socket.native_handle();
-    return ::ioctl(descriptor, SIOCOUTQ, &unacknowledgedBytes) == 0 && ::getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) == 0
-        && size >= offsetof(tcp_info, tcpi_rtt) && info.tcpi_state == TCP_ESTABLISHED;
-}
-
-/// Returns whether the peer has not received all that was written, as far as the system tells.
-bool hasUnacknowledgedBytes(asio::ip::tcp::socket &socket)
-{
-    int unacknowledgedBytes = 0;
-    return ::ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledgedBytes) == 0 && unacknowledgedBytes > 0;
-}
-
-/// Takes the error of the socket that no operation has returned, such as a reset behind the end of the stream.
-error_code takePendingError(asio::ip::tcp::socket &socket)
-{
-    int value = 0;
-    socklen_t size = sizeof(value);
-    const bool isKnown = ::getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &value, &size) == 0;
-    return {isKnown ? value : 0, boost::system::system_category()};
-}
-
-/// Lets the system end the connection if sent bytes are not acknowledged for that long, also if the peer only does not read.
-void setUserTimeout(asio::ip::tcp::socket &socket, std::chrono::milliseconds timeout)
-{
-    const int milliseconds = static_cast<int>(timeout.count());
-    if (::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds)) != 0) {
-        support::log(support::Severity::Debug, "cannot limit the time without acknowledgements; other timeouts apply", {{"errno", errno}});
-    }
-}
-
-enum class CloseLinger : std::uint8_t {
-    Default,
-    Discard,
-};
-
-/// Sets whether the system discards unsent bytes when the socket is closed. Without Asio, which resets an option that it knows of when it
-/// destroys a socket.
-void setCloseLinger(asio::ip::tcp::socket &socket, CloseLinger mode)
-{
-    const linger option {.l_onoff = mode == CloseLinger::Discard ? 1 : 0, .l_linger = 0};
-    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
-}
 
 /// Returns the timeout of a Keep-Alive field such as "timeout=5, max=100". Returns nothing if the field or its timeout
 /// parameter is missing, and 0 if the value is not a number.
