--- a/unittests/Adapter/BrokenHeadTest.cpp
+++ b/unittests/Adapter/BrokenHeadTest.cpp
@@ -87,7 +87,7 @@
 class BrokenAnswerTest : public RouterTestBase
 {
 protected:
-    void start(std::vector<Write> answers)
+    void start(std::vector<Write> answers, unsigned retryBudgetPercent = 20)
     {
         const auto script = [this, answers = std::move(answers)](const std::string &) {
             return std::vector<Write> {answers[std::min<std::size_t>(attempts_++, answers.size() - 1)]};
@@ -98,6 +98,9 @@
             addEndpoint(name, endpoints_.back()->port());
         }
         addRoutes();
+        for (configuration::RequestClass &each : site_.classes) {
+            each.retryBudgetPercent = retryBudgetPercent;
+        }
         attempts_ = 0;
         startRouter();
     }
@@ -142,6 +145,16 @@
     EXPECT_EQ(attempts_, 2U);
 }
 
+/// Guards against a request that is repeated after a broken answer although there is no budget for retries.
+TEST_P(BrokenHeadTest, IsNotRetriedWithoutABudget)
+{
+    for (const std::string target : {"/safe/", "/resumable/"}) {
+        start({broken(), {.bytes = wholeAnswer()}}, 0);
+        EXPECT_EQ(sendAndReadBytes(target), failureBytes("the connection broke: " + GetParam().error)) << target;
+        EXPECT_EQ(attempts_, 1U) << target;
+    }
+}
+
 /// Guards against such a head, or a body behind it, that continues the stream of a caller or ends it as if it were complete.
 TEST_P(BrokenHeadTest, DoesNotContinueAStream)
 {
--- a/unittests/Http/ClientCallTest.cpp
+++ b/unittests/Http/ClientCallTest.cpp
@@ -112,7 +112,7 @@
     }
 
     /// Runs the client until the call has sent its request, and answers it.
-    void answer(tcp::socket &socket, const std::optional<ClientCallResult> &result)
+    void answer(tcp::socket &socket, const std::optional<ClientCallResult> &result, std::string_view bytes = response)
     {
         std::string request;
         while (request.find("\r\n\r\n") == std::string::npos) {
@@ -122,7 +122,7 @@
                 asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
             }
         }
-        asio::write(socket, asio::buffer(response));
+        asio::write(socket, asio::buffer(bytes));
         while (!result) {
             context_.run_one();
         }
@@ -157,6 +157,39 @@
     EXPECT_EQ(second->stage, ClientCallStage::ResponseComplete);
 }
 
+// Guards against a connection that is used again after a response that cannot be read, so that what stands behind it answers the next call.
+TEST_F(PooledCallTest, UsesNoConnectionAgainAfterABrokenResponse)
+{
+    const std::string whole(response);
+    for (const std::string &broken : {"HTTP/1.1 000 X\r\nContent-Length: 38\r\n\r\n" + whole + whole,
+             "HTTP/1.1 101 X\r\n\r\n" + whole + whole,
+             "HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n" + whole,
+             "HTTP/1.1 200 OK\r\nA: 1\r\n B: 1\r\nContent-Length: 0\r\n\r\n" + whole,
+             "HTTP/1.1 200 OK\r\nA B: 1\r\nContent-Length: 0\r\n\r\n" + whole,
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: 1\r\n B: 1\r\n\r\n" + whole}) {
+        std::optional<ClientCallResult> first;
+        const auto firstCall = start(first);
+        tcp::socket socket = acceptor_.accept();
+        answer(socket, first);
+        std::optional<ClientCallResult> second;
+        const auto secondCall = start(second);
+        ASSERT_TRUE(secondCall->isReused()) << broken;
+        answer(socket, second, broken);
+        EXPECT_TRUE(second->error) << broken;
+        char byte = 0;
+        boost::system::error_code error;
+        EXPECT_EQ(socket.read_some(asio::buffer(&byte, 1), error), 0U) << broken;
+        EXPECT_TRUE(error == asio::error::eof || error == asio::error::connection_reset) << broken << error.message();
+        std::optional<ClientCallResult> third;
+        const auto thirdCall = start(third);
+        EXPECT_FALSE(thirdCall->isReused()) << broken;
+        thirdCall->cancel();
+        context_.poll();
+        context_.restart();
+        tcp::socket unused = acceptor_.accept();
+    }
+}
+
 // Guards against requests that are lost one after another on idle connections to an endpoint that is known to be unreachable.
 TEST_F(PooledCallTest, DiscardsIdleConnectionsToAnUnreachablePeer)
 {
--- a/unittests/Router/RouterFixture.cpp
+++ b/unittests/Router/RouterFixture.cpp
@@ -25,7 +25,7 @@
 {
     // The router polls load and state of engines; the scripts respond only to callers' requests.
     if (exchange->request().method() == http::Verb::get) {
-        exchange->respond(http::makeJsonResponse(http::Status::not_found, "{}"));
+        exchange->respond(http::makeJsonResponse(queryStatus_, "{}"));
         return;
     }
     if (exchange->request().method() == http::Verb::delete_) {
--- a/unittests/Router/RouterFixture.h
+++ b/unittests/Router/RouterFixture.h
@@ -61,6 +61,11 @@
     }
     /// Returns a header field of the last request that was passed to the script.
     [[nodiscard]] std::string lastRequestField(std::string_view name) const;
+    /// Sets the status of the answers to queries of the load and the state, which is 404 otherwise.
+    void answerQueriesWith(http::Status status)
+    {
+        queryStatus_ = status;
+    }
     /// Keeps the connection open until the endpoint is destroyed.
     void hold(const http::ServerExchangePtr &exchange);
 
@@ -71,6 +76,7 @@
     mutable std::mutex mutex_;
     http::Request last_;
     std::vector<http::ServerExchangePtr> held_;
+    std::atomic<http::Status> queryStatus_ {http::Status::not_found};
     std::atomic<std::size_t> requests_ {0};
     std::atomic<std::size_t> cancellations_ {0};
     std::shared_ptr<http::Server> server_;
--- a/unittests/Router/VerdictTest.cpp
+++ b/unittests/Router/VerdictTest.cpp
@@ -71,6 +71,25 @@
     EXPECT_EQ(endpoints_[0]->requests() + endpoints_[1]->requests(), 1U);
 }
 
+// Guards against callers who are told that their request crashes engines, and to change it, although the engines answer what cannot be read,
+// also when they are asked for their state.
+TEST_F(RouterTest, EngineWhoseAnswersCannotBeReadHasNotCrashed)
+{
+    constexpr auto brokenStatus = static_cast<http::Status>(600);
+    constexpr unsigned requests = 4;
+    for (unsigned index = 0; index < requests; ++index) {
+        addEngine([](const http::ServerExchangePtr &exchange) { respondWith(exchange, brokenStatus, "{}"); }).answerQueriesWith(brokenStatus);
+    }
+    requestClass("interactive").idempotency = Idempotency::NonIdempotent;
+    startRouter();
+    for (unsigned index = 0; index < requests; ++index) {
+        const CallerResponse reply = stream();
+        EXPECT_EQ(reply.response.status, http::Status::bad_gateway) << index << ' ' << reply.response.body;
+        EXPECT_EQ(reply.outcome, "may-have-run") << index;
+        EXPECT_NE(reply.response.body.find(R"("detail":"the attempt failed: the connection broke: bad status")"), std::string::npos) << reply.response.body;
+    }
+}
+
 // Guards against a status without a registered name that is forwarded as 0 and does not count as a
 // server error.
 TEST_F(RouterTest, StatusWithoutNameIsKept)
