router: an empty list of organisations takes all keys away

A version of the configuration removes the only organisation, so that its list is empty.

Cause: findOrganisation read "there are no organisations" as "the operator uses no keys". The document distinguishes the two, since one has the member and the other does not, but the configuration kept only the list, in which both are empty.

Change: the configuration states by itself whether callers need keys (CallerKeys). The default is that they do; only a document without the member "tenants" uses none. null counts as an empty list, as which some serializers write it.

Tests, failed before: RouteTableTest.RequiresAKeyAlsoWithoutOrganisations, RejectsUnknownKeysAlsoIfNoneAreUsed, OperatorDocument.OnlyADocumentWithoutOrganisationsUsesNoKeys. RouteTableTest.RequiresAKeyUnlessTheRouteIsPublicOrThere- AreNoOrganisations asserted the fault in its last two lines: they expected a request without a key to run once the list of organisations was cleared. Its other checks stay, and the new tests check that case the other way round. Fixtures whose callers send no keys now say so; no expectation of theirs changed.

--- a/include/mulberrywall/Configuration/Model.h
+++ b/include/mulberrywall/Configuration/Model.h
@@ -19,6 +19,13 @@
     NonIdempotent,
 };
 
+/// Whether callers of routes that are not public send the key of an organisation.
+enum class CallerKeys : std::uint8_t {
+    Required,
+    /// The operator uses no keys. A request that carries one nevertheless needs a known one.
+    NotUsed,
+};
+
 enum class PoolKind : std::uint8_t {
     ModelEngine,
     PlainService,
@@ -184,6 +191,8 @@
     support::DataCentreId dataCentre;
     std::vector<RequestClass> classes;
     std::vector<Organisation> organisations;
+    /// Stated by itself, because a configuration may also have removed its last organisation.
+    CallerKeys callerKeys = CallerKeys::Required;
     std::vector<Pool> pools;
     std::vector<Endpoint> endpoints;
     /// Empty if the pool is named by the request path.
--- a/lib/Router/RouteTable.cpp
+++ b/lib/Router/RouteTable.cpp
@@ -95,8 +95,17 @@
     return {.status = status, .title = std::move(title), .detail = std::move(detail), .verdict = support::Verdict::NotRun, .requestId = fields.id.value()};
 }
 
-/// Returns the organisation of the key. Requests without a known key are accepted on public routes and
-/// if no organisations are configured; they belong to one organisation without a name.
+/// Returns whether the request may run without the key of an organisation.
+static bool runsWithoutOrganisation(const RoutingFields &fields, const configuration::Route &route, const configuration::SiteConfiguration &configuration)
+{
+    if (route.isPublic) {
+        return true;
+    }
+    // A key is a claim that must be true even if none is needed: its organisation may have been removed with all others.
+    return configuration.callerKeys == configuration::CallerKeys::NotUsed && fields.key.empty();
+}
+
+/// Returns the organisation of the key. Requests that run without one belong to one organisation without a name.
 static std::variant<configuration::Organisation, http::Problem> findOrganisation(
     const RoutingFields &fields, const configuration::Route &route, const configuration::SiteConfiguration &configuration)
 {
@@ -107,7 +116,7 @@
     if (organisation != nullptr) {
         return *organisation;
     }
-    if (route.isPublic || configuration.organisations.empty()) {
+    if (runsWithoutOrganisation(fields, route, configuration)) {
         return configuration::Organisation {};
     }
     return makeProblem(fields,
--- a/unittests/Adapter/CrashingSegmentTest.cpp
+++ b/unittests/Adapter/CrashingSegmentTest.cpp
@@ -150,7 +150,7 @@
         ScriptedEndpoint(workers_, [this](const http::ServerExchangePtr &exchange) { respond(exchange); })};
     router::Dialect dialect_ = dialect();
     router::RouterServiceOptions options_ = makeRouterOptions("router");
-    configuration::SiteConfiguration site_;
+    configuration::SiteConfiguration site_ {.callerKeys = configuration::CallerKeys::NotUsed};
     std::mutex rowsMutex_;
     std::map<std::string, std::string> rows_;
     unsigned writes_ = 0;
--- a/unittests/Adapter/EndlessResponseTest.cpp
+++ b/unittests/Adapter/EndlessResponseTest.cpp
@@ -71,7 +71,7 @@
 
     support::WorkerPool workers_ {2};
     EndlessEndpoint endpoint_ {workers_, GetParam()};
-    configuration::SiteConfiguration site_;
+    configuration::SiteConfiguration site_ {.callerKeys = configuration::CallerKeys::NotUsed};
     std::unique_ptr<router::RouterService> service_;
 };
 
--- a/unittests/Adapter/OperatorDocumentTest.cpp
+++ b/unittests/Adapter/OperatorDocumentTest.cpp
@@ -93,6 +93,24 @@
     EXPECT_NE(configuration::findOrganisationByKeyHash(site, router::hashKey("k2")), nullptr);
 }
 
+static configuration::CallerKeys callerKeysOf(const std::string &members)
+{
+    const auto result = readOperatorDocument(R"({"version": 9)" + members + "}", {});
+    const auto *site = std::get_if<SiteConfiguration>(&result);
+    EXPECT_NE(site, nullptr) << members;
+    return site == nullptr ? configuration::CallerKeys::NotUsed : site->callerKeys;
+}
+
+/// Guards against a list of organisations that has become empty and is read as if no keys were used.
+TEST(OperatorDocument, OnlyADocumentWithoutOrganisationsUsesNoKeys)
+{
+    using configuration::CallerKeys;
+    EXPECT_EQ(callerKeysOf(""), CallerKeys::NotUsed);
+    EXPECT_EQ(callerKeysOf(R"(, "tenants": [])"), CallerKeys::Required);
+    EXPECT_EQ(callerKeysOf(R"(, "tenants": null)"), CallerKeys::Required);
+    EXPECT_EQ(callerKeysOf(R"(, "tenants": [{"name": "t", "apiKeys": []}])"), CallerKeys::Required);
+}
+
 static std::optional<configuration::ScalingSpec> readScaling(const std::string &scaling)
 {
     const auto result = readOperatorDocument(R"({"version": 1, "services": [{"name": "s1", "engine": {}, "scaling": )" + scaling + "}]}", {});
--- a/unittests/Adapter/PlatformPathTest.cpp
+++ b/unittests/Adapter/PlatformPathTest.cpp
@@ -112,7 +112,7 @@
 
     support::WorkerPool workers_ {2};
     router::RouterServiceOptions options_ = makeRouterOptions("router");
-    configuration::SiteConfiguration site_;
+    configuration::SiteConfiguration site_ {.callerKeys = configuration::CallerKeys::NotUsed};
     std::vector<std::unique_ptr<ScriptedEndpoint>> servers_;
     std::unique_ptr<router::RouterService> service_;
 };
--- a/unittests/Adapter/RepeatedResponseTest.cpp
+++ b/unittests/Adapter/RepeatedResponseTest.cpp
@@ -75,7 +75,7 @@
 
     configuration::SiteConfiguration makeSite()
     {
-        configuration::SiteConfiguration site;
+        configuration::SiteConfiguration site {.callerKeys = configuration::CallerKeys::NotUsed};
         site.classes.push_back({.id = support::ClassId("c"), .idempotency = configuration::Idempotency::NonIdempotent});
         site.routes.push_back({.host = "h",
             .prefix = GetParam().target,
@@ -132,7 +132,7 @@
 
     void start(const std::string &idField)
     {
-        configuration::SiteConfiguration site;
+        configuration::SiteConfiguration site {.callerKeys = configuration::CallerKeys::NotUsed};
         site.classes.push_back({.id = support::ClassId("c"), .idempotency = configuration::Idempotency::NonIdempotent, .retryBudgetPercent = 100});
         site.routes.push_back({.host = "h",
             .prefix = "/call/",
--- a/unittests/Adapter/RouterTestBase.h
+++ b/unittests/Adapter/RouterTestBase.h
@@ -51,6 +51,7 @@
             replaced_.push_back(std::move(service_));
         }
         site_.pools.push_back({.id = support::PoolId("p"), .kind = configuration::PoolKind::PlainService});
+        site_.callerKeys = configuration::CallerKeys::NotUsed;
         site_.revision = 1;
         service_ = std::make_unique<router::RouterService>(workers_.context(), makeRouterOptions("router"), policy::standardPolicy());
         service_->configure(site_);
--- a/unittests/Router/RouteTableTest.cpp
+++ b/unittests/Router/RouteTableTest.cpp
@@ -35,6 +35,14 @@
         return std::get<CallerRequest>(std::move(result));
     }
 
+    /// Returns the status with which a request is rejected, or 200 if it is not.
+    [[nodiscard]] http::Status rejectionOf(std::string_view key) const
+    {
+        const auto result = routeRequest({.id = support::RequestId("r"), .host = "h", .key = key}, "/a/x", site_, now_);
+        const auto *problem = std::get_if<http::Problem>(&result);
+        return problem == nullptr ? http::Status::ok : problem->status;
+    }
+
     configuration::SiteConfiguration site_;
     policy::TimePoint now_ {std::chrono::seconds(10)};
 };
@@ -74,15 +82,31 @@
     EXPECT_EQ(route("k").requestClass.tier, 3);
 }
 
-TEST_F(RouteTableTest, RequiresAKeyUnlessTheRouteIsPublicOrThereAreNoOrganisations)
+TEST_F(RouteTableTest, RequiresAKeyUnlessTheRouteIsPublic)
 {
-    const auto rejected = routeRequest({.id = support::RequestId("r"), .host = "h", .key = "wrong"}, "/a/x", site_, now_);
-    ASSERT_TRUE(std::holds_alternative<http::Problem>(rejected));
-    EXPECT_EQ(std::get<http::Problem>(rejected).status, http::Status::unauthorized);
+    EXPECT_EQ(rejectionOf("wrong"), http::Status::unauthorized);
+    EXPECT_EQ(rejectionOf(""), http::Status::unauthorized);
     addRoute("/public/").isPublic = true;
     EXPECT_TRUE(route("", "/public/x").organisation.id.empty());
+    EXPECT_TRUE(route("wrong", "/public/x").organisation.id.empty());
+}
+
+/// Guards against removed and unknown keys that run once the last organisation is removed.
+TEST_F(RouteTableTest, RequiresAKeyAlsoWithoutOrganisations)
+{
+    site_.organisations.clear();
+    for (const std::string_view key : {"k", "wrong", ""}) {
+        EXPECT_EQ(rejectionOf(key), http::Status::unauthorized) << key;
+    }
+}
+
+/// Guards against keys of a former configuration that run, because the configuration in force uses none.
+TEST_F(RouteTableTest, RejectsUnknownKeysAlsoIfNoneAreUsed)
+{
     site_.organisations.clear();
+    site_.callerKeys = configuration::CallerKeys::NotUsed;
     EXPECT_TRUE(route("").organisation.id.empty());
+    EXPECT_EQ(rejectionOf("k"), http::Status::unauthorized);
 }
 
 TEST_F(RouteTableTest, UsesTheEarlierOfBothDeadlines)
