--- a/unittests/Adapter/OperatorDocumentTest.cpp
+++ b/unittests/Adapter/OperatorDocumentTest.cpp
@@ -160,4 +160,21 @@
     EXPECT_TRUE(isRejected(R"({"version": 1, "services": [{}]})"));
 }
 
+/// Guards against a list of another type that is read as an empty one, so that a damaged document takes all routes, services or
+/// keys away.
+TEST(OperatorDocument, RejectsListsOfAnotherType)
+{
+    const auto read = [](const std::string &members) {
+        return readOperatorDocument(R"({"version": 1, )" + members + "}", {});
+    };
+    for (const std::string list : {"routes", "services", "tenants"}) {
+        for (const std::string value : {"{}", "\"[]\"", "0", "false"}) {
+            EXPECT_TRUE(std::holds_alternative<OperatorDocumentError>(read('"' + list + "\": " + value))) << list << value;
+        }
+        EXPECT_TRUE(std::holds_alternative<SiteConfiguration>(read('"' + list + "\": null"))) << "an empty list by some serializers";
+    }
+    EXPECT_TRUE(std::holds_alternative<OperatorDocumentError>(read(R"("tenants": [{"name": "t", "apiKeys": {}}])")));
+    EXPECT_TRUE(std::holds_alternative<SiteConfiguration>(read(R"("tenants": [{"name": "t", "apiKeys": null}])"))) << "takes the keys away";
+}
+
 } // namespace mulberrywall::platform
