router: a removed configuration is not confirmed any more

What callers would see: once the row of the configuration is gone from the store, or from its whole table after the store forgot its history, a router accepts all keys of its last configuration for ever, while one that starts anew has none and answers 503.

Cause: a removed row was skipped like a row of another kind, and a whole table without it like one without news. Each response then renewed the lease on the configuration.

Change: both count as a configuration that cannot be read: the last one stays in force, but unconfirmed, so that with a strict limit for withdrawn keys its lease ends.

Test, failed before: StoreWatcherTest.DoesNotConfirmARemovedConfiguration.

--- a/include/mulberrywall/Router/StoreWatcher.h
+++ b/include/mulberrywall/Router/StoreWatcher.h
@@ -29,8 +29,8 @@
 {
     TableSource configuration;
     TableSource endpoints;
-    /// Parses a row of the configuration table; returns nothing for a row that contains no
-    /// configuration.
+    /// Parses a row of the configuration table; returns nothing for a row of another kind, and a problem if the row of the
+    /// configuration was removed.
     std::function<std::optional<std::variant<configuration::SiteConfiguration, RowProblem>>(const TableRow &)> readConfiguration;
     std::function<std::variant<RegisteredEndpoint, RowProblem>(const TableRow &)> readEndpoint;
 };
@@ -62,8 +62,8 @@
 
 /// Watches the configuration and the endpoints in a store and reports their changes.
 ///
-/// A malformed row is logged and affects nothing else: the last configuration stays in force, and a
-/// malformed endpoint entry is treated as removed.
+/// A malformed row is logged and affects nothing else: the last configuration stays in force without being confirmed, also if its
+/// row was removed, and a malformed endpoint entry is treated as removed.
 class StoreWatcher : public std::enable_shared_from_this<StoreWatcher>
 {
 public:
@@ -84,7 +84,8 @@
     [[nodiscard]] permits::StoreChanges changesAfter(const permits::StoreFreshness &peer, std::chrono::milliseconds minimumAge) const;
 
 private:
-    void onConfigurationRows(const std::vector<TableRow> &rows, support::BootClock::time_point sentAt);
+    void recordConfigurationProblem(const RowProblem &problem);
+    void onConfigurationRows(RowsKind kind, const std::vector<TableRow> &rows, support::BootClock::time_point sentAt);
     void onEndpointRows(RowsKind kind, const std::vector<TableRow> &rows);
     bool recordRow(const TableRow &row, EndpointRegistry::TimePoint now);
     bool removeMissing(const std::vector<TableRow> &rows, EndpointRegistry::TimePoint now);
@@ -102,8 +103,9 @@
     std::shared_ptr<TableWatcher> endpointWatcher_;
     EndpointRegistry registry_;
     std::vector<configuration::Endpoint> published_;
-    /// False after a configuration that could not be parsed, until one that can.
+    /// False after a configuration that could not be parsed or was removed, until one that can be parsed.
     bool configurationReadable_ = true;
+    bool hasConfiguration_ = false;
     bool stopped_ = false;
 };
 
--- a/lib/Router/StoreWatcher.cpp
+++ b/lib/Router/StoreWatcher.cpp
@@ -32,8 +32,8 @@
         TableWatcherOptions {.name = "configuration", .wait = options_.configurationWait, .startInterval = options_.startInterval},
         sources_.configuration,
         TableWatcherHandlers {.onRows =
-                                  [self](RowsKind, const std::vector<TableRow> &rows, support::BootClock::time_point sentAt) {
-                                      boost::asio::dispatch(self->strand_, [self, rows, sentAt] { self->onConfigurationRows(rows, sentAt); });
+                                  [self](RowsKind kind, const std::vector<TableRow> &rows, support::BootClock::time_point sentAt) {
+                                      boost::asio::dispatch(self->strand_, [self, kind, rows, sentAt] { self->onConfigurationRows(kind, rows, sentAt); });
                                   },
             .onRecovered =
                 [] {
@@ -100,28 +100,40 @@
         .endpoints = router::changesAfter(*endpointWatcher_, peer.endpoints, minimumAge)};
 }
 
-void StoreWatcher::onConfigurationRows(const std::vector<TableRow> &rows, support::BootClock::time_point sentAt)
+void StoreWatcher::recordConfigurationProblem(const RowProblem &problem)
+{
+    configurationReadable_ = false;
+    support::log(support::Severity::Error, "the configuration cannot be parsed; the last one stays in force", {{"reason", problem.text}});
+}
+
+void StoreWatcher::onConfigurationRows(RowsKind kind, const std::vector<TableRow> &rows, support::BootClock::time_point sentAt)
 {
     if (stopped_) {
         return;
     }
+    bool isListed = false;
     for (const TableRow &row : rows) {
         std::optional<std::variant<configuration::SiteConfiguration, RowProblem>> parsed = RowProblem {unexpectedException};
         support::logExceptions("read configuration", [&] { parsed = sources_.readConfiguration(row); });
         if (!parsed) {
             continue;
         }
-        configurationReadable_ = !std::holds_alternative<RowProblem>(*parsed);
+        isListed = true;
         if (const auto *problem = std::get_if<RowProblem>(&*parsed)) {
-            support::log(support::Severity::Error, "the configuration cannot be parsed; the last one stays in force", {{"reason", problem->text}});
+            recordConfigurationProblem(*problem);
             continue;
         }
+        configurationReadable_ = true;
+        hasConfiguration_ = true;
         auto &configuration = std::get<configuration::SiteConfiguration>(*parsed);
         configuration.endpoints = published_;
         handlers_.configurationChanged(std::move(configuration));
     }
-    // After a row that could not be parsed, the last configuration is known to be replaced, and later responses without
-    // changes do not confirm it either.
+    if (kind == RowsKind::Snapshot && !isListed && hasConfiguration_) {
+        recordConfigurationProblem({"the whole table has no row with it"});
+    }
+    // After a row that could not be parsed, or its removal, the last configuration is known to be replaced, and later responses
+    // without changes do not confirm it either.
     if (configurationReadable_) {
         handlers_.configurationConfirmed(sentAt);
     }
--- a/tools/mulberrywall-router/NodeProgram.cpp
+++ b/tools/mulberrywall-router/NodeProgram.cpp
@@ -123,9 +123,12 @@
     return {.configuration = makeTableSource(client, platform::operatorTable),
         .endpoints = makeTableSource(client, platform::endpointTable),
         .readConfiguration = [context](const TableRow &row) -> std::optional<std::variant<configuration::SiteConfiguration, RowProblem>> {
-            if (row.key != platform::operatorDocumentKey || row.deleted) {
+            if (row.key != platform::operatorDocumentKey) {
                 return std::nullopt;
             }
+            if (row.deleted) {
+                return RowProblem {"its row was removed"};
+            }
             auto read = platform::readOperatorDocument(row.value, context);
             if (const auto *error = std::get_if<platform::OperatorDocumentError>(&read)) {
                 return RowProblem {error->text};
--- a/unittests/Router/StoreWatcherTest.cpp
+++ b/unittests/Router/StoreWatcherTest.cpp
@@ -70,7 +70,7 @@
 
     static std::optional<std::variant<configuration::SiteConfiguration, RowProblem>> readConfiguration(const TableRow &row)
     {
-        if (row.value == "damaged") {
+        if (row.deleted || row.value == "damaged") {
             return RowProblem {"damaged"};
         }
         configuration::SiteConfiguration site;
@@ -125,6 +125,24 @@
     EXPECT_EQ(confirmations_, 2U);
 }
 
+/// Guards against withdrawn keys that are accepted for ever, because the store confirms that a removed configuration is unchanged.
+TEST_F(StoreWatcherTest, DoesNotConfirmARemovedConfiguration)
+{
+    startStoreWatcher();
+    nextCall().handler({.status = TableStatus::Ok, .rows = {{.key = "c", .value = "1"}}, .version = 1});
+    nextCall().handler({.status = TableStatus::Ok, .rows = {{.key = "c", .deleted = true}}, .version = 2});
+    nextCall().handler({.status = TableStatus::Ok, .version = 3});
+    nextCall().handler({.status = TableStatus::Ok, .rows = {{.key = "c", .value = "4"}}, .version = 4});
+    StoreCall call = nextCall();
+    EXPECT_EQ(confirmations_, 2U) << "of revisions 1 and 4 when they were read";
+    call.handler({.status = TableStatus::HistoryTruncated});
+    nextCall().handler({.status = TableStatus::Ok, .version = 5});
+    nextCall().handler({.status = TableStatus::Ok, .version = 6});
+    nextCall();
+    EXPECT_EQ(confirmations_, 2U) << "the whole table has no configuration any more";
+    EXPECT_EQ(revision_, 4U);
+}
+
 /// Guards against one row with an unexpected value that hides all other endpoints.
 TEST_F(StoreWatcherTest, ReadsTheOtherRowsAfterADefect)
 {
