router: limits that a configuration drops end with it

What callers would see: a configuration sets limits on requests, and a later one has none. Running routers kept the dropped ones until their restart, routers that started later did not know them: one rejected with 413 what the other took.

Cause: applyCallerLimits returned early for a configuration without limits.

Change: the limits of the settings apply again.

Test, failed before: PlatformPathTest.DroppedLimitsOfCallersAreThoseOfTheSettingsAgain.

--- a/lib/Router/RouterService.cpp
+++ b/lib/Router/RouterService.cpp
@@ -244,6 +244,8 @@
 void RouterService::applyCallerLimits(const configuration::SiteConfiguration &configuration)
 {
     if (!configuration.callerLimits) {
+        // An earlier configuration may have set limits.
+        callerServer_->setLimits(options_.callerServer.limits);
         return;
     }
     const configuration::CallerLimits &limits = *configuration.callerLimits;
--- a/unittests/Adapter/PlatformPathTest.cpp
+++ b/unittests/Adapter/PlatformPathTest.cpp
@@ -130,6 +130,25 @@
     EXPECT_EQ(arrived["Mulberrywall-Expect-Instance"], "e1");
 }
 
+/// Guards against limits that stay in force after a configuration has dropped them, until the router restarts.
+TEST_F(PlatformPathTest, DroppedLimitsOfCallersAreThoseOfTheSettingsAgain)
+{
+    addEndpoint([](const http::ServerExchangePtr &exchange) { answer(exchange, http::Status::ok, "whole"); });
+    site_.callerLimits = configuration::CallerLimits {.maxBodyBytes = 10};
+    start();
+    const auto sendBody = [this] {
+        http::Request request = makeCallerRequest("/safe/x", "r1");
+        request.body() = std::string(11, 'x');
+        request.prepare_payload();
+        return sendRequest(workers_, *service_, std::move(request)).status;
+    };
+    EXPECT_EQ(sendBody(), http::Status::payload_too_large);
+    site_.callerLimits.reset();
+    ++site_.revision;
+    service_->configure(site_);
+    EXPECT_EQ(sendBody(), http::Status::ok);
+}
+
 TEST_F(PlatformPathTest, ForwardsCompleteStream)
 {
     addEndpoint([](const http::ServerExchangePtr &exchange) { stream(exchange, 5, false); });
