platform: a strict limit for withdrawn keys needs its time

What callers would see: settings with strictRevoke whose revokeMs is missing, null, no number, or under a millisecond, and settings whose strictRevoke is no boolean, gave a lease without end: a router that was cut off from the store accepted withdrawn keys for ever.

Cause: both members fell back to the default, which is no limit.

Change: such settings are rejected. Without strictRevoke nothing changes.

--- a/unittests/Adapter/NodeSettingsTest.cpp
+++ b/unittests/Adapter/NodeSettingsTest.cpp
@@ -49,6 +49,24 @@
     EXPECT_EQ(std::get<NodeSettings>(read).keyRevocationLimit.count(), 0);
 }
 
+/// Guards against withdrawn keys that are accepted without limit, because the time until their withdrawal has to be in force cannot be read.
+TEST(NodeSettings, RejectsAStrictLimitWithoutItsTime)
+{
+    const auto errorWith = [](const std::string &bounds) {
+        return errorOf(R"({"nodeName": "a", "zone": "z", "listen": {"front": "10.1.0.1:1", "ready": "10.1.0.1:2"}, "bounds": {)" + bounds
+            + R"(}, "platform": {"address": "10.1.0.2:3"}})");
+    };
+    EXPECT_EQ(errorWith(R"("strictRevoke": true, "revokeMs": 5000)"), "");
+    EXPECT_EQ(errorWith(R"("revokeMs": "5000")"), "") << "not strict";
+    for (const std::string time :
+        {"", R"(, "revokeMs": null)", R"(, "revokeMs": "5000")", R"(, "revokeMs": 0)", R"(, "revokeMs": 0.4)", R"(, "revokeMs": -1)"}) {
+        EXPECT_NE(errorWith(R"("strictRevoke": true)" + time).find("bounds.revokeMs"), std::string::npos) << time;
+    }
+    for (const std::string strict : {R"("true")", "1", "null", "[]"}) {
+        EXPECT_NE(errorWith(R"("revokeMs": 5000, "strictRevoke": )" + strict).find("bounds.strictRevoke"), std::string::npos) << strict;
+    }
+}
+
 /// Guards against numbers that overflow the clocks' representation; found by the fuzz target PlatformDocument.
 TEST(NodeSettings, LimitsDurationsAndCores)
 {
