router: do not join with an empty secret

What callers would see: if the row of the routers' secret was emptied, or its bytes could not be decoded, a router that started took the empty text for the secret. It was split from the others, and it accepted load reports, quarantines and passed-on configurations from whoever sends datagrams with a code under the empty key.

Cause: LoadPeerGroup told a row without a value only from a missing row by std::optional, and joined with any value.

Change: an empty value is no secret. The router serves alone and asks again, and logs once why.

Test, failed before: LoadPeerGroupTest.DoesNotJoinWithAnEmptySecret.

--- a/lib/Router/LoadPeerGroup.cpp
+++ b/lib/Router/LoadPeerGroup.cpp
@@ -56,10 +56,13 @@
     if (stopped_) {
         return;
     }
-    if (secret.value) {
+    if (secret.value && !secret.value->empty()) {
         join(*secret.value);
         return;
     }
+    if (secret.value && absentSecrets_ == 0) {
+        support::log(support::Severity::Error, "the secret of the routers is empty; serving alone until its row is restored");
+    }
     absentSecrets_ += secret.responded ? 1 : 0;
     timer_.expires_after(secret.responded ? options_.absentSecretInterval : secretRetryInterval);
     timer_.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
--- a/unittests/Router/LoadPeerGroupTest.cpp
+++ b/unittests/Router/LoadPeerGroupTest.cpp
@@ -108,6 +108,29 @@
     std::size_t joined_ = 0;
 };
 
+/// Guards against routers that accept datagrams of anyone, because the row of their secret was emptied while they were down.
+TEST_F(LoadPeerGroupTest, DoesNotJoinWithAnEmptySecret)
+{
+    constexpr unsigned rereads = 5;
+    secret_ = "";
+    startRouter(anyPort());
+    const auto deadline = std::chrono::steady_clock::now() + patience;
+    const auto isOver = [this] {
+        const std::scoped_lock lock(mutex_);
+        return reads_ >= rereads || joined_ > 0;
+    };
+    while (!isOver() && std::chrono::steady_clock::now() < deadline) {
+        std::this_thread::yield();
+    }
+    {
+        const std::scoped_lock lock(mutex_);
+        EXPECT_GE(reads_, rereads);
+        EXPECT_EQ(joined_, 0U);
+        secret_ = "restored";
+    }
+    EXPECT_TRUE(awaitJoined());
+}
+
 /// Guards against hundreds of routers that start at the same time and exceed the number of writes that the store executes on one
 /// row, so that many of them join their peers seconds later.
 TEST_F(LoadPeerGroupTest, OnlySeedsInsertTheSecretAtTheStart)
