policy: decisions about prompts do not compare all classes with all classes

After the configuration has grown by 350 routes, a burst of 45 prompts a second leaves the plain requests of all callers without an answer, on the machines of the review and of the users. What it spends shows the same: 97% of the samples of the router's processor time in the burst are in longestAdmittedWait and the iteration of its map (perf, 6 s).

Cause: rejectsLowerTiers asked for each class of a lower tier how long it may wait, and each answer looked at all classes again for the longest target and the highest tier. There is a class for each route and each tier of an organisation, 3530 in the test: a decision took 11,221,871 steps.

Change: what depends on the classes alone (longest target, highest and lowest tier, shares by tier) is computed when they are configured. The wait falls with the tier, so that only the next lower one has to be compared. The same summary serves the other places that went through all classes: the minimum share of a tier, at each command for each tier that uses it, and probes of slow endpoints. The decisions are the same.

The work is counted in steps, not seconds: support::CountedMap counts the elements that loops visit, and holds all containers of the policy that grow with classes and organisations, so that a new loop over them is counted by itself.

Test, failed before with 11,221,871 steps against 871: DecisionStepsTest.DoNotGrowWithTheRoutes.

--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -5,6 +5,7 @@
 #include "mulberrywall/Policy/LengthEstimate.h"
 #include "mulberrywall/Policy/Queue.h"
 #include "mulberrywall/Policy/Types.h"
+#include "mulberrywall/Support/CountedMap.h"
 
 #include <deque>
 #include <map>
@@ -28,6 +29,18 @@
     double hedgeCredit = 1.0;
 };
 
+/// What decisions need to know of all classes together. Computed when the classes are configured: there may be hundreds of routes,
+/// and a class of each for every tier of an organisation.
+struct ClassSummary
+{
+    support::Tier highestTier = 0;
+    /// The highest number of a tier.
+    support::Tier lowestTier = 0;
+    std::chrono::milliseconds longestFirstTokenTarget {0};
+    /// Sum of the minimum shares by tier. Contains each tier that has a class.
+    std::map<support::Tier, double> minimumShares;
+};
+
 /// Exponential backoff of an endpoint after failed or refused attempts.
 struct FailureBackoff
 {
@@ -224,7 +237,7 @@
 struct FairShares
 {
     /// Granted work divided by weight; an organisation without an entry is at the current virtual time.
-    std::map<support::OrganisationId, double> virtualTimes;
+    support::CountedMap<support::OrganisationId, double> virtualTimes;
     /// Lowest virtual time among waiting organisations at the last grant.
     double current = 0.0;
 };
@@ -239,7 +252,7 @@
 };
 
 /// Demand by organisation within a tier.
-using DemandByOrganisation = std::map<support::OrganisationId, PromptDemand>;
+using DemandByOrganisation = support::CountedMap<support::OrganisationId, PromptDemand>;
 
 /// Use of a tier's minimum share.
 struct MinimumShareUse
@@ -341,10 +354,9 @@
 struct Pool
 {
     PoolOptions options;
-    std::map<support::ClassId, ClassState> classes;
-    /// Lowest tier of any class, which is the highest number.
-    support::Tier lowestTier = 0;
-    std::map<support::OrganisationId, double> weights;
+    support::CountedMap<support::ClassId, ClassState> classes;
+    ClassSummary classSummary;
+    support::CountedMap<support::OrganisationId, double> weights;
     std::map<support::EndpointId, EndpointState> endpoints;
     Queue queue;
     std::unordered_map<PermitId, ActiveRequest> active;
--- a/include/mulberrywall/Policy/Queue.h
+++ b/include/mulberrywall/Policy/Queue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "mulberrywall/Policy/Types.h"
+#include "mulberrywall/Support/CountedMap.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -64,12 +65,12 @@
 /// Waiting requests of one tier.
 struct TierQueue
 {
-    std::map<std::pair<SchedulingGroup, support::OrganisationId>, OrganisationQueue> organisations;
+    support::CountedMap<std::pair<SchedulingGroup, support::OrganisationId>, OrganisationQueue> organisations;
     std::set<WaitingKey> byOverdueTime;
     /// Resumes are kept separately because they are shed last within their tier.
     std::map<std::uint64_t, PermitId> newByArrival;
     std::map<std::uint64_t, PermitId> resumesByArrival;
-    std::map<support::ClassId, std::size_t> countByClass;
+    support::CountedMap<support::ClassId, std::size_t> countByClass;
     std::size_t size = 0;
 };
 
--- a/lib/Policy/MinimumShare.cpp
+++ b/lib/Policy/MinimumShare.cpp
@@ -33,10 +33,8 @@
 
 double minimumShareOf(const Pool &pool, support::Tier tier)
 {
-    double share = 0.0;
-    for (const auto &[id, state] : pool.classes) {
-        share += state.spec.tier == tier ? state.spec.minimumShare : 0.0;
-    }
+    const auto found = pool.classSummary.minimumShares.find(tier);
+    const double share = found == pool.classSummary.minimumShares.end() ? 0.0 : found->second;
     return std::clamp(share, pool.options.tuning.minimumShare.floor, 1.0);
 }
 
--- a/lib/Policy/PrefillAdmission.cpp
+++ b/lib/Policy/PrefillAdmission.cpp
@@ -77,30 +77,31 @@
     return result;
 }
 
+/// Returns the backlog behind which prompts of the tier may wait. The lower the tier, the shorter it is.
+Seconds longestAdmittedWait(const Pool &pool, support::Tier tier)
+{
+    const unsigned tiersFromHere = 1U + pool.classSummary.lowestTier - tier;
+    return pool.options.tuning.placement.admittedWaitShare * tiersFromHere * Seconds(pool.classSummary.longestFirstTokenTarget);
+}
+
 /// Returns the backlog behind which a prompt of the class may wait.
 Seconds longestAdmittedWait(const Pool &pool, const ClassSpec &spec)
 {
-    std::chrono::milliseconds longestTarget {0};
-    support::Tier highestTier = spec.tier;
-    for (const auto &[id, requestClass] : pool.classes) {
-        longestTarget = std::max(longestTarget, requestClass.spec.firstTokenTarget);
-        highestTier = std::min(highestTier, requestClass.spec.tier);
+    const Seconds byTier = longestAdmittedWait(pool, spec.tier);
+    if (spec.tier != pool.classSummary.highestTier) {
+        return byTier;
     }
-    const PlacementTuning &tuning = pool.options.tuning.placement;
-    const unsigned tiersFromHere = 1U + pool.lowestTier - spec.tier;
-    const Seconds byTier = tuning.admittedWaitShare * tiersFromHere * Seconds(longestTarget);
     // There is no higher tier for which the highest one would have to leave room.
-    return spec.tier == highestTier ? std::max(byTier, tuning.admittedWaitShareOfHighestTier * Seconds(spec.firstTokenTarget)) : byTier;
+    return std::max(byTier, pool.options.tuning.placement.admittedWaitShareOfHighestTier * Seconds(spec.firstTokenTarget));
 }
 
 /// Returns whether prompts of all lower tiers that are compared on the same engines are rejected. A prompt must not be rejected because of
 /// its caller's patience while larger ones of a lower tier, whose callers wait for longer, are admitted.
 bool rejectsLowerTiers(const Pool &pool, const ClassSpec &spec, const Prediction &prediction)
 {
-    return std::none_of(pool.classes.begin(), pool.classes.end(), [&](const auto &entry) {
-        const ClassSpec &other = entry.second.spec;
-        return other.tier > spec.tier && prediction.backlog <= longestAdmittedWait(pool, other);
-    });
+    // Of the lower tiers the next one waits behind the longest backlog, and none of them is the highest.
+    const auto nextTier = pool.classSummary.minimumShares.upper_bound(spec.tier);
+    return nextTier == pool.classSummary.minimumShares.end() || prediction.backlog > longestAdmittedWait(pool, nextTier->first);
 }
 
 /// Returns by how much the prediction exceeds what the caller waits for; not positive if it can be met.
--- a/lib/Policy/SlowEndpoints.cpp
+++ b/lib/Policy/SlowEndpoints.cpp
@@ -221,7 +221,7 @@
     if (now >= endpoint.slow.nextProbeAt + pool.options.tuning.slowEndpoints.lowestTierWait) {
         return true;
     }
-    return std::none_of(pool.classes.begin(), pool.classes.end(), [&](const auto &entry) { return entry.second.spec.tier > request.tier; });
+    return pool.classSummary.lowestTier <= request.tier;
 }
 
 void recordProbeProgress(Pool &pool, ActiveRequest &request, TimePoint now)
--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -56,20 +56,34 @@
     return pool;
 }
 
+ClassSummary summarize(const support::CountedMap<support::ClassId, ClassState> &classes)
+{
+    ClassSummary summary;
+    for (const auto &[id, state] : classes) {
+        const ClassSpec &spec = state.spec;
+        summary.longestFirstTokenTarget = std::max(summary.longestFirstTokenTarget, spec.firstTokenTarget);
+        summary.minimumShares[spec.tier] += spec.minimumShare;
+    }
+    if (!summary.minimumShares.empty()) {
+        summary.highestTier = summary.minimumShares.begin()->first;
+        summary.lowestTier = summary.minimumShares.rbegin()->first;
+    }
+    return summary;
+}
+
 void configure(void *handle, const PoolOptions &options)
 {
     Pool &pool = asPool(handle);
     pool.options = options;
-    std::map<support::ClassId, ClassState> classes;
-    pool.lowestTier = 0;
+    support::CountedMap<support::ClassId, ClassState> classes;
     for (const ClassSpec &spec : options.classes) {
-        pool.lowestTier = std::max(pool.lowestTier, spec.tier);
         const auto existing = pool.classes.find(spec.id);
         ClassState state = existing == pool.classes.end() ? ClassState {} : std::move(existing->second);
         state.spec = spec;
         classes.emplace(spec.id, std::move(state));
     }
     pool.classes = std::move(classes);
+    pool.classSummary = summarize(pool.classes);
     pool.weights.clear();
     for (const OrganisationSpec &spec : options.organisations) {
         pool.weights[spec.id] = spec.weight;
