policy: bound the organisations whose demand a decision compares

What callers would see: with thousands of organisations that ask for prompts at one router, each decision about a prompt decays and sorts the demand of all of them.

Cause: waitShare goes through every organisation of the tier that has asked in the last half minute; the table was pruned above 1024 entries, and only of those that have stopped asking.

Change: the table holds 256 organisations of a tier. When it is full, the one that asks for the least by its weight is left out and waits like any other.

--- a/include/mulberrywall/Policy/Tuning.h
+++ b/include/mulberrywall/Policy/Tuning.h
@@ -178,6 +178,9 @@
     bool sharesAdmission = true;
     /// Time constant of what organisations ask for and are admitted.
     std::chrono::milliseconds demandAveraging {3'000};
+    /// Number of organisations of a tier whose demand is compared; those that ask for least are left out, and wait like any other. Bounds
+    /// what the decision about a prompt costs.
+    std::size_t maximumDemandingOrganisations = 256;
     /// A caller leaves after a gap of the longest of these: a fixed time, and multiples of the first-token and inter-token targets.
     std::chrono::milliseconds shortestPatience {2'000};
     unsigned patienceInFirstTokenTargets = 4;
--- a/lib/Policy/DemandShare.cpp
+++ b/lib/Policy/DemandShare.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <vector>
 
 namespace mulberrywall::policy
@@ -51,17 +52,32 @@
     return demands.empty() ? 0.0 : demands.back().tokensByWeight;
 }
 
+/// Makes room for another organisation. The one that asks for least by its weight is the furthest from exceeding a fair share.
+void forgetLeastDemand(const Pool &pool, DemandByOrganisation &demands, TimePoint now)
+{
+    const auto tokensByWeight = [&](const auto &entry) {
+        return decayed(entry.second, pool.options.tuning.placement, now).askedTokens / weightOf(pool, entry.first);
+    };
+    auto least = demands.begin();
+    double leastTokens = std::numeric_limits<double>::infinity();
+    for (auto entry = demands.begin(); entry != demands.end(); ++entry) {
+        const double tokens = tokensByWeight(*entry);
+        if (tokens < leastTokens) {
+            least = entry;
+            leastTokens = tokens;
+        }
+    }
+    demands.erase(least);
+}
+
 } // namespace
 
 void recordDemand(Pool &pool, const Submission &submission, support::Tier tier, PromptAnswer answer, TimePoint now)
 {
-    // Limits the memory for organisations that have stopped asking.
-    constexpr std::size_t maximumOrganisations = 1'024;
-    constexpr double forgottenTokens = 1.0;
     const PlacementTuning &tuning = pool.options.tuning.placement;
     DemandByOrganisation &ofTier = pool.promptDemand[tier];
-    if (ofTier.size() > maximumOrganisations) {
-        std::erase_if(ofTier, [&](const auto &entry) { return decayed(entry.second, tuning, now).askedTokens < forgottenTokens; });
+    if (ofTier.size() >= tuning.maximumDemandingOrganisations && !ofTier.contains(submission.organisation)) {
+        forgetLeastDemand(pool, ofTier, now);
     }
     PromptDemand &demand = ofTier[submission.organisation];
     demand = decayed(demand, tuning, now);
--- a/unittests/Policy/DecisionStepsTest.cpp
+++ b/unittests/Policy/DecisionStepsTest.cpp
@@ -82,4 +82,12 @@
     EXPECT_LE(few, maximumSteps);
 }
 
+/// Guards against decisions whose cost grows with the number of organisations that have asked for prompts in the last seconds.
+TEST_F(DecisionStepsTest, StayBoundedWithTheOrganisations)
+{
+    for (const unsigned organisations : {10U, 100U, 1'000U, 2'900U}) {
+        EXPECT_LE(mostSteps({.tiers = 1, .organisations = organisations}, 2 * organisations, milliseconds(5)), maximumSteps) << organisations;
+    }
+}
+
 } // namespace mulberrywall::policy
