router: requests look up routes, classes and keys in an index

What callers would see: each request costs the more the larger the configuration is.

Cause: a request went through all routes, through all classes of the configuration up to twice (there is one for each route and tier of an organisation), and through all keys of all organisations, and it copied all keys of its own one. Requests with a body did so twice.

Change: when a configuration comes into force, the positions of its items are ordered once by what requests look up: classes and pools by id, keys by hash, routes by host and prefix, where each prefix refers to the longest one that it starts with. A lookup takes a binary search, of routes also one step for each nested prefix that does not match. Requests carry their organisation without its keys.

--- a/include/mulberrywall/Configuration/Model.h
+++ b/include/mulberrywall/Configuration/Model.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -183,6 +184,8 @@
     friend bool operator==(const CallerLimits &, const CallerLimits &) = default;
 };
 
+struct LookupIndex;
+
 /// The configuration of one site: the base file merged with the site's overlay.
 struct SiteConfiguration
 {
@@ -199,6 +202,8 @@
     std::vector<Route> routes;
     /// If set, overrides the limits of the router's command-line settings.
     std::optional<CallerLimits> callerLimits;
+    /// Set while the configuration is in force, see makeLookupIndex. Without it the functions below go through the lists.
+    std::shared_ptr<const LookupIndex> index;
 
     friend bool operator==(const SiteConfiguration &, const SiteConfiguration &) = default;
 };
@@ -215,4 +220,7 @@
 /// Returns the organisation that has a bearer key with the given SHA-256 hash, or nullptr.
 const Organisation *findOrganisationByKeyHash(const SiteConfiguration &configuration, std::string_view keyHash);
 
+/// Returns the route of the host whose prefix is the longest one that matches the path, or nullptr if none matches.
+const Route *findRoute(const SiteConfiguration &configuration, std::string_view host, std::string_view path);
+
 } // namespace mulberrywall::configuration
--- a/include/mulberrywall/Router/CallerRequest.h
+++ b/include/mulberrywall/Router/CallerRequest.h
@@ -64,7 +64,10 @@
 /// another scheme than "Bearer".
 std::string_view bearerKey(const http::RequestHeader &request);
 
-/// Returns the organisation of the bearer key, or a problem that never contains the key.
+/// Returns the organisation without its keys, which may be hundreds and which no request needs.
+configuration::Organisation withoutKeys(const configuration::Organisation &organisation);
+
+/// Returns the organisation of the bearer key, without its keys, or a problem that never contains the key.
 std::variant<configuration::Organisation, http::Problem> authorize(const http::RequestHeader &request, const configuration::SiteConfiguration &configuration);
 
 /// Validates key, class, pool and body of a request to a model or a plain service.
--- a/include/mulberrywall/Router/RouteTable.h
+++ b/include/mulberrywall/Router/RouteTable.h
@@ -35,10 +35,6 @@
     std::span<const PromptSegment> promptSegments;
 };
 
-/// Returns the route of the host whose prefix is the longest one that matches the path, or nullptr if
-/// none matches.
-const configuration::Route *findRoute(const configuration::SiteConfiguration &configuration, std::string_view host, std::string_view path);
-
 /// Chooses a target at random by weight, seeded by the id, so that equal ids give equal targets.
 /// Returns nullptr if all weights are 0.
 const configuration::RouteTarget *chooseTarget(const configuration::Route &route, const support::RequestId &id);
--- a/lib/Router/ActiveConfiguration.cpp
+++ b/lib/Router/ActiveConfiguration.cpp
@@ -1,5 +1,7 @@
 #include "mulberrywall/Router/ActiveConfiguration.h"
 
+#include "mulberrywall/Configuration/LookupIndex.h"
+
 #include <utility>
 
 namespace mulberrywall::router
@@ -7,6 +9,7 @@
 
 ConfigurationChange ActiveConfiguration::offer(configuration::SiteConfiguration candidate)
 {
+    candidate.index = configuration::makeLookupIndex(candidate);
     auto snapshot = std::make_shared<const configuration::SiteConfiguration>(std::move(candidate));
     const std::scoped_lock lock(mutex_);
     if (current_ && snapshot->revision <= current_->revision) {
--- a/lib/Router/CallerRequest.cpp
+++ b/lib/Router/CallerRequest.cpp
@@ -51,6 +51,16 @@
     return value.starts_with(scheme) ? value.substr(scheme.size()) : std::string_view();
 }
 
+configuration::Organisation withoutKeys(const configuration::Organisation &organisation)
+{
+    return {.id = organisation.id,
+        .tier = organisation.tier,
+        .allowedClasses = organisation.allowedClasses,
+        .weight = organisation.weight,
+        .requestsPerSecond = organisation.requestsPerSecond,
+        .concurrentRequests = organisation.concurrentRequests};
+}
+
 std::variant<configuration::Organisation, http::Problem> authorize(const http::RequestHeader &request, const configuration::SiteConfiguration &configuration)
 {
     const std::string_view key = bearerKey(request);
@@ -62,7 +72,7 @@
     if (organisation == nullptr) {
         return makeProblem(http::Status::unauthorized, "unknown key", "the key belongs to no organisation; ask the operator for a valid key");
     }
-    return *organisation;
+    return withoutKeys(*organisation);
 }
 
 static std::variant<configuration::RequestClass, http::Problem> chooseClass(
--- a/lib/Router/RouteTable.cpp
+++ b/lib/Router/RouteTable.cpp
@@ -15,20 +15,6 @@
     return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
 
-const configuration::Route *findRoute(const configuration::SiteConfiguration &configuration, std::string_view host, std::string_view path)
-{
-    const configuration::Route *best = nullptr;
-    for (const configuration::Route &route : configuration.routes) {
-        if (route.host != host || !path.starts_with(route.prefix)) {
-            continue;
-        }
-        if (best == nullptr || route.prefix.size() > best->prefix.size()) {
-            best = &route;
-        }
-    }
-    return best;
-}
-
 const configuration::RouteTarget *chooseTarget(const configuration::Route &route, const support::RequestId &id)
 {
     std::uint64_t totalWeight = 0;
@@ -114,7 +100,7 @@
         organisation = configuration::findOrganisationByKeyHash(configuration, hashKey(fields.key));
     }
     if (organisation != nullptr) {
-        return *organisation;
+        return withoutKeys(*organisation);
     }
     if (runsWithoutOrganisation(fields, route, configuration)) {
         return configuration::Organisation {};
@@ -154,7 +140,7 @@
 std::variant<CallerRequest, http::Problem> routeRequest(
     const RoutingFields &fields, std::string_view path, const configuration::SiteConfiguration &configuration, policy::TimePoint now)
 {
-    const configuration::Route *route = findRoute(configuration, fields.host, path);
+    const configuration::Route *route = configuration::findRoute(configuration, fields.host, path);
     if (route == nullptr) {
         return makeProblem(
             fields, http::Status::not_found, "unknown route", "no route matches this host and path; correct them or ask the operator for a route");
--- a/unittests/Router/RouteTableTest.cpp
+++ b/unittests/Router/RouteTableTest.cpp
@@ -1,6 +1,8 @@
 #include "mulberrywall/Router/RouteTable.h"
 
+#include "mulberrywall/Router/ActiveConfiguration.h"
 #include "mulberrywall/Router/OrganisationTiers.h"
+#include "mulberrywall/Support/CountedMap.h"
 
 #include <gtest/gtest.h>
 
@@ -56,6 +58,39 @@
     EXPECT_EQ(findRoute(site_, "other", "/a/b/c"), nullptr);
 }
 
+/// Guards against requests whose cost grows with the configuration: each of its lookups went through all routes, all classes, of which
+/// there is one for each route and tier of an organisation, or all keys.
+TEST_F(RouteTableTest, LooksUpInFewStepsInALargeConfiguration)
+{
+    constexpr unsigned routes = 350;
+    constexpr support::Tier tiers = 10;
+    constexpr unsigned organisations = 1'000;
+    constexpr std::uint64_t maximumSteps = 100;
+    for (unsigned index = 0; index < routes; ++index) {
+        const support::ClassId id("class-" + std::to_string(index));
+        site_.classes.push_back({.id = id, .tier = 1});
+        addRoute("/more-" + std::to_string(index) + "/").requestClass = id;
+    }
+    for (unsigned index = 0; index < organisations; ++index) {
+        site_.organisations.push_back({.id = support::OrganisationId("organisation-" + std::to_string(index)),
+            .tier = static_cast<support::Tier>(index % tiers),
+            .keyHashes = {hashKey("key-" + std::to_string(index))}});
+    }
+    orderClassesByOrganisationTier(site_);
+    site_.revision = 1;
+    ActiveConfiguration active;
+    active.offer(site_);
+    for (unsigned index = 0; index < organisations; ++index) {
+        const std::string key = "key-" + std::to_string(index);
+        const std::string path = "/more-" + std::to_string(index % routes) + "/x";
+        const std::uint64_t before = support::stepCount();
+        const auto result = routeRequest({.id = support::RequestId("r"), .host = "h", .key = key}, path, *active.current(), now_);
+        ASSERT_TRUE(std::holds_alternative<CallerRequest>(result));
+        ASSERT_LE(support::stepCount() - before, maximumSteps);
+        ASSERT_TRUE(std::get<CallerRequest>(result).organisation.keyHashes.empty()) << "a copy of all keys for each request";
+    }
+}
+
 TEST_F(RouteTableTest, SplitsRequestsByWeight)
 {
     configuration::Route &split = addRoute("/s/");
