router: a change of endpoints does not build all classes again

What callers would see: each time an endpoint comes, leaves or changes, a router with a large configuration stops for as long as if the whole configuration had changed.

Cause: RouterService::setEndpoints applied the whole configuration to all pools, each of which copies all classes.

Change: pools get the new endpoints only.

--- a/include/mulberrywall/Permits/OwnedPool.h
+++ b/include/mulberrywall/Permits/OwnedPool.h
@@ -147,6 +147,8 @@
     // Commands
     /// Applies the classes, organisations, pools and endpoints of the configuration.
     void configure(const configuration::SiteConfiguration &configuration);
+    /// Replaces the endpoints of the configuration, without the cost of applying the rest of it again.
+    void setEndpoints(std::vector<configuration::Endpoint> endpoints);
     /// Replaces the set of endpoints that take no new work.
     void setLeaving(std::set<support::EndpointId> leaving);
     /// Records in all pools a quarantined request, which crashed endpoints at another router.
--- a/lib/Permits/OwnedPool.cpp
+++ b/lib/Permits/OwnedPool.cpp
@@ -499,6 +499,13 @@
     });
 }
 
+void PoolTable::setEndpoints(std::vector<configuration::Endpoint> endpoints)
+{
+    const std::scoped_lock lock(mutex_);
+    endpoints_ = std::move(endpoints);
+    updateEndpoints();
+}
+
 void PoolTable::setLeaving(std::set<support::EndpointId> leaving)
 {
     const std::scoped_lock lock(mutex_);
--- a/lib/Router/RouterService.cpp
+++ b/lib/Router/RouterService.cpp
@@ -262,7 +262,7 @@
     if (current == nullptr) {
         return;
     }
-    pools_.configure(*current);
+    pools_.setEndpoints(endpoints);
     endpoints_.applyConfiguration(*current);
     support::log(support::Severity::Info, "endpoints changed", {{"endpoints", endpoints.size()}, {"revision", current->revision}});
 }
--- a/unittests/Adapter/PlatformPathTest.cpp
+++ b/unittests/Adapter/PlatformPathTest.cpp
@@ -1,5 +1,7 @@
 #include "ScriptedEndpoint.h"
 
+#include "mulberrywall/Support/CountedMap.h"
+
 #include <gtest/gtest.h>
 
 #include <future>
@@ -130,6 +132,23 @@
     EXPECT_EQ(arrived["Mulberrywall-Expect-Instance"], "e1");
 }
 
+/// Guards against a change of the endpoints that stops the router for as long as a change of the whole configuration, because all
+/// classes of all pools are built again.
+TEST_F(PlatformPathTest, ChangedEndpointsDoNotTouchTheClasses)
+{
+    constexpr unsigned routes = 350;
+    constexpr std::uint64_t maximumSteps = 100;
+    for (unsigned index = 0; index < routes; ++index) {
+        addRoute("/more-" + std::to_string(index) + "/", configuration::Idempotency::Idempotent);
+    }
+    start();
+    addEndpoint([](const http::ServerExchangePtr &exchange) { answer(exchange, http::Status::ok, "whole"); });
+    const std::uint64_t before = support::stepCount();
+    service_->setEndpoints(site_.endpoints);
+    EXPECT_LE(support::stepCount() - before, maximumSteps);
+    EXPECT_EQ(send("/more-7/x", "r1").status, http::Status::ok);
+}
+
 /// Guards against limits that stay in force after a configuration has dropped them, until the router restarts.
 TEST_F(PlatformPathTest, DroppedLimitsOfCallersAreThoseOfTheSettingsAgain)
 {
