policy: pools share the classes of a configuration

What callers would see: a legal document of 30 KB stops the router for seconds and takes more memory than its instance has.

Cause: there is a class for each route and tier of an organisation, and each pool, of which there is one for each service, copied all of them with their state. Numbering the tiers walked from the highest tier to that of each class.

Change: the specifications and their summary are made once and shared (ClassSet). A pool gets the state of a class with its first request. Ranks are numbered once. Organisations are copied to pools only if they have a weight of their own.

--- a/include/mulberrywall/Policy/Pool.h
+++ b/include/mulberrywall/Policy/Pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mulberrywall/Policy/ClassSet.h"
 #include "mulberrywall/Policy/ConcurrencyLimit.h"
 #include "mulberrywall/Policy/Estimates.h"
 #include "mulberrywall/Policy/LengthEstimate.h"
@@ -29,18 +30,6 @@
     double hedgeCredit = 1.0;
 };
 
-/// What decisions need to know of all classes together. Computed when the classes are configured: there may be hundreds of routes,
-/// and a class of each for every tier of an organisation.
-struct ClassSummary
-{
-    support::Tier highestTier = 0;
-    /// The highest number of a tier.
-    support::Tier lowestTier = 0;
-    std::chrono::milliseconds longestFirstTokenTarget {0};
-    /// Sum of the minimum shares by tier. Contains each tier that has a class.
-    std::map<support::Tier, double> minimumShares;
-};
-
 /// Exponential backoff of an endpoint after failed or refused attempts.
 struct FailureBackoff
 {
@@ -354,8 +343,10 @@
 struct Pool
 {
     PoolOptions options;
+    /// Never null.
+    std::shared_ptr<const ClassSet> classSet;
+    /// Of the classes of which the pool has got requests.
     support::CountedMap<support::ClassId, ClassState> classes;
-    ClassSummary classSummary;
     support::CountedMap<support::OrganisationId, double> weights;
     std::map<support::EndpointId, EndpointState> endpoints;
     Queue queue;
@@ -392,8 +383,9 @@
     TimePoint now;
 };
 
-/// Returns the class, or nullptr if it is not configured.
+/// Returns the class, or nullptr if it is not configured. Adds its state to the pool if there is none yet.
 ClassState *findClass(Pool &pool, const support::ClassId &id);
+/// Returns the class, or nullptr if it is not configured or the pool has got no request of it.
 const ClassState *findClass(const Pool &pool, const support::ClassId &id);
 
 } // namespace mulberrywall::policy
--- a/include/mulberrywall/Policy/Types.h
+++ b/include/mulberrywall/Policy/Types.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -420,6 +421,8 @@
     ByQueueLimit,
 };
 
+struct ClassSet;
+
 struct PoolOptions
 {
     std::size_t queueLimit = 256;
@@ -429,6 +432,9 @@
     /// Tokens that fit into the memory of each engine; 0 if unknown.
     std::uint64_t engineMemoryTokens = 0;
     std::vector<ClassSpec> classes;
+    /// If set, replaces the classes above by a set that other pools use too.
+    std::shared_ptr<const ClassSet> classSet;
+    /// Organisations without an entry have the weight 1.
     std::vector<OrganisationSpec> organisations;
     Tuning tuning;
 };
--- a/lib/Permits/OwnedPool.cpp
+++ b/lib/Permits/OwnedPool.cpp
@@ -1,5 +1,6 @@
 #include "mulberrywall/Permits/OwnedPool.h"
 
+#include "mulberrywall/Policy/ClassSet.h"
 #include "mulberrywall/Support/Log.h"
 
 #include <boost/asio/post.hpp>
@@ -450,10 +451,9 @@
 {
 }
 
-static policy::PoolOptions makePoolOptions(const configuration::SiteConfiguration &configuration, const configuration::Pool &pool)
+static std::shared_ptr<const policy::ClassSet> makeClassSet(const configuration::SiteConfiguration &configuration)
 {
-    policy::PoolOptions options {
-        .queueLimit = pool.queueLimit, .enginePriorityLevels = pool.enginePriorityLevels, .engineMemoryTokens = pool.engineMemoryTokens};
+    std::vector<policy::ClassSpec> classes;
     for (const configuration::RequestClass &requestClass : configuration.classes) {
         policy::ClassSpec spec {.id = requestClass.id,
             .tier = requestClass.tier,
@@ -462,10 +462,19 @@
             .hedgeBudgetPercent = requestClass.hedgeBudgetPercent};
         spec.firstTokenTarget = requestClass.targets.timeToFirstToken.value_or(requestClass.targets.completion.value_or(spec.firstTokenTarget));
         spec.interTokenTarget = requestClass.targets.interTokenLatency.value_or(spec.interTokenTarget);
-        options.classes.push_back(spec);
+        classes.push_back(std::move(spec));
     }
+    return policy::makeClassSet(classes);
+}
+
+/// Returns the options of all pools of the configuration, without what belongs to a single one.
+static policy::PoolOptions makeCommonOptions(const configuration::SiteConfiguration &configuration)
+{
+    policy::PoolOptions options {.classSet = makeClassSet(configuration)};
     for (const configuration::Organisation &organisation : configuration.organisations) {
-        options.organisations.push_back({.id = organisation.id, .weight = organisation.weight});
+        if (organisation.weight != policy::OrganisationSpec().weight) {
+            options.organisations.push_back({.id = organisation.id, .weight = organisation.weight});
+        }
     }
     return options;
 }
@@ -474,8 +483,11 @@
 {
     const std::scoped_lock lock(mutex_);
     endpoints_ = configuration.endpoints;
+    policy::PoolOptions options = makeCommonOptions(configuration);
     for (const configuration::Pool &pool : configuration.pools) {
-        const policy::PoolOptions options = makePoolOptions(configuration, pool);
+        options.queueLimit = pool.queueLimit;
+        options.enginePriorityLevels = pool.enginePriorityLevels;
+        options.engineMemoryTokens = pool.engineMemoryTokens;
         const auto found = pools_.find(pool.id);
         if (found == pools_.end()) {
             pools_.emplace(pool.id, std::make_shared<OwnedPool>(context_, functions_, options));
--- a/lib/Policy/EndpointRefusal.cpp
+++ b/lib/Policy/EndpointRefusal.cpp
@@ -56,7 +56,7 @@
     if (wait <= pool.options.tuning.selection.refusalWaitShare * requestClass->spec.firstTokenTarget) {
         return std::nullopt;
     }
-    return spreadRetryDelay(wait, submission.spreadSeed, {.index = requestClass->spec.tier, .count = 1U + pool.classSummary.lowestTier});
+    return spreadRetryDelay(wait, submission.spreadSeed, {.index = requestClass->spec.tier, .count = 1U + pool.classSet->summary.lowestTier});
 }
 
 } // namespace mulberrywall::policy
--- a/lib/Policy/LongRequests.cpp
+++ b/lib/Policy/LongRequests.cpp
@@ -65,7 +65,7 @@
 {
     const unsigned levels = pool.options.enginePriorityLevels;
     // A request that was re-registered after a change of the configuration may have a lower tier than any class.
-    const unsigned tiers = std::max(pool.classSummary.lowestTier, tier) + 1U;
+    const unsigned tiers = std::max(pool.classSet->summary.lowestTier, tier) + 1U;
     if (2 * tiers <= levels) {
         return static_cast<std::uint8_t>(2U * tier + (group == SchedulingGroup::Long ? 1U : 0U));
     }
--- a/lib/Policy/MinimumShare.cpp
+++ b/lib/Policy/MinimumShare.cpp
@@ -33,8 +33,8 @@
 
 double minimumShareOf(const Pool &pool, support::Tier tier)
 {
-    const auto found = pool.classSummary.minimumShares.find(tier);
-    const double share = found == pool.classSummary.minimumShares.end() ? 0.0 : found->second;
+    const auto found = pool.classSet->summary.minimumShares.find(tier);
+    const double share = found == pool.classSet->summary.minimumShares.end() ? 0.0 : found->second;
     return std::clamp(share, pool.options.tuning.minimumShare.floor, 1.0);
 }
 
--- a/lib/Policy/PrefillAdmission.cpp
+++ b/lib/Policy/PrefillAdmission.cpp
@@ -80,15 +80,15 @@
 /// Returns the backlog behind which prompts of the tier may wait. The lower the tier, the shorter it is.
 Seconds longestAdmittedWait(const Pool &pool, support::Tier tier)
 {
-    const unsigned tiersFromHere = 1U + pool.classSummary.lowestTier - tier;
-    return pool.options.tuning.placement.admittedWaitShare * tiersFromHere * Seconds(pool.classSummary.longestFirstTokenTarget);
+    const unsigned tiersFromHere = 1U + pool.classSet->summary.lowestTier - tier;
+    return pool.options.tuning.placement.admittedWaitShare * tiersFromHere * Seconds(pool.classSet->summary.longestFirstTokenTarget);
 }
 
 /// Returns the backlog behind which a prompt of the class may wait.
 Seconds longestAdmittedWait(const Pool &pool, const ClassSpec &spec)
 {
     const Seconds byTier = longestAdmittedWait(pool, spec.tier);
-    if (spec.tier != pool.classSummary.highestTier) {
+    if (spec.tier != pool.classSet->summary.highestTier) {
         return byTier;
     }
     // There is no higher tier for which the highest one would have to leave room.
@@ -100,8 +100,8 @@
 bool rejectsLowerTiers(const Pool &pool, const ClassSpec &spec, const Prediction &prediction)
 {
     // Of the lower tiers the next one waits behind the longest backlog, and none of them is the highest.
-    const auto nextTier = pool.classSummary.minimumShares.upper_bound(spec.tier);
-    return nextTier == pool.classSummary.minimumShares.end() || prediction.backlog > longestAdmittedWait(pool, nextTier->first);
+    const auto nextTier = pool.classSet->summary.minimumShares.upper_bound(spec.tier);
+    return nextTier == pool.classSet->summary.minimumShares.end() || prediction.backlog > longestAdmittedWait(pool, nextTier->first);
 }
 
 /// Returns by how much the prediction exceeds what the caller waits for; not positive if it can be met.
--- a/lib/Policy/PrefixCost.cpp
+++ b/lib/Policy/PrefixCost.cpp
@@ -72,7 +72,7 @@
 PrefixCostInputs prefixCostInputs(const Pool &pool, const EndpointState &endpoint, const Submission &submission, const EndpointLoad &load, TimePoint now)
 {
     const ClassState *requestClass = findClass(pool, submission.requestClass);
-    const support::Tier tier = requestClass == nullptr ? pool.classSummary.lowestTier : requestClass->spec.tier;
+    const support::Tier tier = requestClass == nullptr ? pool.classSet->summary.lowestTier : requestClass->spec.tier;
     const Seconds hold(pool.holdSeconds.value);
     PrefixCostInputs inputs {.tokensPerSecond = prefillSpeed(pool, endpoint),
         .promptTokens = submission.promptTokens,
--- a/lib/Policy/SlowEndpoints.cpp
+++ b/lib/Policy/SlowEndpoints.cpp
@@ -221,7 +221,7 @@
     if (now >= endpoint.slow.nextProbeAt + pool.options.tuning.slowEndpoints.lowestTierWait) {
         return true;
     }
-    return pool.classSummary.lowestTier <= request.tier;
+    return pool.classSet->summary.lowestTier <= request.tier;
 }
 
 void recordProbeProgress(Pool &pool, ActiveRequest &request, TimePoint now)
--- a/lib/Policy/StandardPolicy.cpp
+++ b/lib/Policy/StandardPolicy.cpp
@@ -56,34 +56,16 @@
     return pool;
 }
 
-ClassSummary summarize(const support::CountedMap<support::ClassId, ClassState> &classes)
-{
-    ClassSummary summary;
-    for (const auto &[id, state] : classes) {
-        const ClassSpec &spec = state.spec;
-        summary.longestFirstTokenTarget = std::max(summary.longestFirstTokenTarget, spec.firstTokenTarget);
-        summary.minimumShares[spec.tier] += spec.minimumShare;
-    }
-    if (!summary.minimumShares.empty()) {
-        summary.highestTier = summary.minimumShares.begin()->first;
-        summary.lowestTier = summary.minimumShares.rbegin()->first;
-    }
-    return summary;
-}
-
 void configure(void *handle, const PoolOptions &options)
 {
     Pool &pool = asPool(handle);
     pool.options = options;
-    support::CountedMap<support::ClassId, ClassState> classes;
-    for (const ClassSpec &spec : options.classes) {
-        const auto existing = pool.classes.find(spec.id);
-        ClassState state = existing == pool.classes.end() ? ClassState {} : std::move(existing->second);
-        state.spec = spec;
-        classes.emplace(spec.id, std::move(state));
+    pool.classSet = classSetOf(options);
+    for (auto &[id, state] : pool.classes) {
+        const auto spec = pool.classSet->specs.find(id);
+        state.spec = spec == pool.classSet->specs.end() ? ClassSpec {} : spec->second;
     }
-    pool.classes = std::move(classes);
-    pool.classSummary = summarize(pool.classes);
+    std::erase_if(pool.classes, [](const auto &entry) { return entry.second.spec.id.empty(); });
     pool.weights.clear();
     for (const OrganisationSpec &spec : options.organisations) {
         pool.weights[spec.id] = spec.weight;
--- a/lib/Router/OrganisationTiers.cpp
+++ b/lib/Router/OrganisationTiers.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 #include <compare>
-#include <iterator>
 #include <limits>
+#include <map>
 #include <set>
 #include <string>
 #include <utility>
@@ -68,12 +68,18 @@
 
 void orderClassesByOrganisationTier(configuration::SiteConfiguration &site)
 {
-    constexpr std::ptrdiff_t lowest = std::numeric_limits<support::Tier>::max();
+    constexpr unsigned lowest = std::numeric_limits<support::Tier>::max();
     const std::vector<Precedence> precedences = addClassCopies(site);
-    const std::set<Precedence> order(precedences.begin(), precedences.end());
+    std::map<Precedence, support::Tier> ranks;
+    for (const Precedence &precedence : precedences) {
+        ranks.emplace(precedence, 0);
+    }
+    unsigned rank = 0;
+    for (auto &[precedence, tier] : ranks) {
+        tier = static_cast<support::Tier>(std::min(rank++, lowest));
+    }
     for (std::size_t index = 0; index < site.classes.size(); ++index) {
-        const std::ptrdiff_t rank = std::distance(order.begin(), order.find(precedences[index]));
-        site.classes[index].tier = static_cast<support::Tier>(std::min(rank, lowest));
+        site.classes[index].tier = ranks.at(precedences[index]);
     }
 }
 
--- a/test/Support/Naive/NaivePolicy.cpp
+++ b/test/Support/Naive/NaivePolicy.cpp
@@ -1,5 +1,7 @@
 #include "Naive/NaivePolicy.h"
 
+#include "mulberrywall/Policy/ClassSet.h"
+
 #include <algorithm>
 #include <deque>
 #include <map>
@@ -24,6 +26,7 @@
 struct NaivePool
 {
     PoolOptions options;
+    std::shared_ptr<const ClassSet> classSet;
     std::vector<NaiveEndpoint> endpoints;
     std::size_t nextEndpoint = 0;
     std::deque<Submission> queue;
@@ -101,15 +104,17 @@
     }
 }
 
-void configure(void *pool, const PoolOptions &options)
+void configure(void *handle, const PoolOptions &options)
 {
-    asPool(pool).options = options;
+    NaivePool &pool = asPool(handle);
+    pool.options = options;
+    pool.classSet = classSetOf(options);
 }
 
 PoolHandle create(const PoolOptions &options)
 {
     auto pool = std::make_shared<NaivePool>();
-    pool->options = options;
+    configure(pool.get(), options);
     return pool;
 }
 
@@ -117,8 +122,7 @@
 {
     NaivePool &pool = asPool(handle);
     Decisions decisions;
-    const auto &classes = pool.options.classes;
-    if (std::none_of(classes.begin(), classes.end(), [&](const ClassSpec &spec) { return spec.id == submission.requestClass; })) {
+    if (!pool.classSet->specs.contains(submission.requestClass)) {
         reject(decisions, submission.permit, RejectionReason::UnknownClass);
         return decisions;
     }
--- a/unittests/Permits/OwnedPoolTest.cpp
+++ b/unittests/Permits/OwnedPoolTest.cpp
@@ -1,5 +1,6 @@
 #include "mulberrywall/Permits/OwnedPool.h"
 #include "mulberrywall/Policy/PolicyFunctions.h"
+#include "mulberrywall/Support/CountedMap.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -149,4 +150,28 @@
     EXPECT_EQ(permits_.size() + rejections_, waiting);
 }
 
+/// Guards against a large configuration that takes the memory of the router and stops it for seconds, because each pool has all classes:
+/// one for each route and tier of an organisation.
+TEST_F(OwnedPoolTest, PoolsShareTheClassesOfTheConfiguration)
+{
+    const auto stepsWithPools = [this](unsigned pools) {
+        configuration::SiteConfiguration site = makeSite();
+        for (unsigned index = 0; index < 3'530; ++index) {
+            site.classes.push_back({.id = support::ClassId("class-" + std::to_string(index))});
+        }
+        for (unsigned index = 1; index < pools; ++index) {
+            site.pools.push_back({.id = support::PoolId("pool-" + std::to_string(index))});
+        }
+        const std::uint64_t before = support::stepCount();
+        pools_.configure(site);
+        pools_.configure(site);
+        return support::stepCount() - before;
+    };
+    const std::uint64_t onePool = stepsWithPools(1);
+    constexpr std::uint64_t maximumStepsOfAPool = 100;
+    EXPECT_LE(stepsWithPools(51), onePool + 50 * maximumStepsOfAPool);
+    acquire();
+    EXPECT_EQ(permits_.size(), 1U);
+}
+
 } // namespace mulberrywall::permits
