--- a/lib/Router/RouterService.cpp
+++ b/lib/Router/RouterService.cpp
@@ -227,7 +227,13 @@
         if (peers_) {
             peers_->configurationChanged(revision);
         }
-        support::log(support::Severity::Info, "configuration in force", {{"revision", revision}});
+        support::log(support::Severity::Info,
+            "configuration in force",
+            {{"revision", revision},
+                {"routes", current->routes.size()},
+                {"classes", current->classes.size()},
+                {"organisations", current->organisations.size()},
+                {"keysRequired", current->callerKeys == configuration::CallerKeys::Required}});
     }
     return change;
 }
