platform: limits and bounds of another type are not dropped

What callers would see: a document whose "limits" are no object took the operator's limits away, and settings whose "bounds" are no object took the strict limit for withdrawn keys away, so that they were accepted without end.

Cause: a member of another type was read as a missing one.

--- a/unittests/Adapter/NodeSettingsTest.cpp
+++ b/unittests/Adapter/NodeSettingsTest.cpp
@@ -67,6 +67,18 @@
     }
 }
 
+/// Guards against a strict limit for withdrawn keys that is lost because what contains it has another type.
+TEST(NodeSettings, RejectsBoundsOfAnotherType)
+{
+    for (const std::string bounds : {"[]", "null", R"("strict")", "5000"}) {
+        EXPECT_NE(errorOf(R"({"nodeName": "a", "zone": "z", "listen": {"front": "10.1.0.1:1", "ready": "10.1.0.1:2"}, "bounds": )" + bounds
+                      + R"(, "platform": {"address": "10.1.0.2:3"}})")
+                      .find("'bounds'"),
+            std::string::npos)
+            << bounds;
+    }
+}
+
 /// Guards against numbers that overflow the clocks' representation; found by the fuzz target PlatformDocument.
 TEST(NodeSettings, LimitsDurationsAndCores)
 {
--- a/unittests/Adapter/OperatorDocumentTest.cpp
+++ b/unittests/Adapter/OperatorDocumentTest.cpp
@@ -173,6 +173,9 @@
         }
         EXPECT_TRUE(std::holds_alternative<SiteConfiguration>(read('"' + list + "\": null"))) << "an empty list by some serializers";
     }
+    for (const std::string limits : {"[]", "\"\"", "0"}) {
+        EXPECT_TRUE(std::holds_alternative<OperatorDocumentError>(read("\"limits\": " + limits))) << "takes the limits away: " << limits;
+    }
     EXPECT_TRUE(std::holds_alternative<OperatorDocumentError>(read(R"("tenants": [{"name": "t", "apiKeys": {}}])")));
     EXPECT_TRUE(std::holds_alternative<SiteConfiguration>(read(R"("tenants": [{"name": "t", "apiKeys": null}])"))) << "takes the keys away";
 }
