router: name the build

The hash of the sources is written when a source is newer than it, as the compiler is run, so that a program whose objects are outdated keeps the outdated hash; `cmake -P cmake/SourceHash.cmake` prints that of the sources at hand. It is linked into programs only: in a library, each change would link all tests anew.

Test: PlatformRouterTest.NamesItsBuild, which cannot pass before: the line, the metric and the option do not exist.

--- a/cmake/Mulberrywall.cmake
+++ b/cmake/Mulberrywall.cmake
@@ -42,13 +42,26 @@
     endif()
 endfunction()
 
+# Writes the hash of the sources whenever one of them is newer, as the compiler is run: a program with outdated object files keeps
+# the hash of the outdated sources.
+include(${CMAKE_CURRENT_LIST_DIR}/SourceList.cmake)
+mulberrywall_list_sources(${PROJECT_SOURCE_DIR} MULBERRYWALL_SOURCES)
+list(TRANSFORM MULBERRYWALL_SOURCES PREPEND ${PROJECT_SOURCE_DIR}/)
+set(sourceHashFile ${CMAKE_BINARY_DIR}/SourceHash.cpp)
+add_custom_command(OUTPUT ${sourceHashFile}
+    COMMAND ${CMAKE_COMMAND} -DOUTPUT=${sourceHashFile} -P ${PROJECT_SOURCE_DIR}/cmake/SourceHash.cmake
+    DEPENDS ${MULBERRYWALL_SOURCES})
+add_library(mulberrywallSourceHash STATIC ${sourceHashFile})
+target_link_libraries(mulberrywallSourceHash PUBLIC mulberrywallOptions)
+
 # mulberrywall_add_tool(<name> SOURCES <file>... DEPENDS <target>...)
 #
-# Adds an executable.
+# Adds an executable, which has the hash of its sources and a build id.
 function(mulberrywall_add_tool name)
     cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
     add_executable(${name} ${ARG_SOURCES})
-    target_link_libraries(${name} PRIVATE mulberrywallOptions ${ARG_DEPENDS})
+    target_link_libraries(${name} PRIVATE mulberrywallOptions mulberrywallSourceHash ${ARG_DEPENDS})
+    target_link_options(${name} PRIVATE -Wl,--build-id=sha1)
 endfunction()
 
 # mulberrywall_add_test(<name> SOURCES <file>... DEPENDS <target>... [LABELS <label>...] [TIMEOUT <seconds>] [SERIAL])
--- /dev/null
+++ b/cmake/SourceList.cmake
@@ -0,0 +1,15 @@
+# mulberrywall_list_sources(<root> <variable>)
+#
+# Stores the sorted paths, relative to the root, of all files that the product's programs are built from.
+function(mulberrywall_list_sources root variable)
+    set(patterns "")
+    foreach(folder cmake include lib platform tools)
+        foreach(name CMakeLists.txt *.cmake *.cpp *.h *.c++)
+            list(APPEND patterns ${root}/${folder}/${name})
+        endforeach()
+    endforeach()
+    file(GLOB_RECURSE sources RELATIVE ${root} ${patterns})
+    list(APPEND sources CMakeLists.txt)
+    list(SORT sources)
+    set(${variable} ${sources} PARENT_SCOPE)
+endfunction()
--- a/lib/Router/AdminPages.cpp
+++ b/lib/Router/AdminPages.cpp
@@ -1,6 +1,7 @@
 #include "mulberrywall/Router/AdminPages.h"
 
 #include "mulberrywall/Http/Server.h"
+#include "mulberrywall/Support/BuildInfo.h"
 #include "mulberrywall/Support/Log.h"
 
 #include <boost/json/array.hpp>
@@ -127,6 +128,12 @@
     return json::serialize(status);
 }
 
+static void collectBuildMetric(support::MetricsRegistry &metrics)
+{
+    const support::BuildInfo build = support::buildInfo();
+    metrics.setGauge("mulberrywall_build_info", 1.0, {{"version", build.version}, {"sources", build.sources}, {"binary", build.binary}});
+}
+
 /// Sets the metrics of the pools, which count for themselves.
 static void collectPoolMetrics(const AdminContext &admin)
 {
@@ -169,6 +176,7 @@
             {.status = http::Status::unauthorized, .title = "operator key required", .detail = "send the operator key as 'Authorization: Bearer <key>'"});
     }
     if (path == "/metrics") {
+        collectBuildMetric(admin.state.metrics);
         admin.state.metrics.setGauge("mulberrywall_log_lines_dropped", static_cast<double>(support::droppedLogLines()));
         collectPoolMetrics(admin);
         collectCallerMetrics(admin);
--- a/lib/Router/RouterProgram.cpp
+++ b/lib/Router/RouterProgram.cpp
@@ -3,6 +3,7 @@
 #include "mulberrywall/Configuration/Reader.h"
 #include "mulberrywall/Router/RouterService.h"
 #include "mulberrywall/Support/Address.h"
+#include "mulberrywall/Support/BuildInfo.h"
 #include "mulberrywall/Support/Error.h"
 #include "mulberrywall/Support/Heap.h"
 #include "mulberrywall/Support/Log.h"
@@ -245,6 +246,7 @@
 {
     support::returnFreedMemory();
     support::initializeLog({.processName = settings.programName, .instance = settings.instance});
+    support::logBuild();
     support::WorkerPool workers(settings.workers);
     std::promise<void> drained;
     try {
--- a/lib/Support/Settings.cpp
+++ b/lib/Support/Settings.cpp
@@ -1,5 +1,7 @@
 #include "mulberrywall/Support/Settings.h"
 
+#include "mulberrywall/Support/BuildInfo.h"
+
 #include <cctype>
 #include <iostream>
 
@@ -19,7 +21,7 @@
 
 void addCommonFlags(CLI::App &app, bool &checkSettings)
 {
-    app.set_version_flag("--version", std::string(MULBERRYWALL_VERSION));
+    app.set_version_flag("--version", describe(buildInfo()));
     app.add_flag("--check-settings", checkSettings, "check the settings, print the result and exit");
 }
 
--- a/test/PlatformRouter/PlatformRouterFixture.h
+++ b/test/PlatformRouter/PlatformRouterFixture.h
@@ -85,8 +85,9 @@
     PlatformRouterTest()
     {
         callerPort_ = ports_.reserve("127.0.0.1");
+        readinessPort_ = ports_.reserve("127.0.0.1");
         std::ofstream(settingsFile_) << R"({"nodeName":"router-0","zone":"dc-a","listen":{"front":"127.0.0.1:)" << callerPort_ << R"(","ready":"127.0.0.1:)"
-                                     << ports_.reserve("127.0.0.1") << R"("},"limits":{"memoryMb":)" << memoryLimitMb << R"(},"bounds":{"graceS":)"
+                                     << readinessPort_ << R"("},"limits":{"memoryMb":)" << memoryLimitMb << R"(},"bounds":{"graceS":)"
                                      << terminationGrace.count() << R"(,"strictRevoke":true,"revokeMs":)" << revocationLimit.count()
                                      << R"(,"configApplyMs":1000,"drainMs":1000},"platform":{"address":"127.0.0.1:)" << store_.port() << "\"}}";
         writeConfiguration(R"("valid-key","withdrawn-key")");
@@ -168,6 +169,7 @@
                                 }};
     harness::PortReservation ports_;
     std::uint16_t callerPort_ = 0;
+    std::uint16_t readinessPort_ = 0;
     std::string settingsFile_ = (std::filesystem::temp_directory_path() / ("mulberrywall-node-" + std::to_string(::getpid()) + ".json")).string();
     std::unique_ptr<ChildProcess> router_;
     std::atomic<unsigned> requests_ {0};
--- a/test/PlatformRouter/PlatformRouterTest.cpp
+++ b/test/PlatformRouter/PlatformRouterTest.cpp
@@ -39,6 +39,22 @@
 
 } // namespace
 
+/// Guards against a router of unknown sources: a build that was not renewed could not be told from one that was.
+TEST_F(PlatformRouterTest, NamesItsBuild)
+{
+    const ChildProcess::Line line = router_->waitForLine("the first line", [](const ChildProcess::Line &entry) { return entry.at("message") == "starting"; });
+    const std::string sources(line.at("sources").as_string());
+    const std::string binary(line.at("binary").as_string());
+    constexpr std::size_t sourceHashDigits = 16;
+    EXPECT_EQ(sources.size(), sourceHashDigits) << sources;
+    EXPECT_FALSE(binary.empty());
+    const std::string metrics = harness::send({.port = readinessPort_, .method = "GET", .target = "/metrics"}).body;
+    EXPECT_NE(metrics.find("sources=\"" + sources + "\",binary=\"" + binary + "\"} 1"), std::string::npos) << metrics;
+    ChildProcess version({.name = "version", .binary = harness::routerBinary(), .arguments = {"--version"}});
+    EXPECT_EQ(version.waitForEnd(), 0);
+    EXPECT_NE(version.output().find("sources " + sources + ", binary " + binary), std::string::npos) << version.output();
+}
+
 /// Guards against a router that goes on with its lease on the configuration after a pause, although the lease ended meanwhile.
 TEST_F(PlatformRouterTest, PausedRouterUsesNoKeyThatWasWithdrawnMeanwhile)
 {
--- a/tools/mulberrywall-controller/Main.cpp
+++ b/tools/mulberrywall-controller/Main.cpp
@@ -1,6 +1,7 @@
 #include "mulberrywall/Orders/Controller.h"
 
 #include "mulberrywall/Support/Address.h"
+#include "mulberrywall/Support/BuildInfo.h"
 #include "mulberrywall/Support/Log.h"
 #include "mulberrywall/Support/Settings.h"
 #include "mulberrywall/Support/WorkerPool.h"
@@ -79,6 +80,7 @@
 
 int main(int argc, char **argv)
 {
+    support::setSourceHash(support::sourceHash);
     ControllerSettings settings;
     bool checkSettings = false;
     const CLI::Range milliseconds(1, 600'000);
--- a/tools/mulberrywall-ctl/Main.cpp
+++ b/tools/mulberrywall-ctl/Main.cpp
@@ -1,5 +1,6 @@
 #include "mulberrywall/Control/Commands.h"
 #include "mulberrywall/Support/Address.h"
+#include "mulberrywall/Support/BuildInfo.h"
 
 #include <functional>
 #include <iostream>
@@ -156,6 +157,7 @@
 
 int main(int argc, char **argv)
 {
+    support::setSourceHash(support::sourceHash);
     CtlSettings settings;
     bool checkSettings = false;
     CLI::App app("Validates, compares and applies configuration, queries the state of routers and drains endpoints", "mulberrywall-ctl");
--- a/tools/mulberrywall-report/Main.cpp
+++ b/tools/mulberrywall-report/Main.cpp
@@ -1,6 +1,7 @@
 #include "mulberrywall/Control/RouterAdminRequests.h"
 #include "mulberrywall/Report/Burn.h"
 #include "mulberrywall/Support/Address.h"
+#include "mulberrywall/Support/BuildInfo.h"
 #include "mulberrywall/Support/Settings.h"
 
 #include <fstream>
@@ -105,6 +106,7 @@
 
 int main(int argc, char **argv)
 {
+    support::setSourceHash(support::sourceHash);
     CLI::App app("Reports how well request classes meet their service levels", "mulberrywall-report");
     ReportSettings settings;
     bool checkSettings = false;
--- a/tools/mulberrywall-router/Main.cpp
+++ b/tools/mulberrywall-router/Main.cpp
@@ -2,12 +2,15 @@
 
 #include "platform/NodeSettings.h"
 
+#include "mulberrywall/Support/BuildInfo.h"
+
 #include <cstdlib>
 
 int main(int argc, char **argv)
 {
     using namespace mulberrywall;
 
+    support::setSourceHash(support::sourceHash);
     const router::RouterProgram program {
         .name = "mulberrywall-router",
         .description = "routes language-model requests to endpoints by service level",
--- a/tools/mulberrywall-router/NodeProgram.cpp
+++ b/tools/mulberrywall-router/NodeProgram.cpp
@@ -16,6 +16,7 @@
 #include "mulberrywall/Router/RouterService.h"
 #include "mulberrywall/Router/SegmentArchive.h"
 #include "mulberrywall/Router/StoreWatcher.h"
+#include "mulberrywall/Support/BuildInfo.h"
 #include "mulberrywall/Support/Heap.h"
 #include "mulberrywall/Support/Log.h"
 #include "mulberrywall/Support/Settings.h"
@@ -330,6 +331,7 @@
         .instance = settings.instance.value(),
         .output = support::LogOutput::StandardOutput,
         .delivery = support::LogDelivery::Asynchronous});
+    support::logBuild();
     support::WorkerPool workers(workerThreads);
     std::promise<void> drained;
     try {
