cmake: remove object files that may be older than their sources

Cause: the build tool compares times only.

Change: when a folder is configured, as the deploy file's command does each time, the contents of the sources are compared with a record in the folder. If one has changed and is not newer than the record, or if a folder has no record, its object files are removed. Edited sources are built as before, unchanged ones are not built again.

Test: BuildFolder.OutdatedObjectsAreRemoved; without the change: "sources with an older time: the program returns 1, but its sources say 2".

--- a/cmake/Mulberrywall.cmake
+++ b/cmake/Mulberrywall.cmake
@@ -44,8 +44,10 @@
 
 # Writes the hash of the sources whenever one of them is newer, as the compiler is run: a program with outdated object files keeps
 # the hash of the outdated sources.
+include(${CMAKE_CURRENT_LIST_DIR}/OutdatedObjects.cmake)
 include(${CMAKE_CURRENT_LIST_DIR}/SourceList.cmake)
 mulberrywall_list_sources(${PROJECT_SOURCE_DIR} MULBERRYWALL_SOURCES)
+mulberrywall_remove_outdated_objects(${PROJECT_SOURCE_DIR} ${MULBERRYWALL_SOURCES})
 list(TRANSFORM MULBERRYWALL_SOURCES PREPEND ${PROJECT_SOURCE_DIR}/)
 set(sourceHashFile ${CMAKE_BINARY_DIR}/SourceHash.cpp)
 add_custom_command(OUTPUT ${sourceHashFile}
