router: a withdrawn key does not run on public routes either

What callers saw: on a public route a request ran with whatever key it had, also with one that was taken away or never was.

Cause: runsWithoutOrganisation looked at the route before the key.

Valid keys are accepted as before.

--- a/lib/Router/RouteTable.cpp
+++ b/lib/Router/RouteTable.cpp
@@ -84,11 +84,11 @@
 /// Returns whether the request may run without the key of an organisation.
 static bool runsWithoutOrganisation(const RoutingFields &fields, const configuration::Route &route, const configuration::SiteConfiguration &configuration)
 {
-    if (route.isPublic) {
-        return true;
+    // A key is a claim that must be true even if none is needed: it may have been withdrawn, alone or with its organisation.
+    if (!fields.key.empty()) {
+        return false;
     }
-    // A key is a claim that must be true even if none is needed: its organisation may have been removed with all others.
-    return configuration.callerKeys == configuration::CallerKeys::NotUsed && fields.key.empty();
+    return route.isPublic || configuration.callerKeys == configuration::CallerKeys::NotUsed;
 }
 
 /// Returns the organisation of the key. Requests that run without one belong to one organisation without a name.
