--- a/test/PlatformRouter/ScriptedStore.cpp
+++ b/test/PlatformRouter/ScriptedStore.cpp
@@ -29,23 +29,35 @@
     return std::string(rest.substr(0, rest.find('&')));
 }
 
-ScriptedStore::ScriptedStore(support::WorkerPool &workers)
-    : server_(http::Server::create(
-        workers.context(), {.listen = {boost::asio::ip::address_v4::loopback(), 0}}, [this](const http::ServerExchangePtr &exchange) { handle(exchange); }))
+ScriptedStore::ScriptedStore(support::WorkerPool &workers, std::shared_ptr<ScriptedTables> tables, RewriteValue rewriteValue)
+    : tables_(std::move(tables)),
+      rewriteValue_(std::move(rewriteValue)),
+      server_(http::Server::create(
+          workers.context(), {.listen = {boost::asio::ip::address_v4::loopback(), 0}}, [this](const http::ServerExchangePtr &exchange) { handle(exchange); }))
 {
     server_->start();
 }
 
+ScriptedStore::ScriptedStore(support::WorkerPool &workers)
+    : ScriptedStore(workers, std::make_shared<ScriptedTables>(), nullptr)
+{
+}
+
+ScriptedStore::ScriptedStore(support::WorkerPool &workers, const ScriptedStore &store, RewriteValue rewriteValue)
+    : ScriptedStore(workers, store.tables_, std::move(rewriteValue))
+{
+}
+
 std::uint16_t ScriptedStore::port() const
 {
     return server_->localEndpoint().port();
 }
 
-void ScriptedStore::set(const std::string &table, const std::string &key, Row row)
+void ScriptedStore::set(const std::string &table, const std::string &key, ScriptedRow row)
 {
-    const std::scoped_lock lock(mutex_);
-    row.version = ++version_;
-    tables_[table][key] = std::move(row);
+    const std::scoped_lock lock(tables_->mutex);
+    row.version = ++tables_->version;
+    tables_->tables[table][key] = std::move(row);
 }
 
 void ScriptedStore::write(const std::string &table, const std::string &key, std::string value)
@@ -94,7 +106,7 @@
 std::string ScriptedStore::renderRows(const std::string &table, std::uint64_t afterVersion, bool includesDeleted) const
 {
     json::array rows;
-    if (const auto found = tables_.find(table); found != tables_.end()) {
+    if (const auto found = tables_->tables.find(table); found != tables_->tables.end()) {
         for (const auto &[key, row] : found->second) {
             if (row.version <= afterVersion || (row.deleted && !includesDeleted)) {
                 continue;
@@ -103,17 +115,17 @@
             if (row.deleted) {
                 rendered["deleted"] = true;
             } else {
-                rendered["value"] = encodeBase64(row.value);
+                rendered["value"] = encodeBase64(rewriteValue_ ? rewriteValue_(key, row.value) : row.value);
             }
             rows.push_back(std::move(rendered));
         }
     }
-    return json::serialize(json::object {{"rows", std::move(rows)}, {"truncated", false}, {"ver", version_}});
+    return json::serialize(json::object {{"rows", std::move(rows)}, {"truncated", false}, {"ver", tables_->version}});
 }
 
 void ScriptedStore::respondWithTable(const http::ServerExchangePtr &exchange, const std::string &table)
 {
-    const std::scoped_lock lock(mutex_);
+    const std::scoped_lock lock(tables_->mutex);
     exchange->respond(http::makeJsonResponse(http::Status::ok, renderRows(table, 0, false)));
 }
 
@@ -123,8 +135,8 @@
         return;
     }
     {
-        const std::scoped_lock lock(mutex_);
-        if (version_ > version || Clock::now() >= end) {
+        const std::scoped_lock lock(tables_->mutex);
+        if (tables_->version > version || Clock::now() >= end) {
             exchange->respond(http::makeJsonResponse(http::Status::ok, renderRows(table, version, true)));
             return;
         }
--- a/test/Support/Harness/TestClient.cpp
+++ b/test/Support/Harness/TestClient.cpp
@@ -138,7 +138,7 @@
         if (stream_.socket().is_open()) {
             return {};
         }
-        const asio::ip::tcp::endpoint peer(asio::ip::address_v4::loopback(), call_.port);
+        const asio::ip::tcp::endpoint peer(asio::ip::make_address(call_.address), call_.port);
         return runOperation(context_, [&](auto handler) { stream_.async_connect(peer, handler); });
     }
 
--- a/test/Support/Harness/TestClient.h
+++ b/test/Support/Harness/TestClient.h
@@ -33,6 +33,8 @@
 
 struct Call
 {
+    /// IP address; only loopback ones are in use.
+    std::string address = "127.0.0.1";
     std::uint16_t port = 0;
     std::string method = "POST";
     std::string target;
@@ -73,13 +75,13 @@
     [[nodiscard]] std::string outcome() const;
 };
 
-/// Makes one call to the loopback address on a new connection and blocks until it ends.
+/// Makes one call on a new connection and blocks until it ends.
 ///
 /// Doesn't use the product's HTTP library, so that a fault in that library cannot hide itself.
 Reply send(const Call &call);
 
 /// A client connection that stays open between calls, until the server closes it or a call fails. All calls must go to the same
-/// port, one at a time.
+/// address, one at a time.
 class KeptConnection
 {
 public:
