cmake: remove the hash of outdated sources with their object files

What operators would see: a router that was built anew in the folder of an earlier release, from sources with older times, names the hash of the earlier sources, so that it looks like one that was not built.

Cause: the file with the hash is written when a source is newer than it, and only the object files were removed.

Test, failed before: BuildFolder.OutdatedObjectsAreRemoved, "the hash of the earlier sources is still there".

--- a/cmake/OutdatedObjects.cmake
+++ b/cmake/OutdatedObjects.cmake
@@ -1,8 +1,9 @@
 # mulberrywall_remove_outdated_objects(<root> <source>...)
 #
-# Removes all object files of the build folder if a source, given relative to the root, may have changed without becoming newer than
-# them, as it does when sources are unpacked with the times at which they were committed. The build tool compares times only, and
-# would go on to use the outdated objects. To be called when the folder is configured, before targets are added.
+# Removes all object files of the build folder, and the hash of the sources, if a source, given relative to the root, may have
+# changed without becoming newer than them, as it does when sources are unpacked with the times at which they were committed. The
+# build tool compares times only, and would go on to use the outdated files. To be called when the folder is configured, before
+# targets are added.
 function(mulberrywall_remove_outdated_objects root)
     set(record ${CMAKE_BINARY_DIR}/sources.txt)
     set(earlier "")
@@ -20,7 +21,7 @@
         endif()
     endforeach()
     if(isOutdated)
-        file(GLOB_RECURSE objects ${CMAKE_BINARY_DIR}/*.o ${CMAKE_BINARY_DIR}/*.gch)
+        file(GLOB_RECURSE objects ${CMAKE_BINARY_DIR}/*.o ${CMAKE_BINARY_DIR}/*.gch ${CMAKE_BINARY_DIR}/SourceHash.cpp)
         if(objects)
             message(STATUS "Removing object files that may be older than their sources")
             file(REMOVE ${objects})
--- a/test/BuildFolder/OutdatedObjectsTest.cmake
+++ b/test/BuildFolder/OutdatedObjectsTest.cmake
@@ -28,8 +28,12 @@
 
 write_value(1)
 expect_value(1 "new folder")
+file(WRITE ${FOLDER}/build/SourceHash.cpp "// the hash of the earlier sources")
 write_value(2 2001-01-01)
 expect_value(2 "sources with an older time")
+if(EXISTS ${FOLDER}/build/SourceHash.cpp)
+    message(FATAL_ERROR "sources with an older time: the hash of the earlier sources is still there")
+endif()
 write_value(3)
 expect_value(3 "edited sources")
 
